Set up the layers, value types, clock, settings, metrics and checks

The project starts empty. This lays down the layers named in the design with the types that all of them share, the clock that tests pause and advance, the blackboard's tables, and the interfaces to the platform and the peers, so that the features can be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# Entry points for people; CMake does the work.
+.PHONY: all install test demo format lint capacity
+
+all: install
+	cmake --preset release
+	cmake --build --preset release
+
+install:
+	bash .ci/install
+
+test: all
+	ctest --preset release -j 4
+
+format:
+	bash .ci/format
+
+lint:
+	bash .ci/lint
--- /dev/null
+++ b/src/base/logging.cc
@@ -0,0 +1,102 @@
+#include "base/logging.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+namespace kumquatcart {
+
+namespace {
+
+std::atomic<LogLevel> lowest_level{LogLevel::kInfo};
+std::atomic<LogFormat> line_format{LogFormat::kKeyValue};
+
+const char* LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
+bool NeedsQuotes(const std::string& value) {
+  return value.empty() ||
+         value.find_first_of(" \"=\\\n\r\t") != std::string::npos;
+}
+
+std::string Quote(const std::string& value) {
+  return nlohmann::json(value).dump(-1, ' ', false,
+                                    nlohmann::json::error_handler_t::replace);
+}
+
+std::string FormatTime(std::int64_t unix_millis) {
+  const std::time_t seconds = unix_millis / 1000;
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds),
+                     unix_millis % 1000);
+}
+
+}  // namespace
+
+void ConfigureLogging(LogLevel lowest, LogFormat format) {
+  lowest_level = lowest;
+  line_format = format;
+}
+
+void Log(LogLevel level,
+         const char* event,
+         std::initializer_list<LogField> fields) {
+  if (level < lowest_level.load()) {
+    return;
+  }
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+          .count();
+  std::string line =
+      internal::FormatLogLine(line_format.load(), millis, level, event, fields);
+  line.push_back('\n');
+  // One write for the whole line, so that lines of several threads never
+  // interleave.
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+namespace internal {
+
+std::string FormatLogLine(LogFormat format,
+                          std::int64_t unix_millis,
+                          LogLevel level,
+                          const char* event,
+                          std::initializer_list<LogField> fields) {
+  if (format == LogFormat::kJson) {
+    nlohmann::ordered_json json;
+    json["time"] = FormatTime(unix_millis);
+    json["level"] = LevelName(level);
+    json["event"] = event;
+    for (const LogField& field : fields) {
+      json[field.key] = field.value;
+    }
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  }
+  std::string line =
+      fmt::format("time={} level={} event={}", FormatTime(unix_millis),
+                  LevelName(level), event);
+  for (const LogField& field : fields) {
+    const std::string value =
+        NeedsQuotes(field.value) ? Quote(field.value) : field.value;
+    fmt::format_to(std::back_inserter(line), " {}={}", field.key, value);
+  }
+  return line;
+}
+
+}  // namespace internal
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/base/scope_guard.h
@@ -0,0 +1,32 @@
+// Runs a function when a scope ends.
+#ifndef BASE_SCOPE_GUARD_H_
+#define BASE_SCOPE_GUARD_H_
+
+#include <utility>
+
+namespace kumquatcart {
+
+// Calls `action` on destruction unless dismissed. Not thread safe.
+template <class Action>
+class ScopeGuard {
+ public:
+  explicit ScopeGuard(Action action) : action(std::move(action)) {}
+  ScopeGuard(const ScopeGuard&) = delete;
+  ScopeGuard& operator=(const ScopeGuard&) = delete;
+  ~ScopeGuard() {
+    if (this->armed) {
+      this->action();
+    }
+  }
+
+  // Drops the action.
+  void Dismiss() { this->armed = false; }
+
+ private:
+  Action action;
+  bool armed = true;
+};
+
+}  // namespace kumquatcart
+
+#endif  // BASE_SCOPE_GUARD_H_
--- /dev/null
+++ b/src/base/worker_pool.h
@@ -0,0 +1,51 @@
+// A fixed set of threads that run posted work.
+#ifndef BASE_WORKER_POOL_H_
+#define BASE_WORKER_POOL_H_
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace kumquatcart {
+
+// Runs work in the order posted, on `threads` threads. All methods are thread
+// safe.
+class WorkerPool {
+ public:
+  // Precondition: `threads` is at least 1.
+  explicit WorkerPool(std::size_t threads);
+  // Runs what is already posted, then joins.
+  ~WorkerPool();
+  WorkerPool(const WorkerPool&) = delete;
+  WorkerPool& operator=(const WorkerPool&) = delete;
+
+  // Queues `work`. Work posted after Stop is dropped.
+  void Post(std::function<void()> work);
+
+  // Runs every function of `batch` on the pool and the calling thread, and
+  // returns when all are done. Safe to call from a worker.
+  void RunAll(std::vector<std::function<void()>> batch);
+
+  // Finishes queued work and joins the threads. Idempotent.
+  void Stop();
+
+  // Work waiting for a thread.
+  std::size_t QueueLength() const;
+
+ private:
+  void Run();
+
+  mutable std::mutex mutex;
+  std::condition_variable changed;
+  std::deque<std::function<void()>> queue;
+  bool stopping = false;
+  std::vector<std::thread> threads;
+};
+
+}  // namespace kumquatcart
+
+#endif  // BASE_WORKER_POOL_H_
--- /dev/null
+++ b/src/peers/peer_network.cc
@@ -0,0 +1,1 @@
+#include "peers/peer_network.h"
--- /dev/null
+++ b/src/platform/platform.cc
@@ -0,0 +1,1 @@
+// Placeholder translation unit until the HTTP adapters land.
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
