--- a/src/base/setting.cc
+++ b/src/base/setting.cc
@@ -42,7 +42,7 @@
   setting.assign = [key = std::move(key), target, lowest,
                     highest](const std::string& text) {
     Number number{};
-    const Status parsed = ParseNumber(key, text, lowest, highest, &number);
+    Status parsed = ParseNumber(key, text, lowest, highest, &number);
     if (parsed.has_value()) {
       *target = number;
     }
@@ -65,7 +65,7 @@
   setting.assign = [key = std::move(key), target, lowest,
                     highest](const std::string& text) {
     std::int64_t millis = 0;
-    const Status parsed =
+    Status parsed =
         ParseNumber(key, text, ToMillis(lowest), ToMillis(highest), &millis);
     if (parsed.has_value()) {
       *target = std::chrono::milliseconds(millis);
