Run subcommands from a registry

Each feature brings a Command with its own options, so that serve and the operator commands live in their own files and main.cc stays small.

--- /dev/null
+++ b/src/cli/command_list.cc
@@ -0,0 +1,10 @@
+#include "cli/command_list.h"
+
+namespace kumquatcart {
+
+CommandList MakeCommands() {
+  CommandList commands;
+  return commands;
+}
+
+}  // namespace kumquatcart
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,9 +1,15 @@
-#include <CLI/CLI.hpp>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "cli/command_list.h"
 
 int main(int argc, char** argv) {
-  CLI::App app(
-      "Serving system for language models whose replicas span several VMs");
-  app.set_version_flag("--version", "0.1.0");
-  CLI11_PARSE(app, argc, argv);
-  return 0;
+  kumquatcart::RuntimeClock clock;
+  const kumquatcart::CommandContext context{std::cin, std::cout, std::cerr,
+                                            clock};
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  const kumquatcart::ExitCode code = kumquatcart::RunCommandLine(
+      arguments, kumquatcart::MakeCommands(), context);
+  return static_cast<int>(code);
 }
