Choose backend servers by affinity, corrected load, distance and health

Cause: the first router took the group with the fewest own attempts, blind to what other nodes send, to caches, to distance and to failing servers, and every request started at once.

Change: pure decisions for bounded-load rendezvous affinity, lag correction, two choices, spilling by distance, circuits, outliers that never empty a pool and slow start; admission by quota, capacity share, weighted fair queues and deadline; quotas split between nodes by gossiped demand.

--- /dev/null
+++ b/src/routing/demand_table.cc
@@ -0,0 +1,173 @@
+#include "routing/demand_table.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace kumquatcart {
+
+namespace {
+
+// Weight of the newest interval in the published rate.
+constexpr double kNewestWeight = 0.5;
+
+// Relative change of a rate that is worth a push.
+constexpr double kPushChange = 0.25;
+
+// Rates below this, in units a second, count as none and are left out.
+constexpr double kLowestRate = 0.01;
+
+// One entry as sent to peers.
+struct EntryMessage {
+  struct Rate {
+    ObjectName organisation;
+    ServiceName service;
+    double rate = 0;
+  };
+
+  NodeId node;
+  std::int64_t version = 0;
+  std::vector<Rate> rates;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryMessage::Rate,
+                                   organisation,
+                                   service,
+                                   rate)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryMessage, node, version, rates)
+
+bool DiffersEnough(double before, double after) {
+  return std::abs(after - before) > kPushChange * std::max(before, after);
+}
+
+}  // namespace
+
+DemandTable::DemandTable(Clock* clock, NodeId self, Duration hold)
+    : clock(clock),
+      self(std::move(self)),
+      hold(hold),
+      counted_since(clock->Now()) {
+  this->entries[this->self].heard_at = clock->Now();
+}
+
+void DemandTable::Record(const DemandKey& key, double amount) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->counted[key] += amount;
+}
+
+bool DemandTable::Publish() {
+  const MonotonicTime now = this->clock->Now();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const double seconds =
+      std::chrono::duration<double>(now - this->counted_since).count();
+  if (seconds <= 0) {
+    return false;
+  }
+  Entry& own = this->entries[this->self];
+  Rates next;
+  for (const auto& [key, rate] : own.rates) {
+    next[key] = (1 - kNewestWeight) * rate;
+  }
+  for (const auto& [key, amount] : this->counted) {
+    next[key] += kNewestWeight * amount / seconds;
+  }
+  bool changed = false;
+  for (auto entry = next.begin(); entry != next.end();) {
+    const auto before = own.rates.find(entry->first);
+    const double old_rate = before == own.rates.end() ? 0 : before->second;
+    changed = changed || DiffersEnough(old_rate, entry->second);
+    entry = entry->second < kLowestRate ? next.erase(entry) : std::next(entry);
+  }
+  own.rates = std::move(next);
+  own.heard_at = now;
+  ++own.version;
+  this->counted.clear();
+  this->counted_since = now;
+  this->DropExpired();
+  return changed;
+}
+
+DemandByNode DemandTable::Read(const DemandKey& key) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  DemandByNode demand;
+  for (const auto& [node, entry] : this->entries) {
+    const auto found = entry.rates.find(key);
+    demand[node] = found == entry.rates.end() ? 0 : found->second;
+  }
+  return demand;
+}
+
+std::string DemandTable::Name() const {
+  return "demand";
+}
+
+Json DemandTable::Digest() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Json digest = Json::object();
+  for (const auto& [node, entry] : this->entries) {
+    digest[node.value] = entry.version;
+  }
+  return digest;
+}
+
+Result<Json> DemandTable::DeltaFor(const Json& digest,
+                                   std::size_t max_bytes) const {
+  BOOST_OUTCOME_TRY(known,
+                    (FromJson<std::map<std::string, std::int64_t>>(digest)));
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Json delta = Json::array();
+  std::size_t bytes = 0;
+  for (const auto& [node, entry] : this->entries) {
+    const auto found = known.find(node.value);
+    if (found != known.end() && found->second >= entry.version) {
+      continue;
+    }
+    EntryMessage message{node, entry.version, {}};
+    for (const auto& [key, rate] : entry.rates) {
+      message.rates.push_back({key.organisation, key.service, rate});
+    }
+    Json encoded = message;
+    bytes += Json::to_cbor(encoded).size();
+    if (bytes > max_bytes && !delta.empty()) {
+      break;
+    }
+    delta.push_back(std::move(encoded));
+  }
+  return delta.empty() ? Json() : delta;
+}
+
+Result<bool> DemandTable::Merge(const Json& delta) {
+  if (delta.is_null()) {
+    return false;
+  }
+  BOOST_OUTCOME_TRY(messages, FromJson<std::vector<EntryMessage>>(delta));
+  const MonotonicTime now = this->clock->Now();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  bool news = false;
+  for (const EntryMessage& message : messages) {
+    Entry& entry = this->entries[message.node];
+    if (message.node == this->self || message.version <= entry.version) {
+      continue;
+    }
+    entry.version = message.version;
+    entry.heard_at = now;
+    entry.rates.clear();
+    for (const EntryMessage::Rate& rate : message.rates) {
+      entry.rates[{rate.organisation, rate.service}] = std::max(0.0, rate.rate);
+    }
+    news = true;
+  }
+  return news;
+}
+
+void DemandTable::DropExpired() {
+  const MonotonicTime oldest = this->clock->Now() - this->hold;
+  for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+    const bool expired =
+        entry->first != this->self && entry->second.heard_at < oldest;
+    entry = expired ? this->entries.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/routing/quota_split.cc
@@ -0,0 +1,51 @@
+#include "routing/quota_split.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace kumquatcart {
+
+namespace {
+
+// Level at which demands are cut so that their sum is `total`; the largest
+// demand when all fit.
+double FindWaterLevel(std::vector<double> demands, double total) {
+  std::sort(demands.begin(), demands.end());
+  double left = total;
+  std::size_t unserved = demands.size();
+  for (const double demand : demands) {
+    const double equal_part = left / static_cast<double>(unserved);
+    if (demand >= equal_part) {
+      return equal_part;
+    }
+    left -= demand;
+    --unserved;
+  }
+  return demands.empty() ? 0 : demands.back();
+}
+
+}  // namespace
+
+double SplitQuota(double total,
+                  double floor_fraction,
+                  const DemandByNode& demand,
+                  const NodeId& node) {
+  const auto nodes = static_cast<double>(demand.size());
+  const double floor = total * floor_fraction / nodes;
+  const double shared = total - floor * nodes;
+  std::vector<double> excess;
+  for (const auto& [id, wanted] : demand) {
+    excess.push_back(std::max(0.0, wanted - floor));
+  }
+  const double level = FindWaterLevel(excess, shared);
+  double served = 0;
+  for (const double wanted : excess) {
+    served += std::min(wanted, level);
+  }
+  const double own = std::max(0.0, demand.at(node) - floor);
+  const double leftover = std::max(0.0, shared - served) / nodes;
+  return floor + std::min(own, level) + leftover;
+}
+
+}  // namespace kumquatcart
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -2,8 +2,12 @@
 #ifndef ROUTING_ROUTER_H_
 #define ROUTING_ROUTER_H_
 
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <mutex>
+#include <random>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -12,14 +16,17 @@
 #include "base/comparable.h"
 #include "base/ids.h"
 #include "base/outcome.h"
+#include "base/setting.h"
 #include "board/board.h"
 #include "model/engine.h"
+#include "routing/backend_id.h"
+#include "routing/backend_selector.h"
+#include "routing/circuit_breaker.h"
+#include "routing/load_ledger.h"
+#include "routing/outlier_detector.h"
 
 namespace kumquatcart {
 
-// Names a routing target: a replica group's id or a plain service VM's id.
-using BackendId = StrongId<struct BackendIdTag>;
-
 // What an attempt needs.
 struct RouteQuery {
   ServiceName service;
@@ -56,25 +63,77 @@
   kCancelled,  // The caller went away.
 };
 
-// Chooses targets and keeps count of this node's own attempts. Thread safe.
+struct RouterSettings {
+  double affinity_load_bound = 1.25;
+  double spill_utilisation = 0.9;
+  // How long a new backend server's share grows to its full weight.
+  Duration slow_start = std::chrono::seconds(10);
+};
+
+SettingGroup DescribeSettings(RouterSettings* settings);
+
+// Weight of a backend server that became routable `age` ago: from a tenth to
+// one over `window`.
+double SlowStartWeight(Duration age, Duration window);
+
+// Chooses targets and keeps count of this node's own attempts. Thread safe: one
+// mutex guards all state; the board's tables are read before it is taken.
 class Router {
  public:
-  // Precondition: `board` outlives the router.
-  explicit Router(Board* board);
+  // Precondition: `clock` and `board` outlive the router. `seed` fixes random
+  // choices.
+  Router(Clock* clock,
+         Board* board,
+         RouterSettings settings,
+         std::uint64_t seed);
 
   // Chooses a target and counts an attempt in flight there. Errors: kNotFound
   // when no such service is configured; kUnavailable when none can take the
   // attempt, with `retry_after_ms`.
   Result<Route> Choose(const RouteQuery& query);
 
-  // Ends the attempt that Choose counted. Precondition: called once per
-  // successful Choose.
+  // Ends the attempt that Choose counted. `latency` is the time to the first
+  // byte of the answer. Precondition: called once per successful Choose.
   void Finish(const Route& route, AttemptResult result, Duration latency);
 
  private:
+  // What is remembered of one backend server.
+  struct Memory {
+    MonotonicTime routable_since;
+    MonotonicTime last_seen;
+    CircuitBreaker circuit{CircuitPolicy()};
+    BackendStats stats;
+  };
+
+  // A possible target with its part in the choice.
+  struct Option {
+    Route route;
+    Candidate candidate;
+  };
+
+  std::vector<Option> FindOptions(const RouteQuery& query);
+  Candidate Assess(const Route& route,
+                   const EngineLoad& load,
+                   MonotonicTime now);
+  Memory& Remember(const BackendId& backend, MonotonicTime now);
+  Distance DistanceTo(const FailureDomainId& failure_domain,
+                      const VmTable& vms) const;
+  void RefreshOutliers(const ServiceName& service,
+                       const std::vector<Option>& options,
+                       MonotonicTime now);
+  void ForgetGone(MonotonicTime now);
+
+  Clock* clock;
   Board* board;
-  std::mutex mutex;  // Guards `in_flight`; leaf in the lock order.
-  std::map<BackendId, int> in_flight;
+  const RouterSettings settings;
+  const MonotonicTime started_at;
+
+  std::mutex mutex;
+  LoadLedger ledger;
+  std::map<BackendId, Memory> memories;
+  std::set<BackendId> outliers;
+  std::map<ServiceName, MonotonicTime> outliers_until;
+  std::mt19937_64 random;
 };
 
 }  // namespace kumquatcart
--- /dev/null
+++ b/src/routing/token_bucket.cc
@@ -0,0 +1,67 @@
+#include "routing/token_bucket.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace kumquatcart {
+
+namespace {
+
+// Longest wait that is reported, also for a rate of zero.
+constexpr Duration kLongestWait = std::chrono::minutes(1);
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+TokenBucket::TokenBucket(double rate, Duration burst, MonotonicTime now)
+    : rate(rate), burst(burst), earned_until(now), level(this->Capacity()) {}
+
+void TokenBucket::SetRate(double rate, MonotonicTime now) {
+  this->Earn(now);
+  this->rate = rate;
+  this->level = std::min(this->level, this->Capacity());
+}
+
+bool TokenBucket::HasCredit(MonotonicTime now) {
+  this->Earn(now);
+  return this->level > 0;
+}
+
+void TokenBucket::Spend(double cost, MonotonicTime now) {
+  this->Earn(now);
+  this->level -= cost;
+}
+
+Duration TokenBucket::UntilCredit(MonotonicTime now) {
+  this->Earn(now);
+  if (this->level > 0) {
+    return Duration(0);
+  }
+  if (this->rate <= 0) {
+    return kLongestWait;
+  }
+  const std::chrono::duration<double> wait(-this->level / this->rate);
+  if (wait >= kLongestWait) {
+    return kLongestWait;
+  }
+  // One nanosecond more than the exact wait, so that credit is above zero then.
+  return std::chrono::duration_cast<Duration>(wait) + Duration(1);
+}
+
+void TokenBucket::Earn(MonotonicTime now) {
+  if (now <= this->earned_until) {
+    return;
+  }
+  this->level += this->rate * ToSeconds(now - this->earned_until);
+  this->level = std::min(this->level, this->Capacity());
+  this->earned_until = now;
+}
+
+double TokenBucket::Capacity() const {
+  return this->rate * ToSeconds(this->burst);
+}
+
+}  // namespace kumquatcart
