--- a/src/platform/platform.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-// Placeholder translation unit until the HTTP adapters land.
--- /dev/null
+++ b/src/platform/platform_constants.h
@@ -0,0 +1,39 @@
+// Paths, status codes and defaults of the platform's HTTP interface.
+#ifndef PLATFORM_PLATFORM_CONSTANTS_H_
+#define PLATFORM_PLATFORM_CONSTANTS_H_
+
+#include <chrono>
+
+#include "base/clock.h"
+
+namespace kumquatcart {
+
+constexpr char kLogPath[] = "/log/";
+constexpr char kVmsPath[] = "/vms";
+constexpr char kWeightsPath[] = "/weights";
+constexpr char kEngineStatusPath[] = "/engine/status";
+constexpr char kEngineOrdersPath[] = "/engine/orders";
+constexpr char kEngineGeneratePath[] = "/engine/generate";
+constexpr char kEngineCancelPath[] = "/engine/cancel";
+constexpr char kEngineCacheEventsPath[] = "/engine/cache-events";
+constexpr char kServiceProbePath[] = "/healthz";
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpGone = 410;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpServerError = 500;
+constexpr int kHttpUnavailable = 503;
+
+// Wait suggested to callers whose append met the platform's rate limit, in
+// milliseconds.
+constexpr int kAppendRetryAfterMs = 100;
+
+// Bounds of every timeout setting.
+constexpr Duration kLowestPlatformTimeout = std::chrono::milliseconds(10);
+constexpr Duration kHighestPlatformTimeout = std::chrono::minutes(2);
+
+}  // namespace kumquatcart
+
+#endif  // PLATFORM_PLATFORM_CONSTANTS_H_
