--- /dev/null
+++ b/src/base/periodic_task.h
@@ -0,0 +1,42 @@
+// Work repeated at an interval on a worker pool.
+#ifndef BASE_PERIODIC_TASK_H_
+#define BASE_PERIODIC_TASK_H_
+
+#include <functional>
+#include <memory>
+
+#include "base/clock.h"
+#include "base/worker_pool.h"
+
+namespace kumquatcart {
+
+// Runs `work` on `pool` each `interval` after the end of the previous run; runs
+// never overlap. All methods are thread safe.
+class PeriodicTask {
+ public:
+  // Precondition: `clock` and `pool` outlive the task, and Stop is called
+  // before the pool stops.
+  PeriodicTask(Clock* clock,
+               WorkerPool* pool,
+               Duration interval,
+               std::function<void()> work);
+  // Stops the task.
+  ~PeriodicTask();
+  PeriodicTask(const PeriodicTask&) = delete;
+  PeriodicTask& operator=(const PeriodicTask&) = delete;
+
+  // Begins with a run at once. Idempotent.
+  void Start();
+
+  // Returns when no run is in progress and none will follow. Idempotent.
+  // Precondition: not called from `work`.
+  void Stop();
+
+ private:
+  struct Shared;
+  std::shared_ptr<Shared> shared;
+};
+
+}  // namespace kumquatcart
+
+#endif  // BASE_PERIODIC_TASK_H_
