Keep leases over the log and plan replica groups under them

Cause: nothing decided who may give orders to engines, nor which VMs form which replica group. Change: lease_rules folds the lease stream into holders, the same on every node; lease_keeper claims and renews for this failure domain and counts its expiry from before each append. placement_planner derives the next steps from configuration, VM list and engine reports without memory of earlier plans; group_controller carries them out as fenced orders, each checked against the lease just before it goes.

--- /dev/null
+++ b/src/control/group_settings.cc
@@ -0,0 +1,64 @@
+#include "control/group_controller.h"
+
+namespace kumquatcart {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kMaxFailuresPerVmDay = 1000;
+
+}  // namespace
+
+SettingGroup DescribeSettings(GroupSettings* settings) {
+  PlacementLimits& limits = settings->limits;
+  return SettingGroup{
+      "Replica groups",
+      {
+          DurationSetting(
+              "group-plan-interval-ms", "Time between placement plans.",
+              &settings->plan_interval, milliseconds(50), seconds(60)),
+          DurationSetting("group-lost-after-ms",
+                          "Silence after which placement replaces a VM.",
+                          &settings->lost_after, milliseconds(200), hours(1)),
+          DurationSetting("group-order-timeout-ms",
+                          "Time to wait for an engine's answer to an order.",
+                          &settings->order_timeout, milliseconds(50),
+                          seconds(60)),
+          DurationSetting("group-order-validity-ms",
+                          "Age at which an engine drops an order.",
+                          &settings->order_validity, milliseconds(50),
+                          seconds(2)),
+          DurationSetting("group-store-poll-interval-ms",
+                          "Time between questions to the weight store.",
+                          &settings->store_poll_interval, milliseconds(100),
+                          hours(1)),
+          IntSetting("group-max-orders", "Orders in one planning round.",
+                     &settings->max_orders_per_round, 1, 100'000),
+          DurationSetting("group-load-window-ms",
+                          "Loads started ahead, as time at the weight store's "
+                          "full rate.",
+                          &limits.load_window, milliseconds(0), hours(24)),
+          DurationSetting("group-drain-estimate-ms",
+                          "Time that streams of a draining group need.",
+                          &limits.drain_estimate, milliseconds(0), hours(1)),
+          NumberSetting("group-rollout-part",
+                        "Part of a service's replicas replaced at once.",
+                        &limits.rollout_part, 0, 1),
+          NumberSetting("group-failures-per-vm-day",
+                        "Unplanned losses of one VM in a day; sizes the spare "
+                        "reserve.",
+                        &limits.failures_per_vm_day, 0, kMaxFailuresPerVmDay),
+          DurationSetting("group-repair-time-ms",
+                          "Time that a failed VM stays away.",
+                          &limits.repair_time, seconds(1), hours(24 * 30)),
+          NumberSetting("group-spare-shortage-probability",
+                        "Accepted probability that a fabric domain lacks a "
+                        "spare.",
+                        &limits.spare_shortage_probability, 1e-9, 1),
+      }};
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/control/lease_keeper.cc
@@ -0,0 +1,322 @@
+#include "control/lease_keeper.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "base/json.h"
+#include "base/logging.h"
+#include "control/lease_constants.h"
+
+namespace kumquatcart {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The holder gives up this much earlier than the duration it asked for.
+constexpr Duration kHolderGuard = milliseconds(250);
+
+// Reading from here returns no records, only the bounds of the stream.
+constexpr Offset kBeyondEnd = std::numeric_limits<Offset>::max() / 2;
+
+}  // namespace
+
+SettingGroup DescribeSettings(LeaseSettings* settings) {
+  return SettingGroup{
+      "Leases",
+      {
+          DurationSetting("lease-duration-ms",
+                          "Time that a placement lease lasts unless renewed.",
+                          &settings->duration, milliseconds(1000),
+                          milliseconds(kMaxLeaseDurationMs)),
+          DurationSetting("lease-renew-interval-ms",
+                          "Time between renewals of a held lease.",
+                          &settings->renew_interval, milliseconds(100),
+                          milliseconds(kMaxLeaseDurationMs)),
+          DurationSetting("lease-poll-interval-ms",
+                          "Time between reads of the lease stream.",
+                          &settings->poll_interval, milliseconds(50),
+                          milliseconds(kMaxLeaseDurationMs)),
+          DurationSetting("lease-claim-stagger-ms",
+                          "Extra wait of each further candidate before it "
+                          "claims a free lease.",
+                          &settings->claim_stagger, milliseconds(0),
+                          milliseconds(kMaxLeaseDurationMs)),
+          IntSetting("lease-candidates",
+                     "Entry VMs of a failure domain that follow its lease.",
+                     &settings->candidates, 1, 64),
+      }};
+}
+
+LeaseKeeper::LeaseKeeper(Clock* clock,
+                         WorkerPool* pool,
+                         Board* board,
+                         LogService* log,
+                         MetricRegistry* metrics,
+                         LeaseSettings settings)
+    : clock(clock),
+      board(board),
+      log(log),
+      settings(settings),
+      appends(metrics->GetCounter("kumquatcart_lease_appends_total")),
+      append_failures(
+          metrics->GetCounter("kumquatcart_lease_append_failures_total")),
+      held(metrics->GetGauge("kumquatcart_lease_held")),
+      last_append_at(clock->Now() - settings.renew_interval),
+      held_until(clock->Now()),
+      acquired_at(clock->Now()),
+      task(std::make_unique<PeriodicTask>(clock,
+                                          pool,
+                                          settings.poll_interval,
+                                          [this] { this->RunOnce(); })) {}
+
+void LeaseKeeper::Start() {
+  this->task->Start();
+}
+
+void LeaseKeeper::Stop() {
+  this->task->Stop();
+  const std::lock_guard<std::mutex> round(this->round_mutex);
+  if (!this->HoldsLease(this->clock->Now())) {
+    return;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->held_until = this->clock->Now();
+  }
+  this->Append(LeaseRecord::Kind::kRelease);
+}
+
+void LeaseKeeper::RunOnce() {
+  const std::lock_guard<std::mutex> round(this->round_mutex);
+  std::int64_t rank = 0;
+  const bool candidate = this->IsCandidate(&rank);
+  if (!candidate && !this->HoldsLease(this->clock->Now())) {
+    this->held.Set(0);
+    return;
+  }
+  const Status read = this->ReadNewRecords();
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->log_reachable = read.has_value();
+  }
+  // A failed read says nothing about appends: a held lease is still renewed.
+  if (read.has_value() || this->HoldsLease(this->clock->Now())) {
+    this->ClaimOrRenew(rank);
+  }
+  this->Publish();
+}
+
+bool LeaseKeeper::HoldsLease(MonotonicTime now) const {
+  return this->Standing(now).right == OrderRight::kEveryEngine;
+}
+
+LeaseStanding LeaseKeeper::Standing(MonotonicTime now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const LeaseGrant grant =
+      this->ledger.Find(this->board->identity.failure_domain);
+  LeaseStanding standing;
+  if (grant.holder != this->board->identity.id) {
+    return standing;
+  }
+  standing.fence = grant.fence;
+  standing.acquired_at = this->acquired_at;
+  standing.expires_at = this->held_until;
+  if (now < this->held_until) {
+    standing.right = OrderRight::kEveryEngine;
+  } else if (!this->log_reachable) {
+    standing.right = OrderRight::kFencedEnginesOnly;
+  }
+  return standing;
+}
+
+bool LeaseKeeper::IsCandidate(std::int64_t* rank) const {
+  const auto members = this->board->members.Read();
+  const NodeIdentity& self = this->board->identity;
+  *rank = 0;
+  for (const auto& [id, member] : members->members) {
+    const bool rival = member.identity.failure_domain == self.failure_domain &&
+                       member.state == MemberState::kAlive &&
+                       member.platform_reachable;
+    if (rival && id < self.id) {
+      ++*rank;
+    }
+  }
+  return *rank < this->settings.candidates;
+}
+
+Status LeaseKeeper::ReadNewRecords() {
+  if (this->next_offset == kNoOffset) {
+    BOOST_OUTCOME_TRYV(this->FindStart());
+  }
+  while (true) {
+    Result<LogBatch> batch = this->log->Read(kLeaseStream, this->next_offset,
+                                             kLeaseReadBatch, Duration(0));
+    if (batch.has_error() && batch.error().code == ErrorCode::kExpired) {
+      BOOST_OUTCOME_TRYV(this->FindStart());
+      continue;
+    }
+    BOOST_OUTCOME_TRYV(batch);
+    const MonotonicTime now = this->clock->Now();
+    for (const LogRecord& record : batch.value().records) {
+      this->Fold(record, now);
+      this->next_offset = record.offset + 1;
+    }
+    if (batch.value().records.size() < kLeaseReadBatch) {
+      return Ok();
+    }
+  }
+}
+
+Status LeaseKeeper::FindStart() {
+  BOOST_OUTCOME_TRY(bounds,
+                    this->log->Read(kLeaseStream, kBeyondEnd, 1, Duration(0)));
+  const Offset first = std::max<Offset>(bounds.first_retained, 1);
+  Offset start = std::max<Offset>(bounds.last, first);
+  std::int64_t newest_ms = 0;
+  for (std::int64_t step = kLeaseSearchStep; start > first; step *= 2) {
+    BOOST_OUTCOME_TRY(batch,
+                      this->log->Read(kLeaseStream, start, 1, Duration(0)));
+    if (batch.records.empty()) {
+      break;
+    }
+    const std::int64_t time_ms = batch.records.front().time_unix_ms;
+    newest_ms = std::max(newest_ms, time_ms);
+    if (time_ms < newest_ms - kLeaseForgetMs) {
+      break;
+    }
+    start = std::max(first, start - step);
+  }
+  this->next_offset = start;
+  return Ok();
+}
+
+void LeaseKeeper::Fold(const LogRecord& record, MonotonicTime now) {
+  const Result<LeaseRecord> decoded = DecodeJson<LeaseRecord>(record.payload);
+  if (decoded.has_error()) {
+    LogWarning("lease_record_malformed", {{"offset", record.offset},
+                                          {"reason", decoded.error().message}});
+    return;
+  }
+  const PlacedLeaseRecord placed{record.offset, record.time_unix_ms,
+                                 decoded.value()};
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const LeaseJudgement judgement = this->ledger.Apply(placed);
+  if (judgement.effective) {
+    this->assumed_expiry[placed.record.failure_domain] =
+        now + milliseconds(judgement.after.live_until_ms - placed.time_unix_ms);
+    this->FoldOwn(placed, record, now);
+  }
+  this->pending.erase(record.append_id);
+}
+
+void LeaseKeeper::FoldOwn(const PlacedLeaseRecord& placed,
+                          const LogRecord& record,
+                          MonotonicTime now) {
+  const auto sent = this->pending.find(record.append_id);
+  if (sent == this->pending.end() ||
+      placed.record.kind == LeaseRecord::Kind::kRelease) {
+    return;
+  }
+  if (placed.record.kind == LeaseRecord::Kind::kClaim) {
+    this->acquired_at = now;
+    this->held_until = sent->second.sent_at;
+    LogInfo("lease_acquired", {{"failure_domain", placed.record.failure_domain},
+                               {"fence", placed.offset}});
+  }
+  this->held_until =
+      std::max(this->held_until,
+               sent->second.sent_at + sent->second.duration - kHolderGuard);
+}
+
+void LeaseKeeper::ClaimOrRenew(std::int64_t rank) {
+  const MonotonicTime now = this->clock->Now();
+  if (this->WantsRenewal(now)) {
+    this->Append(LeaseRecord::Kind::kRenew);
+  } else if (this->WantsClaim(now, rank)) {
+    this->Append(LeaseRecord::Kind::kClaim);
+  } else {
+    return;
+  }
+  const Status read = this->ReadNewRecords();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->log_reachable = read.has_value();
+}
+
+bool LeaseKeeper::WantsRenewal(MonotonicTime now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const LeaseGrant grant =
+      this->ledger.Find(this->board->identity.failure_domain);
+  return grant.holder == this->board->identity.id &&
+         now >= this->last_append_at + this->settings.renew_interval;
+}
+
+bool LeaseKeeper::WantsClaim(MonotonicTime now, std::int64_t rank) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const FailureDomainId& own = this->board->identity.failure_domain;
+  const LeaseGrant grant = this->ledger.Find(own);
+  if (grant.holder == this->board->identity.id ||
+      now < this->last_append_at + this->settings.renew_interval) {
+    return false;
+  }
+  const auto expiry = this->assumed_expiry.find(own);
+  return expiry == this->assumed_expiry.end() ||
+         now >= expiry->second + this->settings.claim_stagger * rank;
+}
+
+void LeaseKeeper::Append(LeaseRecord::Kind kind) {
+  LeaseRecord record;
+  const AppendId append_id = MakeId<AppendId>();
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const MonotonicTime now = this->clock->Now();
+    const LeaseGrant grant =
+        this->ledger.Find(this->board->identity.failure_domain);
+    record.kind = kind;
+    record.failure_domain = this->board->identity.failure_domain;
+    record.holder = this->board->identity.id;
+    record.fence = kind == LeaseRecord::Kind::kClaim ? 0 : grant.fence;
+    record.expected_last = grant.last_record;
+    record.duration_ms = ToMillis(this->settings.duration);
+    this->last_append_at = now;
+    // Counted from before the send, so that the holder's expiry comes first.
+    this->pending[append_id] = PendingAppend{now, this->settings.duration};
+  }
+  this->appends.Add();
+  const Result<Offset> appended =
+      this->log->Append(kLeaseStream, append_id, Json(record).dump());
+  if (appended.has_value()) {
+    return;
+  }
+  this->append_failures.Add();
+  LogWarning("lease_append_failed", {{"kind", Json(kind).get<std::string>()},
+                                     {"reason", appended.error().message}});
+  const ErrorCode code = appended.error().code;
+  if (code == ErrorCode::kUnavailable || code == ErrorCode::kExhausted) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->pending.erase(append_id);
+  }
+}
+
+void LeaseKeeper::Publish() {
+  LeaseTable table;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (const auto& [failure_domain, grant] : this->ledger.Grants()) {
+      const bool own = grant.holder == this->board->identity.id;
+      LeaseView view;
+      view.failure_domain = failure_domain;
+      view.holder = grant.holder;
+      view.fence = grant.fence;
+      view.last_record = grant.last_record;
+      view.expires_at =
+          own ? this->held_until : this->assumed_expiry[failure_domain];
+      table.leases[failure_domain] = std::move(view);
+    }
+  }
+  this->held.Set(this->HoldsLease(this->clock->Now()) ? 1 : 0);
+  this->board->leases.Publish(std::move(table));
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/control/placement_needs.cc
@@ -0,0 +1,200 @@
+#include "control/placement_needs.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "control/placement_breakup.h"
+#include "control/spare_reserve.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Bits of an epoch below the fencing number.
+constexpr int kEpochCounterBits = 20;
+
+enum class NeedResult {
+  kMet,       // Ordered.
+  kDeferred,  // Waits for a VM's return or for the weight store.
+  kStuck,     // There are no VMs for it.
+};
+
+bool IsDenser(const PlacementNeed& left, const PlacementNeed& right) {
+  const auto cost = [](const PlacementNeed& need) {
+    return static_cast<double>(std::max<std::int64_t>(need.LoadBytes(), 1));
+  };
+  return left.gain * cost(right) > right.gain * cost(left);
+}
+
+// True when every lost member should be back, with its weights, before a spare
+// could have loaded them.
+bool IsReturnSooner(const PlacementNeed& need, const PlacementDraft& draft) {
+  const PlacementInput& input = draft.Input();
+  const PlacementGroup& group = draft.State().groups[need.group];
+  const MonotonicTime swapped = input.now + draft.LoadTime(need.LoadBytes());
+  for (std::size_t i = 0; i < group.members.size(); ++i) {
+    if (group.members[i].leaving && !group.members[i].lost) {
+      return false;
+    }
+    if (!group.members[i].lost) {
+      continue;
+    }
+    const auto back = input.expected_return.find(group.claim.members[i]);
+    if (back == input.expected_return.end() || !back->second.keeps_weights ||
+        back->second.at > swapped || back->second.at < input.now) {
+      return false;
+    }
+  }
+  return true;
+}
+
+NeedResult Swap(const PlacementNeed& need, PlacementDraft* draft) {
+  const PlacementState& state = draft->State();
+  const PlacementGroup& group = state.groups[need.group];
+  if (IsReturnSooner(need, *draft)) {
+    return NeedResult::kDeferred;
+  }
+  if (draft->CountFree(group.fabric, *need.demand) < need.vms) {
+    return NeedResult::kStuck;
+  }
+  if (!draft->TakeLoad(need.LoadBytes())) {
+    return NeedResult::kDeferred;
+  }
+  const std::optional<std::vector<std::size_t>> spares =
+      draft->TakeFree(group.fabric, *need.demand, need.vms);
+  PlacementAction action;
+  action.kind = PlacementActionKind::kSwap;
+  action.claim = group.claim;
+  action.claim.epoch = NextEpoch(group.claim.epoch, draft->Input().fence);
+  action.gain = need.gain;
+  action.reason = "members lost or leaving: " + std::to_string(need.vms);
+  std::vector<std::size_t> targets;
+  std::size_t next_spare = 0;
+  for (std::size_t i = 0; i < group.members.size(); ++i) {
+    const PlacementMember& member = group.members[i];
+    const bool replace = member.lost || member.leaving;
+    const std::size_t vm = replace ? (*spares)[next_spare++] : member.vm;
+    action.claim.members[i] = state.vms[vm].id;
+    targets.push_back(vm);
+  }
+  draft->Add(std::move(action), targets);
+  return NeedResult::kMet;
+}
+
+// The fabric domain that a new group would leave with the most spares beyond
+// its reserve.
+std::optional<FabricDomainId> ChooseFabric(const PlacementNeed& need,
+                                           const PlacementDraft& draft) {
+  std::optional<FabricDomainId> best;
+  int best_left = 0;
+  for (const auto& [fabric, vms] : draft.State().vms_by_fabric) {
+    const int free = draft.CountFree(fabric, *need.demand);
+    const int reserve = std::max(
+        need.demand->spares_per_fabric,
+        SpareReserve(static_cast<int>(vms.size()), draft.Input().limits));
+    const int left = free - need.vms - reserve;
+    if (free < need.vms || (need.is_surge && left < 0)) {
+      continue;
+    }
+    if (!best.has_value() || left > best_left) {
+      best = fabric;
+      best_left = left;
+    }
+  }
+  return best;
+}
+
+NeedResult Form(const PlacementNeed& need, PlacementDraft* draft) {
+  const std::optional<FabricDomainId> fabric = ChooseFabric(need, *draft);
+  if (!fabric.has_value()) {
+    return NeedResult::kStuck;
+  }
+  if (!draft->TakeLoad(need.LoadBytes())) {
+    return NeedResult::kDeferred;
+  }
+  const std::optional<std::vector<std::size_t>> spares =
+      draft->TakeFree(*fabric, *need.demand, need.vms);
+  PlacementAction action;
+  action.kind = PlacementActionKind::kForm;
+  action.claim.epoch = NextEpoch(0, draft->Input().fence);
+  action.claim.service = need.demand->service;
+  action.claim.version = need.demand->version;
+  action.claim.role = need.demand->role;
+  action.gain = need.gain;
+  action.reason = need.is_surge ? "successor of a group that still serves"
+                                : "a replica is missing";
+  for (const std::size_t vm : *spares) {
+    action.claim.members.push_back(draft->State().vms[vm].id);
+  }
+  draft->Add(std::move(action), *spares);
+  return NeedResult::kMet;
+}
+
+// Replaces a group that cannot be completed by a new one in another fabric
+// domain when that serves sooner than the lost VMs are back.
+bool FormElsewhere(const PlacementNeed& need, PlacementDraft* draft) {
+  const PlacementNeed successor = MakeFormNeed(*need.demand, false);
+  const MonotonicTime formed =
+      draft->Input().now + draft->LoadTime(successor.LoadBytes());
+  if (formed >= ExpectedCompletion(need, *draft)) {
+    return false;
+  }
+  return Form(successor, draft) != NeedResult::kStuck;
+}
+
+}  // namespace
+
+GroupEpoch NextEpoch(GroupEpoch previous, FencingNumber fence) {
+  return std::max(previous + 1, fence << kEpochCounterBits);
+}
+
+PlacementNeed MakeFormNeed(const PlacementDemand& demand, bool is_surge) {
+  PlacementNeed need;
+  need.demand = &demand;
+  need.vms = demand.vm_count;
+  need.gain = demand.GroupValue(demand.vm_count * demand.accelerators_per_vm);
+  need.is_surge = is_surge;
+  return need;
+}
+
+PlacementNeed MakeRepairNeed(const PlacementDemand& demand,
+                             const PlacementState& state,
+                             std::size_t group) {
+  PlacementNeed need = MakeFormNeed(demand, false);
+  need.group = group;
+  need.vms =
+      state.groups[group].lost_members + state.groups[group].leaving_members;
+  return need;
+}
+
+int MeetNeeds(std::vector<PlacementNeed> needs, PlacementDraft* draft) {
+  std::stable_sort(needs.begin(), needs.end(), IsDenser);
+  std::vector<PlacementNeed> stuck;
+  int surges_without_vms = 0;
+  for (const PlacementNeed& need : needs) {
+    const bool is_new = need.group == kNewGroup;
+    const NeedResult result = is_new ? Form(need, draft) : Swap(need, draft);
+    if (result != NeedResult::kStuck) {
+      continue;
+    }
+    if (!is_new) {
+      stuck.push_back(need);
+    }
+    surges_without_vms += need.is_surge ? 1 : 0;
+  }
+  std::vector<PlacementNeed> without_spares;
+  for (const PlacementNeed& need : stuck) {
+    if (!FormElsewhere(need, draft)) {
+      without_spares.push_back(need);
+    }
+  }
+  if (!draft->IsRepairOnly()) {
+    BreakUpGroups(without_spares, draft);
+  }
+  return surges_without_vms;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/control/placement_planner.cc
@@ -0,0 +1,266 @@
+#include "control/placement_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+#include "control/placement_draft.h"
+#include "control/placement_needs.h"
+#include "control/placement_state.h"
+#include "control/placement_upkeep.h"
+
+namespace kumquatcart {
+
+namespace {
+
+using Indexes = std::vector<std::size_t>;
+
+// The groups of one service by what is to become of them.
+struct DemandGroups {
+  Indexes sound;     // Wanted version and size, no leaving member.
+  Indexes leaving;   // Wanted version and size, some member leaves.
+  Indexes outdated;  // Another version or size.
+};
+
+// Lower is kept longer.
+int KeepRank(const PlacementGroup& group) {
+  if (group.IsWhole()) {
+    return group.draining ? 1 : 0;
+  }
+  if (group.lost_members > 0) {
+    return 3 + group.lost_members;
+  }
+  return group.all_agree ? 2 : 3;
+}
+
+DemandGroups SortGroups(const PlacementDemand& demand,
+                        const PlacementState& state) {
+  DemandGroups sorted;
+  for (const std::size_t index : demand.groups) {
+    const PlacementGroup& group = state.groups[index];
+    const bool current =
+        group.claim.version == demand.version &&
+        static_cast<int>(group.members.size()) == demand.vm_count;
+    if (!current) {
+      sorted.outdated.push_back(index);
+    } else if (group.leaving_members > 0) {
+      sorted.leaving.push_back(index);
+    } else {
+      sorted.sound.push_back(index);
+    }
+  }
+  std::stable_sort(sorted.sound.begin(), sorted.sound.end(),
+                   [&](std::size_t left, std::size_t right) {
+                     return KeepRank(state.groups[left]) <
+                            KeepRank(state.groups[right]);
+                   });
+  return sorted;
+}
+
+// Plans the groups of one service.
+class DemandPlanner {
+ public:
+  DemandPlanner(const PlacementDemand& demand,
+                PlacementDraft* draft,
+                std::vector<PlacementNeed>* needs)
+      : demand(demand),
+        state(draft->State()),
+        draft(draft),
+        needs(needs),
+        groups(SortGroups(demand, draft->State())) {}
+
+  // Keeps, drains and retires groups and adds this service's needs.
+  void Plan() {
+    const int kept = std::min(this->demand.replicas, this->SoundCount());
+    this->missing = this->demand.replicas - kept;
+    this->all_whole =
+        this->CountServing(this->groups.sound) >= this->demand.replicas;
+    this->KeepSound(kept);
+    this->HandleLeaving();
+    this->HandleOutdated();
+    for (int i = 0; i < this->missing; ++i) {
+      this->needs->push_back(MakeFormNeed(this->demand, false));
+    }
+  }
+
+  // Starts successors of groups that still serve, from what the needs of every
+  // service have left. Where no VMs are free an old group makes room.
+  void StartSuccessors() {
+    if (this->successors <= 0) {
+      return;
+    }
+    std::vector<PlacementNeed> surges(
+        this->successors, MakeFormNeed(this->demand, /*is_surge=*/true));
+    const int without_vms = MeetNeeds(std::move(surges), this->draft);
+    if (without_vms == this->successors && this->may_make_room) {
+      this->Retire(this->serving_outdated.front(),
+                   "makes room for the wanted version");
+    }
+  }
+
+ private:
+  int SoundCount() const { return static_cast<int>(this->groups.sound.size()); }
+
+  const PlacementGroup& Group(std::size_t index) const {
+    return this->state.groups[index];
+  }
+
+  bool IsServing(std::size_t index) const {
+    return this->Group(index).IsWhole() && !this->Group(index).draining;
+  }
+
+  int CountServing(const Indexes& indexes) const {
+    return static_cast<int>(
+        std::count_if(indexes.begin(), indexes.end(),
+                      [&](std::size_t index) { return IsServing(index); }));
+  }
+
+  void Retire(std::size_t index, const char* reason) {
+    if (!this->draft->IsRepairOnly()) {
+      RetireGroup(this->Group(index), reason, this->draft);
+    }
+  }
+
+  // Keeps the first `kept` sound groups and ends the others once the kept ones
+  // serve.
+  void KeepSound(int kept) {
+    // One role change at a time, and only while no replica is missing.
+    bool may_drain = this->all_whole;
+    for (int i = 0; i < this->SoundCount(); ++i) {
+      const std::size_t index = this->groups.sound[i];
+      const PlacementGroup& group = this->Group(index);
+      if (i >= kept && this->all_whole) {
+        this->Retire(index, "more replicas than wanted");
+        continue;
+      }
+      KeepGroup(this->demand, group, may_drain, this->draft);
+      may_drain = may_drain && !this->HasOtherRole(group);
+      if (i < kept && group.lost_members > 0) {
+        this->needs->push_back(
+            MakeRepairNeed(this->demand, this->state, index));
+      }
+    }
+  }
+
+  bool HasOtherRole(const PlacementGroup& group) const {
+    return std::any_of(group.members.begin(), group.members.end(),
+                       [&](const PlacementMember& member) {
+                         return !member.lost &&
+                                this->state.vms[member.vm].status->claim.role !=
+                                    this->demand.role;
+                       });
+  }
+
+  // Closes groups with a leaving member, then swaps the member or forms a
+  // successor, whichever serves sooner.
+  void HandleLeaving() {
+    for (const std::size_t index : this->groups.leaving) {
+      const PlacementGroup& group = this->Group(index);
+      DrainGroup(group, "a member leaves", this->draft);
+      const bool runs_streams = group.IsWhole() && !group.idle;
+      if (this->missing <= 0) {
+        if (this->all_whole) {
+          this->Retire(index, "replaced, since a member leaves");
+        }
+        continue;
+      }
+      --this->missing;
+      if (!runs_streams) {
+        this->needs->push_back(
+            MakeRepairNeed(this->demand, this->state, index));
+      } else if (this->IsSuccessorSooner()) {
+        this->needs->push_back(MakeFormNeed(this->demand, false));
+      }
+    }
+  }
+
+  // True when a whole new group would serve before the old one has drained and
+  // one spare has loaded.
+  bool IsSuccessorSooner() const {
+    const std::int64_t bytes = this->demand.bytes_per_vm;
+    return this->draft->LoadTime(bytes * this->demand.vm_count) <
+           this->draft->Input().limits.drain_estimate +
+               this->draft->LoadTime(bytes);
+  }
+
+  // Ends groups of another version once their successors serve, and decides how
+  // many successors to start.
+  void HandleOutdated() {
+    Indexes& serving = this->serving_outdated;
+    int in_flight = this->SoundCount() - this->CountServing(this->groups.sound);
+    for (const std::size_t index : this->groups.outdated) {
+      const PlacementGroup& group = this->Group(index);
+      if (this->IsServing(index) && group.leaving_members == 0) {
+        serving.push_back(index);
+        continue;
+      }
+      in_flight += group.IsWhole() ? 1 : 0;
+      this->Retire(index, "another version is wanted");
+    }
+    if (this->draft->IsRepairOnly()) {
+      return;
+    }
+    const int surplus = this->CountServing(this->groups.sound) +
+                        static_cast<int>(serving.size()) -
+                        this->demand.replicas;
+    for (int i = 0; i < surplus && !serving.empty(); ++i) {
+      this->Retire(serving.back(), "its successor serves");
+      serving.pop_back();
+    }
+    this->CountSuccessors(in_flight);
+  }
+
+  // Missing replicas that an old group still covers are replaced a few at a
+  // time.
+  void CountSuccessors(int in_flight) {
+    const int covered = std::min(
+        this->missing, static_cast<int>(this->serving_outdated.size()));
+    this->missing -= covered;
+    const double part =
+        this->draft->Input().limits.rollout_part * this->demand.replicas;
+    const int at_once = std::max(1, static_cast<int>(std::floor(part)));
+    this->successors = std::min(covered, at_once - in_flight);
+    this->may_make_room = in_flight == 0 && this->missing == 0;
+  }
+
+  const PlacementDemand& demand;
+  const PlacementState& state;
+  PlacementDraft* const draft;
+  std::vector<PlacementNeed>* const needs;
+  DemandGroups groups;
+  int missing = 0;         // Replicas that no sound group stands for.
+  bool all_whole = false;  // The wanted number of sound groups serves.
+  Indexes serving_outdated;
+  int successors = 0;          // Of old groups that still serve, to start now.
+  bool may_make_room = false;  // No replica is missing or under way.
+};
+
+}  // namespace
+
+PlacementPlan PlanPlacement(const PlacementInput& input) {
+  const PlacementState state = BuildPlacementState(input);
+  PlacementDraft draft(input, state);
+  std::vector<PlacementNeed> needs;
+  std::vector<DemandPlanner> planners;
+  planners.reserve(state.demands.size());
+  for (const PlacementDemand& demand : state.demands) {
+    planners.emplace_back(demand, &draft, &needs);
+    planners.back().Plan();
+  }
+  MeetNeeds(std::move(needs), &draft);
+  for (DemandPlanner& planner : planners) {
+    planner.StartSuccessors();
+  }
+  if (!draft.IsRepairOnly()) {
+    for (const std::size_t index : state.unwanted) {
+      RetireGroup(state.groups[index], "its service is not wanted here",
+                  &draft);
+    }
+    ReleaseStrays(&draft);
+  }
+  return draft.Finish();
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/control/spare_reserve.cc
@@ -0,0 +1,25 @@
+#include "control/spare_reserve.h"
+
+#include <chrono>
+#include <cmath>
+
+namespace kumquatcart {
+
+int SpareReserve(int vm_count, const PlacementLimits& limits) {
+  using Days = std::chrono::duration<double, std::ratio<86400>>;
+  const double days_away = Days(limits.repair_time).count();
+  // Number of VMs away at one moment: Poisson with this mean.
+  const double mean = vm_count * limits.failures_per_vm_day * days_away;
+  double probability = std::exp(-mean);
+  double at_most = probability;
+  int spares = 0;
+  while (1.0 - at_most > limits.spare_shortage_probability &&
+         spares < vm_count) {
+    ++spares;
+    probability *= mean / spares;
+    at_most += probability;
+  }
+  return spares;
+}
+
+}  // namespace kumquatcart
