--- /dev/null
+++ b/tests/routing/circuit_breaker_test.cc
@@ -0,0 +1,67 @@
+#include "routing/circuit_breaker.h"
+
+#include <catch2/catch.hpp>
+
+namespace kumquatcart {
+namespace {
+
+using std::chrono::milliseconds;
+
+CircuitBreaker MakeOpen(const ManualClock& clock) {
+  CircuitBreaker circuit{CircuitPolicy()};
+  for (int failure = 0; failure < 3; ++failure) {
+    circuit.RecordFailure(clock.Now());
+  }
+  return circuit;
+}
+
+TEST_CASE("A circuit opens after failures in a row only") {
+  ManualClock clock;
+  CircuitBreaker circuit{CircuitPolicy()};
+  for (int round = 0; round < 5; ++round) {
+    circuit.RecordFailure(clock.Now());
+    circuit.RecordFailure(clock.Now());
+    circuit.RecordSuccess();
+  }
+  REQUIRE(circuit.Allows(clock.Now()));
+  REQUIRE_FALSE(MakeOpen(clock).Allows(clock.Now()));
+}
+
+TEST_CASE("An open circuit lets one probe through at a time") {
+  ManualClock clock;
+  CircuitBreaker circuit = MakeOpen(clock);
+  clock.Advance(milliseconds(499));
+  REQUIRE_FALSE(circuit.Allows(clock.Now()));
+  clock.Advance(milliseconds(1));
+  REQUIRE(circuit.Allows(clock.Now()));
+  circuit.RecordStart(clock.Now());
+  REQUIRE_FALSE(circuit.Allows(clock.Now()));
+
+  SECTION("a failed probe doubles the time") {
+    circuit.RecordFailure(clock.Now());
+    clock.Advance(milliseconds(999));
+    REQUIRE_FALSE(circuit.Allows(clock.Now()));
+    clock.Advance(milliseconds(1));
+    REQUIRE(circuit.Allows(clock.Now()));
+  }
+  SECTION("a good probe closes it") {
+    circuit.RecordSuccess();
+    REQUIRE(circuit.Allows(clock.Now()));
+  }
+  SECTION("an abandoned probe lets the next one through") {
+    circuit.RecordNeutral();
+    REQUIRE(circuit.Allows(clock.Now()));
+  }
+}
+
+TEST_CASE("Late failures of earlier attempts do not prolong an open circuit") {
+  ManualClock clock;
+  CircuitBreaker circuit = MakeOpen(clock);
+  clock.Advance(milliseconds(400));
+  circuit.RecordFailure(clock.Now());
+  clock.Advance(milliseconds(100));
+  REQUIRE(circuit.Allows(clock.Now()));
+}
+
+}  // namespace
+}  // namespace kumquatcart
--- /dev/null
+++ b/tests/routing/quota_split_test.cc
@@ -0,0 +1,79 @@
+#include "routing/quota_split.h"
+
+#include <cmath>
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+namespace kumquatcart {
+namespace {
+
+DemandByNode AnyDemand() {
+  DemandByNode demand;
+  const int nodes = *rc::gen::inRange(1, 12);
+  for (int node = 0; node < nodes; ++node) {
+    demand[NodeId("n" + std::to_string(node))] = *rc::gen::inRange(0, 200);
+  }
+  return demand;
+}
+
+// Hands out the shared part in small equal steps to whoever still wants more.
+std::map<NodeId, double> NaiveSplit(double total,
+                                    double floor_fraction,
+                                    const DemandByNode& demand) {
+  constexpr int kSteps = 20000;
+  const auto nodes = static_cast<double>(demand.size());
+  std::map<NodeId, double> parts;
+  for (const auto& [node, wanted] : demand) {
+    parts[node] = total * floor_fraction / nodes;
+  }
+  const double step = total * (1 - floor_fraction) / kSteps;
+  for (int given = 0; given < kSteps; ++given) {
+    std::vector<NodeId> hungry;
+    for (const auto& [node, wanted] : demand) {
+      if (parts[node] < wanted) {
+        hungry.push_back(node);
+      }
+    }
+    if (hungry.empty()) {
+      for (auto& [node, part] : parts) {
+        part += step * (kSteps - given) / nodes;
+      }
+      return parts;
+    }
+    for (const NodeId& node : hungry) {
+      parts[node] += step / static_cast<double>(hungry.size());
+    }
+  }
+  return parts;
+}
+
+TEST_CASE("The parts of all nodes add up to the whole limit") {
+  rc::prop("and each keeps its floor", [] {
+    const DemandByNode demand = AnyDemand();
+    const double total = *rc::gen::inRange(1, 500);
+    double sum = 0;
+    for (const auto& [node, wanted] : demand) {
+      const double part = SplitQuota(total, 0.2, demand, node);
+      const double floor = 0.2 * total / static_cast<double>(demand.size());
+      RC_ASSERT(part >= floor - 1e-9);
+      sum += part;
+    }
+    RC_ASSERT(std::abs(sum - total) < 1e-6);
+  });
+}
+
+TEST_CASE("The split is max-min fair") {
+  rc::prop("against a split in small steps", [] {
+    const DemandByNode demand = AnyDemand();
+    const double total = *rc::gen::inRange(1, 500);
+    const std::map<NodeId, double> naive = NaiveSplit(total, 0.2, demand);
+    for (const auto& [node, part] : naive) {
+      RC_ASSERT(std::abs(SplitQuota(total, 0.2, demand, node) - part) <
+                0.01 * total);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace kumquatcart
