--- a/src/platform/http_vm_list.cc
+++ b/src/platform/http_vm_list.cc
@@ -11,15 +11,15 @@
 
 namespace {
 
-// Answer of GET /vms.
-struct VmListAnswer {
-  std::vector<Vm> vms;
-};
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(VmListAnswer, vms)
-
-VmTable ToTable(VmListAnswer answer) {
+// Decodes the answer of GET /vms.
+Result<VmTable> DecodeTable(const std::string& body) {
+  BOOST_OUTCOME_TRY(json, ParseJson(body));
+  if (!json.is_object() || !json.contains("vms")) {
+    return MakeError(ErrorCode::kInvalidArgument, "answer lacks vms");
+  }
+  BOOST_OUTCOME_TRY(vms, FromJson<std::vector<Vm>>(json["vms"]));
   VmTable table;
-  for (Vm& vm : answer.vms) {
+  for (Vm& vm : vms) {
     VmId id = vm.id;
     table.vms.insert_or_assign(std::move(id), std::move(vm));
   }
@@ -46,11 +46,11 @@
   if (answer.value().status != kHttpOk) {
     return internal::UnexpectedStatus(ErrorCode::kUnavailable, answer.value());
   }
-  Result<VmListAnswer> list = DecodeJson<VmListAnswer>(answer.value().body);
-  if (!list.has_value()) {
-    return MakeError(ErrorCode::kUnavailable, list.error().message);
+  Result<VmTable> table = DecodeTable(answer.value().body);
+  if (!table.has_value()) {
+    return MakeError(ErrorCode::kUnavailable, table.error().message);
   }
-  return ToTable(std::move(list).value());
+  return table;
 }
 
 }  // namespace kumquatcart
