Keep one periodic task

Two classes of one name and namespace stood in base and in control, linked into one program with different members: undefined behaviour. The one of base stays, since peers and control both use it.

--- a/src/control/group_controller.h
+++ b/src/control/group_controller.h
@@ -13,12 +13,12 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
+#include "base/periodic_task.h"
 #include "base/setting.h"
 #include "base/worker_pool.h"
 #include "board/board.h"
 #include "control/lease_keeper.h"
 #include "control/order_sender.h"
-#include "control/periodic_task.h"
 #include "control/placement_score.h"
 #include "control/placement_types.h"
 #include "control/return_estimator.h"
--- a/src/control/lease_keeper.h
+++ b/src/control/lease_keeper.h
@@ -12,11 +12,11 @@
 #include "base/comparable.h"
 #include "base/metrics.h"
 #include "base/outcome.h"
+#include "base/periodic_task.h"
 #include "base/setting.h"
 #include "base/worker_pool.h"
 #include "board/board.h"
 #include "control/lease_rules.h"
-#include "control/periodic_task.h"
 #include "platform/log_service.h"
 
 namespace kumquatcart {
