--- a/src/model/config_objects.h
+++ b/src/model/config_objects.h
@@ -52,11 +52,15 @@
   std::int64_t weights_bytes_per_vm = 0;
   std::int64_t first_token_target_ms = 1500;
   EngineRole role = EngineRole::kMixed;
+  // Bounds on the sums over the quotas at this service; 0 sets none.
+  double max_requests_per_second = 0;
+  double max_tokens_per_second = 0;
 
   auto Tie() const {
     return std::tie(this->replica_group_class, this->version,
                     this->weights_bytes_per_vm, this->first_token_target_ms,
-                    this->role);
+                    this->role, this->max_requests_per_second,
+                    this->max_tokens_per_second);
   }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelService,
@@ -64,7 +68,9 @@
                                                 version,
                                                 weights_bytes_per_vm,
                                                 first_token_target_ms,
-                                                role)
+                                                role,
+                                                max_requests_per_second,
+                                                max_tokens_per_second)
 
 // One rule of a plain service: requests it matches are not idempotent.
 struct NonIdempotentRoute {
@@ -81,14 +87,18 @@
 struct PlainService {
   std::vector<NonIdempotentRoute> non_idempotent_routes;
   std::int64_t timeout_ms = 10000;
+  // Bound on the sum over the quotas at this service; 0 sets none.
+  double max_requests_per_second = 0;
 
   auto Tie() const {
-    return std::tie(this->non_idempotent_routes, this->timeout_ms);
+    return std::tie(this->non_idempotent_routes, this->timeout_ms,
+                    this->max_requests_per_second);
   }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PlainService,
                                                 non_idempotent_routes,
-                                                timeout_ms)
+                                                timeout_ms,
+                                                max_requests_per_second)
 
 // Replicas wanted in one failure domain.
 struct ReplicaCount {
