--- a/src/cli/command_list.cc
+++ b/src/cli/command_list.cc
@@ -1,12 +1,9 @@
 #include "cli/command_list.h"
 
-#include "cli/operator_commands.h"
-
 namespace kumquatcart {
 
 CommandList MakeCommands() {
   CommandList commands;
-  AddOperatorCommands(MakeHttpOperatorBackend, &commands);
   return commands;
 }
 
