--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	bash .ci/install
 
 test: all
-	ctest --preset release -j 4
+	bash .ci/test
 
 format:
 	bash .ci/format
--- a/bench/choice_experiment.cc
+++ b/bench/choice_experiment.cc
@@ -45,7 +45,7 @@
           kCachedPrefixes));
     }
     for (int index = 0; index < kNodes; ++index) {
-      this->ledgers.emplace_back(kLoadLedgerMemory);
+      this->ledgers.emplace_back(kEngines, LoadLedger(kLoadLedgerMemory));
     }
   }
 
@@ -95,12 +95,14 @@
     std::uniform_int_distribution<int> any_node(0, kNodes - 1);
     std::uniform_int_distribution<int> any_conversation(0, kConversations - 1);
     std::uniform_int_distribution<int> decode_ms(1000, 4000);
-    LoadLedger& ledger = this->ledgers[any_node(this->random)];
+    std::vector<LoadLedger>& ledgers = this->ledgers[any_node(this->random)];
     const std::string prefix =
         fmt::format("conversation {}", any_conversation(this->random));
     const MonotonicTime now = this->clock.Now();
-    ModelEngine& engine = *this->engines[this->Choose(ledger, prefix)];
-    ledger.Start(engine.Id(), now);
+    const std::size_t chosen = this->Choose(ledgers, prefix);
+    ModelEngine& engine = *this->engines[chosen];
+    LoadLedger& ledger = ledgers[chosen];
+    ledger.Start(now);
     ModelCall call;
     call.prefix = prefix;
     call.prefill = milliseconds(750);
@@ -110,13 +112,12 @@
       this->first_token_ms.Add(ToMs(this->clock.Now() - now));
       this->cached += hit ? 1 : 0;
     };
-    call.on_done = [this, &ledger, &engine] {
-      ledger.Finish(engine.Id(), this->clock.Now());
-    };
+    call.on_done = [this, &ledger] { ledger.Finish(this->clock.Now()); };
     engine.Accept(std::move(call));
   }
 
-  std::size_t Choose(const LoadLedger& ledger, const std::string& prefix) {
+  std::size_t Choose(const std::vector<LoadLedger>& ledgers,
+                     const std::string& prefix) {
     const MonotonicTime now = this->clock.Now();
     std::vector<Candidate> candidates(this->engines.size());
     for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -124,10 +125,9 @@
       report.age_ms = ToMillis(now - this->reported_at);
       candidates[index].id = this->engines[index]->Id();
       candidates[index].capacity = kCapacity;
-      candidates[index].load =
-          this->policy.lag_correction
-              ? ledger.Estimate(candidates[index].id, report, now)
-              : report.running + report.queued;
+      candidates[index].load = this->policy.lag_correction
+                                   ? ledgers[index].Estimate(report, now)
+                                   : report.running + report.queued;
     }
     const std::uint64_t key = this->policy.affinity ? AffinityKey(prefix) : 0;
     return *SelectBackend(candidates, key, {}, this->random());
@@ -138,7 +138,7 @@
   std::mt19937_64 random;
   const double utilisation;
   std::vector<std::unique_ptr<ModelEngine>> engines;
-  std::vector<LoadLedger> ledgers;
+  std::vector<std::vector<LoadLedger>> ledgers;  // By node and engine.
   MonotonicTime reported_at = clock.Now();
   MonotonicTime end;
 };
--- a/src/cli/command_list.cc
+++ b/src/cli/command_list.cc
@@ -1,9 +1,12 @@
 #include "cli/command_list.h"
 
+#include "cli/operator_commands.h"
+
 namespace kumquatcart {
 
 CommandList MakeCommands() {
   CommandList commands;
+  AddOperatorCommands(MakeHttpOperatorBackend, &commands);
   return commands;
 }
 
--- /dev/null
+++ b/src/control/snapshot_duty.cc
@@ -0,0 +1,48 @@
+#include "control/snapshot_duty.h"
+
+#include <string>
+
+namespace kumquatcart {
+
+namespace {
+
+std::string ScoreOf(const NodeId& node, const SnapshotMark& newest) {
+  return Sha256Hex(node.value + "/" + std::to_string(newest.config_offset));
+}
+
+}  // namespace
+
+std::size_t SnapshotRank(const MemberTable& members,
+                         const NodeId& self,
+                         const SnapshotMark& newest) {
+  const std::string own_score = ScoreOf(self, newest);
+  std::size_t rank = 0;
+  for (const auto& [node, member] : members.members) {
+    const bool competes = node != self && member.state == MemberState::kAlive &&
+                          member.platform_reachable;
+    if (competes && ScoreOf(node, newest) > own_score) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
+bool IsSnapshotDue(const SnapshotMark& newest,
+                   Offset own_offset,
+                   std::size_t rank,
+                   WallTime now,
+                   const ConfigSettings& settings) {
+  if (own_offset == kNoOffset || own_offset < newest.config_offset) {
+    return false;
+  }
+  const Duration stagger =
+      settings.snapshot_stagger * static_cast<std::int64_t>(rank);
+  const std::int64_t age_ms = ToUnixMillis(now) - newest.time_unix_ms;
+  const bool is_old = age_ms >= ToMillis(settings.snapshot_interval + stagger);
+  const std::int64_t record_limit =
+      settings.snapshot_records * static_cast<std::int64_t>(rank + 1);
+  const bool is_far_behind = own_offset - newest.config_offset >= record_limit;
+  return is_old || is_far_behind;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/control/snapshotter.cc
@@ -0,0 +1,109 @@
+#include "control/snapshotter.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "base/logging.h"
+#include "control/snapshot_reader.h"
+#include "model/config_snapshot.h"
+
+namespace kumquatcart {
+
+namespace {
+
+constexpr Duration kCheckInterval = std::chrono::seconds(5);
+
+}  // namespace
+
+Snapshotter::Snapshotter(Clock* clock,
+                         WorkerPool* pool,
+                         Board* board,
+                         LogService* log,
+                         MetricRegistry* metrics,
+                         const ConfigSettings& settings)
+    : clock(clock),
+      board(board),
+      log(log),
+      settings(settings),
+      written(metrics->GetCounter("kumquatcart_config_snapshots_total")),
+      failures(
+          metrics->GetCounter("kumquatcart_config_snapshot_failures_total")),
+      bytes(metrics->GetGauge("kumquatcart_config_snapshot_bytes")),
+      newest_offset(metrics->GetGauge("kumquatcart_config_snapshot_offset")),
+      task(clock, pool, kCheckInterval, [this] {
+        const Result<bool> result = this->RunOnce();
+        if (result.has_error()) {
+          LogWarning("config_snapshot_failed",
+                     {{"error", result.error().message}});
+        }
+      }) {}
+
+void Snapshotter::Start() {
+  this->task.Start();
+}
+
+void Snapshotter::Stop() {
+  this->task.Stop();
+}
+
+Result<bool> Snapshotter::RunOnce() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const std::shared_ptr<const ConfigView> view = this->board->config.Read();
+  if (!this->IsDue(view->offset)) {
+    return false;
+  }
+  // Another node may have written one since this node last looked.
+  BOOST_OUTCOME_TRYV(this->Refresh());
+  if (!this->IsDue(view->offset)) {
+    return false;
+  }
+  const Status status = this->Write(*view);
+  if (status.has_error()) {
+    this->failures.Add();
+    return status.error();
+  }
+  return true;
+}
+
+bool Snapshotter::IsDue(Offset own_offset) const {
+  const std::size_t rank = SnapshotRank(*this->board->members.Read(),
+                                        this->board->identity.id, this->newest);
+  return IsSnapshotDue(this->newest, own_offset, rank, this->clock->WallNow(),
+                       this->settings);
+}
+
+Status Snapshotter::Refresh() {
+  BOOST_OUTCOME_TRY(stored, ReadNewestSnapshot(this->log));
+  if (stored.has_value()) {
+    this->newest = {stored->view.offset, stored->time_unix_ms};
+    this->newest_offset.Set(static_cast<double>(stored->view.offset));
+    return Ok();
+  }
+  const bool misses_it_already =
+      this->newest.config_offset == kNoOffset && this->newest.time_unix_ms > 0;
+  if (!misses_it_already) {
+    const WallTime mark =
+        this->clock->WallNow() - this->settings.snapshot_interval;
+    this->newest = {kNoOffset, ToUnixMillis(mark)};
+  }
+  return Ok();
+}
+
+Status Snapshotter::Write(const ConfigView& view) {
+  const std::string payload =
+      EncodeSnapshot(view).dump(-1, ' ', false, Json::error_handler_t::replace);
+  BOOST_OUTCOME_TRY(
+      offset, this->log->Append(kSnapshotStream, MakeId<AppendId>(), payload));
+  this->newest = {view.offset, ToUnixMillis(this->clock->WallNow())};
+  this->newest_offset.Set(static_cast<double>(view.offset));
+  this->written.Add();
+  this->bytes.Set(static_cast<double>(payload.size()));
+  LogInfo("config_snapshot_written", {{"config_offset", view.offset},
+                                      {"offset", offset},
+                                      {"bytes", payload.size()}});
+  return Ok();
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,95 @@
+// The callers' and operators' HTTP interface of an entry VM.
+#ifndef GATEWAY_GATEWAY_H_
+#define GATEWAY_GATEWAY_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <cpprest/http_listener.h>
+
+#include "base/outcome.h"
+#include "gateway/caller_identity.h"
+#include "gateway/gateway_context.h"
+#include "gateway/incoming_request.h"
+
+namespace kumquatcart {
+
+// A request to a page that another layer serves through the gateway.
+struct PageRequest {
+  std::string method;
+  std::string path;
+  std::string query;
+  HttpHeaders headers;
+  std::string body;
+};
+
+// Serves pages. Runs on the worker pool, so that it may block. Thread safe.
+using PageHandler = std::function<WholeReply(const PageRequest& request)>;
+
+// Serves callers: completions, plain services, health, metrics and status.
+// All methods are thread safe.
+class Gateway {
+ public:
+  // Precondition: `parts` outlive the gateway.
+  Gateway(const GatewayParts& parts, const GatewaySettings& settings);
+  // Stops. Precondition: no request waits in admission any more.
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Serves paths that begin with `prefix` by `handler`. Called before Start.
+  void AddPage(std::string prefix, PageHandler handler);
+
+  // Opens the port. Errors: kUnavailable when it can't be opened.
+  Status Start();
+
+  // Stops being ready, lets the balancer notice, and returns when every
+  // request has its answer. Refuses nothing meanwhile.
+  void Drain();
+
+  // Breaks off what is still in progress, with the truth to its callers, and
+  // closes the port. Idempotent.
+  void Stop();
+
+  // Whether /readyz says so: configuration is known and no drain has begun.
+  bool IsReady() const;
+
+ private:
+  struct Page {
+    std::string prefix;
+    PageHandler handler;
+  };
+
+  void HandleRequest(const web::http::http_request& transport);
+  void Dispatch(const std::shared_ptr<IncomingRequest>& incoming);
+  void DispatchCompletion(const std::shared_ptr<IncomingRequest>& incoming,
+                          CompletionKind kind);
+  void DispatchService(const std::shared_ptr<IncomingRequest>& incoming);
+  void ReadBodyThen(const std::shared_ptr<IncomingRequest>& incoming,
+                    std::function<void()> next);
+  void RefuseInput(const std::shared_ptr<IncomingRequest>& incoming,
+                   const Error& error);
+  void RefuseInput(const std::shared_ptr<IncomingRequest>& incoming,
+                   const Error& error,
+                   int status);
+  bool ServeOwnPage(const web::http::http_request& transport);
+  bool ServeAddedPage(const web::http::http_request& transport);
+  Status Identify(const std::shared_ptr<IncomingRequest>& incoming);
+  std::shared_ptr<const CallerDirectory> Directory();
+  std::string RenderStatusPage();
+
+  GatewayContext context;
+  std::vector<Page> pages;
+  std::atomic<bool> draining{false};
+  std::mutex mutex;  // Guards `directory`; leaf in the lock order.
+  std::shared_ptr<const CallerDirectory> directory;
+  std::unique_ptr<web::http::experimental::listener::http_listener> listener;
+};
+
+}  // namespace kumquatcart
+
+#endif  // GATEWAY_GATEWAY_H_
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -1,6 +1,7 @@
 #include "routing/router.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "routing/routing_constants.h"
@@ -13,9 +14,24 @@
 // Part of the past that each further attempt keeps in the decayed counts.
 constexpr double kStatsDecay = 0.9;
 
-bool IsExcluded(const RouteQuery& query, const BackendId& backend) {
-  return std::find(query.excluded.begin(), query.excluded.end(), backend) !=
-         query.excluded.end();
+// Chooses among the candidates that are not in `excluded`.
+std::optional<std::size_t> SelectRemaining(
+    const std::vector<Candidate>& candidates,
+    const std::vector<BackendId>& excluded,
+    std::uint64_t affinity_key,
+    const SelectionPolicy& policy,
+    std::uint64_t random) {
+  std::vector<Candidate> remaining;
+  std::vector<std::size_t> indexes;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const BackendId& id = candidates[index].id;
+    if (std::find(excluded.begin(), excluded.end(), id) == excluded.end()) {
+      remaining.push_back(candidates[index]);
+      indexes.push_back(index);
+    }
+  }
+  const auto chosen = SelectBackend(remaining, affinity_key, policy, random);
+  return chosen ? std::optional<std::size_t>(indexes[*chosen]) : std::nullopt;
 }
 
 bool IsConfigured(const ConfigView& config, const ServiceName& service) {
@@ -110,7 +126,6 @@
       board(board),
       settings(settings),
       started_at(clock->Now()),
-      ledger(kLoadLedgerMemory),
       random(seed) {}
 
 Result<Route> Router::Choose(const RouteQuery& query) {
@@ -119,28 +134,24 @@
                      "there is no service '" + query.service.value + "'");
   }
   const MonotonicTime now = this->clock->Now();
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  std::vector<Option> options = this->FindOptions(query);
-  this->RefreshOutliers(query.service, options, now);
-  std::vector<Candidate> candidates;
-  candidates.reserve(options.size());
-  for (Option& option : options) {
-    option.candidate.suspected = option.candidate.suspected ||
-                                 this->outliers.count(option.route.backend) > 0;
-    candidates.push_back(option.candidate);
-  }
   SelectionPolicy policy;
   policy.affinity_load_bound = this->settings.affinity_load_bound;
   policy.spill_utilisation = this->settings.spill_utilisation;
-  const auto chosen = SelectBackend(candidates, AffinityKey(query.prompt),
-                                    policy, this->random());
+  const std::uint64_t key = AffinityKey(query.prompt);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const Pool& pool = this->RefreshPool(query.service, now);
+  const auto chosen =
+      query.excluded.empty()
+          ? SelectBackend(pool.candidates, key, policy, this->random())
+          : SelectRemaining(pool.candidates, query.excluded, key, policy,
+                            this->random());
   if (!chosen) {
     return NoBackend(query.service);
   }
-  const Route& route = options[*chosen].route;
-  this->ledger.Start(route.backend, now);
-  this->Remember(route.backend, now).circuit.RecordStart(now);
-  return route;
+  Memory& memory = *pool.memories[*chosen];
+  memory.ledger.Start(now);
+  memory.circuit.RecordStart(now);
+  return pool.routes[*chosen];
 }
 
 void Router::Finish(const Route& route,
@@ -148,82 +159,109 @@
                     Duration latency) {
   const MonotonicTime now = this->clock->Now();
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->ledger.Finish(route.backend, now);
-  this->ledger.Prune(now);
-  Memory& memory = this->Remember(route.backend, now);
-  Decay(result, latency, &memory.stats);
+  const std::shared_ptr<Memory> memory = this->Remember(route.backend, now);
+  memory->ledger.Finish(now);
+  Decay(result, latency, &memory->stats);
   switch (result) {
     case AttemptResult::kAnswered:
-      memory.circuit.RecordSuccess();
+      memory->circuit.RecordSuccess();
       break;
     case AttemptResult::kCancelled:
-      memory.circuit.RecordNeutral();
+      memory->circuit.RecordNeutral();
       break;
     case AttemptResult::kRefused:
     case AttemptResult::kFailed:
     case AttemptResult::kTimedOut:
-      memory.circuit.RecordFailure(now);
+      memory->circuit.RecordFailure(now);
       break;
   }
 }
 
-std::vector<Router::Option> Router::FindOptions(const RouteQuery& query) {
-  const MonotonicTime now = this->clock->Now();
+Router::Pool& Router::RefreshPool(const ServiceName& service,
+                                  MonotonicTime now) {
+  Pool& pool = this->pools[service];
+  // Read before the tables: a change in between is seen by the next call.
+  const std::uint64_t groups_version = this->board->groups.Version();
+  const std::uint64_t vms_version = this->board->vms.Version();
+  const bool is_current =
+      pool.groups_version == groups_version && pool.vms_version == vms_version;
+  if (!is_current) {
+    this->BuildPool(service, now, &pool);
+    pool.groups_version = groups_version;
+    pool.vms_version = vms_version;
+  }
+  this->RefreshOutliers(now, &pool);
+  this->Assess(now, &pool);
+  return pool;
+}
+
+void Router::BuildPool(const ServiceName& service,
+                       MonotonicTime now,
+                       Pool* pool) {
+  pool->routes.clear();
+  pool->loads.clear();
+  pool->memories.clear();
+  pool->candidates.clear();
   const auto groups = this->board->groups.Read();
   const auto vms = this->board->vms.Read();
-  std::vector<Option> options;
-  const auto add = [&](const Route& route, const EngineLoad& load) {
-    if (IsExcluded(query, route.backend)) {
-      return;
-    }
-    Candidate candidate = this->Assess(route, load, now);
-    candidate.distance = this->DistanceTo(route.failure_domain, *vms);
-    options.push_back({route, std::move(candidate)});
-  };
   for (const auto& [id, group] : groups->groups) {
-    const bool serves = group.claim.service == query.service &&
+    const bool serves = group.claim.service == service &&
                         group.state == GroupState::kWhole &&
                         group.claim.role != EngineRole::kPrefill;
     if (serves) {
-      add(RouteToGroup(group), group.load);
+      this->AddTarget(RouteToGroup(group), group.load,
+                      this->DistanceTo(group.failure_domain, *vms), now, pool);
     }
   }
   for (const auto& [id, vm] : vms->vms) {
     const bool serves = vm.role == VmRole::kPlainService &&
-                        vm.service == query.service &&
-                        vm.state == VmState::kLive;
+                        vm.service == service && vm.state == VmState::kLive;
     if (serves) {
-      add(RouteToVm(vm), PlainServiceLoad());
+      this->AddTarget(RouteToVm(vm), PlainServiceLoad(),
+                      this->DistanceTo(vm.failure_domain, *vms), now, pool);
     }
   }
-  return options;
 }
 
-Candidate Router::Assess(const Route& route,
-                         const EngineLoad& load,
-                         MonotonicTime now) {
-  const Memory& memory = this->Remember(route.backend, now);
+void Router::AddTarget(const Route& route,
+                       const EngineLoad& load,
+                       Distance distance,
+                       MonotonicTime now,
+                       Pool* pool) {
   Candidate candidate;
   candidate.id = route.backend;
-  candidate.load = this->ledger.Estimate(route.backend, load, now);
   candidate.capacity = CapacityOf(load);
-  candidate.weight =
-      SlowStartWeight(now - memory.routable_since, this->settings.slow_start);
-  candidate.suspected = !memory.circuit.Allows(now);
-  return candidate;
+  candidate.distance = distance;
+  pool->routes.push_back(route);
+  pool->loads.push_back(load);
+  pool->memories.push_back(this->Remember(route.backend, now));
+  pool->candidates.push_back(std::move(candidate));
 }
 
-Router::Memory& Router::Remember(const BackendId& backend, MonotonicTime now) {
-  const auto [entry, is_new] = this->memories.try_emplace(backend);
-  Memory& memory = entry->second;
-  memory.last_seen = now;
-  if (!is_new) {
-    return memory;
+void Router::Assess(MonotonicTime now, Pool* pool) const {
+  for (std::size_t index = 0; index < pool->candidates.size(); ++index) {
+    const Memory& memory = *pool->memories[index];
+    Candidate& candidate = pool->candidates[index];
+    candidate.load = memory.ledger.Estimate(pool->loads[index], now);
+    candidate.weight =
+        SlowStartWeight(now - memory.routable_since, this->settings.slow_start);
+    candidate.suspected = memory.is_outlier || !memory.circuit.Allows(now);
   }
-  memory.stats.id = backend;
-  // What was there when this node started may be warm already: no slow start.
-  const bool seen_at_start = now - this->started_at < this->settings.slow_start;
-  memory.routable_since = seen_at_start ? now - this->settings.slow_start : now;
+}
+
+std::shared_ptr<Router::Memory> Router::Remember(const BackendId& backend,
+                                                 MonotonicTime now) {
+  std::shared_ptr<Memory>& memory = this->memories[backend];
+  if (!memory) {
+    memory = std::make_shared<Memory>();
+    memory->stats.id = backend;
+    // What was there when this node started may be warm already: no slow start.
+    const bool seen_at_start =
+        now - this->started_at < this->settings.slow_start;
+    memory->routable_since =
+        seen_at_start ? now - this->settings.slow_start : now;
+  }
+  memory->last_seen = now;
   return memory;
 }
 
@@ -242,37 +280,31 @@
   return Distance::kOtherRegion;
 }
 
-void Router::RefreshOutliers(const ServiceName& service,
-                             const std::vector<Option>& options,
-                             MonotonicTime now) {
-  MonotonicTime& until = this->outliers_until[service];
-  if (now < until) {
+void Router::RefreshOutliers(MonotonicTime now, Pool* pool) {
+  if (now < pool->outliers_until) {
     return;
   }
-  until = now + kOutlierInterval;
+  pool->outliers_until = now + kOutlierInterval;
   this->ForgetGone(now);
-  std::vector<BackendStats> pool;
-  pool.reserve(options.size());
-  for (const Option& option : options) {
-    pool.push_back(this->Remember(option.route.backend, now).stats);
+  std::vector<BackendStats> stats;
+  stats.reserve(pool->memories.size());
+  for (const std::shared_ptr<Memory>& memory : pool->memories) {
+    stats.push_back(memory->stats);
   }
-  // Only this pool's members are judged anew; other services keep their
-  // verdicts.
-  for (const BackendStats& stats : pool) {
-    this->outliers.erase(stats.id);
+  const std::set<BackendId> outliers = FindOutliers(stats, OutlierPolicy());
+  for (const std::shared_ptr<Memory>& memory : pool->memories) {
+    memory->is_outlier = outliers.count(memory->stats.id) > 0;
   }
-  this->outliers.merge(FindOutliers(pool, OutlierPolicy()));
 }
 
 void Router::ForgetGone(MonotonicTime now) {
   const MonotonicTime oldest = now - kBackendMemory;
   for (auto entry = this->memories.begin(); entry != this->memories.end();) {
-    if (entry->second.last_seen >= oldest) {
-      ++entry;
-      continue;
-    }
-    this->outliers.erase(entry->first);
-    entry = this->memories.erase(entry);
+    const Memory& memory = *entry->second;
+    const bool in_use =
+        entry->second.use_count() > 1 || memory.ledger.InFlight() > 0;
+    const bool gone = !in_use && memory.last_seen < oldest;
+    entry = gone ? this->memories.erase(entry) : std::next(entry);
   }
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -5,9 +5,9 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <random>
-#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -24,6 +24,7 @@
 #include "routing/circuit_breaker.h"
 #include "routing/load_ledger.h"
 #include "routing/outlier_detector.h"
+#include "routing/routing_constants.h"
 
 namespace kumquatcart {
 
@@ -101,26 +102,36 @@
   struct Memory {
     MonotonicTime routable_since;
     MonotonicTime last_seen;
+    LoadLedger ledger{kLoadLedgerMemory};
     CircuitBreaker circuit{CircuitPolicy()};
     BackendStats stats;
+    bool is_outlier = false;
   };
 
-  // A possible target with its part in the choice.
-  struct Option {
-    Route route;
-    Candidate candidate;
+  // The backend servers of one service, built anew when the board's tables
+  // change. The vectors run in parallel.
+  struct Pool {
+    std::uint64_t groups_version = 0;
+    std::uint64_t vms_version = 0;
+    MonotonicTime outliers_until;
+    std::vector<Route> routes;
+    std::vector<EngineLoad> loads;
+    std::vector<std::shared_ptr<Memory>> memories;
+    std::vector<Candidate> candidates;
   };
 
-  std::vector<Option> FindOptions(const RouteQuery& query);
-  Candidate Assess(const Route& route,
-                   const EngineLoad& load,
-                   MonotonicTime now);
-  Memory& Remember(const BackendId& backend, MonotonicTime now);
+  Pool& RefreshPool(const ServiceName& service, MonotonicTime now);
+  void BuildPool(const ServiceName& service, MonotonicTime now, Pool* pool);
+  void AddTarget(const Route& route,
+                 const EngineLoad& load,
+                 Distance distance,
+                 MonotonicTime now,
+                 Pool* pool);
+  void Assess(MonotonicTime now, Pool* pool) const;
+  std::shared_ptr<Memory> Remember(const BackendId& backend, MonotonicTime now);
   Distance DistanceTo(const FailureDomainId& failure_domain,
                       const VmTable& vms) const;
-  void RefreshOutliers(const ServiceName& service,
-                       const std::vector<Option>& options,
-                       MonotonicTime now);
+  void RefreshOutliers(MonotonicTime now, Pool* pool);
   void ForgetGone(MonotonicTime now);
 
   Clock* clock;
@@ -129,10 +140,8 @@
   const MonotonicTime started_at;
 
   std::mutex mutex;
-  LoadLedger ledger;
-  std::map<BackendId, Memory> memories;
-  std::set<BackendId> outliers;
-  std::map<ServiceName, MonotonicTime> outliers_until;
+  std::map<BackendId, std::shared_ptr<Memory>> memories;
+  std::map<ServiceName, Pool> pools;
   std::mt19937_64 random;
 };
 
--- /dev/null
+++ b/tests/fakes/admit_all.h
@@ -0,0 +1,27 @@
+// Admission that never waits or refuses.
+#ifndef FAKES_ADMIT_ALL_H_
+#define FAKES_ADMIT_ALL_H_
+
+#include <atomic>
+
+#include "routing/admission.h"
+
+namespace kumquatcart {
+
+// Admits every request at once and counts. Thread safe.
+class AdmitAll : public Admission {
+ public:
+  void Submit(const AdmissionRequest&, Decision decide) override {
+    ++this->submitted;
+    decide(Ok());
+  }
+  void Complete(const AdmissionRequest&, double) override { ++this->completed; }
+  void Abandon(const RequestId&) override {}
+
+  std::atomic<int> submitted{0};
+  std::atomic<int> completed{0};
+};
+
+}  // namespace kumquatcart
+
+#endif  // FAKES_ADMIT_ALL_H_
--- a/tests/routing/load_ledger_test.cc
+++ b/tests/routing/load_ledger_test.cc
@@ -36,43 +36,31 @@
     ManualClock clock;
     LoadLedger ledger(kMemory);
     NaiveLedger naive;
-    const BackendId backend("b");
     const int steps = *rc::gen::inRange(1, 60);
     for (int step = 0; step < steps; ++step) {
       clock.Advance(milliseconds(*rc::gen::inRange(0, 200)));
       const MonotonicTime now = clock.Now();
       if (naive.InFlightAt(now) > 0 && *rc::gen::arbitrary<bool>()) {
-        ledger.Finish(backend, now);
+        ledger.Finish(now);
         naive.events.push_back({now, -1});
       } else {
-        ledger.Start(backend, now);
+        ledger.Start(now);
         naive.events.push_back({now, 1});
       }
-      ledger.Prune(now);
       const int age = *rc::gen::inRange(0, 1000);
       const MonotonicTime then = now - milliseconds(age);
-      RC_ASSERT(ledger.InFlight(backend) == naive.InFlightAt(now));
-      RC_ASSERT(ledger.InFlightAt(backend, then) == naive.InFlightAt(then));
+      RC_ASSERT(ledger.InFlight() == naive.InFlightAt(now));
+      RC_ASSERT(ledger.InFlightAt(then) == naive.InFlightAt(then));
       EngineLoad report;
       report.running = *rc::gen::inRange(0, 20);
       report.age_ms = age;
       const int expected = std::max(
           naive.InFlightAt(now),
           report.running + naive.InFlightAt(now) - naive.InFlightAt(then));
-      RC_ASSERT(ledger.Estimate(backend, report, now) == expected);
+      RC_ASSERT(ledger.Estimate(report, now) == expected);
     }
   });
 }
 
-TEST_CASE("The ledger forgets idle backend servers") {
-  ManualClock clock;
-  LoadLedger ledger(kMemory);
-  ledger.Start(BackendId("b"), clock.Now());
-  ledger.Finish(BackendId("b"), clock.Now());
-  clock.Advance(2 * kMemory);
-  ledger.Prune(clock.Now());
-  REQUIRE(ledger.Size() == 0);
-}
-
 }  // namespace
 }  // namespace kumquatcart
--- a/tools/standins/http_server.cc
+++ b/tools/standins/http_server.cc
@@ -146,11 +146,16 @@
 }
 
 void HttpConnection::Abort() {
+  ErrorCondition ignored;
+  this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  this->Close();
+}
+
+void HttpConnection::Close() {
   if (!this->IsOpen()) {
     return;
   }
   ErrorCondition ignored;
-  this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
   this->socket.close(ignored);
   if (this->closed_callback) {
     const auto callback = std::exchange(this->closed_callback, nullptr);
--- a/tools/standins/http_server.h
+++ b/tools/standins/http_server.h
@@ -61,6 +61,9 @@
   // Cuts the connection with a reset.
   void Abort();
 
+  // Closes the connection in order, without an answer.
+  void Close();
+
   bool IsOpen() const { return this->socket.is_open(); }
 
   // Called once when the client goes away or the connection is cut before the
