--- a/src/cli/change_commands.cc
+++ b/src/cli/change_commands.cc
@@ -1,4 +1,5 @@
 // validate, plan and apply.
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -23,6 +24,39 @@
   JudgedRecord judged;
 };
 
+// The payload of the change set together with the files' malformed entries, so
+// that references to those are not reported as well.
+std::string TrialPayload(const Trial& trial) {
+  std::string payload = EncodeChangeSet(trial.change_set);
+  if (trial.changes.errors.empty()) {
+    return payload;
+  }
+  Json json = Json::parse(payload);
+  for (const Json& entry : trial.changes.malformed_puts) {
+    json["put"].push_back(entry);
+  }
+  for (const Json& entry : trial.changes.malformed_deletes) {
+    json["delete"].push_back(entry);
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+// Errors of the files first, then those that the judge adds to them.
+std::vector<std::string> CollectErrors(const Trial& trial) {
+  std::vector<std::string> errors = trial.changes.errors;
+  const bool files_are_whole = errors.empty();
+  for (const RuleViolation& violation : trial.judged.verdict.violations) {
+    const bool names_object = violation.object.find('/') != std::string::npos;
+    const std::string line = WithFiles(trial.changes, {violation}).front();
+    const bool is_known =
+        std::find(errors.begin(), errors.end(), line) != errors.end();
+    if (!is_known && (names_object || files_are_whole)) {
+      errors.push_back(line);
+    }
+  }
+  return errors;
+}
+
 class ChangeCommand : public OperatorCommand {
  public:
   using OperatorCommand::OperatorCommand;
@@ -42,10 +76,10 @@
                    OperatorBackend* backend) override {
     Trial trial;
     trial.changes = ReadOperatorFiles(this->files, context.input);
-    if (!trial.changes.errors.empty()) {
+    Result<ConfigHistory> history = ReadConfigInForce(backend->Log());
+    if (history.has_error() && !trial.changes.errors.empty()) {
       return this->Refuse(context, trial.changes.errors);
     }
-    Result<ConfigHistory> history = ReadConfigInForce(backend->Log());
     if (history.has_error()) {
       return Fail(context, ExitCode::kRefused,
                   "nothing was published: the log can't be read: " +
@@ -55,18 +89,17 @@
     trial.change_set =
         MakeChangeSet(trial.changes, trial.history.view, this->options.actor,
                       this->options.partner, context.clock.WallNow());
-    if (trial.change_set.changes.empty()) {
+    if (trial.change_set.changes.empty() && trial.changes.errors.empty()) {
       context.output << "nothing to change: all objects are in force as "
                         "written\n";
       return ExitCode::kDone;
     }
-    trial.judged =
-        JudgeRecord(trial.history.view,
-                    {trial.history.view.offset + 1, 0, trial.change_set.id,
-                     EncodeChangeSet(trial.change_set)});
-    if (!trial.judged.verdict.accepted) {
-      return this->Refuse(
-          context, WithFiles(trial.changes, trial.judged.verdict.violations));
+    trial.judged = JudgeRecord(trial.history.view,
+                               {trial.history.view.offset + 1, 0,
+                                trial.change_set.id, TrialPayload(trial)});
+    const std::vector<std::string> errors = CollectErrors(trial);
+    if (!errors.empty()) {
+      return this->Refuse(context, errors);
     }
     return this->RunTrial(context, backend, trial);
   }
--- a/src/cli/operator_file.cc
+++ b/src/cli/operator_file.cc
@@ -74,6 +74,8 @@
       if (DecodeObjectChange(list[index], operation, position, &change,
                              &this->violations)) {
         this->Add(list[index], std::move(change));
+      } else {
+        this->AddMalformed(list[index], operation);
       }
     }
   }
@@ -91,6 +93,16 @@
     this->changes->changes.push_back(std::move(change));
   }
 
+  void AddMalformed(const Json& json, ChangeOperation operation) {
+    const bool is_put = operation == ChangeOperation::kPut;
+    (is_put ? this->changes->malformed_puts : this->changes->malformed_deletes)
+        .push_back(json);
+    // Errors name the object as the judge does.
+    for (const RuleViolation& violation : this->violations) {
+      this->changes->file_of.emplace(violation.object, this->name);
+    }
+  }
+
   const std::string name;
   OperatorChanges* const changes;
   RuleViolations violations;
--- a/src/cli/operator_file.h
+++ b/src/cli/operator_file.h
@@ -19,6 +19,9 @@
   std::set<ObjectName> with_revision;
   // The file that names each object, by "Kind/name".
   std::map<std::string, std::string> file_of;
+  // Malformed entries as written, so that the judge knows their names.
+  Json malformed_puts = Json::array();
+  Json malformed_deletes = Json::array();
   // Errors with the file in front, in place of the rule's own text.
   std::vector<std::string> errors;
 };
--- /dev/null
+++ b/tests/cli/operator_commands_test.cc
@@ -0,0 +1,214 @@
+#include "cli/operator_commands.h"
+
+#include <map>
+#include <sstream>
+
+#include <catch2/catch.hpp>
+
+#include "fakes/fake_log_service.h"
+#include "model/change_set_builder.h"
+#include "model/member.h"
+
+namespace kumquatcart {
+namespace {
+
+class FakeVmList : public VmList {
+ public:
+  Result<VmTable> Fetch() override { return VmTable(); }
+};
+
+// Shared by every command of a test.
+struct FakePlatform {
+  ManualClock clock;
+  FakeLogService log{clock};
+  FakeVmList vms;
+  std::map<Endpoint, Json> statuses;
+};
+
+class FakeBackend : public OperatorBackend {
+ public:
+  explicit FakeBackend(FakePlatform* platform) : platform(platform) {}
+  LogService* Log() override { return &this->platform->log; }
+  VmList* Vms() override { return &this->platform->vms; }
+  Result<Json> FetchStatus(const Endpoint& endpoint) override {
+    const auto found = this->platform->statuses.find(endpoint);
+    if (found == this->platform->statuses.end()) {
+      return MakeError(ErrorCode::kUnavailable, "connection refused");
+    }
+    return found->second;
+  }
+
+ private:
+  FakePlatform* platform;
+};
+
+struct RunResult {
+  ExitCode code;
+  std::string output;
+  std::string errors;
+};
+
+RunResult RunArguments(FakePlatform* platform,
+                       const std::vector<std::string>& arguments,
+                       const std::string& text = "") {
+  CommandList commands;
+  AddOperatorCommands(
+      [platform](const OperatorOptions&, Clock*) {
+        return std::make_unique<FakeBackend>(platform);
+      },
+      &commands);
+  std::istringstream input(text);
+  std::ostringstream output;
+  std::ostringstream errors;
+  const ExitCode code = RunCommandLine(
+      arguments, commands, {input, output, errors, platform->clock});
+  return {code, output.str(), errors.str()};
+}
+
+std::string OrganisationFile(const std::string& display_name) {
+  return Json{{"objects",
+               {{{"kind", "Organisation"},
+                 {"name", "org"},
+                 {"owner", "armor"},
+                 {"spec", {{"display_name", display_name}}}}}}}
+      .dump();
+}
+
+Offset LastRecord(FakePlatform* platform) {
+  return platform->log.Read(kConfigStream, 1, 1, Duration::zero()).value().last;
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  INFO(text);
+  return text.find(part) != std::string::npos;
+}
+
+TEST_CASE("apply settles a lost answer and a lost request by itself") {
+  FakePlatform platform;
+  platform.log.LoseAnswers(1);
+  const RunResult lost_answer =
+      RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  REQUIRE(lost_answer.code == ExitCode::kDone);
+  REQUIRE(lost_answer.output == "accepted at offset 1\n");
+  REQUIRE(LastRecord(&platform) == 1);
+
+  platform.log.LoseRequests(2);
+  const RunResult lost_request =
+      RunArguments(&platform, {"apply", "-"}, OrganisationFile("b"));
+  REQUIRE(lost_request.output == "accepted at offset 2\n");
+  REQUIRE(LastRecord(&platform) == 2);
+}
+
+TEST_CASE("apply says unknown, and history settles it, while the log is away") {
+  FakePlatform platform;
+  platform.log.LoseAnswers(1);
+  platform.log.GoDownAfterAppend();
+  const RunResult unknown =
+      RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  REQUIRE(unknown.code == ExitCode::kUnknown);
+  const std::string command = "kumquatcart history --append-id ";
+  const std::size_t place = unknown.errors.find(command);
+  REQUIRE(place != std::string::npos);
+  std::string id = unknown.errors.substr(place + command.size());
+  id.pop_back();
+
+  const std::vector<std::string> settle = {"history", "--append-id", id};
+  REQUIRE(RunArguments(&platform, settle).code == ExitCode::kUnknown);
+  platform.log.SetDown(false);
+  REQUIRE(RunArguments(&platform, settle).code == ExitCode::kDone);
+  REQUIRE(RunArguments(&platform, {"history", "--append-id", "other"}).code ==
+          ExitCode::kUnknown);
+}
+
+TEST_CASE("apply publishes nothing when the log provably refused it") {
+  FakePlatform platform;
+  platform.log.RefuseAppends(1);
+  const RunResult refused =
+      RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  REQUIRE(refused.code == ExitCode::kRefused);
+  REQUIRE(Contains(refused.errors, "nothing was published"));
+  REQUIRE(LastRecord(&platform) == 0);
+}
+
+TEST_CASE("The second of two racing operators is refused") {
+  FakePlatform platform;
+  RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  platform.log.BeforeNextAppend([&platform] {
+    REQUIRE(
+        RunArguments(&platform, {"apply", "-"}, OrganisationFile("b")).code ==
+        ExitCode::kDone);
+  });
+  const RunResult second =
+      RunArguments(&platform, {"apply", "-"}, OrganisationFile("c"));
+  REQUIRE(second.code == ExitCode::kRefused);
+  REQUIRE(Contains(second.errors,
+                   "standard input: Organisation/org: field 'revision' is 1, "
+                   "but the revision in force is 2"));
+  REQUIRE(Contains(RunArguments(&platform, {"get", "Organisation"}).output,
+                   "\"display_name\":\"b\""));
+  const RunResult history = RunArguments(&platform, {"history"});
+  REQUIRE(Contains(history.output, "refused"));
+}
+
+TEST_CASE("A repeated apply changes nothing and plan publishes nothing") {
+  FakePlatform platform;
+  RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  REQUIRE(Contains(
+      RunArguments(&platform, {"apply", "-"}, OrganisationFile("a")).output,
+      "nothing to change"));
+  REQUIRE(Contains(
+      RunArguments(&platform, {"plan", "-"}, OrganisationFile("z")).output,
+      "change Organisation/org\n    display_name: \"a\" -> \"z\""));
+  REQUIRE(LastRecord(&platform) == 1);
+}
+
+TEST_CASE("Every error of a file is shown with the file and the object") {
+  FakePlatform platform;
+  const RunResult result = RunArguments(&platform, {"validate", "-"}, R"({
+    "objects": [
+      {"kind": "Organisation", "name": "org", "owner": "armor",
+       "spec": {"weight": "heavy"}},
+      {"kind": "Token", "name": "t", "owner": "armor",
+       "spec": {"organisation": "nobody", "sha256": "00"}},
+      {"kind": "Grant", "name": "g", "owner": "armor",
+       "spec": {"object": "nothing", "to": "cedarline"}}]})");
+  REQUIRE(result.code == ExitCode::kRefused);
+  for (const char* const part :
+       {"standard input: Organisation/org: field 'spec.weight' is \"heavy\"",
+        "standard input: Token/t: field 'spec.sha256' is \"00\"",
+        "standard input: Grant/g: field 'spec.object' is \"nothing\", but must "
+        "name an existing object"}) {
+    REQUIRE(Contains(result.errors, part));
+  }
+}
+
+TEST_CASE("wait-in-force names the entry VMs that do not follow") {
+  FakePlatform platform;
+  Member slow;
+  slow.identity.http_endpoint = {"127.0.0.1", 2};
+  Member dead;
+  dead.identity.http_endpoint = {"127.0.0.1", 3};
+  dead.state = MemberState::kDead;
+  platform.statuses[{"127.0.0.1", 1}] = {{"config_offset", 1},
+                                         {"members", {slow, dead}}};
+  platform.statuses[{"127.0.0.1", 2}] = {{"config_offset", 0},
+                                         {"members", Json::array()}};
+  const RunResult waited = RunArguments(
+      &platform, {"apply", "-", "--wait-in-force", "--nodes", "127.0.0.1:1"},
+      OrganisationFile("a"));
+  REQUIRE(waited.code == ExitCode::kUnknown);
+  REQUIRE(
+      Contains(waited.errors, "not in force on 127.0.0.1:2: is at offset 0"));
+  REQUIRE_FALSE(Contains(waited.errors, "127.0.0.1:3"));
+
+  platform.statuses[{"127.0.0.1", 1}]["config_offset"] = 2;
+  platform.statuses[{"127.0.0.1", 2}]["config_offset"] = 2;
+  REQUIRE(
+      RunArguments(&platform,
+                   {"apply", "-", "--wait-in-force", "--nodes", "127.0.0.1:1"},
+                   OrganisationFile("b"))
+          .code == ExitCode::kDone);
+}
+
+}  // namespace
+}  // namespace kumquatcart
--- /dev/null
+++ b/tests/control/config_follower_test.cc
@@ -0,0 +1,158 @@
+#include "control/config_follower.h"
+
+#include <catch2/catch.hpp>
+
+#include "control/config_node_fixture.h"
+#include "model/config_snapshot.h"
+
+namespace kumquatcart {
+namespace {
+
+constexpr std::size_t kMaxBytes = 64 * 1024;
+
+LogRecord PutRecord(Offset offset, const std::string& text, Offset revision) {
+  return ChangeSetBuilder("id" + std::to_string(offset))
+      .Put(ObjectKind::kOrganisation, "org", {{"display_name", text}}, revision)
+      .Record(offset);
+}
+
+TEST_CASE("A node never applies an older, repeated or lower record") {
+  ManualClock clock;
+  FakeLogService log(clock);
+  ConfigNode node("n", &clock, &log);
+  const std::vector<LogRecord> records = {
+      PutRecord(1, "one", 0), PutRecord(2, "two", 1), PutRecord(3, "three", 2)};
+  REQUIRE(node.replica.ApplyRecords({records[0]}));
+  const ConfigView older = node.replica.CopyView();
+  REQUIRE(node.replica.ApplyRecords(records));
+  const auto newest = node.Config();
+  REQUIRE(newest->offset == 3);
+
+  REQUIRE_FALSE(node.replica.ApplyRecords(records));
+  REQUIRE_FALSE(node.replica.ApplyRecords({records[0], records[1]}));
+  // Would be accepted if it were judged again.
+  REQUIRE_FALSE(node.replica.ApplyRecords({PutRecord(2, "forged", 3)}));
+  REQUIRE_FALSE(node.replica.ApplyRecords({PutRecord(5, "gap", 3)}));
+  REQUIRE_FALSE(node.replica.InstallSnapshot(older));
+  const Json old_snapshot = {{"snapshot", EncodeSnapshot(older)}};
+  REQUIRE_FALSE(node.topic.Merge(old_snapshot).value());
+  REQUIRE(node.Config() == newest);
+}
+
+TEST_CASE("A malformed record on the log does not stop the follower") {
+  ManualClock clock;
+  FakeLogService log(clock);
+  REQUIRE(log.Append(kConfigStream, AppendId("x"), "{\"format\":").has_value());
+  AddOrganisation(&log, "org");
+  ConfigNode node("n", &clock, &log);
+  REQUIRE(node.Poll().has_value());
+  REQUIRE(node.Config()->offset == 2);
+  REQUIRE(node.Config()->organisations.size() == 1);
+  const auto audit = node.board.audit.Read();
+  REQUIRE(audit->entries.size() == 2);
+  REQUIRE(audit->entries[0].verdict == "refused");
+  REQUIRE(audit->entries[1].actor == "tester@armor");
+  REQUIRE(audit->entries[1].detail.find("add Organisation/org") == 0);
+}
+
+TEST_CASE("A node cut off from the log follows through a peer") {
+  ManualClock clock;
+  FakeLogService log(clock);
+  FakeLogService dead_log(clock);
+  dead_log.SetDown(true);
+  ConfigSettings settings;
+  settings.tail_records = 2;
+  ConfigNode reader("reader", &clock, &log, settings);
+  ConfigNode cut_off("cut-off", &clock, &dead_log, settings);
+  const auto exchange = [&] {
+    const Json delta =
+        reader.topic.DeltaFor(cut_off.topic.Digest(), kMaxBytes).value();
+    REQUIRE(cut_off.topic.Merge(delta).has_value());
+    REQUIRE(cut_off.replica.CopyView() == reader.replica.CopyView());
+    return delta;
+  };
+  AddOrganisation(&log, "a");
+  REQUIRE(reader.Poll().has_value());
+  REQUIRE(cut_off.Poll().has_error());
+  REQUIRE_FALSE(cut_off.follower.IsPlatformReachable());
+  REQUIRE(exchange().contains("records"));
+
+  for (const char* const name : {"b", "c", "d"}) {
+    AddOrganisation(&log, name);
+  }
+  REQUIRE(reader.Poll().has_value());
+  REQUIRE(exchange().contains("snapshot"));
+  REQUIRE(cut_off.Config()->organisations.size() == 4);
+  REQUIRE(reader.topic.DeltaFor(cut_off.topic.Digest(), kMaxBytes)
+              .value()
+              .is_null());
+}
+
+TEST_CASE("A peer's message is checked before anything changes") {
+  ManualClock clock;
+  FakeLogService log(clock);
+  ConfigNode node("n", &clock, &log);
+  REQUIRE(node.replica.ApplyRecords({PutRecord(1, "one", 0)}));
+  const auto before = node.Config();
+  ConfigView newer = *before;
+  newer.offset = 9;
+  Json forged = EncodeSnapshot(newer);
+  forged["content"]["objects"] = Json::array();
+  for (const Json& delta :
+       {Json(7), Json::object(), Json{{"records", 1}},
+        Json{{"records", {{{"offset", "x"}}}}}, Json{{"snapshot", 1}},
+        Json{{"snapshot", forged}}}) {
+    REQUIRE(node.topic.Merge(delta).error().code ==
+            ErrorCode::kInvalidArgument);
+  }
+  for (const Json& digest :
+       {Json(), Json(1), Json{{"offset", "1"}}, Json{{"offset", -1}}}) {
+    REQUIRE(node.topic.DeltaFor(digest, kMaxBytes).has_error());
+  }
+  REQUIRE(node.Config() == before);
+
+  // A record that breaks a rule is refused by this node's own judge.
+  const Json unruly = {{"records", {PutRecord(2, "stale", 0)}}};
+  REQUIRE(node.topic.Merge(unruly).value());
+  REQUIRE(node.Config()->offset == 2);
+  REQUIRE(node.Config()->organisations == before->organisations);
+}
+
+TEST_CASE("Nothing accepted is lost when all nodes are replaced") {
+  ManualClock clock;
+  FakeLogService log(clock);
+  log.SetRetention(std::chrono::minutes(30));
+  ConfigNode reference("reference", &clock, &log);
+  std::unique_ptr<ConfigNode> node;
+  // The last change is far older than the retention in the end.
+  for (int round = 0; round < 40; ++round) {
+    if (round < 10) {
+      AddOrganisation(&log, "org" + std::to_string(round));
+      REQUIRE(reference.Poll().has_value());
+    }
+    node =
+        std::make_unique<ConfigNode>("n" + std::to_string(round), &clock, &log);
+    REQUIRE(node->Poll().has_value());
+    REQUIRE(*node->Config() == *reference.Config());
+    REQUIRE(node->snapshotter.RunOnce().has_value());
+    clock.Advance(std::chrono::minutes(5));
+  }
+  REQUIRE(log.Read(kConfigStream, 1, 1, Duration::zero()).has_error());
+  REQUIRE(node->Config()->organisations.size() == 10);
+}
+
+TEST_CASE("A gap without a snapshot is reported, not jumped over") {
+  ManualClock clock;
+  FakeLogService log(clock);
+  AddOrganisation(&log, "a");
+  AddOrganisation(&log, "b");
+  log.ExpireBefore(kConfigStream, 2);
+  ConfigNode node("n", &clock, &log);
+  REQUIRE(node.Poll().error().code == ErrorCode::kExpired);
+  REQUIRE(node.Config()->offset == kNoOffset);
+  REQUIRE(node.metrics.GetCounter("kumquatcart_config_gaps_total").Value() ==
+          1);
+}
+
+}  // namespace
+}  // namespace kumquatcart
--- a/tests/fakes/fake_log_service.h
+++ b/tests/fakes/fake_log_service.h
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -23,6 +25,7 @@
   Result<Offset> Append(const StreamName& stream,
                         const AppendId& append_id,
                         const std::string& payload) override {
+    this->RunBeforeAppend();
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (this->down) {
       return MakeError(ErrorCode::kUnavailable, "the log is down");
@@ -40,6 +43,7 @@
     target.records.push_back(
         {offset, ToUnixMillis(this->clock.WallNow()), append_id, payload});
     ++this->append_count;
+    this->down = this->down_after_append;
     if (this->lost_answers > 0) {
       --this->lost_answers;
       return MakeError(ErrorCode::kUnknown, "no answer");
@@ -79,9 +83,22 @@
   // Every call fails with kUnavailable and has no effect.
   void SetDown(bool is_down) {
     const std::lock_guard<std::mutex> lock(this->mutex);
+    this->down_after_append = false;
     this->down = is_down;
   }
 
+  // Goes down right after the next append took effect.
+  void GoDownAfterAppend() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->down_after_append = true;
+  }
+
+  // Calls `action` once, before the next append, as another writer would act.
+  void BeforeNextAppend(std::function<void()> action) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->before_append = std::move(action);
+  }
+
   // The next `count` appends take effect, but answer kUnknown.
   void LoseAnswers(int count) {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -126,6 +143,17 @@
     std::vector<LogRecord> records;
   };
 
+  void RunBeforeAppend() {
+    std::function<void()> action;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      std::swap(action, this->before_append);
+    }
+    if (action) {
+      action();
+    }
+  }
+
   template <class Predicate>
   static void EraseIf(Stream* stream, Predicate predicate) {
     std::vector<LogRecord>& records = stream->records;
@@ -148,6 +176,8 @@
   mutable std::mutex mutex;
   std::map<StreamName, Stream> streams;
   bool down = false;
+  bool down_after_append = false;
+  std::function<void()> before_append;
   int lost_answers = 0;
   int lost_requests = 0;
   int refused_appends = 0;
