--- a/src/control/lease_rules.cc
+++ b/src/control/lease_rules.cc
@@ -38,7 +38,10 @@
 }
 
 bool NamesPresentLease(const LeaseGrant& before, const LeaseRecord& record) {
-  return before.holder == record.holder && before.fence == record.fence;
+  if (before.holder == record.holder && before.fence == record.fence) {
+    return true;
+  }
+  return !before.claim_seen && before.fence < record.fence;
 }
 
 LeaseJudgement Refuse(LeaseGrant after, std::string reason) {
@@ -50,7 +53,6 @@
 LeaseJudgement JudgeLeaseRecord(const LeaseGrant& before,
                                 const PlacedLeaseRecord& placed) {
   const LeaseRecord& record = placed.record;
-  const bool nothing_known = before.last_record == kNoOffset;
   LeaseGrant after = before;
   after.last_record = placed.offset;
   after.last_record_ms = placed.time_unix_ms;
@@ -62,13 +64,15 @@
     after.holder = record.holder;
     after.fence = placed.offset;
     after.live_until_ms = LiveUntil(placed);
+    after.claim_seen = true;
     return LeaseJudgement{true, "", std::move(after)};
   }
-  if (!nothing_known && !NamesPresentLease(before, record)) {
+  if (!NamesPresentLease(before, record)) {
     return Refuse(std::move(after), "the lease has passed on");
   }
   if (record.kind == LeaseRecord::Kind::kRelease) {
     after.holder = NodeId();
+    after.fence = record.fence;
     after.live_until_ms = placed.time_unix_ms;
     return LeaseJudgement{true, "", std::move(after)};
   }
--- a/src/control/lease_rules.h
+++ b/src/control/lease_rules.h
@@ -25,10 +25,12 @@
   Offset last_record = kNoOffset;  // Last record, with or without effect.
   std::int64_t last_record_ms = 0;
   std::int64_t live_until_ms = 0;  // First time another's claim can win.
+  bool claim_seen = false;         // False: known from a renewal only.
 
   auto Tie() const {
     return std::tie(this->holder, this->fence, this->last_record,
-                    this->last_record_ms, this->live_until_ms);
+                    this->last_record_ms, this->live_until_ms,
+                    this->claim_seen);
   }
 };
 
@@ -58,9 +60,9 @@
 //
 // A claim takes effect when it expects the last record of its failure domain
 // and the lease is free, its own or past duration plus kLeaseMarginMs. A
-// renewal or release takes effect when it names the present holder and fence. A
-// renewal is adopted when nothing is known, since retention may have dropped
-// its claim.
+// renewal or release takes effect when it names the present holder and fence.
+// While no claim was seen, since retention dropped it, the renewal with the
+// highest fence stands for it.
 LeaseJudgement JudgeLeaseRecord(const LeaseGrant& before,
                                 const PlacedLeaseRecord& placed);
 
--- a/src/control/placement_breakup.cc
+++ b/src/control/placement_breakup.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "control/placement_upkeep.h"
 
@@ -42,45 +44,83 @@
          Seconds(draft.LoadTime(donor.demand->bytes_per_vm * reloaded));
 }
 
-// Score saved by completing the group now instead of waiting.
+// Score saved by completing or forming the group now instead of waiting.
 double CompletionBenefit(const PlacementNeed& recipient,
                          const PlacementDraft& draft) {
   const Duration wait =
-      ExpectedCompletion(recipient, draft) - draft.Input().now;
+      recipient.group == kNewGroup
+          ? draft.Input().limits.repair_time
+          : ExpectedCompletion(recipient, draft) - draft.Input().now;
   return recipient.gain * Seconds(wait - draft.LoadTime(recipient.LoadBytes()));
 }
 
-// Breaks up donors, least valuable first, for `needs` of one fabric domain in
-// falling order of value.
-void BreakUpInFabric(const std::vector<PlacementNeed>& needs,
-                     PlacementDraft* draft) {
-  std::size_t end = needs.size();  // Needs from here on are broken up.
-  int spare = draft->CountFree(GroupOf(needs.front(), *draft).fabric,
-                               *needs.front().demand);
-  for (std::size_t i = 0; i < end; ++i) {
-    const PlacementNeed& recipient = needs[i];
-    std::size_t donors = end;
-    int available = spare;
+// Incomplete groups of one fabric domain in falling order of value; the last
+// ones are broken up first.
+class FabricDonors {
+ public:
+  FabricDonors(std::vector<PlacementNeed> needs, PlacementDraft* draft)
+      : needs(std::move(needs)), end(this->needs.size()), draft(draft) {
+    std::stable_sort(this->needs.begin(), this->needs.end(),
+                     [](const PlacementNeed& left, const PlacementNeed& right) {
+                       return GainPerVm(left) > GainPerVm(right);
+                     });
+  }
+
+  // Completes the most valuable groups from the least valuable ones.
+  void CompleteAmongThemselves() {
+    for (; this->first < this->end; ++this->first) {
+      if (!this->BreakUpFor(this->needs[this->first], this->first + 1)) {
+        break;
+      }
+    }
+  }
+
+  // Breaks groups up, sparing those before `spared`, until `recipient` finds
+  // its VMs. False when that is impossible or does not pay.
+  bool BreakUpFor(const PlacementNeed& recipient, std::size_t spared) {
+    int available = this->left_over + this->CountFree(*recipient.demand);
+    std::size_t donor = this->end;
     double cost = 0;
-    while (available < recipient.vms && donors > i + 1) {
-      --donors;
-      available += Survivors(needs[donors], *draft);
-      cost += BreakupCost(needs[donors], *draft);
+    while (available < recipient.vms && donor > spared) {
+      --donor;
+      available += Survivors(this->needs[donor], *this->draft);
+      cost += BreakupCost(this->needs[donor], *this->draft);
     }
     if (available < recipient.vms ||
-        CompletionBenefit(recipient, *draft) <= cost) {
-      continue;
+        CompletionBenefit(recipient, *this->draft) <= cost) {
+      return false;
     }
-    for (std::size_t donor = donors; donor < end; ++donor) {
-      ReleaseGroup(GroupOf(needs[donor], *draft),
-                   "broken up to complete " +
-                       GroupOf(recipient, *draft).claim.group.value,
-                   draft);
+    for (std::size_t i = donor; i < this->end; ++i) {
+      ReleaseGroup(
+          GroupOf(this->needs[i], *this->draft),
+          "broken up for a group of " + recipient.demand->service.value,
+          this->draft);
     }
-    end = donors;
-    spare = available - recipient.vms;
+    this->end = donor;
+    this->left_over =
+        available - recipient.vms - this->CountFree(*recipient.demand);
+    return true;
   }
-}
+
+  bool BreakUpFor(const PlacementNeed& recipient) {
+    return this->BreakUpFor(recipient, this->first);
+  }
+
+ private:
+  int CountFree(const PlacementDemand& demand) const {
+    if (this->needs.empty()) {
+      return 0;
+    }
+    return this->draft->CountFree(GroupOf(this->needs[0], *this->draft).fabric,
+                                  demand);
+  }
+
+  std::vector<PlacementNeed> needs;
+  std::size_t first = 0;  // Groups before this one are to be completed.
+  std::size_t end;        // Groups from this one on are broken up.
+  int left_over = 0;      // Freed VMs, less those that free ones make up for.
+  PlacementDraft* draft;
+};
 
 }  // namespace
 
@@ -107,18 +147,24 @@
   return latest;
 }
 
-void BreakUpGroups(const std::vector<PlacementNeed>& stuck,
+void BreakUpGroups(const std::vector<PlacementNeed>& incomplete,
+                   const std::vector<PlacementNeed>& missing,
                    PlacementDraft* draft) {
   std::map<FabricDomainId, std::vector<PlacementNeed>> by_fabric;
-  for (const PlacementNeed& need : stuck) {
+  for (const PlacementNeed& need : incomplete) {
     by_fabric[GroupOf(need, *draft).fabric].push_back(need);
   }
+  std::vector<FabricDonors> fabrics;
   for (auto& [fabric, needs] : by_fabric) {
-    std::stable_sort(needs.begin(), needs.end(),
-                     [](const PlacementNeed& left, const PlacementNeed& right) {
-                       return GainPerVm(left) > GainPerVm(right);
-                     });
-    BreakUpInFabric(needs, draft);
+    fabrics.emplace_back(std::move(needs), draft);
+    fabrics.back().CompleteAmongThemselves();
+  }
+  for (const PlacementNeed& need : missing) {
+    if (need.is_surge) {
+      continue;
+    }
+    std::any_of(fabrics.begin(), fabrics.end(),
+                [&](FabricDonors& donors) { return donors.BreakUpFor(need); });
   }
 }
 
--- a/src/control/placement_breakup.h
+++ b/src/control/placement_breakup.h
@@ -13,10 +13,12 @@
 MonotonicTime ExpectedCompletion(const PlacementNeed& need,
                                  const PlacementDraft& draft);
 
-// Decides for groups that lack VMs in a fabric domain without spares. The least
-// valuable one is released when its VMs complete a more valuable one and that
-// saves more than the released one loses by loading everything again.
-void BreakUpGroups(const std::vector<PlacementNeed>& stuck,
+// Decides for groups that lack VMs where there are no spares: `incomplete` ones
+// and `missing` ones, which are yet to be formed. The least valuable incomplete
+// group is released when its VMs complete or form another and that saves more
+// than the released one loses by loading everything again.
+void BreakUpGroups(const std::vector<PlacementNeed>& incomplete,
+                   const std::vector<PlacementNeed>& missing,
                    PlacementDraft* draft);
 
 }  // namespace kumquatcart
--- a/src/control/placement_needs.cc
+++ b/src/control/placement_needs.cc
@@ -84,17 +84,30 @@
   return NeedResult::kMet;
 }
 
+// Free VMs for one demand by fabric domain.
+using FreeCounts = std::map<FabricDomainId, int>;
+
+FreeCounts CountFree(const PlacementDemand& demand,
+                     const PlacementDraft& draft) {
+  FreeCounts counts;
+  for (const auto& [fabric, vms] : draft.State().vms_by_fabric) {
+    counts[fabric] = draft.CountFree(fabric, demand);
+  }
+  return counts;
+}
+
 // The fabric domain that a new group would leave with the most spares beyond
 // its reserve.
 std::optional<FabricDomainId> ChooseFabric(const PlacementNeed& need,
+                                           const FreeCounts& counts,
                                            const PlacementDraft& draft) {
   std::optional<FabricDomainId> best;
   int best_left = 0;
-  for (const auto& [fabric, vms] : draft.State().vms_by_fabric) {
-    const int free = draft.CountFree(fabric, *need.demand);
+  for (const auto& [fabric, free] : counts) {
+    const std::size_t vm_count = draft.State().vms_by_fabric.at(fabric).size();
     const int reserve = std::max(
         need.demand->spares_per_fabric,
-        SpareReserve(static_cast<int>(vms.size()), draft.Input().limits));
+        SpareReserve(static_cast<int>(vm_count), draft.Input().limits));
     const int left = free - need.vms - reserve;
     if (free < need.vms || (need.is_surge && left < 0)) {
       continue;
@@ -107,16 +120,30 @@
   return best;
 }
 
-NeedResult Form(const PlacementNeed& need, PlacementDraft* draft) {
-  const std::optional<FabricDomainId> fabric = ChooseFabric(need, *draft);
+// A new group with the VMs set aside for it.
+struct Reservation {
+  PlacementNeed need;
+  std::vector<std::size_t> vms;
+};
+
+// Sets VMs aside for a new group; nothing when no fabric domain has enough.
+std::optional<Reservation> Reserve(const PlacementNeed& need,
+                                   PlacementDraft* draft) {
+  const std::optional<FabricDomainId> fabric =
+      ChooseFabric(need, CountFree(*need.demand, *draft), *draft);
   if (!fabric.has_value()) {
-    return NeedResult::kStuck;
+    return std::nullopt;
   }
+  return Reservation{need, *draft->TakeFree(*fabric, *need.demand, need.vms)};
+}
+
+// Orders the new group unless the weight store is busy with better ones; its
+// VMs stay set aside in this plan either way.
+void Form(const Reservation& reservation, PlacementDraft* draft) {
+  const PlacementNeed& need = reservation.need;
   if (!draft->TakeLoad(need.LoadBytes())) {
-    return NeedResult::kDeferred;
+    return;
   }
-  const std::optional<std::vector<std::size_t>> spares =
-      draft->TakeFree(*fabric, *need.demand, need.vms);
   PlacementAction action;
   action.kind = PlacementActionKind::kForm;
   action.claim.epoch = NextEpoch(0, draft->Input().fence);
@@ -126,11 +153,62 @@
   action.gain = need.gain;
   action.reason = need.is_surge ? "successor of a group that still serves"
                                 : "a replica is missing";
-  for (const std::size_t vm : *spares) {
+  for (const std::size_t vm : reservation.vms) {
     action.claim.members.push_back(draft->State().vms[vm].id);
   }
-  draft->Add(std::move(action), *spares);
-  return NeedResult::kMet;
+  draft->Add(std::move(action), reservation.vms);
+}
+
+// Sum of the gains of the new groups that find VMs when they choose in the
+// order given.
+double TryOrder(const std::vector<PlacementNeed>& order,
+                const PlacementDraft& draft) {
+  std::map<int, FreeCounts> counts_by_size;
+  for (const PlacementNeed& need : order) {
+    const int size = need.demand->accelerators_per_vm;
+    if (counts_by_size.count(size) == 0) {
+      counts_by_size[size] = CountFree(*need.demand, draft);
+    }
+  }
+  double gain = 0;
+  for (const PlacementNeed& need : order) {
+    const std::optional<FabricDomainId> fabric = ChooseFabric(
+        need, counts_by_size[need.demand->accelerators_per_vm], draft);
+    if (!fabric.has_value()) {
+      continue;
+    }
+    gain += need.gain;
+    for (auto& [size, counts] : counts_by_size) {
+      counts[*fabric] -= need.vms;
+    }
+  }
+  return gain;
+}
+
+// Sets VMs aside for new groups. Small groups spread over every fabric domain
+// would leave large ones no room, so that the largest choose first unless that
+// gains less. Returns the needs that found none.
+std::vector<PlacementNeed> ReserveAll(std::vector<PlacementNeed> needs,
+                                      std::vector<Reservation>* reservations,
+                                      PlacementDraft* draft) {
+  std::vector<PlacementNeed> largest_first = needs;
+  std::stable_sort(largest_first.begin(), largest_first.end(),
+                   [](const PlacementNeed& left, const PlacementNeed& right) {
+                     return left.vms > right.vms;
+                   });
+  if (TryOrder(largest_first, *draft) >= TryOrder(needs, *draft)) {
+    needs = std::move(largest_first);
+  }
+  std::vector<PlacementNeed> without_vms;
+  for (const PlacementNeed& need : needs) {
+    std::optional<Reservation> reservation = Reserve(need, draft);
+    if (reservation.has_value()) {
+      reservations->push_back(*std::move(reservation));
+    } else {
+      without_vms.push_back(need);
+    }
+  }
+  return without_vms;
 }
 
 // Replaces a group that cannot be completed by a new one in another fabric
@@ -142,7 +220,12 @@
   if (formed >= ExpectedCompletion(need, *draft)) {
     return false;
   }
-  return Form(successor, draft) != NeedResult::kStuck;
+  const std::optional<Reservation> reservation = Reserve(successor, draft);
+  if (!reservation.has_value()) {
+    return false;
+  }
+  Form(*reservation, draft);
+  return true;
 }
 
 }  // namespace
@@ -172,18 +255,28 @@
 
 int MeetNeeds(std::vector<PlacementNeed> needs, PlacementDraft* draft) {
   std::stable_sort(needs.begin(), needs.end(), IsDenser);
+  const auto first_form = std::stable_partition(
+      needs.begin(), needs.end(),
+      [](const PlacementNeed& need) { return need.group != kNewGroup; });
+  const std::vector<PlacementNeed> forms(first_form, needs.end());
+  needs.erase(first_form, needs.end());
+
+  // Repairs go first: each needs few VMs and saves a whole group's worth.
   std::vector<PlacementNeed> stuck;
-  int surges_without_vms = 0;
   for (const PlacementNeed& need : needs) {
-    const bool is_new = need.group == kNewGroup;
-    const NeedResult result = is_new ? Form(need, draft) : Swap(need, draft);
-    if (result != NeedResult::kStuck) {
-      continue;
-    }
-    if (!is_new) {
+    if (Swap(need, draft) == NeedResult::kStuck) {
       stuck.push_back(need);
     }
-    surges_without_vms += need.is_surge ? 1 : 0;
+  }
+  std::vector<Reservation> reservations;
+  const std::vector<PlacementNeed> without_vms =
+      ReserveAll(forms, &reservations, draft);
+  std::stable_sort(reservations.begin(), reservations.end(),
+                   [](const Reservation& left, const Reservation& right) {
+                     return IsDenser(left.need, right.need);
+                   });
+  for (const Reservation& reservation : reservations) {
+    Form(reservation, draft);
   }
   std::vector<PlacementNeed> without_spares;
   for (const PlacementNeed& need : stuck) {
@@ -192,9 +285,11 @@
     }
   }
   if (!draft->IsRepairOnly()) {
-    BreakUpGroups(without_spares, draft);
+    BreakUpGroups(without_spares, without_vms, draft);
   }
-  return surges_without_vms;
+  return static_cast<int>(
+      std::count_if(without_vms.begin(), without_vms.end(),
+                    [](const PlacementNeed& need) { return need.is_surge; }));
 }
 
 }  // namespace kumquatcart
--- a/src/control/placement_planner.cc
+++ b/src/control/placement_planner.cc
@@ -35,6 +35,16 @@
   return group.all_agree ? 2 : 3;
 }
 
+// Rank, then running streams, the most first.
+std::pair<int, int> KeepKey(const PlacementState& state, std::size_t index) {
+  const PlacementGroup& group = state.groups[index];
+  int running = 0;
+  for (const PlacementMember& member : group.members) {
+    running += member.lost ? 0 : state.vms[member.vm].status->load.running;
+  }
+  return {KeepRank(group), -running};
+}
+
 DemandGroups SortGroups(const PlacementDemand& demand,
                         const PlacementState& state) {
   DemandGroups sorted;
@@ -53,8 +63,7 @@
   }
   std::stable_sort(sorted.sound.begin(), sorted.sound.end(),
                    [&](std::size_t left, std::size_t right) {
-                     return KeepRank(state.groups[left]) <
-                            KeepRank(state.groups[right]);
+                     return KeepKey(state, left) < KeepKey(state, right);
                    });
   return sorted;
 }
--- a/src/peers/gossip_topic.h
+++ b/src/peers/gossip_topic.h
@@ -10,6 +10,9 @@
 
 namespace kumquatcart {
 
+// Which peers a topic is exchanged with.
+enum class TopicScope { kEverywhere, kFailureDomain };
+
 // One kind of versioned state. A feature joins the peer network by registering
 // a topic. Merging is idempotent and commutative. All methods are called from
 // several threads and must be thread safe.
@@ -20,6 +23,9 @@
   // Stable short name, the same on every node.
   virtual std::string Name() const = 0;
 
+  // Where the topic goes; the same on every node.
+  virtual TopicScope Scope() const { return TopicScope::kEverywhere; }
+
   // Summary of what this node holds, as small as possible.
   virtual Json Digest() const = 0;
 
--- /dev/null
+++ b/src/peers/peer_settings.cc
@@ -0,0 +1,116 @@
+#include "peers/peer_settings.h"
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <boost/asio/ip/address.hpp>
+
+#include "peers/peer_constants.h"
+
+namespace kumquatcart {
+
+using std::chrono::milliseconds;
+
+SettingGroup DescribeSettings(PeerSettings* settings) {
+  SettingGroup group;
+  group.title = "Peers";
+  group.settings = {
+      TextSetting("peer-listen", "IP address and port on which peers connect",
+                  &settings->listen),
+      TextSetting("peer-key-file",
+                  "File with the key that all entry VMs share, 32 bytes at "
+                  "least; empty runs without peers",
+                  &settings->key_file),
+      TextSetting("peer-seeds",
+                  "IP addresses and ports of entry VMs, separated by commas, "
+                  "beside those of the VM list",
+                  &settings->seeds),
+      DurationSetting("probe-interval-ms",
+                      "Milliseconds between probes of an observed peer",
+                      &settings->probe_interval, milliseconds(50),
+                      milliseconds(10000)),
+      DurationSetting("silent-after-ms",
+                      "Milliseconds of silence after which a peer connection "
+                      "is opened anew",
+                      &settings->silent_after, milliseconds(50),
+                      milliseconds(60000)),
+      DurationSetting("suspect-after-ms",
+                      "Milliseconds of silence after which a peer is suspected",
+                      &settings->suspect_after, milliseconds(50),
+                      milliseconds(60000)),
+      DurationSetting("suspicion-ms",
+                      "Milliseconds that a suspected peer has to answer before "
+                      "it counts as dead",
+                      &settings->suspicion, milliseconds(50),
+                      milliseconds(60000)),
+      DurationSetting("exchange-interval-ms",
+                      "Milliseconds between digest exchanges with a peer",
+                      &settings->exchange_interval, milliseconds(50),
+                      milliseconds(60000)),
+      IntSetting("push-fanout", "Peers to which news is pushed at once",
+                 &settings->push_fanout, 1, 64),
+      IntSetting("repair-bytes-per-second",
+                 "Bytes a second that repair may send",
+                 &settings->repair_bytes_per_second,
+                 static_cast<std::int64_t>(kPeerMaxDeltaBytes), 1 << 30),
+  };
+  return group;
+}
+
+Result<Endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  const Error error =
+      MakeError(ErrorCode::kInvalidArgument,
+                fmt::format("'{}' is not an IP address and a port", text));
+  if (colon == std::string::npos) {
+    return error;
+  }
+  Endpoint endpoint;
+  endpoint.host = text.substr(0, colon);
+  const char* const end = text.data() + text.size();
+  const auto parsed =
+      std::from_chars(text.data() + colon + 1, end, endpoint.port);
+  boost::system::error_code failed;
+  boost::asio::ip::make_address(endpoint.host, failed);
+  if (parsed.ec != std::errc() || parsed.ptr != end || failed) {
+    return error;
+  }
+  return endpoint;
+}
+
+Result<std::vector<Endpoint>> ParseEndpoints(const std::string& text) {
+  std::vector<Endpoint> endpoints;
+  std::istringstream parts(text);
+  std::string part;
+  while (std::getline(parts, part, ',')) {
+    BOOST_OUTCOME_TRY(endpoint, ParseEndpoint(part));
+    endpoints.push_back(endpoint);
+  }
+  return endpoints;
+}
+
+Result<std::string> ReadPeerKey(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return MakeError(
+        ErrorCode::kNotFound,
+        fmt::format("setting 'peer-key-file': cannot read '{}'", path));
+  }
+  std::string key{std::istreambuf_iterator<char>(file), {}};
+  while (!key.empty() && (key.back() == '\n' || key.back() == '\r')) {
+    key.pop_back();
+  }
+  if (key.size() < kPeerKeyMinBytes) {
+    return MakeError(
+        ErrorCode::kInvalidArgument,
+        fmt::format("setting 'peer-key-file': '{}' holds {} bytes, but must "
+                    "hold {} at least",
+                    path, key.size(), kPeerKeyMinBytes));
+  }
+  return key;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/peers/peer_settings.h
@@ -0,0 +1,52 @@
+// Settings of the peer network.
+#ifndef PEERS_PEER_SETTINGS_H_
+#define PEERS_PEER_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/outcome.h"
+#include "base/setting.h"
+#include "model/vm.h"
+
+namespace kumquatcart {
+
+struct PeerSettings {
+  std::string listen = "127.0.0.1:7400";  // Numeric IP address and port.
+  std::string key_file;                   // Empty: no peers.
+  std::string seeds;                      // Endpoints, separated by commas.
+  Duration tick_interval = std::chrono::milliseconds(100);
+  Duration probe_interval = std::chrono::milliseconds(500);
+  // A connection that was silent for this long is dropped and opened anew.
+  Duration silent_after = std::chrono::milliseconds(900);
+  // A member that was silent for this long is suspected.
+  Duration suspect_after = std::chrono::milliseconds(1200);
+  Duration suspicion = std::chrono::milliseconds(600);
+  // A connection that nobody uses is closed after this time.
+  Duration idle_close = std::chrono::seconds(10);
+  // Time between digest exchanges with one peer.
+  Duration exchange_interval = std::chrono::seconds(1);
+  // Time between attempts to reach members that were lost, or seeds.
+  Duration rejoin_interval = std::chrono::seconds(2);
+  std::int64_t push_fanout = 4;
+  std::int64_t repair_bytes_per_second = 256 * 1024;
+};
+
+// Precondition: `settings` outlives the result.
+SettingGroup DescribeSettings(PeerSettings* settings);
+
+// Reads "address:port". Errors: kInvalidArgument.
+Result<Endpoint> ParseEndpoint(const std::string& text);
+
+// Reads endpoints separated by commas; an empty text gives none.
+Result<std::vector<Endpoint>> ParseEndpoints(const std::string& text);
+
+// Reads the shared key from a file. Errors: kNotFound, kInvalidArgument when it
+// is shorter than kPeerKeyMinBytes.
+Result<std::string> ReadPeerKey(const std::string& path);
+
+}  // namespace kumquatcart
+
+#endif  // PEERS_PEER_SETTINGS_H_
--- a/tests/control/group_controller_test.cc
+++ b/tests/control/group_controller_test.cc
@@ -1,5 +1,7 @@
 #include "control/group_controller.h"
 
+#include <map>
+
 #include <catch2/catch.hpp>
 
 #include "control/placement_fixture.h"
@@ -7,7 +9,6 @@
 namespace kumquatcart {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 TEST_CASE("groups are formed and served in one fabric domain") {
@@ -76,6 +77,23 @@
   REQUIRE(whole.front().claim.group == before.claim.group);
 }
 
+// Gives every whole group a stream, which ends after some rounds of draining.
+void KeepStreams(PlacementFixture* fixture,
+                 std::map<VmId, int>* rounds_drained) {
+  for (const ReplicaGroup& group : fixture->WholeGroups()) {
+    fixture->fleet.SetRunning(group.claim.members[0], 1);
+  }
+  for (const auto& [id, vm] : fixture->vms.vms) {
+    const bool drains =
+        fixture->fleet.StatusOf(id).state == EngineState::kDraining;
+    int& rounds = (*rounds_drained)[id];
+    rounds = drains ? rounds + 1 : 0;
+    if (rounds == 4) {
+      fixture->fleet.SetRunning(id, 0);
+    }
+  }
+}
+
 TEST_CASE("a new version is rolled out without ending a stream") {
   PlacementFixture fixture;
   fixture.AddFabric("rack-1", GENERATE(7, 6));  // With and without spares.
@@ -83,19 +101,12 @@
   ControlNode& node = fixture.AddNode("a");
   fixture.Run(node, 8);
   fixture.config.model_services[ObjectName("truelle-llm")].body.version = "v2";
-  for (int round = 0; round < 60; ++round) {
+  std::map<VmId, int> rounds_drained;
+  for (int round = 0; round < 80; ++round) {
     const std::vector<ReplicaGroup> whole = fixture.WholeGroups();
     REQUIRE(whole.size() >= 2);
-    for (const ReplicaGroup& group : whole) {
-      fixture.fleet.SetRunning(group.claim.members[0], 1);
-    }
+    KeepStreams(&fixture, &rounds_drained);
     fixture.Run(node, 1);
-    // Streams of draining groups end.
-    for (const auto& [id, vm] : fixture.vms.vms) {
-      if (fixture.fleet.StatusOf(id).state == EngineState::kDraining) {
-        fixture.fleet.SetRunning(id, 0);
-      }
-    }
   }
   REQUIRE(fixture.fleet.StreamsEnded() == 0);
   const std::vector<ReplicaGroup> whole = fixture.WholeGroups();
@@ -113,9 +124,18 @@
   fixture.Run(node, 8);
   fixture.config.model_services[ObjectName("truelle-llm")].body.role =
       EngineRole::kDecode;
-  for (int round = 0; round < 40; ++round) {
+  std::map<VmId, int> rounds_drained;
+  for (int round = 0; round < 60; ++round) {
+    KeepStreams(&fixture, &rounds_drained);
+    const EngineTable before =
+        fixture.fleet.Observe(fixture.clock.Now(), EngineTable());
     fixture.Run(node, 1);
     REQUIRE(fixture.WholeGroups().size() >= 2);
+    for (const auto& [id, observation] : before.engines) {
+      const bool changed = fixture.fleet.StatusOf(id).claim.role !=
+                           observation.status.claim.role;
+      REQUIRE_FALSE((changed && observation.status.load.running > 0));
+    }
   }
   for (const ReplicaGroup& group : fixture.WholeGroups()) {
     REQUIRE(group.claim.role == EngineRole::kDecode);
@@ -129,9 +149,18 @@
   AddService(&fixture.config, "truelle-llm", 2, 2);
   ControlNode& node = fixture.AddNode("a");
   fixture.Run(node, 8);
+  const VmId unheard = fixture.WholeGroups().front().claim.members[0];
   const std::size_t orders = fixture.fleet.Taken().size();
   fixture.clock.Jump(seconds(3));
-  // The controller runs before the watcher has heard anyone again.
+  // The watcher has not heard every VM again when the controller runs.
+  node.board.engines.Update([&](EngineTable engines) {
+    for (auto& [id, observation] : engines.engines) {
+      if (id != unheard) {
+        observation.heard_at = fixture.clock.Now();
+      }
+    }
+    return engines;
+  });
   node.lease.RunOnce();
   node.groups.RunOnce();
   REQUIRE(fixture.fleet.Taken().size() == orders);
--- /dev/null
+++ b/tests/control/lease_keeper_test.cc
@@ -0,0 +1,286 @@
+#include "control/lease_keeper.h"
+
+#include <map>
+#include <set>
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+#include "control/lease_constants.h"
+#include "control/placement_fixture.h"
+
+namespace kumquatcart {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Two nodes over one rack with a service that needs groups of two VMs.
+struct TwoNodes : PlacementFixture {
+  explicit TwoNodes(bool fenced = true) : a(AddNode("a")), b(AddNode("b")) {
+    this->AddFabric("rack-1", 5, fenced);
+    AddService(&this->config, "truelle-llm", 2, 2);
+  }
+
+  // Moves time on while only `node` lives.
+  void RunAlone(ControlNode& node, int rounds) { this->Run(node, rounds); }
+
+  OrderRight RightOf(const ControlNode& node) const {
+    return node.lease.Standing(this->clock.Now()).right;
+  }
+
+  ControlNode& a;
+  ControlNode& b;
+};
+
+// Names what is wrong with the orders taken and the groups that serve; empty
+// when nothing is. Knows nothing of leases: looks at what engines accepted.
+std::string FindViolation(PlacementFixture& fixture, bool fenced) {
+  // A restarted engine has forgotten the numbers it saw.
+  std::map<std::pair<VmId, int>, FencingNumber> highest;
+  for (const TakenOrder& order : fixture.fleet.Taken()) {
+    FencingNumber& seen = highest[{order.vm, order.restarts}];
+    if (fenced && order.fence < seen) {
+      return "an older holder's order took effect on " + order.vm.value;
+    }
+    seen = std::max(seen, order.fence);
+  }
+  std::set<VmId> used;
+  for (const ReplicaGroup& group : fixture.WholeGroups()) {
+    std::set<FabricDomainId> fabrics;
+    for (const VmId& vm : group.claim.members) {
+      if (!used.insert(vm).second) {
+        return vm.value + " serves in two groups";
+      }
+      fabrics.insert(fixture.vms.vms.at(vm).fabric_domain);
+    }
+    if (group.claim.members.size() != 2 || fabrics.size() != 1) {
+      return group.claim.group.value + " serves in part or across fabrics";
+    }
+  }
+  return "";
+}
+
+TEST_CASE("one of two racing claimants holds the lease") {
+  TwoNodes nodes;
+  for (int round = 0; round < 40; ++round) {
+    nodes.Step(nodes.a);
+    nodes.Step(nodes.b);
+    const bool both = nodes.RightOf(nodes.a) == OrderRight::kEveryEngine &&
+                      nodes.RightOf(nodes.b) == OrderRight::kEveryEngine;
+    REQUIRE_FALSE(both);
+    nodes.clock.Advance(milliseconds(250));
+  }
+  REQUIRE(nodes.RightOf(nodes.a) == OrderRight::kEveryEngine);
+}
+
+TEST_CASE("a lost append answer is settled by reading back") {
+  TwoNodes nodes;
+  nodes.log.LoseAnswers(1);
+  nodes.Step(nodes.a);
+  REQUIRE(nodes.RightOf(nodes.a) == OrderRight::kEveryEngine);
+
+  TwoNodes others;
+  others.log.LoseRequests(1);
+  others.Step(others.a);
+  REQUIRE(others.RightOf(others.a) == OrderRight::kNone);
+  others.Run(others.a, 5);
+  REQUIRE(others.RightOf(others.a) == OrderRight::kEveryEngine);
+}
+
+TEST_CASE("the holder gives up before another claim can take effect") {
+  TwoNodes nodes;
+  nodes.Step(nodes.a);
+  nodes.Step(nodes.b);
+  nodes.a.log.is_cut = true;
+  while (nodes.RightOf(nodes.b) != OrderRight::kEveryEngine) {
+    nodes.Step(nodes.a);
+    nodes.Step(nodes.b);
+    const bool both = nodes.RightOf(nodes.a) == OrderRight::kEveryEngine &&
+                      nodes.RightOf(nodes.b) == OrderRight::kEveryEngine;
+    REQUIRE_FALSE(both);
+    nodes.clock.Advance(milliseconds(50));
+  }
+}
+
+TEST_CASE("time spent waiting for the append's answer counts as held") {
+  TwoNodes nodes;
+  nodes.a.log.after_append = [&] { nodes.clock.Jump(seconds(5)); };
+  nodes.Step(nodes.a);
+  nodes.a.log.after_append = nullptr;
+  // Another node may claim from now on.
+  REQUIRE(nodes.RightOf(nodes.a) == OrderRight::kNone);
+}
+
+TEST_CASE("a stopped holder lets another claim at once") {
+  TwoNodes nodes;
+  nodes.Step(nodes.a);
+  nodes.Step(nodes.b);
+  nodes.a.lease.Stop();
+  nodes.clock.Advance(milliseconds(1000));
+  nodes.Step(nodes.b);
+  REQUIRE(nodes.RightOf(nodes.b) == OrderRight::kEveryEngine);
+}
+
+TEST_CASE("a holder woken mid-order changes nothing on fenced engines") {
+  TwoNodes nodes;
+  nodes.Run(nodes.a, 8);
+  const VmId lost = nodes.WholeGroups().front().claim.members[0];
+  nodes.fleet.SetSilent(lost, true);
+  nodes.fleet.DelayOrders();
+  nodes.Run(nodes.a, 10);  // The swap's claims leave `a` and are held up.
+  REQUIRE(nodes.fleet.DelayedCount() > 0);
+  nodes.fleet.StopDelaying();
+  nodes.Run(nodes.b, 40);
+  const FencingNumber fence = nodes.b.lease.Standing(nodes.clock.Now()).fence;
+  REQUIRE(nodes.WholeGroups().size() == 2);
+  const std::size_t taken = nodes.fleet.Taken().size();
+  nodes.fleet.DeliverDelayed();
+  nodes.Refresh(nodes.a);
+  nodes.a.groups.RunOnce();  // Awake, it has not read the log yet.
+  const std::vector<TakenOrder> orders = nodes.fleet.Taken();
+  for (std::size_t i = taken; i < orders.size(); ++i) {
+    REQUIRE(orders[i].fence >= fence);
+  }
+  REQUIRE(nodes.WholeGroups().size() == 2);
+  REQUIRE(FindViolation(nodes, true).empty());
+}
+
+TEST_CASE("unfenced engines get no orders until older ones must have landed") {
+  TwoNodes nodes(/*fenced=*/false);
+  nodes.Run(nodes.a, 24);
+  REQUIRE(nodes.WholeGroups().size() == 2);
+  nodes.Step(nodes.b);
+  const VmId lost = nodes.WholeGroups().front().claim.members[0];
+  nodes.fleet.SetSilent(lost, true);
+  const std::size_t before = nodes.fleet.Taken().size();
+  while (nodes.RightOf(nodes.b) != OrderRight::kEveryEngine) {
+    nodes.Step(nodes.b);
+    nodes.clock.Advance(milliseconds(250));
+  }
+  const MonotonicTime acquired =
+      nodes.b.lease.Standing(nodes.clock.Now()).acquired_at;
+  while (nodes.fleet.Taken().size() == before) {
+    nodes.Step(nodes.b);
+    nodes.clock.Advance(milliseconds(250));
+  }
+  REQUIRE(nodes.clock.Now() - milliseconds(250) >=
+          acquired + kLongestOrderDelay);
+  nodes.Run(nodes.b, 4);
+  REQUIRE(nodes.WholeGroups().size() == 2);
+}
+
+TEST_CASE("an order that lands late on unfenced engines is found and undone") {
+  TwoNodes nodes(/*fenced=*/false);
+  nodes.Run(nodes.a, 16);
+  nodes.fleet.DelayOrders();
+  nodes.Run(nodes.a, 2);  // Claims of `a`, held back beyond every bound.
+  nodes.clock.Jump(seconds(6));
+  nodes.Run(nodes.b, 2);
+  nodes.fleet.DeliverDelayed();
+  for (int round = 0; round < 40; ++round) {
+    nodes.Run(nodes.b, 1);
+    REQUIRE(FindViolation(nodes, false).empty());
+  }
+  REQUIRE(nodes.WholeGroups().size() == 2);
+}
+
+TEST_CASE("repair goes on without the log where engines are fenced") {
+  const bool fenced = GENERATE(true, false);
+  TwoNodes nodes(fenced);
+  nodes.Run(nodes.a, 30);
+  REQUIRE(nodes.WholeGroups().size() == 2);
+  nodes.log.SetDown(true);
+  nodes.Run(nodes.a, 24);
+  REQUIRE(nodes.RightOf(nodes.a) == OrderRight::kFencedEnginesOnly);
+  const VmId lost = nodes.WholeGroups().front().claim.members[0];
+  nodes.fleet.SetSilent(lost, true);
+  // A rollout waits for the log.
+  nodes.config.model_services[ObjectName("truelle-llm")]
+      .body.first_token_target_ms = 1;
+  nodes.Run(nodes.a, 16);
+  nodes.Step(nodes.a);
+  REQUIRE(nodes.WholeGroups().size() == (fenced ? 2U : 1U));
+  nodes.log.SetDown(false);
+  nodes.Run(nodes.a, 30);
+  REQUIRE(nodes.RightOf(nodes.a) == OrderRight::kEveryEngine);
+  REQUIRE(nodes.WholeGroups().size() == 2);
+}
+
+TEST_CASE("no rollout starts while the log is away") {
+  TwoNodes nodes;
+  nodes.Run(nodes.a, 8);
+  nodes.log.SetDown(true);
+  nodes.Run(nodes.a, 24);
+  nodes.config.model_services[ObjectName("truelle-llm")].body.version = "v2";
+  const std::size_t before = nodes.fleet.Taken().size();
+  nodes.Run(nodes.a, 24);
+  REQUIRE(nodes.fleet.Taken().size() == before);
+}
+
+// Takes one random step of a node, its environment or time.
+void TakeRandomStep(TwoNodes* nodes, bool fenced) {
+  ControlNode& node = *rc::gen::arbitrary<bool>() ? nodes->a : nodes->b;
+  const VmId vm("rack-1-" + std::to_string(*rc::gen::inRange(0, 5)));
+  switch (*rc::gen::inRange(0, 14)) {
+    case 0:
+      node.log.is_cut = !node.log.is_cut;
+      break;
+    case 1:
+      nodes->log.LoseAnswers(1);
+      break;
+    case 2:
+      nodes->log.LoseRequests(1);
+      break;
+    case 3:
+      nodes->clock.Jump(seconds(*rc::gen::inRange(1, 8)));
+      break;
+    case 4:
+      if (fenced) {
+        nodes->fleet.DelayOrders();
+      }
+      break;
+    case 5:
+      nodes->fleet.DeliverDelayed();
+      break;
+    case 6:
+      nodes->fleet.SetSilent(vm, true);
+      break;
+    case 7:
+      nodes->fleet.SetSilent(vm, false);
+      break;
+    case 8:
+      nodes->fleet.Restart(vm);
+      break;
+    case 9:
+      nodes->clock.Advance(milliseconds(500));
+      break;
+    case 10:
+      nodes->fleet.FinishLoads();
+      break;
+    default:
+      nodes->Step(node);
+      nodes->clock.Advance(milliseconds(100));
+      break;
+  }
+}
+
+TEST_CASE("random interleavings never let an older holder act after a newer") {
+  const bool fenced = GENERATE(true, false);
+  rc::prop("one holder, fences never fall, groups whole and unshared",
+           [fenced] {
+             TwoNodes nodes(fenced);
+             const int steps = *rc::gen::inRange(20, 150);
+             for (int i = 0; i < steps; ++i) {
+               TakeRandomStep(&nodes, fenced);
+               const bool both =
+                   nodes.RightOf(nodes.a) == OrderRight::kEveryEngine &&
+                   nodes.RightOf(nodes.b) == OrderRight::kEveryEngine;
+               RC_ASSERT_FALSE(both);
+               RC_ASSERT(FindViolation(nodes, fenced) == "");
+             }
+           });
+}
+
+}  // namespace
+}  // namespace kumquatcart
--- a/tests/control/placement_fixture.h
+++ b/tests/control/placement_fixture.h
@@ -2,6 +2,7 @@
 #ifndef CONTROL_PLACEMENT_FIXTURE_H_
 #define CONTROL_PLACEMENT_FIXTURE_H_
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -67,15 +68,51 @@
   return identity;
 }
 
+// One node's way to the log, which can be cut.
+class CuttableLog : public LogService {
+ public:
+  explicit CuttableLog(LogService* target) : target(target) {}
+
+  Result<Offset> Append(const StreamName& stream,
+                        const AppendId& append_id,
+                        const std::string& payload) override {
+    if (this->is_cut) {
+      return MakeError(ErrorCode::kUnavailable, "cut off");
+    }
+    Result<Offset> offset = this->target->Append(stream, append_id, payload);
+    if (this->after_append) {
+      this->after_append();
+    }
+    return offset;
+  }
+
+  Result<LogBatch> Read(const StreamName& stream,
+                        Offset from,
+                        std::size_t max_records,
+                        Duration wait) override {
+    if (this->is_cut) {
+      return MakeError(ErrorCode::kUnavailable, "cut off");
+    }
+    return this->target->Read(stream, from, max_records, wait);
+  }
+
+  bool is_cut = false;
+  std::function<void()> after_append;  // Runs before the answer arrives.
+
+ private:
+  LogService* target;
+};
+
 // One entry VM's control side over a shared log and fleet.
 struct ControlNode {
   ControlNode(const std::string& id,
               ManualClock* clock,
               WorkerPool* pool,
-              FakeLogService* log,
+              FakeLogService* shared_log,
               FakeEngineFleet* fleet)
       : board(MakeIdentity(id)),
-        lease(clock, pool, &board, log, &metrics, LeaseSettings()),
+        log(shared_log),
+        lease(clock, pool, &board, &log, &metrics, LeaseSettings()),
         groups(
             clock,
             pool,
@@ -89,6 +126,7 @@
 
   MetricRegistry metrics;
   Board board;
+  CuttableLog log;
   FakeWeightStore store;
   std::vector<AuditEntry> audit;
   LeaseKeeper lease;
--- a/tests/fakes/fake_engine_fleet.h
+++ b/tests/fakes/fake_engine_fleet.h
@@ -20,6 +20,7 @@
   VmId vm;
   FencingNumber fence = 0;
   EngineOrderKind kind = EngineOrderKind::kClaim;
+  int restarts = 0;  // Of the engine before it took the order.
 };
 
 // Engines addressed by their VM's name as host. Weights load when the test says
@@ -73,6 +74,17 @@
     this->delaying = true;
   }
 
+  // Later orders pass at once; what was held back still waits.
+  void StopDelaying() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->delaying = false;
+  }
+
+  std::size_t DelayedCount() const {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->delayed.size();
+  }
+
   // Delivers what was held back; later orders pass at once.
   void DeliverDelayed() {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -100,6 +112,7 @@
     fresh.vm = vm;
     fresh.enforces_fence = status.enforces_fence;
     status = fresh;
+    ++this->restarts[vm];
   }
 
   void SetRunning(const VmId& vm, int streams) {
@@ -203,7 +216,8 @@
         break;
     }
     status.fence = std::max(status.fence, order.fence);
-    this->taken.push_back(TakenOrder{order.vm, order.fence, order.kind});
+    this->taken.push_back(TakenOrder{order.vm, order.fence, order.kind,
+                                     this->restarts[order.vm]});
     return status;
   }
 
@@ -215,6 +229,7 @@
   mutable std::mutex mutex;
   std::map<VmId, EngineStatus> engines;
   std::map<VmId, bool> silent;
+  std::map<VmId, int> restarts;
   bool delaying = false;
   std::vector<EngineOrder> delayed;
   std::vector<TakenOrder> taken;
--- /dev/null
+++ b/tests/peers/member_list_test.cc
@@ -0,0 +1,174 @@
+#include "peers/member_list.h"
+
+#include <algorithm>
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+namespace kumquatcart {
+namespace {
+
+constexpr MonotonicTime kStart{std::chrono::hours(1)};
+
+Member MakeMember(const std::string& name) {
+  Member member;
+  member.identity.id = NodeId(name);
+  return member;
+}
+
+int NaiveRank(MemberState state) {
+  const std::vector<MemberState> order = {
+      MemberState::kAlive, MemberState::kLeaving, MemberState::kSuspect,
+      MemberState::kDead};
+  return static_cast<int>(std::find(order.begin(), order.end(), state) -
+                          order.begin());
+}
+
+// Keeps everything ever heard of one member and judges it anew each time.
+struct NaiveMember {
+  struct Heard {
+    MemberUpdate update;
+    MonotonicTime at;
+  };
+
+  MemberUpdate Judge(MonotonicTime now, Duration suspicion) const {
+    Heard best = this->history.front();
+    for (const Heard& heard : this->history) {
+      const auto rank = std::make_pair(heard.update.incarnation,
+                                       NaiveRank(heard.update.state));
+      const auto known =
+          std::make_pair(best.update.incarnation, NaiveRank(best.update.state));
+      if (rank > known) {
+        best = heard;
+      }
+    }
+    const MonotonicTime since = std::max(best.at, this->last_pause);
+    if (best.update.state == MemberState::kSuspect &&
+        now - since >= suspicion) {
+      best.update.state = MemberState::kDead;
+    }
+    return best.update;
+  }
+
+  std::vector<Heard> history;
+  MonotonicTime last_pause{};
+};
+
+MemberUpdate DrawUpdate(MemberKey key) {
+  MemberUpdate update;
+  update.key = key;
+  update.incarnation = *rc::gen::inRange<std::uint64_t>(0, 5);
+  update.state = static_cast<MemberState>(*rc::gen::inRange(0, 4));
+  // The offset belongs to its incarnation.
+  update.config_offset = static_cast<Offset>(update.incarnation * 10);
+  return update;
+}
+
+TEST_CASE("Membership agrees with the naive history") {
+  rc::prop("random news, times and pauses", [] {
+    MemberBounds bounds;
+    MemberList list(MakeMember("self"), bounds);
+    NaiveMember naive;
+    MonotonicTime now = kStart;
+    const Member peer = MakeMember("peer");
+    list.MergeMember(peer, now);
+    naive.history.push_back({ToUpdate(peer), now});
+    const int events = *rc::gen::inRange(1, 40);
+    for (int event = 0; event < events; ++event) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 500));
+      list.Expire(now);
+      // The naive judge remembers a death as something heard.
+      naive.history.push_back({naive.Judge(now, bounds.suspicion), now});
+      if (*rc::gen::inRange(0, 6) == 0) {
+        list.RestartSuspicions(now);
+        naive.last_pause = now;
+      } else {
+        const MemberUpdate update = DrawUpdate(KeyOf(peer.identity.id));
+        list.Merge(update, now);
+        naive.history.push_back({update, now});
+      }
+      RC_ASSERT(*list.UpdateOf(KeyOf(peer.identity.id)) ==
+                naive.Judge(now - bounds.suspicion, bounds.suspicion));
+    }
+  });
+}
+
+TEST_CASE("The order in which news arrives does not matter") {
+  rc::prop("two nodes hear the same in another order", [] {
+    const Member peer = MakeMember("peer");
+    const MemberKey key = KeyOf(peer.identity.id);
+    std::vector<MemberUpdate> news;
+    for (int count = *rc::gen::inRange(1, 12); count > 0; --count) {
+      news.push_back(DrawUpdate(key));
+    }
+    MemberList first(MakeMember("a"), MemberBounds());
+    MemberList second(MakeMember("b"), MemberBounds());
+    first.MergeMember(peer, kStart);
+    second.MergeMember(peer, kStart);
+    for (const MemberUpdate& update : news) {
+      first.Merge(update, kStart);
+    }
+    std::reverse(news.begin(), news.end());
+    for (const MemberUpdate& update : news) {
+      second.Merge(update, kStart);
+    }
+    RC_ASSERT(*first.UpdateOf(key) == *second.UpdateOf(key));
+  });
+}
+
+TEST_CASE("A member refutes its own death and suspicion") {
+  MemberList list(MakeMember("self"), MemberBounds());
+  MemberUpdate accusation = ToUpdate(list.Self());
+  accusation.state = MemberState::kDead;
+  accusation.incarnation = 4;
+  REQUIRE(list.Merge(accusation, kStart) == MergeResult::kNews);
+  REQUIRE(list.Self().state == MemberState::kAlive);
+  REQUIRE(list.Self().incarnation == 5);
+}
+
+TEST_CASE("A leaving member that refutes goes on leaving") {
+  MemberList list(MakeMember("self"), MemberBounds());
+  list.Leave();
+  MemberUpdate accusation = ToUpdate(list.Self());
+  accusation.state = MemberState::kSuspect;
+  list.Merge(accusation, kStart);
+  REQUIRE(list.Self().state == MemberState::kLeaving);
+  REQUIRE(list.Self().incarnation > accusation.incarnation);
+}
+
+TEST_CASE("A forgotten death does not come back from a peer") {
+  MemberBounds bounds;
+  MemberList list(MakeMember("self"), bounds);
+  Member peer = MakeMember("peer");
+  list.MergeMember(peer, kStart);
+  peer.state = MemberState::kDead;
+  list.MergeMember(peer, kStart);
+  list.Expire(kStart + bounds.remember_dead);
+  REQUIRE(list.Find(KeyOf(peer.identity.id)) == nullptr);
+  REQUIRE(list.MergeMember(peer, kStart) == MergeResult::kSame);
+  REQUIRE(list.Find(KeyOf(peer.identity.id)) == nullptr);
+}
+
+TEST_CASE("Differing buckets carry what the peer lacks") {
+  rc::prop("one member differs", [] {
+    MemberList first(MakeMember("self"), MemberBounds());
+    MemberList second(MakeMember("self"), MemberBounds());
+    const int members = *rc::gen::inRange(1, 60);
+    for (int index = 0; index < members; ++index) {
+      const Member member = MakeMember("m" + std::to_string(index));
+      first.MergeMember(member, kStart);
+      second.MergeMember(member, kStart);
+    }
+    const std::size_t buckets = first.BucketCount();
+    RC_ASSERT(
+        first.UpdatesWhereDifferent(second.BucketHashes(buckets)).empty());
+    MemberUpdate update = ToUpdate(MakeMember("m0"));
+    update.incarnation = 1;
+    first.Merge(update, kStart);
+    const auto sent = first.UpdatesWhereDifferent(second.BucketHashes(buckets));
+    RC_ASSERT(std::find(sent.begin(), sent.end(), update) != sent.end());
+  });
+}
+
+}  // namespace
+}  // namespace kumquatcart
--- /dev/null
+++ b/tests/peers/peer_node_test.cc
@@ -0,0 +1,135 @@
+#include "peers/peer_node.h"
+
+#include <catch2/catch.hpp>
+
+#include "peers/fake_peer_net.h"
+
+namespace kumquatcart {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("Nodes find one another through a seed") {
+  FakePeerNet net(12);
+  net.Pass(seconds(5));
+  REQUIRE(net.AllAlive());
+}
+
+TEST_CASE("A dead node is noticed by every node within two seconds") {
+  FakePeerNet net(12);
+  net.Pass(seconds(5));
+  net.Kill(7);
+  net.Pass(seconds(2));
+  for (std::size_t node = 0; node < 12; ++node) {
+    if (node != 7) {
+      REQUIRE(net.StateAt(node, 7) == MemberState::kDead);
+    }
+  }
+  REQUIRE(net.AllAlive());
+}
+
+TEST_CASE("A paused node accuses nobody when it wakes, and is taken back") {
+  FakePeerNet net(8);
+  net.Pass(seconds(5));
+  net.frozen.insert(3);
+  net.Pass(seconds(30));
+  REQUIRE(net.StateAt(0, 3) == MemberState::kDead);
+  net.frozen.clear();
+  net.Pass(seconds(3));
+  REQUIRE(net.Count(3, "kumquatcart_peer_own_pauses_total") == 1);
+  REQUIRE(net.Count(3, "kumquatcart_peer_suspicions_total") == 0);
+  REQUIRE(net.AllAlive());
+}
+
+TEST_CASE("When all processes pause together nobody is accused") {
+  FakePeerNet net(8);
+  net.Pass(seconds(5));
+  net.clock.Jump(seconds(20));
+  net.Pass(seconds(3));
+  for (std::size_t node = 0; node < 8; ++node) {
+    REQUIRE(net.Count(node, "kumquatcart_peer_suspicions_total") == 0);
+  }
+  REQUIRE(net.AllAlive());
+}
+
+TEST_CASE("A silent connection is replaced before its peer is suspected") {
+  FakePeerNet net(6);
+  net.Pass(seconds(5));
+  for (LinkId link = 1; link <= net.last_link; ++link) {
+    net.silent_links.insert(link);
+  }
+  net.Pass(seconds(3));
+  std::uint64_t suspicions = 0;
+  for (std::size_t node = 0; node < 6; ++node) {
+    suspicions += net.Count(node, "kumquatcart_peer_suspicions_total");
+  }
+  REQUIRE(suspicions == 0);
+  REQUIRE(net.AllAlive());
+}
+
+TEST_CASE("One broken path between two nodes does not kill either") {
+  FakePeerNet net(8);
+  net.Pass(seconds(5));
+  net.cuts.insert({2, 4});
+  for (int step = 0; step < 100; ++step) {
+    net.Pass(milliseconds(100));
+    REQUIRE(net.StateAt(0, 2) != MemberState::kDead);
+    REQUIRE(net.StateAt(0, 4) != MemberState::kDead);
+  }
+}
+
+TEST_CASE("Both sides of a partition go on and merge after an hour") {
+  FakePeerNet net(8);
+  net.Pass(seconds(5));
+  for (std::size_t one = 0; one < 4; ++one) {
+    for (std::size_t other = 4; other < 8; ++other) {
+      net.cuts.insert({one, other});
+    }
+  }
+  net.Pass(seconds(3));
+  REQUIRE(net.StateAt(0, 1) == MemberState::kAlive);
+  REQUIRE(net.StateAt(0, 5) == MemberState::kDead);
+  REQUIRE(net.StateAt(5, 6) == MemberState::kAlive);
+  net.Pass(std::chrono::hours(1));
+  net.cuts.clear();
+  net.Pass(seconds(15));
+  REQUIRE(net.AllAlive());
+}
+
+TEST_CASE("A node with a foreign key stays outside and is counted") {
+  FakePeerNet net(3);
+  net.Pass(seconds(3));
+  FakePeerNet::Node& stranger = net.AddNode(std::string(32, 'x'));
+  net.Pass(seconds(5));
+  REQUIRE(net.StateAt(0, 3) == MemberState::kDead);
+  REQUIRE(stranger.members.members.size() == 1);
+  REQUIRE(net.Refused(0, "foreign-key") + net.Refused(3, "foreign-key") > 0);
+}
+
+TEST_CASE("A leaving node is known to leave at once") {
+  FakePeerNet net(6);
+  net.Pass(seconds(5));
+  net.nodes[4]->peer.Leave();
+  net.nodes[4]->peer.Flush();
+  net.Deliver();
+  for (std::size_t node = 0; node < 6; ++node) {
+    REQUIRE(net.StateAt(node, 4) == MemberState::kLeaving);
+  }
+}
+
+TEST_CASE("What nodes say of themselves reaches all") {
+  FakePeerNet net(12);
+  net.Pass(seconds(5));
+  net.nodes[5]->peer.SetOwn(17, false);
+  net.Pass(seconds(8));
+  for (std::size_t node = 0; node < 12; ++node) {
+    const Member& member =
+        net.nodes[node]->members.members.at(FakePeerNet::MakeIdentity(5).id);
+    REQUIRE(member.config_offset == 17);
+    REQUIRE(!member.platform_reachable);
+  }
+}
+
+}  // namespace
+}  // namespace kumquatcart
