--- a/tests/load/load_checks_test.cc
+++ b/tests/load/load_checks_test.cc
@@ -86,6 +86,23 @@
         AnswerFault::kNoAnswer);
 }
 
+TEST_CASE("A plan depends on the seed only and keeps arrivals in order") {
+  LoadSettings settings;
+  settings.entries = {Endpoint{"127.0.0.1", 1}, Endpoint{"127.0.0.1", 2}};
+  const std::vector<Caller> callers(3);
+  const auto plan = PlanRequests(settings, callers, "run");
+  REQUIRE(plan.size() > 100);
+  const auto again = PlanRequests(settings, callers, "run");
+  REQUIRE(again.size() == plan.size());
+  for (std::size_t index = 0; index < plan.size(); ++index) {
+    CHECK(plan[index].Tie() == again[index].Tie());
+    CHECK((index == 0 || plan[index - 1].at <= plan[index].at));
+  }
+  settings.seed = 2;
+  CHECK(PlanRequests(settings, callers, "run").front().Tie() !=
+        plan.front().Tie());
+}
+
 SentRequest MakeSent(RequestKind kind,
                      const std::string& outcome,
                      const std::string& key = "") {
--- a/tools/standins/platform_api.h
+++ b/tools/standins/platform_api.h
@@ -2,6 +2,7 @@
 #ifndef STANDINS_PLATFORM_API_H_
 #define STANDINS_PLATFORM_API_H_
 
+#include <cstdint>
 #include <list>
 #include <string>
 
@@ -24,6 +25,9 @@
   // Error: kUnavailable.
   Status Start();
 
+  // The port listened on. Precondition: started.
+  std::uint16_t Port() const { return this->server.Port(); }
+
  private:
   // A log read that waits for a record.
   struct WaitingRead {
--- a/tools/standins/vm_host.h
+++ b/tools/standins/vm_host.h
@@ -2,6 +2,7 @@
 #ifndef STANDINS_VM_HOST_H_
 #define STANDINS_VM_HOST_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -48,6 +49,9 @@
 
   bool IsAlive() const { return this->alive; }
   bool IsPaused() const { return this->paused; }
+  // The port listened on, also when the topology leaves the choice open with
+  // port 0. Precondition: alive.
+  std::uint16_t Port() const { return this->server.Port(); }
   const Vm& Row() const { return this->topology.vm; }
   bool EnforcesFence() const { return this->topology.enforces_fence; }
 
