--- a/src/control/config_topic.cc
+++ b/src/control/config_topic.cc
@@ -1,5 +1,7 @@
 #include "control/config_topic.h"
 
+#include <optional>
+#include <string>
 #include <utility>
 
 #include "model/config_snapshot.h"
@@ -10,7 +12,16 @@
 
 constexpr char kOffsetField[] = "offset";
 constexpr char kRecordsField[] = "records";
-constexpr char kSnapshotField[] = "snapshot";
+constexpr char kPartField[] = "snapshot_part";
+constexpr char kProgressField[] = "snapshot_progress";
+
+// What the digest says of a snapshot that is being received.
+Result<SnapshotProgress> ReadProgress(const Json& digest) {
+  if (!digest.contains(kProgressField)) {
+    return SnapshotProgress();
+  }
+  return FromJson<SnapshotProgress>(digest[kProgressField]);
+}
 
 }  // namespace
 
@@ -20,16 +31,22 @@
           metrics->GetCounter("kumquatcart_config_peer_records_total")),
       snapshots_received(
           metrics->GetCounter("kumquatcart_config_peer_snapshots_total")),
-      snapshots_sent(
-          metrics->GetCounter("kumquatcart_config_peer_snapshots_sent_total")) {
-}
+      parts_sent(metrics->GetCounter(
+          "kumquatcart_config_peer_snapshot_parts_sent_total")) {}
 
 std::string ConfigTopic::Name() const {
   return kConfigTopicName;
 }
 
 Json ConfigTopic::Digest() const {
-  return {{kOffsetField, this->replica->CurrentOffset()}};
+  const Offset offset = this->replica->CurrentOffset();
+  Json digest = {{kOffsetField, offset}};
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const SnapshotProgress progress = this->assembly.Progress();
+  if (progress.config_offset > offset) {
+    digest[kProgressField] = progress;
+  }
+  return digest;
 }
 
 Result<Json> ConfigTopic::DeltaFor(const Json& digest,
@@ -44,6 +61,7 @@
     return MakeError(ErrorCode::kInvalidArgument,
                      "config digest has a negative offset");
   }
+  BOOST_OUTCOME_TRY(progress, ReadProgress(digest));
   if (theirs >= this->replica->CurrentOffset()) {
     return Json();
   }
@@ -52,8 +70,10 @@
   if (!records.empty()) {
     return Json{{kRecordsField, std::move(records)}};
   }
-  this->snapshots_sent.Add();
-  return Json{{kSnapshotField, EncodeSnapshot(this->replica->CopyView())}};
+  this->parts_sent.Add();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return Json{{kPartField, this->cutter.NextPart(this->replica->CopyView(),
+                                                 progress, max_bytes)}};
 }
 
 Result<bool> ConfigTopic::Merge(const Json& delta) {
@@ -63,11 +83,11 @@
   if (delta.is_object() && delta.contains(kRecordsField)) {
     return this->MergeRecords(delta[kRecordsField]);
   }
-  if (delta.is_object() && delta.contains(kSnapshotField)) {
-    return this->MergeSnapshot(delta[kSnapshotField]);
+  if (delta.is_object() && delta.contains(kPartField)) {
+    return this->MergePart(delta[kPartField]);
   }
   return MakeError(ErrorCode::kInvalidArgument,
-                   "config delta has neither records nor snapshot");
+                   "config delta has neither records nor snapshot part");
 }
 
 Result<bool> ConfigTopic::MergeRecords(const Json& records) {
@@ -76,8 +96,17 @@
   return this->replica->ApplyRecords(decoded);
 }
 
-Result<bool> ConfigTopic::MergeSnapshot(const Json& snapshot) {
-  BOOST_OUTCOME_TRY(view, DecodeSnapshot(snapshot));
+Result<bool> ConfigTopic::MergePart(const Json& part) {
+  BOOST_OUTCOME_TRY(decoded, FromJson<SnapshotPart>(part));
+  std::optional<std::string> text;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    text = this->assembly.Add(decoded);
+  }
+  if (!text.has_value()) {
+    return false;
+  }
+  BOOST_OUTCOME_TRY(view, DecodeSnapshotText(*text));
   this->snapshots_received.Add();
   return this->replica->InstallSnapshot(std::move(view));
 }
--- a/src/control/config_topic.h
+++ b/src/control/config_topic.h
@@ -2,8 +2,11 @@
 #ifndef CONTROL_CONFIG_TOPIC_H_
 #define CONTROL_CONFIG_TOPIC_H_
 
+#include <mutex>
+
 #include "base/metrics.h"
 #include "control/config_replica.h"
+#include "control/snapshot_parts.h"
 #include "peers/gossip_topic.h"
 
 namespace kumquatcart {
@@ -13,8 +16,8 @@
 
 // Lets a node that can't reach the log follow through peers. The digest is the
 // offset. A delta holds the raw records after it, which the receiver judges
-// itself, or a snapshot when the tail no longer reaches back that far. Thread
-// safe.
+// itself, or the next part of a snapshot when the tail no longer reaches back
+// that far. Thread safe.
 class ConfigTopic : public GossipTopic {
  public:
   // Precondition: `replica` and `metrics` outlive the topic.
@@ -22,19 +25,23 @@
 
   std::string Name() const override;
   Json Digest() const override;
-  // A snapshot may exceed `max_bytes`.
   Result<Json> DeltaFor(const Json& digest,
                         std::size_t max_bytes) const override;
   Result<bool> Merge(const Json& delta) override;
 
  private:
   Result<bool> MergeRecords(const Json& records);
-  Result<bool> MergeSnapshot(const Json& snapshot);
+  Result<bool> MergePart(const Json& part);
 
   ConfigReplica* const replica;
   Counter& records_received;
   Counter& snapshots_received;
-  Counter& snapshots_sent;
+  Counter& parts_sent;
+
+  // Guards the fields below; taken before the replica's lock.
+  mutable std::mutex mutex;
+  mutable SnapshotCutter cutter;
+  SnapshotAssembly assembly;
 };
 
 }  // namespace kumquatcart
--- /dev/null
+++ b/src/control/snapshot_parts.cc
@@ -0,0 +1,82 @@
+#include "control/snapshot_parts.h"
+
+#include <utility>
+
+#include "model/config_snapshot.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Parts that don't fit before a receiver begins anew.
+constexpr int kMaxMisfits = 8;
+constexpr std::int64_t kMaxSnapshotTextBytes = 64 << 20;
+
+}  // namespace
+
+SnapshotPart SnapshotCutter::NextPart(const ConfigView& view,
+                                      const SnapshotProgress& progress,
+                                      std::size_t max_bytes) {
+  std::size_t begin = 0;
+  if (this->CanContinue(progress)) {
+    begin = static_cast<std::size_t>(progress.received);
+  } else if (this->kept_offset != view.offset) {
+    this->kept_offset = view.offset;
+    // ASCII only, so that a cut never splits a character.
+    this->kept_text = EncodeSnapshot(view).dump(-1, ' ', true,
+                                                Json::error_handler_t::replace);
+  }
+  SnapshotPart part;
+  part.config_offset = this->kept_offset;
+  part.begin = static_cast<std::int64_t>(begin);
+  part.total = static_cast<std::int64_t>(this->kept_text.size());
+  part.text = this->kept_text.substr(begin, max_bytes);
+  return part;
+}
+
+bool SnapshotCutter::CanContinue(const SnapshotProgress& progress) const {
+  return progress.received > 0 && progress.config_offset == this->kept_offset &&
+         progress.received < static_cast<std::int64_t>(this->kept_text.size());
+}
+
+SnapshotProgress SnapshotAssembly::Progress() const {
+  return this->progress;
+}
+
+std::optional<std::string> SnapshotAssembly::Add(const SnapshotPart& part) {
+  const bool follows = part.config_offset == this->progress.config_offset &&
+                       part.begin == this->progress.received &&
+                       part.total == this->total;
+  const bool may_begin =
+      part.begin == 0 && (this->text.empty() || this->misfits >= kMaxMisfits);
+  if (!follows && may_begin) {
+    this->Begin(part);
+  } else if (!follows) {
+    ++this->misfits;
+    return std::nullopt;
+  }
+  const auto size = static_cast<std::int64_t>(part.text.size());
+  if (part.total > kMaxSnapshotTextBytes ||
+      size > this->total - this->progress.received) {
+    this->Begin(SnapshotPart());
+    return std::nullopt;
+  }
+  this->text += part.text;
+  this->progress.received += size;
+  this->misfits = 0;
+  if (this->progress.received < this->total) {
+    return std::nullopt;
+  }
+  std::string whole = std::move(this->text);
+  this->Begin(SnapshotPart());
+  return whole;
+}
+
+void SnapshotAssembly::Begin(const SnapshotPart& part) {
+  this->progress = {part.config_offset, 0};
+  this->total = part.total;
+  this->text.clear();
+  this->misfits = 0;
+}
+
+}  // namespace kumquatcart
--- a/tests/control/config_follower_test.cc
+++ b/tests/control/config_follower_test.cc
@@ -16,6 +16,13 @@
       .Record(offset);
 }
 
+// A snapshot that fits one message.
+Json WholePart(const Json& snapshot) {
+  const std::string text = snapshot.dump();
+  const auto size = static_cast<std::int64_t>(text.size());
+  return {{"snapshot_part", SnapshotPart{1, 0, size, text}}};
+}
+
 TEST_CASE("A node never applies an older, repeated or lower record") {
   ManualClock clock;
   FakeLogService log(clock);
@@ -34,8 +41,7 @@
   REQUIRE_FALSE(node.replica.ApplyRecords({PutRecord(2, "forged", 3)}));
   REQUIRE_FALSE(node.replica.ApplyRecords({PutRecord(5, "gap", 3)}));
   REQUIRE_FALSE(node.replica.InstallSnapshot(older));
-  const Json old_snapshot = {{"snapshot", EncodeSnapshot(older)}};
-  REQUIRE_FALSE(node.topic.Merge(old_snapshot).value());
+  REQUIRE_FALSE(node.topic.Merge(WholePart(EncodeSnapshot(older))).value());
   REQUIRE(node.Config() == newest);
 }
 
@@ -81,13 +87,61 @@
     AddOrganisation(&log, name);
   }
   REQUIRE(reader.Poll().has_value());
-  REQUIRE(exchange().contains("snapshot"));
+  REQUIRE(exchange().contains("snapshot_part"));
   REQUIRE(cut_off.Config()->organisations.size() == 4);
   REQUIRE(reader.topic.DeltaFor(cut_off.topic.Digest(), kMaxBytes)
               .value()
               .is_null());
 }
 
+TEST_CASE("A snapshot larger than a message arrives in parts") {
+  ManualClock clock;
+  FakeLogService log(clock);
+  ConfigSettings settings;
+  settings.tail_records = 1;
+  ConfigNode reader("reader", &clock, &log, settings);
+  ConfigNode other("other", &clock, &log, settings);
+  ConfigNode cut_off("cut-off", &clock, &log, settings);
+  for (int index = 0; index < 50; ++index) {
+    AddOrganisation(&log, "org" + std::to_string(index));
+  }
+  REQUIRE(reader.Poll().has_value());
+  const ConfigView snapshot = reader.replica.CopyView();
+  const std::size_t part_bytes = 500;
+  int messages = 0;
+  while (cut_off.Config()->offset == kNoOffset && messages < 100) {
+    // The sender moves on, and a peer at another offset interferes.
+    if (messages == 3) {
+      AddOrganisation(&log, "late");
+      REQUIRE(reader.Poll().has_value());
+      REQUIRE(other.Poll().has_value());
+      const Json foreign =
+          other.topic.DeltaFor(Json{{"offset", 0}}, part_bytes).value();
+      REQUIRE_FALSE(cut_off.topic.Merge(foreign).value());
+    }
+    const Json delta =
+        reader.topic.DeltaFor(cut_off.topic.Digest(), part_bytes).value();
+    REQUIRE(cut_off.topic.Merge(delta).has_value());
+    ++messages;
+  }
+  REQUIRE(messages > 3);
+  REQUIRE(*cut_off.Config() == snapshot);
+
+  // A receiver whose sender is gone begins anew with another peer.
+  ConfigNode late("late", &clock, &log, settings);
+  const Json first =
+      reader.topic.DeltaFor(late.topic.Digest(), part_bytes).value();
+  REQUIRE(late.topic.Merge(first).has_value());
+  AddOrganisation(&log, "later");
+  REQUIRE(other.Poll().has_value());
+  for (int message = 0; message < 100; ++message) {
+    const Json delta =
+        other.topic.DeltaFor(late.topic.Digest(), part_bytes).value();
+    REQUIRE(late.topic.Merge(delta).has_value());
+  }
+  REQUIRE(*late.Config() == *other.Config());
+}
+
 TEST_CASE("A peer's message is checked before anything changes") {
   ManualClock clock;
   FakeLogService log(clock);
@@ -100,13 +154,14 @@
   forged["content"]["objects"] = Json::array();
   for (const Json& delta :
        {Json(7), Json::object(), Json{{"records", 1}},
-        Json{{"records", {{{"offset", "x"}}}}}, Json{{"snapshot", 1}},
-        Json{{"snapshot", forged}}}) {
+        Json{{"records", {{{"offset", "x"}}}}}, Json{{"snapshot_part", 1}},
+        WholePart(Json(1)), WholePart(forged)}) {
     REQUIRE(node.topic.Merge(delta).error().code ==
             ErrorCode::kInvalidArgument);
   }
   for (const Json& digest :
-       {Json(), Json(1), Json{{"offset", "1"}}, Json{{"offset", -1}}}) {
+       {Json(), Json(1), Json{{"offset", "1"}}, Json{{"offset", -1}},
+        Json{{"offset", 0}, {"snapshot_progress", 1}}}) {
     REQUIRE(node.topic.DeltaFor(digest, kMaxBytes).has_error());
   }
   REQUIRE(node.Config() == before);
--- a/tests/control/snapshotter_test.cc
+++ b/tests/control/snapshotter_test.cc
@@ -68,6 +68,23 @@
   std::vector<std::unique_ptr<ConfigNode>> nodes;
 };
 
+TEST_CASE("Every live member has a rank of its own") {
+  MemberTable members;
+  for (int index = 0; index < kNodes; ++index) {
+    Member member;
+    member.identity = IdentityOf("n" + std::to_string(index));
+    members.members[member.identity.id] = member;
+  }
+  members.members[NodeId("n0")].state = MemberState::kDead;
+  std::set<std::size_t> ranks;
+  for (int index = 1; index < kNodes; ++index) {
+    const NodeId self("n" + std::to_string(index));
+    ranks.insert(SnapshotRank(members, self, {7, 0}));
+  }
+  REQUIRE(ranks.size() == kNodes - 1);
+  REQUIRE(*ranks.rbegin() == kNodes - 2);
+}
+
 TEST_CASE("One snapshot is written per interval however many nodes run") {
   SnapshotNodes nodes;
   REQUIRE(nodes.RunFor(std::chrono::minutes(5)) == 1);
