Run an entry VM: kumquatcart serve

Cause: the request path, the controllers and the peers existed as parts that no process put together.

Change: 'serve' composes them, turns every feature's settings into flags and environment variables, and on SIGTERM leaves the peers, finishes every request, releases its lease and exits 0. The endpoint parser that stood twice (operator options, peer settings) moves to the model layer.

--- a/src/cli/command_list.cc
+++ b/src/cli/command_list.cc
@@ -1,11 +1,13 @@
 #include "cli/command_list.h"
 
 #include "cli/operator_commands.h"
+#include "cli/serve_command.h"
 
 namespace kumquatcart {
 
 CommandList MakeCommands() {
   CommandList commands;
+  commands.push_back(std::make_unique<ServeCommand>());
   AddOperatorCommands(MakeHttpOperatorBackend, &commands);
   return commands;
 }
--- a/src/cli/operator_options.h
+++ b/src/cli/operator_options.h
@@ -8,6 +8,7 @@
 #include <CLI/CLI.hpp>
 
 #include "base/setting.h"
+#include "model/endpoint_parser.h"
 #include "model/vm.h"
 
 namespace kumquatcart {
@@ -28,10 +29,6 @@
 // Precondition: `options` outlives the result.
 SettingGroup DescribeSettings(OperatorOptions* options);
 
-// Reads "host:port,host:port". Fails with kInvalidArgument naming the part that
-// is malformed. Thread safe.
-Result<std::vector<Endpoint>> ParseEndpoints(const std::string& text);
-
 }  // namespace kumquatcart
 
 #endif  // CLI_OPERATOR_OPTIONS_H_
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -56,12 +56,6 @@
 SettingGroup DescribeSettings(GatewaySettings* settings) {
   SettingGroup group;
   group.title = "Request path";
-  group.settings = {
-      TextSetting("http-host", "IP address callers connect to.",
-                  &settings->http_host),
-      IntSetting("http-port", "TCP port callers connect to.",
-                 &settings->http_port, 1, 65535),
-  };
   for (Setting& setting : DescribeSizes(settings)) {
     group.settings.push_back(std::move(setting));
   }
--- a/src/peers/peer_settings.cc
+++ b/src/peers/peer_settings.cc
@@ -1,12 +1,9 @@
 #include "peers/peer_settings.h"
 
-#include <charconv>
 #include <fstream>
 #include <iterator>
-#include <sstream>
 
 #include <fmt/format.h>
-#include <boost/asio/ip/address.hpp>
 
 #include "peers/peer_constants.h"
 
@@ -60,38 +57,6 @@
   return group;
 }
 
-Result<Endpoint> ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  const Error error =
-      MakeError(ErrorCode::kInvalidArgument,
-                fmt::format("'{}' is not an IP address and a port", text));
-  if (colon == std::string::npos) {
-    return error;
-  }
-  Endpoint endpoint;
-  endpoint.host = text.substr(0, colon);
-  const char* const end = text.data() + text.size();
-  const auto parsed =
-      std::from_chars(text.data() + colon + 1, end, endpoint.port);
-  boost::system::error_code failed;
-  boost::asio::ip::make_address(endpoint.host, failed);
-  if (parsed.ec != std::errc() || parsed.ptr != end || failed) {
-    return error;
-  }
-  return endpoint;
-}
-
-Result<std::vector<Endpoint>> ParseEndpoints(const std::string& text) {
-  std::vector<Endpoint> endpoints;
-  std::istringstream parts(text);
-  std::string part;
-  while (std::getline(parts, part, ',')) {
-    BOOST_OUTCOME_TRY(endpoint, ParseEndpoint(part));
-    endpoints.push_back(endpoint);
-  }
-  return endpoints;
-}
-
 Result<std::string> ReadPeerKey(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
--- a/src/peers/peer_settings.h
+++ b/src/peers/peer_settings.h
@@ -4,12 +4,11 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "base/clock.h"
 #include "base/outcome.h"
 #include "base/setting.h"
-#include "model/vm.h"
+#include "model/endpoint_parser.h"
 
 namespace kumquatcart {
 
@@ -37,12 +36,6 @@
 // Precondition: `settings` outlives the result.
 SettingGroup DescribeSettings(PeerSettings* settings);
 
-// Reads "address:port". Errors: kInvalidArgument.
-Result<Endpoint> ParseEndpoint(const std::string& text);
-
-// Reads endpoints separated by commas; an empty text gives none.
-Result<std::vector<Endpoint>> ParseEndpoints(const std::string& text);
-
 // Reads the shared key from a file. Errors: kNotFound, kInvalidArgument when it
 // is shorter than kPeerKeyMinBytes.
 Result<std::string> ReadPeerKey(const std::string& path);
