Serve an operations page at /ops

Cause: an operator or a venue screen had only JSON and metrics to look at.

Change: one HTML page without a build step that reads /status and /metrics: groups by failure domain and state, accelerators serving, spare and stranded by partner, outcomes, downtime counted here, entry VMs with their configuration offset, recent changes and orders.

--- a/src/cli/entry_node.cc
+++ b/src/cli/entry_node.cc
@@ -8,6 +8,7 @@
 #include "base/periodic_task.h"
 #include "base/worker_pool.h"
 #include "board/board.h"
+#include "cli/ops_page.h"
 #include "control/audit_trail.h"
 #include "control/config_follower.h"
 #include "control/config_replica.h"
@@ -41,6 +42,8 @@
 // How often the peers are told this node's state.
 constexpr Duration kPeerInterval = std::chrono::milliseconds(100);
 
+constexpr int kHttpOk = 200;
+
 std::uint64_t MakeSeed(std::int64_t setting) {
   return setting == 0 ? std::random_device()()
                       : static_cast<std::uint64_t>(setting);
@@ -291,6 +294,13 @@
   parts.group_controller.Start();
   parts.demand_task.Start();
   parts.admission.Start();
+  parts.gateway.AddPage("/ops", [](const PageRequest& /*request*/) {
+    WholeReply page;
+    page.status = kHttpOk;
+    page.content_type = "text/html; charset=utf-8";
+    page.body = OpsPageHtml();
+    return page;
+  });
   BOOST_OUTCOME_TRYV(parts.gateway.Start());
   const NodeIdentity& identity = parts.board.identity;
   LogInfo("entry_node_started", {{"node", identity.id},
