--- a/tests/control/placement_planner_test.cc
+++ b/tests/control/placement_planner_test.cc
@@ -437,6 +437,23 @@
   REQUIRE_FALSE(PlanPlacement(input).actions.empty());
 }
 
+TEST_CASE("a spare is swapped in unless the lost VM is back sooner") {
+  World world;
+  world.AddRack("rack-0", 3);
+  AddService(&world.config, "truelle-llm", 1, 2);
+  world.Settle(PlanPlacement);
+  const VmId lost = FindWhole(world).begin()->second.members[0];
+  world.Lose(lost);
+  PlacementInput input = world.MakeInput();
+  // A spare loads for one second.
+  input.expected_return[lost] = {world.now + seconds(0), true};
+  REQUIRE(PlanPlacement(input).actions.empty());
+  input.expected_return[lost] = {world.now + seconds(5), true};
+  REQUIRE(PlanPlacement(input).actions.size() == 1);
+  input.expected_return[lost] = {world.now + seconds(0), false};
+  REQUIRE(PlanPlacement(input).actions.size() == 1);
+}
+
 TEST_CASE("the weight store's rate goes to the most valuable group first") {
   World world;
   world.AddRack("rack-0", 40);
@@ -469,7 +486,8 @@
   const GroupEpoch older = NextEpoch(NextEpoch(0, 50), 50);
   REQUIRE(NextEpoch(0, 50) < older);
   REQUIRE(NextEpoch(older, 51) > older);
-  REQUIRE(NextEpoch(NextEpoch(0, 50), 51) != NextEpoch(older, 50));
+  REQUIRE(NextEpoch(older, 51) != NextEpoch(older, 50));
+  REQUIRE(NextEpoch(NextEpoch(0, 49), 51) != NextEpoch(NextEpoch(0, 49), 50));
 }
 
 TEST_CASE("the spare reserve grows with the failure rate") {
