--- a/tests/control/config_follower_test.cc
+++ b/tests/control/config_follower_test.cc
@@ -71,7 +71,7 @@
   ConfigNode reader("reader", &clock, &log, settings);
   ConfigNode cut_off("cut-off", &clock, &dead_log, settings);
   const auto exchange = [&] {
-    const Json delta =
+    Json delta =
         reader.topic.DeltaFor(cut_off.topic.Digest(), kMaxBytes).value();
     REQUIRE(cut_off.topic.Merge(delta).has_value());
     REQUIRE(cut_off.replica.CopyView() == reader.replica.CopyView());
