Add the demo and judge how much a run completed

Cause: nothing ran the whole system at once. Change: make demo starts the stand-ins and six entry VMs, applies both partners' configuration, sends a load, kills one VM of a group and shows routing close and the group come back; it ends by itself and passes only when every promise held and nine tenths of each kind of request were completed. The load tool reads streams piece by piece now: an eager Beast parser showed them only at their end.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,9 @@
 test: all
 	bash .ci/test
 
+demo: all
+	bash tools/demo/run.sh
+
 format:
 	bash .ci/format
 
--- a/tests/load/load_checks_test.cc
+++ b/tests/load/load_checks_test.cc
@@ -7,6 +7,7 @@
 #include "load/execution_check.h"
 #include "load/group_usage.h"
 #include "load/prompts.h"
+#include "load/summary.h"
 #include "load/verdict.h"
 
 namespace kumquatcart::load {
@@ -137,6 +138,38 @@
             .ran_though_refused.empty());
 }
 
+TEST_CASE("A run passes only when each kind was completed often enough") {
+  RunRecord record;
+  for (int number = 0; number < 9; ++number) {
+    record.Add(MakeSent(RequestKind::kStreamed, "completed"));
+  }
+  record.Add(MakeSent(RequestKind::kStreamed, "not-run"));
+  const auto enough = [&](double least) {
+    return Summarise(record, {}, GroupUsage(), PassMarks{false, least})
+        .enough_completed;
+  };
+  CHECK(enough(0.9));
+  CHECK_FALSE(enough(0.95));
+  record.Add(MakeSent(RequestKind::kKeyed, "not-run"));
+  CHECK_FALSE(enough(0.9));
+}
+
+TEST_CASE("A run that cannot see the executions or has a wrong answer fails") {
+  RunRecord record;
+  const auto held = [&](bool checked) {
+    ExecutionFindings findings;
+    findings.checked = checked;
+    return Summarise(record, findings, GroupUsage(), PassMarks{true, 0})
+        .promises_held;
+  };
+  CHECK(held(true));
+  CHECK_FALSE(held(false));
+  SentRequest wrong = MakeSent(RequestKind::kStreamed, "completed");
+  wrong.verdict.fault = AnswerFault::kWrongAnswer;
+  record.Add(wrong);
+  CHECK_FALSE(held(true));
+}
+
 TEST_CASE("Downtime and stranding are integrated between samples") {
   StatusSample sample;
   ReplicaGroup group;
--- a/tools/load/http_call.cc
+++ b/tools/load/http_call.cc
@@ -29,7 +29,8 @@
            const std::function<void(std::string_view)>& on_body)
       : call(request), on_body(on_body), context(1), stream(this->context) {
     this->parser.body_limit(kBodyLimitBytes);
-    this->parser.eager(true);
+    // An eager parser would report progress only at the end of the message.
+    this->parser.eager(false);
   }
 
   Result<CallAnswer> Run() {
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -27,6 +27,7 @@
   std::string caller_file;
   std::string output = "text";
   double duration_s = 10;
+  double least_completed = 0;
   std::int64_t timeout_ms = 10000;
   LoadSettings settings;
 };
@@ -65,6 +66,9 @@
   app->add_option("--timeout-ms", options->timeout_ms,
                   "Longest silence of an entry VM")
       ->check(CLI::PositiveNumber);
+  app->add_option("--least-completed", options->least_completed,
+                  "Part of each kind of request that must be completed")
+      ->check(CLI::Range(0.0, 1.0));
   app->add_option("--workers", settings.workers, "Requests at once at most")
       ->check(CLI::PositiveNumber);
   app->add_option("--output", options->output, "Form of the summary")
@@ -127,8 +131,9 @@
   StatusSampler sampler(&settings, &clock);
   RunLoad(settings, callers, plan, &clock, &record);
   sampler.Stop();
-  return Summarise(record, FetchFindings(settings, record), sampler.Usage(),
-                   settings.platform.port != 0);
+  return Summarise(
+      record, FetchFindings(settings, record), sampler.Usage(),
+      PassMarks{settings.platform.port != 0, options.least_completed});
 }
 
 }  // namespace
@@ -147,5 +152,7 @@
   fmt::print("{}", options.output == "json"
                        ? summary.value().report.dump(2) + "\n"
                        : RenderText(summary.value()));
-  return summary.value().promises_held ? 0 : 1;
+  const bool passed =
+      summary.value().promises_held && summary.value().enough_completed;
+  return passed ? 0 : 1;
 }
--- a/tools/load/summary.h
+++ b/tools/load/summary.h
@@ -14,13 +14,20 @@
 struct Summary {
   Json report;
   bool promises_held = false;
+  // Each kind of request was completed as often as asked for.
+  bool enough_completed = false;
+};
+
+// What a run has to show to pass, beside the promises.
+struct PassMarks {
+  bool require_counts = false;  // The execution counts must be had.
+  double least_completed = 0;   // Part of each kind of request, 0 to 1.
 };
 
-// `require_counts`: a run whose execution counts could not be had fails.
 Summary Summarise(const RunRecord& record,
                   const ExecutionFindings& executions,
                   const GroupUsage& usage,
-                  bool require_counts);
+                  const PassMarks& marks);
 
 // Renders the report as text for people.
 std::string RenderText(const Summary& summary);
