Report the groups of each failure domain to the others

A node that polls only its own failure domain must still route to others' groups.

The overlay is computed anew only when a member comes, dies or returns, no longer with every change of an offset, and the member table is published once a tick.

--- a/src/peers/member_list.cc
+++ b/src/peers/member_list.cc
@@ -90,6 +90,7 @@
   }
   this->members[update.key] = {member, now};
   ++this->version;
+  ++this->shape_version;
   return MergeResult::kNews;
 }
 
@@ -104,12 +105,15 @@
     return MergeResult::kSame;
   }
   const bool other_state = update.state != entry->member.state;
+  const bool dies_or_returns = (update.state == MemberState::kDead) !=
+                               (entry->member.state == MemberState::kDead);
   entry->member.incarnation = update.incarnation;
   entry->member.state = update.state;
   entry->member.config_offset = update.config_offset;
   entry->member.platform_reachable = update.platform_reachable;
   entry->since = now;
   ++this->version;
+  this->shape_version += dies_or_returns ? 1 : 0;
   return other_state ? MergeResult::kNews : MergeResult::kQuiet;
 }
 
@@ -148,10 +152,12 @@
       entry->second.since = now;
       died.push_back(entry->first);
       ++this->version;
+      ++this->shape_version;
     } else if (member.state == MemberState::kDead &&
                age >= this->bounds.remember_dead) {
       entry = this->members.erase(entry);
       ++this->version;
+      ++this->shape_version;
       continue;
     }
     ++entry;
--- a/src/peers/member_list.h
+++ b/src/peers/member_list.h
@@ -45,6 +45,10 @@
   // Grows with every change of the table.
   std::uint64_t Version() const { return this->version; }
 
+  // Grows when a member is added, forgotten, dies or returns: the changes on
+  // which the overlay depends.
+  std::uint64_t ShapeVersion() const { return this->shape_version; }
+
   MergeResult Merge(const MemberUpdate& update, MonotonicTime now);
   MergeResult MergeMember(const Member& member, MonotonicTime now);
 
@@ -95,6 +99,7 @@
   MemberBounds bounds;
   std::map<MemberKey, Entry> members;
   std::uint64_t version = 1;
+  std::uint64_t shape_version = 1;
 };
 
 // The key of a node in messages. Thread safe.
--- a/src/peers/overlay.cc
+++ b/src/peers/overlay.cc
@@ -14,7 +14,7 @@
 struct Candidate {
   NodeId id;
   std::uint64_t key = 0;
-  FailureDomainId failure_domain;
+  std::uint64_t failure_domain = 0;  // Hash of its name.
 };
 
 std::vector<Candidate> ListObservable(const MemberTable& table) {
@@ -22,8 +22,8 @@
   candidates.reserve(table.members.size());
   for (const auto& [id, member] : table.members) {
     if (member.state != MemberState::kDead) {
-      candidates.push_back(
-          {id, StableHash(id.value), member.identity.failure_domain});
+      candidates.push_back({id, StableHash(id.value),
+                            StableHash(member.identity.failure_domain.value)});
     }
   }
   return candidates;
@@ -114,6 +114,12 @@
                         kLogReadersPerFailureDomain);
 }
 
+bool IsGroupReporter(const MemberTable& table, const NodeIdentity& self) {
+  return IsAmongHighest(ListLiveNeighbours(table, self, false), self.id,
+                        "groups of " + self.failure_domain.value,
+                        kGroupReportersPerFailureDomain);
+}
+
 bool IsWatcherOf(const MemberTable& table,
                  const NodeIdentity& self,
                  const VmId& vm,
--- a/src/peers/overlay.h
+++ b/src/peers/overlay.h
@@ -34,6 +34,12 @@
 // platform, others that do take over.
 bool IsLogReader(const MemberTable& table, const NodeIdentity& self);
 
+// Nodes of one failure domain that report its groups to the others.
+constexpr std::size_t kGroupReportersPerFailureDomain = 2;
+
+// True when `self` reports the groups of its failure domain.
+bool IsGroupReporter(const MemberTable& table, const NodeIdentity& self);
+
 // True when `self` is among the `watchers` nodes of its failure domain that
 // poll the backend server `vm`.
 bool IsWatcherOf(const MemberTable& table,
--- a/src/peers/peer_node.cc
+++ b/src/peers/peer_node.cc
@@ -251,7 +251,6 @@
     this->SendUpdates(link.id, updates);
   }
   this->SendAll(this->topics.Flush(this->clock->Now(), ready));
-  this->PublishMembers();
 }
 
 void PeerNode::Tick() {
@@ -274,6 +273,7 @@
   this->TryRejoin(now);
   this->SendAll(this->topics.Announce(now, this->links.ListReady()));
   this->Flush();
+  this->PublishMembers();
 }
 
 void PeerNode::ForgivePause(MonotonicTime now) {
@@ -290,10 +290,10 @@
 }
 
 void PeerNode::RefreshObserved() {
-  if (this->observed_version == this->members.Version()) {
+  if (this->observed_version == this->members.ShapeVersion()) {
     return;
   }
-  this->observed_version = this->members.Version();
+  this->observed_version = this->members.ShapeVersion();
   std::map<MemberKey, MonotonicTime> next;
   for (const NodeId& id :
        ChooseObserved(this->members.Table(), this->members.Self().identity.id,
--- a/tests/peers/dissemination_test.cc
+++ b/tests/peers/dissemination_test.cc
@@ -154,6 +154,17 @@
   REQUIRE(mesh.pushes <= 30 * 6);
 }
 
+TEST_CASE("Lost pushes are made good by announcements") {
+  Mesh mesh(8);
+  mesh.Pass(std::chrono::seconds(5));
+  Publish(&mesh, 0, 5);
+  mesh.loss = 100;
+  mesh.Send(0, mesh.peers[0]->policy.Flush(mesh.now, mesh.LinksOf(0)));
+  mesh.loss = 0;
+  mesh.Pass(milliseconds(500));
+  REQUIRE(mesh.AllHave(5));
+}
+
 TEST_CASE("A topic of the failure domain does not leave it") {
   Peer peer(1);
   peer.topic->scope = TopicScope::kFailureDomain;
--- /dev/null
+++ b/tests/peers/report_topic_test.cc
@@ -0,0 +1,109 @@
+#include "peers/report_topic.h"
+
+#include <memory>
+#include <vector>
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+namespace kumquatcart {
+namespace {
+
+using Topics = std::vector<std::unique_ptr<ReportTopic>>;
+
+Topics MakeTopics(int count) {
+  Topics topics;
+  for (int index = 0; index < count; ++index) {
+    topics.push_back(std::make_unique<ReportTopic>(
+        "t", TopicScope::kEverywhere, NodeId("n" + std::to_string(index))));
+  }
+  return topics;
+}
+
+// `to` asks `from` for what it lacks.
+void Pull(const ReportTopic& from, ReportTopic* to, std::size_t max_bytes) {
+  const Json delta = from.DeltaFor(to->Digest(), max_bytes).value();
+  if (!delta.is_null()) {
+    REQUIRE(to->Merge(delta).has_value());
+  }
+}
+
+TEST_CASE("Reports converge on what each node last said") {
+  rc::prop("random reports, exchanges and repeated deltas", [] {
+    Topics topics = MakeTopics(4);
+    std::vector<ReportEntries> naive(4);
+    std::vector<std::pair<std::size_t, Json>> old_deltas;
+    const auto draw = [] { return *rc::gen::inRange<std::size_t>(0, 4); };
+    for (int step = *rc::gen::inRange(1, 60); step > 0; --step) {
+      const std::size_t one = draw();
+      const std::size_t other = draw();
+      const int action = *rc::gen::inRange(0, 4);
+      if (action == 0) {
+        const std::string key = "k" + std::to_string(draw());
+        naive[one][key] = draw();
+        topics[one]->SetOwn(naive[one]);
+      } else if (action == 1) {
+        naive[one].erase("k" + std::to_string(draw()));
+        topics[one]->SetOwn(naive[one]);
+      } else if (action == 2) {
+        old_deltas.emplace_back(
+            other,
+            topics[one]->DeltaFor(topics[other]->Digest(), 1000).value());
+        Pull(*topics[one], topics[other].get(), 1000);
+      } else if (!old_deltas.empty()) {
+        const auto& [to, delta] = old_deltas[one % old_deltas.size()];
+        if (!delta.is_null()) {
+          RC_ASSERT(topics[to]->Merge(delta).has_value());
+        }
+      }
+    }
+    for (int round = 0; round < 8; ++round) {
+      for (std::size_t one = 0; one < 4; ++one) {
+        // A small bound sends a report at a time.
+        Pull(*topics[one], topics[(one + 1) % 4].get(), 1);
+        Pull(*topics[one], topics[(one + 1) % 4].get(), 1);
+      }
+    }
+    for (std::size_t one = 0; one < 4; ++one) {
+      const auto reports = topics[one]->Reports();
+      for (std::size_t of = 0; of < 4; ++of) {
+        const auto found = reports.find(NodeId("n" + std::to_string(of)));
+        const ReportEntries seen =
+            found == reports.end() ? ReportEntries() : found->second;
+        const bool same = seen == naive[of];
+        RC_ASSERT(same);
+      }
+    }
+  });
+}
+
+TEST_CASE("Only what changed travels") {
+  Topics topics = MakeTopics(2);
+  ReportEntries entries;
+  for (int key = 0; key < 100; ++key) {
+    entries["group" + std::to_string(key)] = "a rather long description";
+  }
+  topics[0]->SetOwn(entries);
+  Pull(*topics[0], topics[1].get(), 100000);
+  REQUIRE(!topics[0]->SetOwn(entries));
+  REQUIRE(topics[0]->DeltaFor(topics[1]->Digest(), 1000).value().is_null());
+  entries["group7"] = "changed";
+  REQUIRE(topics[0]->SetOwn(entries));
+  const Json delta = topics[0]->DeltaFor(topics[1]->Digest(), 1000).value();
+  REQUIRE(Json::to_cbor(delta).size() < 60);
+}
+
+TEST_CASE("Nobody else writes a node's own report; malformed news is refused") {
+  ReportTopic topic("t", TopicScope::kEverywhere, NodeId("n0"));
+  topic.SetOwn({{"k", 1}});
+  const Json forged = {{"n0", 1, 9, {{"k", 9, 5}}}};
+  REQUIRE(!topic.Merge(forged).value());
+  REQUIRE(topic.Reports().at(NodeId("n0")).at("k") == 1);
+  for (const Json& wrong : {Json(1), Json{{"n1"}}, Json{{"n1", "x", 1, {}}}}) {
+    REQUIRE(!topic.Merge(wrong).has_value());
+  }
+  REQUIRE(!topic.DeltaFor(Json{{"n0", "text"}}, 1000).has_value());
+}
+
+}  // namespace
+}  // namespace kumquatcart
