--- a/src/cli/history_commands.cc
+++ b/src/cli/history_commands.cc
@@ -137,6 +137,14 @@
     return Fail(context, ExitCode::kRefused, entries.front().detail);
   }
 
+  // A change set's differences or reasons name its objects; an order's detail
+  // does not name its group.
+  std::string Describe(const AuditEntry& entry) const {
+    const std::string text =
+        this->detail ? entry.detail : FirstLine(entry.detail);
+    return entry.stream == kAuditStream ? entry.subject + ": " + text : text;
+  }
+
   void Print(const CommandContext& context,
              const std::vector<AuditEntry>& entries) const {
     std::vector<AuditEntry> selected;
@@ -156,7 +164,7 @@
     for (const AuditEntry& entry : selected) {
       table.Add({std::to_string(entry.offset), TimeText(entry.time_unix_ms),
                  entry.actor, entry.action, entry.verdict,
-                 this->detail ? entry.detail : FirstLine(entry.detail)});
+                 this->Describe(entry)});
     }
     table.Print(context.output);
   }
