Watch the own failure domain only and hear of others through peers

Cause: each entry VM polled every engine of every failure domain, since the exchange of group reports was not wired into 'serve', and each one read the log.

Change: with peers, a node polls its own failure domain and takes other groups from their reporters; two nodes of each failure domain read the log, the others follow through them. A node without peers goes on watching everything.

--- a/src/cli/entry_node.cc
+++ b/src/cli/entry_node.cc
@@ -15,11 +15,13 @@
 #include "control/config_topic.h"
 #include "control/engine_watcher.h"
 #include "control/group_controller.h"
+#include "control/group_exchange.h"
 #include "control/group_view.h"
 #include "control/lease_keeper.h"
 #include "control/snapshotter.h"
 #include "control/vm_list_reader.h"
 #include "gateway/gateway.h"
+#include "peers/overlay.h"
 #include "peers/websocket_peer_network.h"
 #include "platform/http_engine_control.h"
 #include "platform/http_log_service.h"
@@ -71,6 +73,15 @@
               const ClaimSettlement& /*settlement*/) override {}
 };
 
+// A node without peers hears of other failure domains' groups from nobody and
+// watches them itself.
+ServeSettings WithoutPeersWatchAll(ServeSettings settings) {
+  if (settings.peers.key_file.empty()) {
+    settings.watch.scope = kWatchScopeAll;
+  }
+  return settings;
+}
+
 }  // namespace
 
 // Declared in the order of use: what is declared later may use what is declared
@@ -80,7 +91,7 @@
         ServeSettings settings,
         NodeIdentity identity,
         std::string peer_key)
-      : settings(std::move(settings)),
+      : settings(WithoutPeersWatchAll(std::move(settings))),
         board(std::move(identity)),
         control_pool(
             static_cast<std::size_t>(this->settings.node.worker_threads)),
@@ -138,6 +149,7 @@
                    &board,
                    &metrics,
                    this->settings.watch),
+        group_exchange(clock, &board, &peers),
         lease_keeper(clock,
                      &control_pool,
                      &board,
@@ -200,6 +212,16 @@
     }
     this->peers.AddTopic(this->config_topic);
     this->peers.AddTopic(this->demand);
+    this->group_exchange.Join();
+    this->group_view.SetRemoteGroups(
+        [this] { return this->group_exchange.RemoteGroups(); });
+    this->board.groups.Subscribe(
+        [this](const std::shared_ptr<const GroupTable>& groups) {
+          this->group_exchange.Report(*groups);
+        });
+    this->config_follower.SetReaderStrategy([this] {
+      return IsLogReader(*this->board.members.Read(), this->board.identity);
+    });
     this->config_follower.SetOnNews(
         [this] { this->peers.PushNow(this->config_topic->Name()); });
     BOOST_OUTCOME_TRYV(this->peers.Start());
@@ -254,6 +276,7 @@
   VmListReader vm_list_reader;
   EngineWatcher engine_watcher;
   GroupView group_view;
+  GroupExchange group_exchange;
   LeaseKeeper lease_keeper;
   GroupController group_controller;
   std::shared_ptr<DemandTable> demand;
--- a/src/control/watch_settings.h
+++ b/src/control/watch_settings.h
@@ -21,7 +21,7 @@
   // the groups every `group_interval` it bounds the time until routing closes.
   Duration lost_after = std::chrono::milliseconds(700);
   Duration group_interval = std::chrono::milliseconds(100);
-  std::string scope = kWatchScopeAll;
+  std::string scope = kWatchScopeOwn;
 };
 
 // Precondition: `settings` outlives the result.
