--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -59,6 +59,15 @@
                            {"eight", 9, 8},
                            {"sixteen", 4, 16},
                            {"thirty-two", 2, 32}}};
+// The same replicas with one spare VM for each fabric domain.
+const Installation kShort{"840-short",
+                          8,
+                          4,
+                          96,
+                          {{"pair", 90, 2},
+                           {"eight", 9, 8},
+                           {"sixteen", 4, 16},
+                           {"thirty-two", 2, 32}}};
 const Installation kToday{"65", 3, 2, 48, {{"truelle-llm", 22, 4}}};
 
 ConfigView MakeConfig(const Installation& installation,
@@ -295,6 +304,9 @@
       }
     }
   }
+  for (const Prices& prices : {armor, cedarline}) {
+    Compare(&csv, kShort, prices, Scenario::kOrdinaryDay);
+  }
   const std::string planning_header =
       "planning,replicas,vms,plans,plan_p50_ms,plan_p99_ms,plan_max_ms";
   fmt::print("{}\n", planning_header);
