--- a/tests/model/config_judge_test.cc
+++ b/tests/model/config_judge_test.cc
@@ -66,6 +66,10 @@
   const std::size_t levels = 200'000;
   const std::string deep = "{\"format\":" + std::string(levels, '[') +
                            std::string(levels, ']') + "}";
+  std::string unusable_changes =
+      R"({"format":1,"id":"x","actor":"a","partner":"armor","time_unix_ms":0,)";
+  unusable_changes += R"("put":[1,null,{"kind":5},)";
+  unusable_changes += R"({"kind":"Quota","name":[],"spec":[]}]})";
   const std::vector<std::string> payloads = {
       "",
       "null",
@@ -75,8 +79,7 @@
       "\xff\xfe",
       R"({"format":1})",
       R"({"format":2,"id":"x","actor":"a","partner":"p","time_unix_ms":0})",
-      R"({"format":1,"id":"x","actor":"a","partner":"armor","time_unix_ms":0,)"
-      R"("put":[1,null,{"kind":5},{"kind":"Quota","name":[],"spec":[]}]})",
+      unusable_changes,
       R"({"format":1,"id":"x","actor":1e400,"partner":{},"put":{}})",
       ChangeSetBuilder("x").Payload(),
       std::string(2'000'000, ' ')};
