Claim idempotency keys through the platform's log

A keyed non-idempotent request could run again through another entry VM.

Not built: cutting the stream by key for hundreds of entry VMs. Appends a second and added latency are worked out, not measured.

--- /dev/null
+++ b/src/gateway/claim_log.cc
@@ -0,0 +1,320 @@
+#include "gateway/claim_log.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "base/json.h"
+#include "base/logging.h"
+
+namespace kumquatcart {
+
+namespace {
+
+constexpr std::size_t kReadRecords = 256;
+constexpr std::int64_t kRefusedRetryAfterMs = 2000;
+
+// Beyond any record; reading there tells the bounds of the stream.
+constexpr Offset kFarOffset = Offset{1} << 60;
+
+// Factor on the batch interval while nothing can be appended.
+constexpr int kIdleFactor = 10;
+
+Error MakeLogAwayError() {
+  Error error =
+      MakeError(ErrorCode::kUnavailable,
+                "the platform's log does not answer, so that a request with an "
+                "Idempotency-Key cannot be claimed");
+  error.retry_after_ms = kRefusedRetryAfterMs;
+  return error;
+}
+
+ClaimVerdict VerdictFromStatus(const ClaimStatus& status) {
+  ClaimVerdict verdict;
+  const bool completed =
+      status.settled && status.outcome == RequestOutcome::kCompleted;
+  verdict.state = completed ? ClaimState::kCompleted : ClaimState::kUnknown;
+  verdict.answer = status.answer;
+  return verdict;
+}
+
+}  // namespace
+
+SettingGroup DescribeSettings(ClaimSettings* settings) {
+  using std::chrono::hours;
+  using std::chrono::milliseconds;
+  SettingGroup group;
+  group.title = "Idempotency keys";
+  group.settings = {
+      DurationSetting("idempotency-window-ms",
+                      "How long a key is remembered; must be shorter than the "
+                      "retention of the platform's log.",
+                      &settings->window, milliseconds(1000), hours(24 * 30)),
+      DurationSetting("claim-batch-interval-ms",
+                      "Least time between two appends of claims.",
+                      &settings->batch_interval, milliseconds(1),
+                      milliseconds(1000)),
+      DurationSetting("claim-append-patience-ms",
+                      "How long a claim is tried before its request is "
+                      "refused.",
+                      &settings->append_patience, milliseconds(10),
+                      milliseconds(60000)),
+  };
+  return group;
+}
+
+ClaimLog::ClaimLog(Clock* clock,
+                   LogService* log,
+                   MetricRegistry* metrics,
+                   ClaimSettings settings)
+    : clock(clock),
+      log(log),
+      settings(settings),
+      appends(metrics->GetCounter("kumquatcart_gateway_claim_appends_total")),
+      refusals(metrics->GetCounter("kumquatcart_gateway_claim_refusals_total")),
+      replays(metrics->GetCounter("kumquatcart_gateway_claim_replays_total")),
+      table(settings.window) {}
+
+ClaimLog::~ClaimLog() {
+  this->Stop();
+}
+
+void ClaimLog::Start() {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void ClaimLog::Stop() {
+  std::vector<Waiting> left;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->stopping = true;
+  }
+  this->changed.notify_all();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    left.swap(this->waiting);
+  }
+  for (const Waiting& waiting : left) {
+    waiting.decide(MakeLogAwayError());
+  }
+}
+
+void ClaimLog::Claim(const ClaimKey& key,
+                     const std::string& digest,
+                     Duration patience,
+                     Decision decide) {
+  Waiting claim;
+  claim.key = key;
+  claim.claim = MakeId<AttemptId>();
+  claim.digest = digest;
+  claim.asked_at = this->clock->Now();
+  claim.give_up_at = claim.asked_at + patience;
+  claim.decide = std::move(decide);
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->waiting.push_back(std::move(claim));
+  }
+  this->changed.notify_all();
+}
+
+void ClaimLog::Settle(const ClaimKey& key, const ClaimSettlement& settlement) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = this->owned.find(key);
+    if (found == this->owned.end()) {
+      return;
+    }
+    ClaimEntry entry;
+    entry.kind = ClaimEntry::Kind::kSettle;
+    entry.key = key;
+    entry.claim = found->second;
+    entry.outcome = settlement.outcome;
+    entry.answer = settlement.answer;
+    this->gathered.push_back(std::move(entry));
+    this->owned.erase(found);
+  }
+  this->changed.notify_all();
+}
+
+void ClaimLog::Run() {
+  // A fresh entry VM learns what was claimed before the first caller waits.
+  this->CatchUp();
+  while (true) {
+    {
+      std::unique_lock<std::mutex> lock(this->mutex);
+      this->changed.wait(lock,
+                         [this] { return this->stopping || this->HasWork(); });
+      if (this->stopping && this->gathered.empty()) {
+        return;
+      }
+    }
+    const bool progressed = this->RunOnce();
+    bool stop = false;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      stop = this->stopping;
+    }
+    if (stop) {
+      return;
+    }
+    this->clock->SleepFor(this->settings.batch_interval *
+                          (progressed ? 1 : kIdleFactor));
+  }
+}
+
+bool ClaimLog::HasWork() const {
+  return !this->waiting.empty() || !this->gathered.empty();
+}
+
+bool ClaimLog::RunOnce() {
+  // What is known already needs no append.
+  bool log_answers = this->CatchUp();
+  std::vector<Decided> decided = this->DecideAll(log_answers);
+  const bool appended = log_answers && this->AppendGathered();
+  if (appended) {
+    log_answers = this->CatchUp();
+    std::vector<Decided> more = this->DecideAll(log_answers);
+    std::move(more.begin(), more.end(), std::back_inserter(decided));
+  }
+  for (const Decided& entry : decided) {
+    entry.decide(entry.verdict);
+  }
+  return appended;
+}
+
+bool ClaimLog::CatchUp() {
+  while (true) {
+    const Result<LogBatch> batch = this->log->Read(
+        kClaimStream, this->next_offset, kReadRecords, Duration::zero());
+    if (!batch.has_value()) {
+      if (batch.error().code != ErrorCode::kExpired) {
+        return false;
+      }
+      // Claims past retention are past the window as well.
+      const Result<LogBatch> end =
+          this->log->Read(kClaimStream, kFarOffset, 1, Duration::zero());
+      if (!end.has_value()) {
+        return false;
+      }
+      this->next_offset = end.value().first_retained;
+      continue;
+    }
+    for (const LogRecord& record : batch.value().records) {
+      const Result<ClaimRecord> claims =
+          DecodeJson<ClaimRecord>(record.payload);
+      if (claims.has_value()) {
+        this->table.Apply(claims.value(), record.time_unix_ms);
+      } else {
+        LogError("claim_record_malformed", {{"offset", record.offset}});
+      }
+      this->next_offset = record.offset + 1;
+    }
+    if (this->next_offset > batch.value().last) {
+      return true;
+    }
+  }
+}
+
+bool ClaimLog::AppendGathered() {
+  ClaimRecord record;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (Waiting& waiting : this->waiting) {
+      if (waiting.appended || this->table.Find(waiting.key) != nullptr) {
+        continue;
+      }
+      ClaimEntry entry;
+      entry.key = waiting.key;
+      entry.claim = waiting.claim;
+      entry.digest = waiting.digest;
+      record.entries.push_back(std::move(entry));
+      waiting.appended = true;
+      waiting.tried = true;
+    }
+    std::move(this->gathered.begin(), this->gathered.end(),
+              std::back_inserter(record.entries));
+    this->gathered.clear();
+  }
+  if (record.entries.empty()) {
+    return false;
+  }
+  const Result<Offset> appended =
+      this->log->Append(kClaimStream, MakeId<AppendId>(), Json(record).dump());
+  if (appended.has_value()) {
+    this->appends.Add();
+    return true;
+  }
+  // An append whose answer was lost is settled by reading: its claims, named by
+  // their own ids, are found there or not. Entries may stand twice; the first
+  // one counts.
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (ClaimEntry& entry : record.entries) {
+    if (entry.kind == ClaimEntry::Kind::kSettle) {
+      this->gathered.push_back(std::move(entry));
+      continue;
+    }
+    for (Waiting& waiting : this->waiting) {
+      waiting.appended = waiting.appended && waiting.claim != entry.claim;
+    }
+  }
+  return appended.error().code == ErrorCode::kUnknown;
+}
+
+std::vector<ClaimLog::Decided> ClaimLog::DecideAll(bool log_answers) {
+  const MonotonicTime now = this->clock->Now();
+  std::vector<Decided> decided;
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto left = std::remove_if(
+      this->waiting.begin(), this->waiting.end(), [&](const Waiting& waiting) {
+        return this->Decide(waiting, log_answers, now, &decided);
+      });
+  this->waiting.erase(left, this->waiting.end());
+  return decided;
+}
+
+bool ClaimLog::Decide(const Waiting& waiting,
+                      bool log_answers,
+                      MonotonicTime now,
+                      std::vector<Decided>* decided) {
+  const ClaimStatus* const status = this->table.Find(waiting.key);
+  if (status == nullptr) {
+    const bool out_of_patience =
+        now - waiting.asked_at >= this->settings.append_patience;
+    if (log_answers && !out_of_patience) {
+      return false;
+    }
+    this->refusals.Add();
+    if (waiting.tried) {
+      // It may still turn up in the log; nobody will run it.
+      ClaimEntry release;
+      release.kind = ClaimEntry::Kind::kSettle;
+      release.key = waiting.key;
+      release.claim = waiting.claim;
+      release.outcome = RequestOutcome::kNotRun;
+      this->gathered.push_back(std::move(release));
+    }
+    decided->push_back({waiting.decide, MakeLogAwayError()});
+    return true;
+  }
+  if (status->claim == waiting.claim) {
+    this->owned[waiting.key] = waiting.claim;
+    decided->push_back({waiting.decide, ClaimVerdict{ClaimState::kOwned, {}}});
+    return true;
+  }
+  if (status->digest != waiting.digest) {
+    decided->push_back(
+        {waiting.decide, ClaimVerdict{ClaimState::kMismatch, {}}});
+    return true;
+  }
+  if (!status->settled && log_answers && now < waiting.give_up_at) {
+    return false;
+  }
+  this->replays.Add();
+  decided->push_back({waiting.decide, VerdictFromStatus(*status)});
+  return true;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/gateway/claim_log.h
@@ -0,0 +1,111 @@
+// Idempotency keys agreed on through the platform's log.
+#ifndef GATEWAY_CLAIM_LOG_H_
+#define GATEWAY_CLAIM_LOG_H_
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "base/setting.h"
+#include "gateway/claim_record.h"
+#include "gateway/idempotency_store.h"
+#include "platform/log_service.h"
+
+namespace kumquatcart {
+
+struct ClaimSettings {
+  // How long a key is remembered; must be shorter than the log's retention.
+  Duration window = std::chrono::hours(24);
+  // Least time between two appends, in which claims gather.
+  Duration batch_interval = std::chrono::milliseconds(20);
+  // A claim that cannot be appended within this time is refused.
+  Duration append_patience = std::chrono::seconds(2);
+};
+
+SettingGroup DescribeSettings(ClaimSettings* settings);
+
+// Claims keys by records of the claim stream: many claims in one append, the
+// first offset of a key wins. Refuses claims, as not run, while the log does
+// not answer. Thread safe; `mutex` is a leaf in the lock order and decisions
+// are called without it.
+class ClaimLog : public IdempotencyStore {
+ public:
+  // Preconditions: `clock`, `log` and `metrics` outlive the claim log.
+  ClaimLog(Clock* clock,
+           LogService* log,
+           MetricRegistry* metrics,
+           ClaimSettings settings);
+  // Stops; claims that still wait are refused.
+  ~ClaimLog() override;
+
+  // Starts the thread that appends and reads.
+  void Start();
+  void Stop();
+
+  void Claim(const ClaimKey& key,
+             const std::string& digest,
+             Duration patience,
+             Decision decide) override;
+  void Settle(const ClaimKey& key, const ClaimSettlement& settlement) override;
+
+  // One round of the thread: appends what gathered, reads what is new, decides.
+  // Returns whether it appended. For tests; not to be called while the thread
+  // runs.
+  bool RunOnce();
+
+ private:
+  // A claim that has not been decided.
+  struct Waiting {
+    ClaimKey key;
+    AttemptId claim;
+    std::string digest;
+    MonotonicTime asked_at;
+    MonotonicTime give_up_at;  // On another run's end.
+    Decision decide;
+    bool appended = false;
+    bool tried = false;  // An append was begun, with whatever result.
+  };
+
+  struct Decided {
+    Decision decide;
+    Result<ClaimVerdict> verdict;
+  };
+
+  void Run();
+  bool CatchUp();
+  bool AppendGathered();
+  std::vector<Decided> DecideAll(bool log_answers);
+  bool Decide(const Waiting& waiting,
+              bool log_answers,
+              MonotonicTime now,
+              std::vector<Decided>* decided);
+  bool HasWork() const;
+
+  Clock* clock;
+  LogService* log;
+  const ClaimSettings settings;
+  Counter& appends;
+  Counter& refusals;
+  Counter& replays;
+
+  // Touched by the thread only.
+  ClaimTable table;
+  Offset next_offset = 1;
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<Waiting> waiting;
+  std::vector<ClaimEntry> gathered;
+  std::map<ClaimKey, AttemptId> owned;
+  bool stopping = false;
+  std::thread thread;
+};
+
+}  // namespace kumquatcart
+
+#endif  // GATEWAY_CLAIM_LOG_H_
