Record key claims on the platform's log in serve

serve refused every keyed request. It now runs the claim log, with its settings among the others; the store that refused is gone.

No test drives keyed requests through two serve processes yet. The default window of 24 h must be shorter than the log's retention; the stand-in keeps 1 h.

--- a/src/cli/entry_node.cc
+++ b/src/cli/entry_node.cc
@@ -20,6 +20,7 @@
 #include "control/lease_keeper.h"
 #include "control/snapshotter.h"
 #include "control/vm_list_reader.h"
+#include "gateway/claim_log.h"
 #include "gateway/gateway.h"
 #include "peers/overlay.h"
 #include "peers/websocket_peer_network.h"
@@ -58,21 +59,6 @@
   return table;
 }
 
-// Refuses every keyed request as not run, until key claims have a place to
-// last.
-class RefusingIdempotencyStore : public IdempotencyStore {
- public:
-  void Claim(const ClaimKey& /*key*/,
-             const std::string& /*digest*/,
-             Duration /*patience*/,
-             Decision decide) override {
-    decide(MakeError(ErrorCode::kUnavailable,
-                     "idempotency keys cannot be recorded"));
-  }
-  void Settle(const ClaimKey& /*key*/,
-              const ClaimSettlement& /*settlement*/) override {}
-};
-
 // A node without peers hears of other failure domains' groups from nobody and
 // watches them itself.
 ServeSettings WithoutPeersWatchAll(ServeSettings settings) {
@@ -188,6 +174,7 @@
                MakeSeed(this->settings.node.random_seed)),
         retry_budget(this->settings.node.retry_ratio,
                      this->settings.node.retry_burst),
+        claim_log(clock, &log, &metrics, this->settings.claims),
         gateway(this->MakeGatewayParts(clock), MakeGatewaySettings()) {}
 
   GatewayParts MakeGatewayParts(Clock* clock) {
@@ -199,7 +186,7 @@
     gateway_parts.admission = &this->admission;
     gateway_parts.retry_budget = &this->retry_budget;
     gateway_parts.metrics = &this->metrics;
-    gateway_parts.idempotency = &this->idempotency;
+    gateway_parts.idempotency = &this->claim_log;
     return gateway_parts;
   }
 
@@ -282,10 +269,10 @@
   std::shared_ptr<DemandTable> demand;
   PeriodicTask demand_task;
   PeriodicTask peer_task;
-  RefusingIdempotencyStore idempotency;
   AdmissionController admission;
   Router router;
   RetryBudget retry_budget;
+  ClaimLog claim_log;
   Gateway gateway;
   bool stopped = false;
 };
@@ -317,6 +304,7 @@
   parts.group_controller.Start();
   parts.demand_task.Start();
   parts.admission.Start();
+  parts.claim_log.Start();
   parts.gateway.AddPage("/ops", [](const PageRequest& /*request*/) {
     WholeReply page;
     page.status = kHttpOk;
@@ -348,6 +336,7 @@
   }
   parts.stopped = true;
   parts.gateway.Stop();
+  parts.claim_log.Stop();
   parts.admission.Stop();
   parts.group_controller.Stop();
   parts.lease_keeper.Stop();
--- a/src/cli/serve_settings.cc
+++ b/src/cli/serve_settings.cc
@@ -58,6 +58,7 @@
   return {DescribeNode(&settings->node),
           DescribeLogging(&settings->node),
           DescribeSettings(&settings->gateway),
+          DescribeSettings(&settings->claims),
           DescribeSettings(&settings->router),
           DescribeSettings(&settings->admission),
           DescribeSettings(&settings->config),
--- a/src/cli/serve_settings.h
+++ b/src/cli/serve_settings.h
@@ -12,6 +12,7 @@
 #include "control/group_controller.h"
 #include "control/lease_keeper.h"
 #include "control/watch_settings.h"
+#include "gateway/claim_log.h"
 #include "gateway/gateway_settings.h"
 #include "model/member.h"
 #include "peers/peer_settings.h"
@@ -42,6 +43,7 @@
 struct ServeSettings {
   NodeSettings node;
   GatewaySettings gateway;
+  ClaimSettings claims;
   ConfigSettings config;
   RouterSettings router;
   AdmissionSettings admission;
