Serve operators' pages on an address of their own

Cause: /status and /metrics were open to callers on the callers' port, so that an organisation could read the names of all others in the audit entries.

Change: with 'operator-listen' the pages /status, /metrics and /ops are served at that address only, and the members' endpoints name it; callers get 401 or 404 as for any other path. Without it they stay beside the callers', for trials.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,7 @@
 
 lint:
 	bash .ci/lint
+
+# Measures the slopes behind docs/CAPACITY.md and draws its plots.
+capacity: all
+	bash bench/capacity.sh
--- a/src/cli/entry_node.cc
+++ b/src/cli/entry_node.cc
@@ -22,6 +22,7 @@
 #include "control/vm_list_reader.h"
 #include "gateway/claim_log.h"
 #include "gateway/gateway.h"
+#include "model/endpoint_parser.h"
 #include "peers/overlay.h"
 #include "peers/websocket_peer_network.h"
 #include "platform/http_engine_control.h"
@@ -239,9 +240,16 @@
 
   GatewaySettings MakeGatewaySettings() const {
     GatewaySettings gateway_settings = this->settings.gateway;
-    const Endpoint& listen = this->board.identity.http_endpoint;
-    gateway_settings.http_host = listen.host;
-    gateway_settings.http_port = listen.port;
+    // Checked when the identity was made.
+    const Endpoint callers =
+        ParseEndpoint(this->settings.node.http_listen).value();
+    gateway_settings.http_host = callers.host;
+    gateway_settings.http_port = callers.port;
+    const Endpoint& operators = this->board.identity.http_endpoint;
+    if (operators != callers) {
+      gateway_settings.operator_host = operators.host;
+      gateway_settings.operator_port = operators.port;
+    }
     return gateway_settings;
   }
 
--- a/src/cli/serve_settings.cc
+++ b/src/cli/serve_settings.cc
@@ -15,9 +15,13 @@
        TextSetting("region", "Region of this VM.", &node->region),
        TextSetting("failure-domain", "Failure domain of this VM.",
                    &node->failure_domain),
-       TextSetting("http-listen",
-                   "IP address and port for callers and operators.",
+       TextSetting("http-listen", "IP address and port for callers.",
                    &node->http_listen),
+       TextSetting("operator-listen",
+                   "IP address and port of the operators' pages (/status, "
+                   "/metrics, /ops), which callers must not reach; empty "
+                   "serves them at http-listen.",
+                   &node->operator_listen),
        TextSetting("platform-url", "Base URL of the platform's services.",
                    &node->platform_url),
        IntSetting("http-threads", "Threads that serve HTTP.",
@@ -73,13 +77,19 @@
   BOOST_OUTCOME_TRY(http,
                     ParseSetting("http-listen", settings.node.http_listen));
   BOOST_OUTCOME_TRY(peer, ParseSetting("peer-listen", settings.peers.listen));
+  Endpoint operators = http;
+  if (!settings.node.operator_listen.empty()) {
+    BOOST_OUTCOME_TRY(
+        own, ParseSetting("operator-listen", settings.node.operator_listen));
+    operators = own;
+  }
   NodeIdentity identity;
   identity.id = MakeId<NodeId>();
   identity.vm = VmId(settings.node.vm_id);
   identity.partner = PartnerId(settings.node.partner);
   identity.region = RegionId(settings.node.region);
   identity.failure_domain = FailureDomainId(settings.node.failure_domain);
-  identity.http_endpoint = http;
+  identity.http_endpoint = operators;
   identity.peer_endpoint = peer;
   return identity;
 }
--- a/src/cli/serve_settings.h
+++ b/src/cli/serve_settings.h
@@ -29,6 +29,7 @@
   std::string region = "region";
   std::string failure_domain = "failure-domain";
   std::string http_listen = "127.0.0.1:8080";
+  std::string operator_listen;  // Empty: the same as `http_listen`.
   std::string platform_url = "http://127.0.0.1:18000";
   std::string log_format = "text";
   std::string log_level = "info";
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -56,6 +56,19 @@
   return page;
 }
 
+// Closes `listener`, if it is open, and forgets it.
+void Close(std::unique_ptr<http_listener>* listener) {
+  if (!*listener) {
+    return;
+  }
+  try {
+    (*listener)->close().get();
+  } catch (const std::exception& error) {
+    LogWarning("gateway_close_failed", {{"detail", error.what()}});
+  }
+  *listener = nullptr;
+}
+
 // Blocks for `duration` of the clock's time.
 void WaitFor(Clock* clock, Duration duration) {
   if (duration > Duration::zero()) {
@@ -78,28 +91,45 @@
 }
 
 Status Gateway::Start() {
+  const GatewaySettings& settings = this->context.settings;
+  if (settings.operator_port != 0) {
+    BOOST_OUTCOME_TRY(
+        opened, this->Open(settings.operator_host, settings.operator_port,
+                           [this](const web::http::http_request& request) {
+                             this->HandleOperatorRequest(request);
+                           }));
+    this->operator_listener = std::move(opened);
+  }
+  BOOST_OUTCOME_TRY(opened,
+                    this->Open(settings.http_host, settings.http_port,
+                               [this](const web::http::http_request& request) {
+                                 this->HandleRequest(request);
+                               }));
+  this->listener = std::move(opened);
+  LogInfo("gateway_started",
+          {{"host", settings.http_host}, {"port", settings.http_port}});
+  return Ok();
+}
+
+Result<std::unique_ptr<Gateway::Listener>> Gateway::Open(
+    const std::string& host,
+    std::int64_t port,
+    std::function<void(const web::http::http_request&)> handler) {
   web::uri_builder address;
   address.set_scheme("http");
-  address.set_host(this->context.settings.http_host);
-  address.set_port(static_cast<int>(this->context.settings.http_port));
+  address.set_host(host);
+  address.set_port(static_cast<int>(port));
   address.set_path("/");
   try {
-    this->listener = std::make_unique<http_listener>(address.to_uri());
-    this->listener->support([this](const web::http::http_request& transport) {
-      this->HandleRequest(transport);
-    });
-    this->listener->open().get();
+    auto opened = std::make_unique<Listener>(address.to_uri());
+    opened->support(std::move(handler));
+    opened->open().get();
+    return opened;
   } catch (const std::exception& error) {
-    this->listener = nullptr;
     return MakeError(
         ErrorCode::kUnavailable,
-        fmt::format("cannot listen on {}:{}: {}",
-                    this->context.settings.http_host,
-                    this->context.settings.http_port, error.what()));
+        fmt::format("cannot listen on {}:{}: {}", host, port, error.what()));
   }
-  LogInfo("gateway_started", {{"host", this->context.settings.http_host},
-                              {"port", this->context.settings.http_port}});
-  return Ok();
 }
 
 void Gateway::Drain() {
@@ -119,12 +149,8 @@
   for (const auto& exchange : this->context.exchanges.All()) {
     exchange->Cancel();
   }
-  try {
-    this->listener->close().get();
-  } catch (const std::exception& error) {
-    LogWarning("gateway_close_failed", {{"detail", error.what()}});
-  }
-  this->listener = nullptr;
+  Close(&this->listener);
+  Close(&this->operator_listener);
 }
 
 bool Gateway::IsReady() const {
@@ -134,7 +160,10 @@
 
 void Gateway::HandleRequest(const web::http::http_request& transport) {
   try {
-    if (this->ServeOwnPage(transport) || this->ServeAddedPage(transport)) {
+    const bool serves_pages = this->operator_listener == nullptr;
+    if (this->ServeHealth(transport) ||
+        (serves_pages &&
+         (this->ServeOwnPage(transport) || this->ServeAddedPage(transport)))) {
       return;
     }
     auto incoming =
@@ -151,6 +180,20 @@
   }
 }
 
+void Gateway::HandleOperatorRequest(const web::http::http_request& transport) {
+  try {
+    if (this->ServeHealth(transport) || this->ServeOwnPage(transport) ||
+        this->ServeAddedPage(transport)) {
+      return;
+    }
+    SendPage(transport, MakePage(status_codes::NotFound, kTextType,
+                                 "nothing is served here\n"));
+  } catch (const std::exception& error) {
+    LogError("operator_request_failed", {{"detail", error.what()}});
+    transport.reply(status_codes::InternalError).then(Observe);
+  }
+}
+
 void Gateway::Dispatch(const std::shared_ptr<IncomingRequest>& incoming) {
   const Status identified = this->Identify(incoming);
   if (!identified.has_value()) {
@@ -276,7 +319,7 @@
   incoming->Refuse(RequestOutcome::kNotRun, shown, status);
 }
 
-bool Gateway::ServeOwnPage(const web::http::http_request& transport) {
+bool Gateway::ServeHealth(const web::http::http_request& transport) {
   const std::string path = transport.relative_uri().path();
   if (path == "/healthz") {
     SendPage(transport, MakePage(status_codes::OK, kTextType, "ok\n"));
@@ -285,7 +328,15 @@
     SendPage(transport, MakePage(ready ? status_codes::OK
                                        : status_codes::ServiceUnavailable,
                                  kTextType, ready ? "ready\n" : "not ready\n"));
-  } else if (path == "/metrics") {
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool Gateway::ServeOwnPage(const web::http::http_request& transport) {
+  const std::string path = transport.relative_uri().path();
+  if (path == "/metrics") {
     this->context.metrics.active_requests.Set(
         static_cast<double>(this->context.active.Count()));
     SendPage(transport, MakePage(status_codes::OK, kPrometheusType,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,7 +64,15 @@
     PageHandler handler;
   };
 
+  using Listener = web::http::experimental::listener::http_listener;
+
+  Result<std::unique_ptr<Listener>> Open(
+      const std::string& host,
+      std::int64_t port,
+      std::function<void(const web::http::http_request&)> handler);
   void HandleRequest(const web::http::http_request& transport);
+  void HandleOperatorRequest(const web::http::http_request& transport);
+  bool ServeHealth(const web::http::http_request& transport);
   void Dispatch(const std::shared_ptr<IncomingRequest>& incoming);
   void DispatchCompletion(const std::shared_ptr<IncomingRequest>& incoming,
                           CompletionKind kind);
@@ -87,7 +95,8 @@
   std::atomic<bool> draining{false};
   std::mutex mutex;  // Guards `directory`; leaf in the lock order.
   std::shared_ptr<const CallerDirectory> directory;
-  std::unique_ptr<web::http::experimental::listener::http_listener> listener;
+  std::unique_ptr<Listener> listener;
+  std::unique_ptr<Listener> operator_listener;  // Null: pages beside callers.
 };
 
 }  // namespace kumquatcart
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -14,6 +14,9 @@
 struct GatewaySettings {
   std::string http_host = "127.0.0.1";
   std::int64_t http_port = 8080;
+  // Where operators' pages are served; port 0 serves them beside the callers'.
+  std::string operator_host = "127.0.0.1";
+  std::int64_t operator_port = 0;
   std::int64_t max_body_bytes = 1 << 20;
   std::int64_t max_header_bytes = 16 * 1024;
   std::int64_t max_answer_bytes = 8 << 20;
--- a/src/model/member.h
+++ b/src/model/member.h
@@ -35,7 +35,7 @@
   RegionId region;
   FailureDomainId failure_domain;
   Endpoint peer_endpoint;
-  Endpoint http_endpoint;
+  Endpoint http_endpoint;  // Of the operators' pages.
 
   auto Tie() const {
     return std::tie(this->id, this->vm, this->partner, this->region,
