Count accelerators on the operations page by failure domain

Cause: with groups of other failure domains heard through peers, their members are not listed, so the page counted their accelerators as spare, and the demo could pick a group without members to break.

Change: the page adds up groups by failure domain; the demo breaks a group of the first entry VM's failure domain.

--- a/src/cli/ops_page.cc
+++ b/src/cli/ops_page.cc
@@ -89,22 +89,24 @@
   fill("groups", ["failure domain", ...states], rows, "no groups");
 }
 
-// Stranded: of a live engine VM whose group is not whole.
+// Groups of other failure domains come without members, so accelerators are counted by failure domain,
+// each of which belongs to one partner. A dead VM of an incomplete group counts as stranded here.
 function showAccelerators(status) {
-  const stateOf = {};
-  for (const group of status.groups) {
-    for (const vm of group.claim.members) { stateOf[vm] = group.state; }
-  }
+  const partnerOf = {};
   const partners = {};
   for (const vm of status.vms) {
     if (vm.role !== "engine") { continue; }
-    const state = stateOf[vm.id];
-    const use = !state ? "spare" : (state === "whole" || state === "draining") ? "serving" : "stranded";
-    count(partners, vm.partner, use, vm.accelerators);
+    partnerOf[vm.failure_domain] = vm.partner;
+    count(partners, vm.partner, "all", vm.accelerators);
+  }
+  for (const group of status.groups) {
+    const serving = group.state === "whole" || group.state === "draining";
+    const partner = partnerOf[group.failure_domain];
+    if (partner) { count(partners, partner, serving ? "serving" : "stranded", group.accelerators); }
   }
   const rows = Object.keys(partners).sort().map((name) => {
-    const stranded = partners[name].stranded || 0;
-    return [name, partners[name].serving || 0, partners[name].spare || 0,
+    const {all, serving = 0, stranded = 0} = partners[name];
+    return [name, serving, Math.max(0, all - serving - stranded),
             {text: stranded, style: stranded ? "bad" : "good"}];
   });
   fill("accelerators", ["partner", "serving", "spare", "stranded"], rows, "no engine VMs");
--- a/tools/demo/run.sh
+++ b/tools/demo/run.sh
@@ -51,11 +51,11 @@
 print(sum(group["state"] == "whole" for group in json.load(sys.stdin)["groups"]))' 2>/dev/null || echo 0
 }
 
-# Prints the last member of a whole truelle-llm group.
+# Prints the last member of a whole truelle-llm group. The first entry VM knows the members in its own failure domain.
 pick_victim() {
   curl -sf -m 2 "http://${entries[0]}/status" | python3 -c '
 import json, sys
-groups = [g for g in json.load(sys.stdin)["groups"] if g["state"] == "whole" and g["claim"]["service"] == "truelle-llm"]
+groups = [g for g in json.load(sys.stdin)["groups"] if g["state"] == "whole" and g["claim"]["service"] == "truelle-llm" and g["claim"]["members"]]
 print(sorted(groups, key=lambda g: g["claim"]["group"])[0]["claim"]["members"][-1])'
 }
 
