Claim a key before admission, and say unknown while the log is out

Only the log knows whether a key ran before.

Change: a keyed request claims its key first and then asks for admission, which frees the key when it refuses; when the claim can't be recorded the outcome is unknown, with a time to return.

The new test fails on the former code.

--- a/src/gateway/incoming_request.cc
+++ b/src/gateway/incoming_request.cc
@@ -96,7 +96,7 @@
   Error shown = error;
   WholeReply reply;
   reply.status = status;
-  if (CallsForRetryAfter(outcome, error.code)) {
+  if (error.retry_after_ms > 0 || CallsForRetryAfter(outcome, error.code)) {
     shown.retry_after_ms =
         error.retry_after_ms > 0 ? error.retry_after_ms : kDefaultRetryAfterMs;
     reply.headers.push_back(
--- a/src/gateway/service_call.cc
+++ b/src/gateway/service_call.cc
@@ -93,6 +93,20 @@
         }
       });
   this->context->parts.retry_budget->RecordFirstAttempt();
+  if (this->kind != RequestKind::kKeyed) {
+    this->Submit();
+    return;
+  }
+  // Before admission: a repeat of a request that ran must never be told that
+  // it was not run, however busy this entry VM is.
+  this->context->parts.idempotency->Claim(
+      this->claim_key, DigestRequest(*this->incoming, this->path_and_query),
+      this->Timeout(),
+      [self](const Result<ClaimVerdict>& claim) { self->HandleClaim(claim); });
+}
+
+void ServiceCall::Submit() {
+  const std::shared_ptr<ServiceCall> self = this->shared_from_this();
   this->context->parts.admission->Submit(
       this->admission,
       [self](const Status& admitted) { self->HandleAdmission(admitted); });
@@ -108,21 +122,15 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->admitted = true;
   }
-  if (this->kind != RequestKind::kKeyed) {
-    this->TryAttempt();
-    return;
-  }
-  const std::shared_ptr<ServiceCall> self = this->shared_from_this();
-  const MonotonicTime now = this->context->parts.clock->Now();
-  this->context->parts.idempotency->Claim(
-      this->claim_key, DigestRequest(*this->incoming, this->path_and_query),
-      this->admission.deadline - now,
-      [self](const Result<ClaimVerdict>& claim) { self->HandleClaim(claim); });
+  this->TryAttempt();
 }
 
 void ServiceCall::HandleClaim(const Result<ClaimVerdict>& claim) {
   if (!claim.has_value()) {
-    this->GiveUp(claim.error());
+    // Whether the key ran before is not known, so that "not run" could be
+    // false.
+    this->context->parts.clock->Cancel(this->deadline_timer);
+    this->incoming->Refuse(RequestOutcome::kUnknown, claim.error());
     return;
   }
   if (claim.value().state != ClaimState::kOwned) {
@@ -134,7 +142,7 @@
     this->GiveUp(this->DescribeFailure());
     return;
   }
-  this->TryAttempt();
+  this->Submit();
 }
 
 void ServiceCall::ReplyFromClaim(const ClaimVerdict& verdict) {
--- a/src/gateway/service_call.h
+++ b/src/gateway/service_call.h
@@ -46,6 +46,7 @@
   void OnEnd(const ExchangeEnd& end) override;
 
  private:
+  void Submit();
   void HandleAdmission(const Status& admitted);
   void HandleClaim(const Result<ClaimVerdict>& claim);
   void ReplyFromClaim(const ClaimVerdict& verdict);
--- a/tests/fakes/admit_all.h
+++ b/tests/fakes/admit_all.h
@@ -8,16 +8,21 @@
 
 namespace kumquatcart {
 
-// Admits every request at once and counts. Thread safe.
+// Admits every request at once, or refuses every one, and counts. Thread safe.
 class AdmitAll : public Admission {
  public:
   void Submit(const AdmissionRequest&, Decision decide) override {
     ++this->submitted;
+    if (this->refuse) {
+      decide(MakeError(ErrorCode::kExhausted, "no room"));
+      return;
+    }
     decide(Ok());
   }
   void Complete(const AdmissionRequest&, double) override { ++this->completed; }
   void Abandon(const RequestId&) override {}
 
+  std::atomic<bool> refuse{false};
   std::atomic<int> submitted{0};
   std::atomic<int> completed{0};
 };
--- a/tests/fakes/fake_idempotency_store.h
+++ b/tests/fakes/fake_idempotency_store.h
@@ -2,6 +2,7 @@
 #ifndef FAKES_FAKE_IDEMPOTENCY_STORE_H_
 #define FAKES_FAKE_IDEMPOTENCY_STORE_H_
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <string>
@@ -17,6 +18,12 @@
              const std::string&,
              Duration,
              Decision decide) override {
+    if (this->away) {
+      Error error = MakeError(ErrorCode::kUnavailable, "the log is away");
+      error.retry_after_ms = 1000;
+      decide(error);
+      return;
+    }
     ClaimVerdict verdict;
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
@@ -41,6 +48,8 @@
                         : ClaimState::kUnknown;
   }
 
+  std::atomic<bool> away{false};  // Claims can't be recorded.
+
  private:
   std::mutex mutex;
   std::map<ClaimKey, ClaimVerdict> verdicts;
--- a/tests/gateway/failure_point_test.cc
+++ b/tests/gateway/failure_point_test.cc
@@ -245,5 +245,32 @@
   fixture.gateway->Stop();
 }
 
+TEST_CASE("A repeat of a request that ran is never told that it did not") {
+  GatewayFixture fixture;
+  RawServer server([](RawConnection* connection, int) {
+    const std::string request = connection->ReadMessage();
+    connection->Write(ServiceAnswer(request, "booked"));
+    connection->ReadToEnd();
+  });
+  fixture.AddServiceVm("vm1", server.Address());
+  const auto call = [&](const std::string& key) {
+    return fixture.Call(MakeRequest("POST", "/services/registre/marks", "{}",
+                                    "Idempotency-Key: " + key + "\r\n"));
+  };
+  CHECK(HeaderValue(call("k1"), "Kumquatcart-Outcome") == "completed");
+  fixture.admission.refuse = true;
+  CHECK(HeaderValue(call("k1"), "Kumquatcart-Outcome") == "completed");
+  CHECK(HeaderValue(call("k2"), "Kumquatcart-Outcome") == "not-run");
+  // Whether a key ran before is not known while claims are away.
+  fixture.idempotency.away = true;
+  const std::string refused = call("k1");
+  CHECK(HeaderValue(refused, "Kumquatcart-Outcome") == "unknown");
+  CHECK_FALSE(HeaderValue(refused, "Retry-After").empty());
+  fixture.idempotency.away = false;
+  // The refused one may be sent again.
+  fixture.admission.refuse = false;
+  CHECK(HeaderValue(call("k2"), "Kumquatcart-Outcome") == "completed");
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- a/tools/demo/faults.sh
+++ b/tools/demo/faults.sh
@@ -13,11 +13,13 @@
 clear_faults() { curl -sf -m 2 -o /dev/null -X DELETE "http://$platform/faults"; }
 trap clear_faults EXIT
 
-# The leaders of all whole groups.
+# The leaders of all whole groups, found by address: groups of other failure domains are listed without members.
 read -r -a leaders <<<"$(curl -sf -m 2 http://127.0.0.1:8081/status | python3 -c '
 import json, sys
-groups = [g["claim"] for g in json.load(sys.stdin)["groups"] if g["state"] == "whole"]
-print(*(claim["members"][0] for claim in sorted(groups, key=lambda claim: claim["group"])))')"
+status = json.load(sys.stdin)
+ids = {tuple(vm["endpoint"].values()): vm["id"] for vm in status["vms"]}
+groups = [group for group in status["groups"] if group["state"] == "whole"]
+print(*(ids[tuple(group["leader"].values())] for group in sorted(groups, key=lambda group: group["claim"]["group"])))')"
 
 "$bin/kumquatcart-load" "${entries[@]}" --platform "$platform" --callers examples/demo-callers.json \
   --duration-s 24 --rate "${RATE:-80}" --seed 7 &
