--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -260,18 +260,22 @@
   fixture.gateway->Stop();
 }
 
+// Answers with two tokens, the second one once `finish` is set.
+void HoldStream(RawConnection* connection, std::promise<void>* finish) {
+  const std::string request = connection->ReadMessage();
+  connection->Write(EngineHead() + EngineToken(request, 0, "0"));
+  finish->get_future().wait();
+  connection->Write(EngineToken(request, 1, "1") + EngineDone(request, 2));
+  connection->ReadToEnd();
+}
+
 TEST_CASE("A drain lets requests finish and refuses none", "[gateway]") {
   GatewaySettings settings;
   settings.drain_settle = Duration::zero();
   GatewayFixture fixture(settings);
   std::promise<void> finish;
-  RawServer server([&](RawConnection* connection, int) {
-    const std::string request = connection->ReadMessage();
-    connection->Write(EngineHead() + EngineToken(request, 0, "0"));
-    finish.get_future().wait();
-    connection->Write(EngineToken(request, 1, "1") + EngineDone(request, 2));
-    connection->ReadToEnd();
-  });
+  RawServer server(
+      [&](RawConnection* connection, int) { HoldStream(connection, &finish); });
   fixture.AddGroup("g1", server.Address());
   const auto caller = fixture.Send(MakeCompletion(true));
   caller->ReadUntil("\"text\":\"0\"");
@@ -298,13 +302,8 @@
   settings.drain_settle = Duration::zero();
   GatewayFixture fixture(settings);
   std::promise<void> finish;
-  RawServer server([&](RawConnection* connection, int) {
-    const std::string request = connection->ReadMessage();
-    connection->Write(EngineHead() + EngineToken(request, 0, "0"));
-    finish.get_future().wait();
-    connection->Write(EngineToken(request, 1, "1") + EngineDone(request, 2));
-    connection->ReadToEnd();
-  });
+  RawServer server(
+      [&](RawConnection* connection, int) { HoldStream(connection, &finish); });
   fixture.AddGroup("g1", server.Address());
   const auto caller = fixture.Send(MakeCompletion(true));
   caller->ReadUntil("\"text\":\"0\"");
