Judge the answers of reads from the platform in one place

Cause: four calls that change nothing (VM list, weight store, engine status, service probe) each repeated how a failed exchange and an unexpected status are turned into errors.

Change: BodyOfRead does it for all four; error codes and the dropping of broken clients stay as they were. 251 tests pass.

--- a/src/platform/http_engine_control.cc
+++ b/src/platform/http_engine_control.cc
@@ -51,12 +51,9 @@
       internal::Exchange(*client, this->clock, call);
   if (!answer.has_value()) {
     this->Drop(endpoint, client);
-    return internal::WithoutEffect(answer.error());
   }
-  if (answer.value().status != kHttpOk) {
-    return internal::UnexpectedStatus(ErrorCode::kUnavailable, answer.value());
-  }
-  return DecodeStatus(answer.value().body, ErrorCode::kUnavailable);
+  BOOST_OUTCOME_TRY(body, internal::BodyOfRead(answer));
+  return DecodeStatus(body, ErrorCode::kUnavailable);
 }
 
 Result<EngineStatus> HttpEngineControl::Give(const Endpoint& endpoint,
@@ -96,11 +93,8 @@
       internal::Exchange(*client, this->clock, call);
   if (!answer.has_value()) {
     this->Drop(endpoint, client);
-    return internal::WithoutEffect(answer.error());
-  }
-  if (answer.value().status != kHttpOk) {
-    return internal::UnexpectedStatus(ErrorCode::kUnavailable, answer.value());
   }
+  BOOST_OUTCOME_TRYV(internal::BodyOfRead(answer));
   return Ok();
 }
 
--- a/src/platform/http_exchange.cc
+++ b/src/platform/http_exchange.cc
@@ -10,6 +10,8 @@
 
 #include "base/scope_guard.h"
 
+#include "platform/platform_constants.h"
+
 namespace kumquatcart::internal {
 
 namespace {
@@ -110,4 +112,14 @@
                              answer.body.substr(0, kQuotedBodyBytes));
 }
 
+Result<std::string> BodyOfRead(const Result<HttpAnswer>& answer) {
+  if (!answer.has_value()) {
+    return WithoutEffect(answer.error());
+  }
+  if (answer.value().status != kHttpOk) {
+    return UnexpectedStatus(ErrorCode::kUnavailable, answer.value());
+  }
+  return answer.value().body;
+}
+
 }  // namespace kumquatcart::internal
--- a/src/platform/http_exchange.h
+++ b/src/platform/http_exchange.h
@@ -51,6 +51,10 @@
 // Error for a status code that the protocol does not name.
 Error UnexpectedStatus(ErrorCode code, const HttpAnswer& answer);
 
+// Body of the answer to a call that changes nothing. Errors: those of the
+// exchange, and kUnavailable for any status but 200. Thread safe.
+Result<std::string> BodyOfRead(const Result<HttpAnswer>& answer);
+
 }  // namespace kumquatcart::internal
 
 #endif  // PLATFORM_HTTP_EXCHANGE_H_
--- a/src/platform/http_vm_list.cc
+++ b/src/platform/http_vm_list.cc
@@ -40,13 +40,8 @@
                                 this->timeout};
   const Result<internal::HttpAnswer> answer =
       internal::Exchange(this->client, this->clock, call);
-  if (!answer.has_value()) {
-    return internal::WithoutEffect(answer.error());
-  }
-  if (answer.value().status != kHttpOk) {
-    return internal::UnexpectedStatus(ErrorCode::kUnavailable, answer.value());
-  }
-  Result<VmTable> table = DecodeTable(answer.value().body);
+  BOOST_OUTCOME_TRY(body, internal::BodyOfRead(answer));
+  Result<VmTable> table = DecodeTable(body);
   if (!table.has_value()) {
     return MakeError(ErrorCode::kUnavailable, table.error().message);
   }
--- a/src/platform/http_weight_store.cc
+++ b/src/platform/http_weight_store.cc
@@ -18,14 +18,8 @@
                                 this->timeout};
   const Result<internal::HttpAnswer> answer =
       internal::Exchange(this->client, this->clock, call);
-  if (!answer.has_value()) {
-    return internal::WithoutEffect(answer.error());
-  }
-  if (answer.value().status != kHttpOk) {
-    return internal::UnexpectedStatus(ErrorCode::kUnavailable, answer.value());
-  }
-  Result<WeightStoreStatus> status =
-      DecodeJson<WeightStoreStatus>(answer.value().body);
+  BOOST_OUTCOME_TRY(body, internal::BodyOfRead(answer));
+  Result<WeightStoreStatus> status = DecodeJson<WeightStoreStatus>(body);
   if (!status.has_value()) {
     return MakeError(ErrorCode::kUnavailable, status.error().message);
   }
