--- a/.ci/check_layers.py
+++ b/.ci/check_layers.py
@@ -4,7 +4,7 @@
 import re
 import sys
 
-LAYERS = ["base", "model", "platform", "peers", "board", "control", "routing", "gateway", "cli"]
+LAYERS = ["base", "net", "model", "platform", "peers", "board", "control", "routing", "gateway", "entry", "cli"]
 INCLUDE = re.compile(r'^#include "([a-z_]+)/')
 
 
--- a/src/base/logging.cc
+++ b/src/base/logging.cc
@@ -1,8 +1,12 @@
 #include "base/logging.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
 #include <cstdio>
+#include <mutex>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -28,6 +32,63 @@
   return "error";
 }
 
+// Bounds what goes to standard output. Thread safe.
+class BoundedOutput {
+ public:
+  void Enable(int lines_per_second) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->lines_per_second = lines_per_second;
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+
+  // False when lines go to standard error instead.
+  bool Write(std::int64_t unix_millis, const std::string& line) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->lines_per_second == 0) {
+      return false;
+    }
+    this->StartSecond(unix_millis / 1000);
+    if (this->written >= this->lines_per_second || !this->WriteBytes(line)) {
+      ++this->dropped;
+      return true;
+    }
+    ++this->written;
+    return true;
+  }
+
+ private:
+  void StartSecond(std::int64_t second) {
+    if (second == this->second) {
+      return;
+    }
+    this->second = second;
+    this->written = 0;
+    if (this->dropped > 0 &&
+        this->WriteBytes(
+            fmt::format("level=warning event=log_lines_dropped count={}\n",
+                        this->dropped))) {
+      this->dropped = 0;
+    }
+  }
+
+  // A line that fits in part is cut: the reader sees where.
+  static bool WriteBytes(const std::string& bytes) {
+    return ::write(STDOUT_FILENO, bytes.data(), bytes.size()) > 0;
+  }
+
+  std::mutex mutex;
+  int lines_per_second = 0;
+  std::int64_t second = 0;
+  int written = 0;
+  std::int64_t dropped = 0;
+};
+
+BoundedOutput& StandardOutput() {
+  static BoundedOutput output;
+  return output;
+}
+
 bool NeedsQuotes(const std::string& value) {
   return value.empty() ||
          value.find_first_of(" \"=\\\n\r\t") != std::string::npos;
@@ -51,6 +112,10 @@
   line_format = format;
 }
 
+void LogToStandardOutput(int lines_per_second) {
+  StandardOutput().Enable(lines_per_second);
+}
+
 void Log(LogLevel level,
          const char* event,
          std::initializer_list<LogField> fields) {
@@ -64,6 +129,9 @@
   std::string line =
       internal::FormatLogLine(line_format.load(), millis, level, event, fields);
   line.push_back('\n');
+  if (StandardOutput().Write(millis, line)) {
+    return;
+  }
   // One write for the whole line, so that lines of several threads never
   // interleave.
   std::fwrite(line.data(), 1, line.size(), stderr);
--- a/src/base/logging.h
+++ b/src/base/logging.h
@@ -1,4 +1,4 @@
-// Structured logs: one line an event, to standard error.
+// Structured logs: one line an event, to standard error or standard output.
 #ifndef BASE_LOGGING_H_
 #define BASE_LOGGING_H_
 
@@ -35,6 +35,11 @@
 // Sets what is written from now on, process-wide. Thread safe.
 void ConfigureLogging(LogLevel lowest, LogFormat format);
 
+// Writes to standard output from now on, at most `lines_per_second` lines, and
+// never waits for the reader: lines beyond the rate, and lines that the pipe
+// has no room for, are counted and the count is logged later. Thread safe.
+void LogToStandardOutput(int lines_per_second);
+
 // Writes one line when `level` is at least the configured one. `event` is a
 // short snake_case name. Thread safe; lines never interleave.
 void Log(LogLevel level,
--- a/src/cli/command_list.cc
+++ b/src/cli/command_list.cc
@@ -1,5 +1,6 @@
 #include "cli/command_list.h"
 
+#include "cli/entry_command.h"
 #include "cli/operator_commands.h"
 #include "cli/serve_command.h"
 
@@ -8,6 +9,7 @@
 CommandList MakeCommands() {
   CommandList commands;
   commands.push_back(std::make_unique<ServeCommand>());
+  commands.push_back(std::make_unique<EntryCommand>());
   AddOperatorCommands(MakeHttpOperatorBackend, &commands);
   return commands;
 }
--- /dev/null
+++ b/src/control/fleet_view.cc
@@ -0,0 +1,170 @@
+#include "control/fleet_view.h"
+
+#include <algorithm>
+
+#include "base/logging.h"
+
+namespace kumquatcart {
+
+bool FleetView::AdoptConfig(std::shared_ptr<const RoutingConfig> config) {
+  if (this->config != nullptr && config->version <= this->config->version) {
+    return false;
+  }
+  LogInfo("config_adopted",
+          {{"version", config->version},
+           {"previous", this->config ? this->config->version : 0},
+           {"routes", config->routes.size()}});
+  this->config = std::move(config);
+  return true;
+}
+
+void FleetView::PutServer(const BackendServer& server, MonotonicTime now) {
+  const auto known = this->servers.find(server.id);
+  const bool is_new = known == this->servers.end();
+  if (!is_new && server.started_ms < known->second.started_ms) {
+    LogWarning("server_entry_ignored",
+               {{"server", server.id}, {"reason", "earlier start"}});
+    return;
+  }
+  this->removals.erase(server.id);
+  if (is_new) {
+    this->domain_changes[server.fabric_domain] = now;
+  }
+  if (is_new || known->second.draining != server.draining) {
+    LogInfo("server_known", {{"server", server.id},
+                             {"service", server.service},
+                             {"domain", server.fabric_domain},
+                             {"draining", server.draining ? 1 : 0}});
+  }
+  this->servers[server.id] = server;
+  if (!server.membership || server.membership->rank != 0) {
+    return;
+  }
+  const GroupMembership& membership = *server.membership;
+  if (membership.state == MembershipState::kOpen) {
+    this->SetOpen(membership.group, membership.epoch, true);
+  } else if (membership.state == MembershipState::kBroken) {
+    this->SetOpen(membership.group, membership.epoch, false);
+  }
+}
+
+void FleetView::RemoveServer(const std::string& id, MonotonicTime effective) {
+  if (this->servers.count(id) > 0) {
+    this->removals.emplace(id, effective);
+  }
+}
+
+void FleetView::ExpireServers(MonotonicTime now) {
+  for (auto entry = this->removals.begin(); entry != this->removals.end();) {
+    if (entry->second > now) {
+      ++entry;
+      continue;
+    }
+    LogInfo("server_removed", {{"server", entry->first}});
+    this->servers.erase(entry->first);
+    this->unreachable.erase(entry->first);
+    entry = this->removals.erase(entry);
+  }
+}
+
+const BackendServer* FleetView::FindServer(const std::string& id) const {
+  const auto found = this->servers.find(id);
+  return found == this->servers.end() ? nullptr : &found->second;
+}
+
+MonotonicTime FleetView::DomainChangedAt(
+    const std::string& fabric_domain) const {
+  const auto found = this->domain_changes.find(fabric_domain);
+  return found == this->domain_changes.end() ? MonotonicTime{} : found->second;
+}
+
+bool FleetView::PutRecord(const GroupRecord& record, MonotonicTime now) {
+  GroupStatus& status = this->groups[record.group];
+  if (record.epoch <= status.record.epoch) {
+    return false;
+  }
+  if (!status.record.members.empty()) {
+    status.previous = status.record;
+  }
+  status.record = record;
+  status.open = false;
+  status.recorded_at = now;
+  LogInfo("group_recorded", {{"group", record.group},
+                             {"epoch", record.epoch},
+                             {"model", record.model},
+                             {"members", record.members.size()}});
+  if (!record.members.empty()) {
+    // The head may have been open before this process heard of the record.
+    const BackendServer* head = this->FindServer(record.members.front());
+    status.open = head != nullptr && head->membership &&
+                  head->membership->group == record.group &&
+                  head->membership->epoch == record.epoch &&
+                  head->membership->state == MembershipState::kOpen;
+  }
+  return true;
+}
+
+const GroupStatus* FleetView::FindGroup(const std::string& group) const {
+  const auto found = this->groups.find(group);
+  return found == this->groups.end() ? nullptr : &found->second;
+}
+
+void FleetView::SetOpen(const std::string& group,
+                        std::int64_t epoch,
+                        bool open) {
+  const auto found = this->groups.find(group);
+  if (found == this->groups.end() || found->second.record.epoch != epoch ||
+      found->second.open == open) {
+    return;
+  }
+  found->second.open = open;
+  LogInfo(open ? "group_open" : "group_closed",
+          {{"group", group}, {"epoch", epoch}});
+}
+
+void FleetView::SetReachable(const std::string& id,
+                             bool reachable,
+                             MonotonicTime now) {
+  if (reachable) {
+    if (this->unreachable.erase(id) > 0) {
+      LogInfo("server_reachable", {{"server", id}});
+    }
+  } else if (this->unreachable.emplace(id, now).second) {
+    LogWarning("server_unreachable", {{"server", id}});
+  }
+}
+
+bool FleetView::IsUsable(const std::string& id) const {
+  const BackendServer* server = this->FindServer(id);
+  return server != nullptr && !server->draining && this->IsReachable(id);
+}
+
+bool FleetView::Serves(const GroupStatus& status) const {
+  const std::vector<std::string>& members = status.record.members;
+  if (!status.open || members.empty() || !this->IsUsable(members.front())) {
+    return false;
+  }
+  return std::all_of(
+      members.begin(), members.end(), [this](const std::string& id) {
+        return this->servers.count(id) > 0 && this->IsReachable(id);
+      });
+}
+
+bool FleetView::CanFinish(const std::string& group, std::int64_t epoch) const {
+  const GroupStatus* status = this->FindGroup(group);
+  if (status == nullptr) {
+    return true;
+  }
+  const GroupRecord* record = nullptr;
+  if (status->record.epoch == epoch) {
+    record = &status->record;
+  } else if (status->previous && status->previous->epoch == epoch) {
+    record = &*status->previous;  // Its head may be finishing its requests.
+  }
+  return record == nullptr ||
+         std::all_of(
+             record->members.begin(), record->members.end(),
+             [this](const std::string& id) { return this->IsReachable(id); });
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/control/group_planner.cc
@@ -0,0 +1,229 @@
+#include "control/group_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace kumquatcart {
+
+namespace {
+
+// Part of a domain's servers that is kept free to replace lost members.
+constexpr double kReserveShare = 0.12;
+
+bool Contains(const std::vector<std::string>& list, const std::string& text) {
+  return std::find(list.begin(), list.end(), text) != list.end();
+}
+
+// Works on one domain; lives for one call of PlanDomain.
+class DomainPlanner {
+ public:
+  explicit DomainPlanner(const DomainInput& input)
+      : input(input), assigned(input.assigned_elsewhere) {
+    std::set<std::string> in_groups;
+    for (const GroupRecord& group : input.groups) {
+      in_groups.insert(group.members.begin(), group.members.end());
+      this->names.insert(group.group);
+    }
+    for (const PlannedServer& server : input.servers) {
+      this->usable[server.id] = server.usable;
+      if (server.usable && server.assignable &&
+          in_groups.count(server.id) == 0) {
+        this->free.push_back(&server);
+      }
+    }
+  }
+
+  DomainPlan Plan() {
+    for (const GroupRecord& group : this->input.groups) {
+      this->CheckGroup(group);
+    }
+    if (!this->input.is_growing) {
+      while (this->FormGroup()) {
+      }
+    }
+    this->AssignStandbys();
+    return std::move(this->plan);
+  }
+
+ private:
+  bool IsUsable(const std::string& id) const {
+    const auto found = this->usable.find(id);
+    return found != this->usable.end() && found->second;
+  }
+
+  // How much work it takes to bring `server` into a group of `model`.
+  static int JoinCost(const PlannedServer& server, const std::string& model) {
+    if (server.standby_model == model) {
+      return 0;
+    }
+    return Contains(server.staged_models, model) ? 1 : 2;
+  }
+
+  // Takes the free server that joins `model` soonest. Precondition: one is
+  // free.
+  std::string TakeFree(const std::string& model) {
+    const auto best = std::min_element(
+        this->free.begin(), this->free.end(),
+        [&model](const PlannedServer* left, const PlannedServer* right) {
+          return JoinCost(*left, model) < JoinCost(*right, model);
+        });
+    std::string id = (*best)->id;
+    this->free.erase(best);
+    return id;
+  }
+
+  // Whether every member is out of reach though still registered, as when the
+  // whole domain is dark: the group may come back as it was, and none of its
+  // servers is of other use meanwhile.
+  bool MayReturn(const GroupRecord& group, std::size_t lost) const {
+    return lost == group.members.size() &&
+           std::any_of(group.members.begin(), group.members.end(),
+                       [this](const std::string& id) {
+                         return this->usable.count(id) > 0;
+                       });
+  }
+
+  void CheckGroup(const GroupRecord& group) {
+    const auto lost = static_cast<std::size_t>(std::count_if(
+        group.members.begin(), group.members.end(),
+        [this](const std::string& id) { return !this->IsUsable(id); }));
+    const bool is_whole =
+        lost == 0 && this->input.broken_groups.count(group.group) == 0;
+    if (is_whole || this->MayReturn(group, lost)) {
+      this->assigned[group.model] += static_cast<int>(group.members.size());
+      return;
+    }
+    GroupRecord next = group;
+    next.epoch = 0;
+    next.members.clear();
+    if (lost <= this->free.size()) {
+      // Survivors first: the head is one that has its model loaded.
+      for (const std::string& id : group.members) {
+        if (this->IsUsable(id)) {
+          next.members.push_back(id);
+        }
+      }
+      for (std::size_t i = 0; i < lost; ++i) {
+        next.members.push_back(this->TakeFree(group.model));
+      }
+      this->assigned[group.model] += static_cast<int>(next.members.size());
+    }
+    this->plan.records.push_back(std::move(next));
+  }
+
+  int Reserve() const {
+    const auto usable_count = std::count_if(
+        this->input.servers.begin(), this->input.servers.end(),
+        [](const PlannedServer& server) { return server.usable; });
+    return std::max(1, static_cast<int>(std::lround(
+                           kReserveShare * static_cast<double>(usable_count))));
+  }
+
+  // Servers that `model` lacks to hold its share once one more group is formed.
+  double Deficit(const ModelSpec& model) const {
+    int total = model.group_size;
+    for (const auto& entry : this->assigned) {
+      total += entry.second;
+    }
+    const auto own = this->assigned.find(model.name);
+    return model.work_share * total -
+           (own == this->assigned.end() ? 0 : own->second);
+  }
+
+  bool FormGroup() {
+    const int available = static_cast<int>(this->free.size()) - this->Reserve();
+    const ModelSpec* chosen = nullptr;
+    for (const ModelSpec& model : this->input.models) {
+      if (model.group_size <= available &&
+          (chosen == nullptr ||
+           this->Deficit(model) > this->Deficit(*chosen))) {
+        chosen = &model;
+      }
+    }
+    if (chosen == nullptr) {
+      return false;
+    }
+    GroupRecord record;
+    record.group = this->UnusedName();
+    record.service = this->input.service;
+    record.model = chosen->name;
+    record.fabric_domain = this->input.fabric_domain;
+    for (int i = 0; i < chosen->group_size; ++i) {
+      record.members.push_back(this->TakeFree(chosen->name));
+    }
+    this->assigned[chosen->name] += chosen->group_size;
+    this->plan.records.push_back(std::move(record));
+    return true;
+  }
+
+  std::string UnusedName() {
+    for (int number = 1;; ++number) {
+      std::string name =
+          this->input.fabric_domain + "." + std::to_string(number);
+      if (this->names.insert(name).second) {
+        return name;
+      }
+    }
+  }
+
+  // Members in this domain's groups of a model for each of its standbys.
+  double StandbyNeed(const ModelSpec& model,
+                     const std::map<std::string, int>& standbys) const {
+    int members = 0;
+    for (const GroupRecord& group : this->input.groups) {
+      members += group.model == model.name
+                     ? static_cast<int>(group.members.size())
+                     : 0;
+    }
+    for (const GroupRecord& group : this->plan.records) {
+      members += group.model == model.name
+                     ? static_cast<int>(group.members.size())
+                     : 0;
+    }
+    const auto own = standbys.find(model.name);
+    return static_cast<double>(members) /
+           (own == standbys.end() ? 1 : own->second + 1);
+  }
+
+  void AssignStandbys() {
+    std::map<std::string, int> standbys;
+    std::vector<const PlannedServer*> unassigned;
+    for (const PlannedServer* server : this->free) {
+      if (server->standby_model.empty()) {
+        unassigned.push_back(server);
+      } else {
+        ++standbys[server->standby_model];
+      }
+    }
+    for (const PlannedServer* server : unassigned) {
+      const ModelSpec* chosen = nullptr;
+      for (const ModelSpec& model : this->input.models) {
+        if (chosen == nullptr || this->StandbyNeed(model, standbys) >
+                                     this->StandbyNeed(*chosen, standbys)) {
+          chosen = &model;
+        }
+      }
+      if (chosen == nullptr) {
+        return;
+      }
+      ++standbys[chosen->name];
+      this->plan.standbys.push_back({server->id, chosen->name});
+    }
+  }
+
+  const DomainInput& input;
+  std::map<std::string, int> assigned;
+  std::set<std::string> names;
+  std::map<std::string, bool> usable;
+  std::vector<const PlannedServer*> free;
+  DomainPlan plan;
+};
+
+}  // namespace
+
+DomainPlan PlanDomain(const DomainInput& input) {
+  return DomainPlanner(input).Plan();
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/control/group_planner.h
@@ -0,0 +1,69 @@
+// Decides which servers of a fabric domain form which groups.
+#ifndef CONTROL_GROUP_PLANNER_H_
+#define CONTROL_GROUP_PLANNER_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "base/comparable.h"
+#include "model/backend_server.h"
+#include "model/routing_config.h"
+
+namespace kumquatcart {
+
+// A server as the planner sees it.
+struct PlannedServer {
+  std::string id;
+  bool usable = false;      // Registered, reachable and not leaving.
+  bool assignable = false;  // Free to join: belongs to no group but a standby.
+  std::string standby_model;  // The model that its standby group has loaded.
+  std::vector<std::string> staged_models;
+
+  auto Tie() const {
+    return std::tie(this->id, this->usable, this->assignable,
+                    this->standby_model, this->staged_models);
+  }
+};
+
+// One fabric domain.
+struct DomainInput {
+  std::string service;
+  std::string fabric_domain;
+  std::vector<PlannedServer> servers;
+  std::vector<GroupRecord> groups;  // Not dissolved.
+  // Whose head gave up after it had waited for a member: they need a new epoch.
+  std::set<std::string> broken_groups;
+  std::vector<ModelSpec> models;
+  // Servers in groups of each model in the rest of the failure domain.
+  std::map<std::string, int> assigned_elsewhere;
+  // Servers have come just now and more may follow: form no new groups yet.
+  bool is_growing = false;
+};
+
+// A server to keep loaded with a model, ready to replace a lost member.
+struct StandbyAssignment {
+  std::string server;
+  std::string model;
+
+  auto Tie() const { return std::tie(this->server, this->model); }
+};
+
+struct DomainPlan {
+  std::vector<GroupRecord> records;  // To be written; epochs are not set.
+  std::vector<StandbyAssignment> standbys;
+
+  auto Tie() const { return std::tie(this->records, this->standbys); }
+};
+
+// Replaces lost and leaving members where free servers allow, dissolves groups
+// that cannot be made whole, forms groups of the models that lack most from
+// free servers beyond a reserve, and spreads standbys over the models. The same
+// input gives the same plan. Thread safe.
+DomainPlan PlanDomain(const DomainInput& input);
+
+}  // namespace kumquatcart
+
+#endif  // CONTROL_GROUP_PLANNER_H_
--- /dev/null
+++ b/src/control/server_prober.cc
@@ -0,0 +1,69 @@
+#include "control/server_prober.h"
+
+#include "base/logging.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// A healthy server reports within some milliseconds; a lost packet is sent
+// again after 200 ms.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(260);
+// Probes that must fail one after the other, the second on a new connection.
+constexpr int kProbes = 2;
+// Pause between probes of a server that did not answer.
+constexpr Duration kReprobeInterval = std::chrono::milliseconds(700);
+
+}  // namespace
+
+void ServerProber::Start() {
+  this->loop->Spawn([this](Coroutine yield) {
+    for (;;) {
+      this->loop->Sleep(kReprobeInterval, yield);
+      std::vector<std::string> lost;
+      for (const auto& entry : this->view->Unreachable()) {
+        lost.push_back(entry.first);
+      }
+      this->Probe(lost);
+    }
+  });
+}
+
+void ServerProber::Probe(const std::vector<std::string>& servers) {
+  for (const std::string& id : servers) {
+    const BackendServer* server = this->view->FindServer(id);
+    if (server == nullptr || !this->in_progress.insert(id).second) {
+      continue;
+    }
+    this->loop->Spawn([this, copy = *server](Coroutine yield) {
+      this->ProbeOne(copy, yield);
+      this->in_progress.erase(copy.id);
+    });
+  }
+}
+
+void ServerProber::ProbeOne(const BackendServer& server, Coroutine yield) {
+  const bool was_reachable = this->view->IsReachable(server.id);
+  bool answered = false;
+  std::string reason;
+  for (int probe = 0; probe < kProbes && !answered; ++probe) {
+    const Result<EngineReport> report =
+        this->engines->Report(server, kProbeTimeout, yield);
+    answered = report.has_value();
+    if (!answered) {
+      reason = report.error().message;
+    }
+  }
+  if (this->view->FindServer(server.id) == nullptr) {
+    return;
+  }
+  if (!answered && was_reachable) {
+    LogWarning("probe_failed", {{"server", server.id}, {"reason", reason}});
+  }
+  this->view->SetReachable(server.id, answered, this->loop->Now());
+  if (answered != was_reachable) {
+    this->changed();
+  }
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/answer_sender.cc
@@ -0,0 +1,39 @@
+#include "entry/answer_sender.h"
+
+namespace kumquatcart {
+
+void AnswerSender::SendWhole(int status,
+                             HeaderList headers,
+                             std::string_view body) {
+  this->begun = true;
+  headers.push_back({"Content-Length", std::to_string(body.size())});
+  if (this->closes) {
+    headers.push_back({"Connection", "close"});
+  }
+  std::string bytes = SerializeResponseHead(status, headers);
+  if (!this->is_head_request) {
+    bytes += body;
+  }
+  this->connection->Send(std::move(bytes));
+}
+
+void AnswerSender::BeginStream(int status, HeaderList headers) {
+  this->begun = true;
+  headers.push_back({"Transfer-Encoding", "chunked"});
+  if (this->closes) {
+    headers.push_back({"Connection", "close"});
+  }
+  this->connection->Send(SerializeResponseHead(status, headers));
+}
+
+void AnswerSender::SendPart(std::string_view bytes) {
+  if (!bytes.empty()) {
+    this->connection->Send(SerializeChunk(bytes));
+  }
+}
+
+void AnswerSender::EndStream() {
+  this->connection->Send(SerializeChunk({}));
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/caller_session.cc
@@ -0,0 +1,112 @@
+#include "entry/caller_session.h"
+
+#include "base/logging.h"
+#include "base/scope_guard.h"
+#include "entry/answer_sender.h"
+#include "entry/entry_constants.h"
+#include "entry/request_flow.h"
+#include "entry/request_reader.h"
+#include "platform/caller_codec.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Time for a caller to take the last answer before its connection is closed.
+constexpr Duration kLingerTime = std::chrono::seconds(2);
+
+CallerLimits LimitsOf(const EntryContext& context) {
+  return context.routes ? context.routes->Config().limits : CallerLimits{};
+}
+
+int StatusFor(ReadResult result) {
+  switch (result) {
+    case ReadResult::kTimedOut:
+      return kHttpRequestTimeout;
+    case ReadResult::kHeaderTooLarge:
+      return kHttpHeaderTooLarge;
+    case ReadResult::kBodyTooLarge:
+      return kHttpPayloadTooLarge;
+    default:
+      return kHttpBadRequest;
+  }
+}
+
+// Ends a connection so that the caller still gets what was sent.
+void Linger(EntryContext* context,
+            TcpConnection* connection,
+            Waiter* waiter,
+            Coroutine yield) {
+  connection->FinishSending();
+  const MonotonicTime deadline = context->loop->Now() + kLingerTime;
+  while (!connection->HasEnded()) {
+    connection->Consume(connection->Input().size());
+    if (!waiter->WaitUntil(deadline, yield)) {
+      return;
+    }
+  }
+}
+
+// Answers one request. False when the connection must end at once.
+bool Answer(EntryContext* context,
+            ReadOutcome* outcome,
+            TcpConnection* connection,
+            Waiter* waiter,
+            AnswerSender* answer,
+            Coroutine yield) {
+  ReadRequest& read = outcome->request;
+  Result<CallerRequest> request =
+      DecodeCallerRequest(std::move(read.method), std::move(read.target),
+                          read.headers, std::move(read.body));
+  if (request.has_error()) {
+    LogInfo("request_rejected", {{"reason", request.error().message}});
+    answer->SendWhole(kHttpBadRequest, {}, {});
+    return true;
+  }
+  ++context->requests_in_progress;
+  const ScopeGuard guard([context] { --context->requests_in_progress; });
+  return RequestFlow(context, request.value(), outcome->received_at, connection,
+                     waiter, answer)
+      .Run(yield);
+}
+
+}  // namespace
+
+void ServeCaller(EntryContext* context,
+                 const ConnectionPtr& connection,
+                 Waiter* waiter,
+                 Coroutine yield) {
+  RequestReader reader(context->loop, connection.get(), waiter);
+  for (;;) {
+    connection->Attach(waiter);
+    ReadOutcome outcome =
+        reader.Read(LimitsOf(*context), &context->closes_idle, yield);
+    if (outcome.result == ReadResult::kClosed) {
+      break;
+    }
+    const bool is_request = outcome.result == ReadResult::kRequest;
+    AnswerSender answer(connection.get(),
+                        is_request && outcome.request.method == "HEAD");
+    if (!is_request || !outcome.request.keeps_connection ||
+        context->is_stopping) {
+      answer.CloseAfterwards();
+    }
+    if (!is_request) {
+      LogInfo("request_rejected", {{"status", StatusFor(outcome.result)}});
+      answer.SendWhole(StatusFor(outcome.result), {}, {});
+    } else if (!Answer(context, &outcome, connection.get(), waiter, &answer,
+                       yield)) {
+      connection->Attach(nullptr);
+      connection->Close();
+      return;
+    }
+    if (answer.ClosesAfterwards()) {
+      break;
+    }
+  }
+  Linger(context, connection.get(), waiter, yield);
+  connection->Attach(nullptr);
+  connection->Close();
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/entry_constants.h
@@ -0,0 +1,61 @@
+// Figures of the request path on the platform.
+#ifndef ENTRY_ENTRY_CONSTANTS_H_
+#define ENTRY_ENTRY_CONSTANTS_H_
+
+#include <cstddef>
+
+#include "base/clock.h"
+
+namespace kumquatcart {
+
+inline constexpr int kHttpOk = 200;
+inline constexpr int kHttpBadRequest = 400;
+inline constexpr int kHttpUnauthorized = 401;
+inline constexpr int kHttpNotFound = 404;
+inline constexpr int kHttpRequestTimeout = 408;
+inline constexpr int kHttpPayloadTooLarge = 413;
+inline constexpr int kHttpMisdirected = 421;
+inline constexpr int kHttpTooManyRequests = 429;
+inline constexpr int kHttpHeaderTooLarge = 431;
+inline constexpr int kHttpServerError = 500;
+inline constexpr int kHttpBadGateway = 502;
+inline constexpr int kHttpUnavailable = 503;
+inline constexpr int kHttpGatewayTimeout = 504;
+
+// Time to make a connection to a server: several round trips, and one lost
+// packet.
+inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+
+// How long a kept connection may have been idle to carry a request that can run
+// again. One that may run once always gets a new connection: on a kept one, a
+// close by the server and a request can cross.
+inline constexpr Duration kReuseIdle = std::chrono::seconds(2);
+
+// Taken off a caller's deadline so that the answer arrives before it.
+inline constexpr Duration kAnswerMargin = std::chrono::milliseconds(25);
+
+// Time given to a request of a caller that states none.
+inline constexpr Duration kDefaultPatience = std::chrono::seconds(8);
+
+// Retry-After while no configuration is known: the store answers by then.
+inline constexpr Duration kNoConfigRetry = std::chrono::milliseconds(400);
+
+// Least and largest Retry-After.
+inline constexpr Duration kShortestRetry = std::chrono::milliseconds(100);
+inline constexpr Duration kLongestRetry = std::chrono::milliseconds(1500);
+
+// Sends of one request that servers declined, besides those that ran it.
+inline constexpr int kMaxDeclined = 2;
+
+// Bytes that wait for a slow caller before its server is read no further.
+inline constexpr std::size_t kAnswerBacklogBytes = 128 * 1024;
+
+// Largest answer that is held whole before it is passed on.
+inline constexpr std::size_t kWholeAnswerBytes = 8 * 1024 * 1024;
+
+// Largest request that a peer or the platform may send to the own services.
+inline constexpr std::size_t kServiceBodyBytes = 512 * 1024;
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_ENTRY_CONSTANTS_H_
--- /dev/null
+++ b/src/entry/entry_process.cc
@@ -0,0 +1,416 @@
+#include "entry/entry_process.h"
+
+#include <csignal>
+#include <filesystem>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "base/json.h"
+#include "base/logging.h"
+#include "base/scope_guard.h"
+#include "control/group_record_codec.h"
+#include "entry/caller_session.h"
+#include "entry/entry_constants.h"
+#include "platform/caller_codec.h"
+#include "platform/config_decoder.h"
+#include "platform/server_decoder.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Upkeep of tables: removals that are due, stale reports, idle connections.
+constexpr Duration kUpkeepInterval = std::chrono::milliseconds(250);
+// A peer's counts are forgotten after this silence.
+constexpr Duration kCountsLifetime = std::chrono::milliseconds(1500);
+// After the store was away, lapsed entries of servers that live come back
+// within two seconds.
+constexpr Duration kEntriesReturn = std::chrono::milliseconds(2500);
+// From the stop signal until no new connection is taken: the platform's
+// balancer asks once a second and needs two misses.
+constexpr Duration kStopAccepting = std::chrono::milliseconds(3200);
+// Kept of the stop's grace for the last answers to leave.
+constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+// A relayed read may wait as long as a direct one.
+constexpr Duration kRelayTimeout = std::chrono::seconds(16);
+// Pause between tries to announce this process.
+constexpr Duration kAnnounceRetry = std::chrono::milliseconds(500);
+
+TcpEndpoint TcpAddress(const Endpoint& endpoint) {
+  return TcpEndpoint(boost::asio::ip::make_address(endpoint.host),
+                     endpoint.port);
+}
+
+RepeatBounds BoundsOf(const ProcessSettings& settings) {
+  return {settings.retry_ratio, settings.retry_base, settings.retry_window};
+}
+
+}  // namespace
+
+EntryProcess::EntryProcess(ProcessSettings initial, std::string settings_path)
+    : settings(std::move(initial)),
+      settings_path(std::move(settings_path)),
+      signals(this->loop.Context(), SIGTERM, SIGINT, SIGHUP),
+      store(&this->loop, TcpAddress(this->settings.store)),
+      engine_http(&this->loop),
+      engines(&this->loop, &this->engine_http),
+      pool(&this->loop),
+      peers(this->settings.node_name, this->settings.failure_domain),
+      prober(&this->loop,
+             &this->engines,
+             &this->view,
+             [this] { this->NoteFleetChange(); }),
+      repeats(BoundsOf(this->settings)),
+      group_places(&this->loop,
+                   &this->view,
+                   &this->load,
+                   this->settings.failure_domain),
+      plain_places(&this->loop,
+                   &this->view,
+                   &this->load,
+                   this->settings.failure_domain),
+      group_watch(&this->loop, &this->view, &this->prober),
+      operator_topic(&this->loop,
+                     &this->store,
+                     StoreTopic::kOperator,
+                     [this](const TopicRecord& r) { this->ApplyConfig(r); }),
+      servers_topic(&this->loop,
+                    &this->store,
+                    StoreTopic::kServers,
+                    [this](const TopicRecord& r) { this->ApplyServer(r); }),
+      groups_topic(&this->loop,
+                   &this->store,
+                   StoreTopic::kGroups,
+                   [this](const TopicRecord& r) { this->ApplyGroup(r); }),
+      nodes_topic(&this->loop,
+                  &this->store,
+                  StoreTopic::kNodes,
+                  [this](const TopicRecord& r) { this->ApplyNode(r); }),
+      driver({&this->loop, &this->store, &this->engines, &this->prober,
+              &this->view, &this->peers, &this->groups_topic,
+              [this] { this->NoteFleetChange(); }}),
+      digests(
+          &this->loop,
+          &this->peers,
+          [this] { return this->ComposeDigest(); },
+          [this](const NodeDigest& digest) { this->HearDigest(digest); }),
+      callers(&this->loop,
+              [this](boost::asio::ip::tcp::socket socket) {
+                this->AcceptCaller(std::move(socket));
+              }),
+      readiness(&this->loop,
+                [this](const ReadRequest&, Coroutine) {
+                  return this->AnswerReadiness();
+                }),
+      metrics_service(&this->loop,
+                      [this](const ReadRequest&, Coroutine) {
+                        return TextAnswer{kHttpOk, this->metrics.Serialize()};
+                      }),
+      relay(&this->loop, [this](const ReadRequest& request, Coroutine yield) {
+        return this->RelayStoreCall(request, yield);
+      }) {
+  this->context.loop = &this->loop;
+  this->context.settings = &this->settings;
+  this->context.view = &this->view;
+  this->context.prober = &this->prober;
+  this->context.pool = &this->pool;
+  this->context.group_places = &this->group_places;
+  this->context.plain_places = &this->plain_places;
+  this->context.group_watch = &this->group_watch;
+  this->context.repeats = &this->repeats;
+  this->context.metrics = &this->metrics;
+}
+
+Status EntryProcess::Start() {
+  BOOST_OUTCOME_TRY(
+      this->readiness.Start(TcpAddress(this->settings.readiness)));
+  BOOST_OUTCOME_TRY(this->callers.Start(TcpAddress(this->settings.callers)));
+  BOOST_OUTCOME_TRY(
+      this->metrics_service.Start(TcpAddress(this->settings.metrics)));
+  BOOST_OUTCOME_TRY(this->relay.Start(TcpAddress(this->settings.peers)));
+  BOOST_OUTCOME_TRY(this->digests.Start(this->settings.peers));
+  for (TopicFollower* follower : this->Followers()) {
+    follower->Start();
+  }
+  this->prober.Start();
+  this->group_watch.Start();
+  this->driver.Start();
+  this->loop.Spawn([this](Coroutine yield) { this->Announce(yield); });
+  this->loop.Spawn([this](Coroutine yield) { this->KeepUp(yield); });
+  this->WaitForSignal();
+  LogInfo("started", {{"node", this->settings.node_name},
+                      {"failure_domain", this->settings.failure_domain},
+                      {"callers", this->settings.callers.ToString()}});
+  return Ok();
+}
+
+std::vector<TopicFollower*> EntryProcess::Followers() {
+  // In the order of StoreTopic.
+  return {&this->operator_topic, &this->servers_topic, &this->groups_topic,
+          &this->nodes_topic};
+}
+
+void EntryProcess::ApplyConfig(const TopicRecord& record) {
+  if (record.key != ConfigurationKey() || !record.value) {
+    return;
+  }
+  const Result<RoutingConfig> config = DecodeRoutingConfig(*record.value);
+  if (config.has_error()) {
+    LogError("config_unreadable",
+             {{"offset", record.offset}, {"reason", config.error().message}});
+    return;
+  }
+  if (this->view.AdoptConfig(
+          std::make_shared<const RoutingConfig>(config.value()))) {
+    this->context.routes =
+        std::make_shared<const RouteTable>(this->view.Config());
+    this->digests.Hurry();
+    this->NoteFleetChange();
+  }
+}
+
+void EntryProcess::ApplyServer(const TopicRecord& record) {
+  const MonotonicTime now = this->loop.Now();
+  if (!record.value) {
+    const MonotonicTime settled =
+        this->store.ReachableSince() == MonotonicTime{}
+            ? now
+            : std::max(now, this->store.ReachableSince() + kEntriesReturn);
+    this->view.RemoveServer(record.key, settled);
+    this->view.ExpireServers(now);
+    return;
+  }
+  const Result<BackendServer> server =
+      DecodeServerEntry(record.key, *record.value);
+  if (server.has_error()) {
+    LogWarning("server_entry_ignored", {{"server", record.key},
+                                        {"offset", record.offset},
+                                        {"reason", server.error().message}});
+    return;
+  }
+  this->view.PutServer(server.value(), now);
+  this->group_places.NoteChange();
+}
+
+void EntryProcess::ApplyGroup(const TopicRecord& record) {
+  if (!record.value) {
+    return;
+  }
+  const Result<GroupRecord> group =
+      DecodeGroupRecord(record.key, record.offset, *record.value);
+  if (group.has_error()) {
+    LogError("group_record_unreadable", {{"group", record.key},
+                                         {"offset", record.offset},
+                                         {"reason", group.error().message}});
+    return;
+  }
+  if (this->view.PutRecord(group.value(), this->loop.Now())) {
+    this->NoteFleetChange();
+  }
+}
+
+void EntryProcess::ApplyNode(const TopicRecord& record) {
+  if (!record.value) {
+    return;
+  }
+  const Result<Json> json = ParseJson(*record.value);
+  if (json.has_error()) {
+    LogWarning("node_record_unreadable", {{"node", record.key}});
+    return;
+  }
+  const Result<Endpoint> endpoint =
+      FromJson<Endpoint>(json.value().value("endpoint", Json::object()));
+  if (endpoint.has_error()) {
+    LogWarning("node_record_unreadable", {{"node", record.key}});
+    return;
+  }
+  this->peers.PutPeer(record.key,
+                      json.value().value("failure_domain", std::string()),
+                      endpoint.value());
+  std::vector<TcpEndpoint> relays;
+  for (const auto& entry : this->peers.Peers()) {
+    relays.push_back(TcpAddress(entry.second.endpoint));
+  }
+  this->store.SetRelays(std::move(relays));
+}
+
+void EntryProcess::Announce(Coroutine yield) {
+  const std::string value =
+      Json{{"endpoint", this->settings.peers},
+           {"failure_domain", this->settings.failure_domain}}
+          .dump();
+  for (;;) {
+    const Result<std::int64_t> offset =
+        this->store.Append(StoreTopic::kNodes, this->settings.node_name, value,
+                           std::nullopt, yield);
+    if (offset.has_value()) {
+      return;
+    }
+    LogWarning("announce_failed", {{"reason", offset.error().message}});
+    this->loop.Sleep(kAnnounceRetry, yield);
+  }
+}
+
+NodeDigest EntryProcess::ComposeDigest() const {
+  NodeDigest digest;
+  digest.node = this->settings.node_name;
+  digest.failure_domain = this->settings.failure_domain;
+  digest.is_stopping = this->context.is_stopping;
+  digest.reaches_store = this->store.IsReachable();
+  digest.has_traffic = this->view.HasTraffic();
+  digest.config_version =
+      this->view.Config() ? this->view.Config()->version : 0;
+  digest.topic_ends = {this->operator_topic.End(), this->servers_topic.End(),
+                       this->groups_topic.End(), this->nodes_topic.End()};
+  digest.in_flight = this->load.OwnCounts();
+  for (const auto& entry : this->view.Unreachable()) {
+    digest.unreachable.push_back(entry.first);
+  }
+  digest.groups = this->driver.News();
+  return digest;
+}
+
+void EntryProcess::HearDigest(const NodeDigest& digest) {
+  this->load.Report(digest.node, digest.in_flight, this->loop.Now());
+  const std::vector<TopicFollower*> followers = this->Followers();
+  for (std::size_t i = 0;
+       i < std::min(followers.size(), digest.topic_ends.size()); ++i) {
+    followers[i]->NotePeerEnd(digest.topic_ends[i]);
+  }
+  if (digest.has_traffic) {
+    this->view.NoteTraffic();
+  }
+  for (const GroupNews& news : digest.groups) {
+    this->view.SetOpen(news.group, news.epoch, news.open);
+  }
+  std::vector<std::string> doubtful;
+  for (const std::string& id : digest.unreachable) {
+    if (this->view.IsReachable(id)) {
+      doubtful.push_back(id);
+    }
+  }
+  this->prober.Probe(doubtful);
+  this->group_places.NoteChange();
+}
+
+void EntryProcess::NoteFleetChange() {
+  this->digests.Hurry();
+  this->group_places.NoteChange();
+  for (Waiter* session : this->sessions) {
+    session->Notify();
+  }
+}
+
+void EntryProcess::KeepUp(Coroutine yield) {
+  std::error_code error;
+  auto settings_time =
+      std::filesystem::last_write_time(this->settings_path, error);
+  for (;;) {
+    this->loop.Sleep(kUpkeepInterval, yield);
+    const MonotonicTime now = this->loop.Now();
+    this->view.ExpireServers(now);
+    this->load.Forget(now - kCountsLifetime);
+    this->pool.Prune();
+    this->engine_http.PruneIdle();
+    this->repeats.SetNodes(this->peers.LiveNodes(now));
+    const auto written =
+        std::filesystem::last_write_time(this->settings_path, error);
+    if (!error && written != settings_time) {
+      settings_time = written;
+      this->ReloadSettings("file_changed");
+    }
+  }
+}
+
+void EntryProcess::ReloadSettings(const char* cause) {
+  const Result<ProcessSettings> read = ReadProcessSettings(this->settings_path);
+  if (read.has_error()) {
+    LogError("settings_reload_failed",
+             {{"cause", cause}, {"reason", read.error().message}});
+    return;
+  }
+  // Addresses hold for the life of the process.
+  ProcessSettings next = read.value();
+  next.callers = this->settings.callers;
+  next.readiness = this->settings.readiness;
+  next.peers = this->settings.peers;
+  next.metrics = this->settings.metrics;
+  next.store = this->settings.store;
+  LogInfo("settings_reloaded",
+          {{"cause", cause}, {"changed", next != this->settings ? 1 : 0}});
+  this->settings = next;
+}
+
+void EntryProcess::WaitForSignal() {
+  this->signals.async_wait(
+      [this](const boost::system::error_code& error, int number) {
+        if (error) {
+          return;
+        }
+        if (number == SIGHUP) {
+          this->ReloadSettings("signal");
+        } else if (!this->context.is_stopping) {
+          LogInfo("stop_requested", {{"signal", number}});
+          this->context.is_stopping = true;
+          this->loop.Spawn([this](Coroutine yield) { this->Stop(yield); });
+        }
+        this->WaitForSignal();
+      });
+}
+
+void EntryProcess::Stop(Coroutine yield) {
+  const MonotonicTime started = this->loop.Now();
+  this->driver.Stop();
+  this->digests.Hurry();
+  this->loop.Sleep(kStopAccepting, yield);
+  this->callers.Stop();
+  this->context.closes_idle = true;
+  this->NoteFleetChange();
+  const MonotonicTime deadline =
+      started + this->settings.stop_grace - kStopMargin;
+  while (!this->sessions.empty() && this->loop.Now() < deadline) {
+    this->loop.Sleep(kStopPoll, yield);
+  }
+  LogInfo("stopped",
+          {{"requests_in_progress", this->context.requests_in_progress},
+           {"sessions", this->sessions.size()}});
+  this->loop.Stop();
+}
+
+void EntryProcess::AcceptCaller(boost::asio::ip::tcp::socket socket) {
+  const ConnectionPtr connection =
+      TcpConnection::Adopt(&this->loop, std::move(socket));
+  this->loop.Spawn([this, connection](Coroutine yield) {
+    Waiter waiter(&this->loop);
+    this->sessions.insert(&waiter);
+    const ScopeGuard guard([this, &waiter] { this->sessions.erase(&waiter); });
+    ServeCaller(&this->context, connection, &waiter, yield);
+  });
+}
+
+TextAnswer EntryProcess::AnswerReadiness() const {
+  const bool ready =
+      !this->context.is_stopping && this->context.routes != nullptr &&
+      this->servers_topic.IsSynced() && this->groups_topic.IsSynced();
+  return TextAnswer{ready ? kHttpOk : kHttpUnavailable, ""};
+}
+
+TextAnswer EntryProcess::RelayStoreCall(const ReadRequest& request,
+                                        Coroutine yield) {
+  if (!StoreClient::IsStoreCall(request.target)) {
+    return TextAnswer{kHttpNotFound, ""};
+  }
+  const HttpReply reply = this->store.PassOn(
+      OutgoingRequest{request.method, request.target, {}, request.body},
+      kRelayTimeout, yield);
+  if (reply.result != ExchangeResult::kAnswered) {
+    return TextAnswer{reply.result == ExchangeResult::kNotSent
+                          ? kHttpUnavailable
+                          : kHttpGatewayTimeout,
+                      ""};
+  }
+  return TextAnswer{reply.status, reply.body};
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/entry_process.h
@@ -0,0 +1,86 @@
+// The entry VM process on the platform.
+#ifndef ENTRY_ENTRY_PROCESS_H_
+#define ENTRY_ENTRY_PROCESS_H_
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "base/outcome.h"
+#include "control/group_driver.h"
+#include "control/topic_follower.h"
+#include "entry/entry_context.h"
+#include "entry/group_places.h"
+#include "entry/group_watch.h"
+#include "entry/plain_places.h"
+#include "entry/text_service.h"
+#include "peers/digest_exchange.h"
+
+namespace kumquatcart {
+
+// Owns every part of the process and connects them. One thread.
+class EntryProcess {
+ public:
+  // `settings_path` is read again when its file changes.
+  EntryProcess(ProcessSettings settings, std::string settings_path);
+
+  // Binds all addresses and starts to follow the store. Errors: kUnavailable.
+  Status Start();
+
+  // Serves until the process was told to stop and its requests have ended.
+  void Run() { this->loop.Run(); }
+
+ private:
+  void ApplyConfig(const TopicRecord& record);
+  void ApplyServer(const TopicRecord& record);
+  void ApplyGroup(const TopicRecord& record);
+  void ApplyNode(const TopicRecord& record);
+  NodeDigest ComposeDigest() const;
+  void HearDigest(const NodeDigest& digest);
+  void Announce(Coroutine yield);
+  void KeepUp(Coroutine yield);
+  void NoteFleetChange();
+  void WaitForSignal();
+  void ReloadSettings(const char* cause);
+  void Stop(Coroutine yield);
+  void AcceptCaller(boost::asio::ip::tcp::socket socket);
+  TextAnswer AnswerReadiness() const;
+  TextAnswer RelayStoreCall(const ReadRequest& request, Coroutine yield);
+  std::vector<TopicFollower*> Followers();
+
+  ProcessSettings settings;
+  const std::string settings_path;
+  EventLoop loop;
+  boost::asio::signal_set signals;
+  MetricRegistry metrics;
+  StoreClient store;
+  HttpClient engine_http;
+  EngineClient engines;
+  FleetView view;
+  SharedLoad load;
+  ConnectionPool pool;
+  PeerDirectory peers;
+  ServerProber prober;
+  RepeatAllowance repeats;
+  GroupPlaces group_places;
+  PlainPlaces plain_places;
+  GroupWatch group_watch;
+  TopicFollower operator_topic;
+  TopicFollower servers_topic;
+  TopicFollower groups_topic;
+  TopicFollower nodes_topic;
+  GroupDriver driver;
+  DigestExchange digests;
+  Listener callers;
+  TextService readiness;
+  TextService metrics_service;
+  TextService relay;
+  EntryContext context;
+  std::set<Waiter*> sessions;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_ENTRY_PROCESS_H_
--- /dev/null
+++ b/src/entry/group_watch.cc
@@ -0,0 +1,62 @@
+#include "entry/group_watch.h"
+
+#include "base/logging.h"
+
+namespace kumquatcart {
+
+namespace {
+
+constexpr Duration kLookInterval = std::chrono::milliseconds(50);
+// Standstill after which members are asked: above the longest pass of a full
+// batch that also reads prompts.
+constexpr Duration kStandstill = std::chrono::milliseconds(300);
+// Pause before members are asked again.
+constexpr Duration kAskInterval = std::chrono::milliseconds(600);
+
+}  // namespace
+
+void GroupWatch::Start() {
+  this->loop->Spawn([this](Coroutine yield) {
+    for (;;) {
+      this->loop->Sleep(kLookInterval, yield);
+      this->Look();
+    }
+  });
+}
+
+void GroupWatch::Begin(const std::string& group) {
+  Activity& activity = this->activities[group];
+  if (activity.streams++ == 0) {
+    activity.moved_at = this->loop->Now();
+  }
+}
+
+void GroupWatch::NoteProgress(const std::string& group) {
+  this->activities[group].moved_at = this->loop->Now();
+}
+
+void GroupWatch::End(const std::string& group) {
+  --this->activities[group].streams;
+}
+
+void GroupWatch::Look() {
+  const MonotonicTime now = this->loop->Now();
+  for (auto& [group, activity] : this->activities) {
+    if (activity.streams == 0 || now - activity.moved_at < kStandstill ||
+        now - activity.asked_at < kAskInterval) {
+      continue;
+    }
+    activity.asked_at = now;
+    const GroupStatus* status = this->view->FindGroup(group);
+    if (status == nullptr) {
+      continue;
+    }
+    LogInfo("group_silent", {{"group", group},
+                             {"epoch", status->record.epoch},
+                             {"streams", activity.streams},
+                             {"silent_ms", ToMillis(now - activity.moved_at)}});
+    this->prober->Probe(status->record.members);
+  }
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/group_watch.h
@@ -0,0 +1,46 @@
+// Notices groups whose streams all stand still.
+#ifndef ENTRY_GROUP_WATCH_H_
+#define ENTRY_GROUP_WATCH_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "control/fleet_view.h"
+#include "control/server_prober.h"
+
+namespace kumquatcart {
+
+// A group that lost a member stops for all its requests at once, long before
+// its head says so. When no stream of a group has moved for some time, its
+// members are asked. For the event loop's thread.
+class GroupWatch {
+ public:
+  GroupWatch(EventLoop* loop, FleetView* view, ServerProber* prober)
+      : loop(loop), view(view), prober(prober) {}
+
+  // Starts to look several times a second.
+  void Start();
+
+  void Begin(const std::string& group);
+  void NoteProgress(const std::string& group);
+  void End(const std::string& group);
+
+ private:
+  struct Activity {
+    int streams = 0;
+    MonotonicTime moved_at;
+    MonotonicTime asked_at;
+  };
+
+  void Look();
+
+  EventLoop* const loop;
+  FleetView* const view;
+  ServerProber* const prober;
+  std::map<std::string, Activity> activities;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_GROUP_WATCH_H_
--- /dev/null
+++ b/src/entry/plain_places.cc
@@ -0,0 +1,64 @@
+#include "entry/plain_places.h"
+
+#include <algorithm>
+
+#include "entry/entry_constants.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Load, as a part of a server's slots, for which a server in another failure
+// domain is given up.
+constexpr double kDistanceLoad = 0.1;
+// Requests for each slot, running and queued, beyond which a server would
+// decline or answer too late.
+constexpr int kRequestsPerSlot = 4;
+// Weight of a server's recent failures against its load.
+constexpr double kFailureWeight = 1.0;
+
+}  // namespace
+
+PlaceResult PlainPlaces::Acquire(const PlaceQuery& query) {
+  PlaceResult result;
+  result.retry_after = kShortestRetry;
+  result.reason = "no server of the service is known";
+  const MonotonicTime now = this->loop->Now();
+  const BackendServer* best = nullptr;
+  double best_score = 0;
+  for (const auto& entry : this->view->Servers()) {
+    const BackendServer& server = entry.second;
+    if (server.service != query.service || server.draining ||
+        query.excluded.count(server.id) > 0) {
+      continue;
+    }
+    const int taken = this->load->Total(server.id);
+    if (taken >= server.slots * kRequestsPerSlot) {
+      result.reason = "all servers are full";
+      continue;
+    }
+    const double score =
+        static_cast<double>(taken) / server.slots +
+        kFailureWeight * this->failures.Of(server.id, now) +
+        (server.failure_domain == this->failure_domain ? 0 : kDistanceLoad);
+    if (best == nullptr || score < best_score) {
+      best = &server;
+      best_score = score;
+    }
+  }
+  if (best != nullptr) {
+    result.placement =
+        std::make_unique<Placement>(this->load, *best, "", 0, nullptr);
+  }
+  return result;
+}
+
+void PlainPlaces::NoteFailure(const std::string& server) {
+  this->failures.NoteFailure(server, this->loop->Now());
+}
+
+void PlainPlaces::NoteSuccess(const std::string& server) {
+  this->failures.NoteSuccess(server, this->loop->Now());
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/plain_places.h
@@ -0,0 +1,40 @@
+// Places for requests at servers of plain services.
+#ifndef ENTRY_PLAIN_PLACES_H_
+#define ENTRY_PLAIN_PLACES_H_
+
+#include <string>
+
+#include "entry/group_places.h"
+#include "routing/failure_score.h"
+
+namespace kumquatcart {
+
+// Gives each request the server that is least loaded and has failed least. For
+// the event loop's thread.
+class PlainPlaces {
+ public:
+  PlainPlaces(EventLoop* loop,
+              FleetView* view,
+              SharedLoad* load,
+              std::string failure_domain)
+      : loop(loop),
+        view(view),
+        load(load),
+        failure_domain(std::move(failure_domain)) {}
+
+  PlaceResult Acquire(const PlaceQuery& query);
+
+  void NoteFailure(const std::string& server);
+  void NoteSuccess(const std::string& server);
+
+ private:
+  EventLoop* const loop;
+  FleetView* const view;
+  SharedLoad* const load;
+  const std::string failure_domain;
+  FailureScore failures;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_PLAIN_PLACES_H_
--- /dev/null
+++ b/src/entry/request_flow.cc
@@ -0,0 +1,240 @@
+#include "entry/request_flow.h"
+
+#include <algorithm>
+#include <random>
+
+#include "base/logging.h"
+#include "entry/entry_constants.h"
+#include "entry/plain_places.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Part of the target for the first event that a stream may spend waiting for a
+// place: reading the prompt and the first pass take the rest.
+constexpr double kWaitPart = 0.4;
+// Waits of requests to routes without a target.
+constexpr Duration kDefaultWait = std::chrono::milliseconds(150);
+
+double DrawUniform() {
+  static thread_local std::minstd_rand generator{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(generator);
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(EntryContext* context,
+                         const CallerRequest& request,
+                         MonotonicTime received_at,
+                         TcpConnection* caller,
+                         Waiter* waiter,
+                         AnswerSender* answer)
+    : context(context),
+      request(request),
+      received_at(received_at),
+      routes(context->routes) {
+  this->job.context = context;
+  this->job.request = &request;
+  this->job.caller = caller;
+  this->job.waiter = waiter;
+  this->job.answer = answer;
+}
+
+void RequestFlow::LogEnd(int status, const std::string& reason) {
+  const MonotonicTime now = this->context->loop->Now();
+  const bool has_events = this->job.progress.has_events;
+  LogInfo(
+      "request",
+      {{"id", this->request.id},
+       {"route", this->job.route ? this->job.route->name : ""},
+       {"service", this->service},
+       {"model", this->request.model},
+       {"server", this->last_server},
+       {"status", status},
+       {"reason", reason},
+       {"runs", this->runs},
+       {"declined", this->declined},
+       {"config", this->routes ? this->routes->Config().version : 0},
+       {"first_ms", has_events ? ToMillis(this->job.progress.first_event_at -
+                                          this->received_at)
+                               : -1},
+       {"ms", ToMillis(now - this->received_at)}});
+  this->context->metrics
+      ->GetCounter("kumquatcart_requests_total",
+                   {{"status", std::to_string(status)}})
+      .Add();
+  this->context->metrics->GetHistogram("kumquatcart_request_seconds")
+      .Record(now - this->received_at);
+}
+
+bool RequestFlow::Refuse(int status, Duration retry_after, std::string reason) {
+  if (this->job.answer->HasBegun()) {
+    this->LogEnd(status, "cut: " + reason);
+    return false;  // The stream ends without its last chunk.
+  }
+  this->job.answer->SendWhole(
+      status, OwnAnswerFields(this->request.id, retry_after), {});
+  this->LogEnd(status, reason);
+  return true;
+}
+
+bool RequestFlow::Identify() {
+  if (this->routes == nullptr) {
+    this->Refuse(kHttpUnavailable, kNoConfigRetry, "no configuration yet");
+    return false;
+  }
+  this->job.route =
+      this->routes->Match(this->request.host, this->request.target);
+  if (this->job.route == nullptr) {
+    this->Refuse(kHttpNotFound, Duration{0}, "no route");
+    return false;
+  }
+  const RoutingConfig& config = this->routes->Config();
+  if (config.needs_keys && !this->job.route->is_public) {
+    const KeyHolder* holder = this->routes->FindHolder(this->request.key);
+    if (holder == nullptr) {
+      this->Refuse(kHttpUnauthorized, Duration{0}, "unknown key");
+      return false;
+    }
+    this->job.organisation = holder->organisation;
+  }
+  const ServiceShare* share =
+      RouteTable::PickService(*this->job.route, DrawUniform());
+  this->service = share == nullptr ? std::string() : share->service;
+  const auto spec = config.services.find(this->service);
+  this->uses_groups =
+      spec != config.services.end() && spec->second.engine.has_value();
+  return true;
+}
+
+bool RequestFlow::Run(Coroutine yield) {
+  if (!this->Identify()) {
+    return true;
+  }
+  this->context->view->NoteTraffic();
+  const Duration patience = this->request.patience > Duration{0}
+                                ? this->request.patience - kAnswerMargin
+                                : kDefaultPatience;
+  const Duration timeout = this->job.route->timeout > Duration{0}
+                               ? this->job.route->timeout
+                               : patience;
+  this->job.end = this->received_at + std::min(patience, timeout);
+  this->context->repeats->NoteRequest(this->service,
+                                      this->context->loop->Now());
+  return this->RunAttempts(yield);
+}
+
+MonotonicTime RequestFlow::LatestStart() const {
+  const Duration target = this->job.route->target_latency;
+  const Duration wait =
+      target > Duration{0}
+          ? std::chrono::duration_cast<Duration>(target * kWaitPart)
+          : kDefaultWait;
+  // A stream that has begun is worth waiting longer for than a new one.
+  const Duration allowed = this->job.progress.has_events ? 4 * wait : wait;
+  return std::min(this->context->loop->Now() + allowed, this->job.end);
+}
+
+PlaceResult RequestFlow::AcquirePlace(Coroutine yield) {
+  PlaceQuery query;
+  query.service = this->service;
+  query.model = this->request.model;
+  query.excluded = this->excluded;
+  query.wait_until = this->LatestStart();
+  if (!this->uses_groups) {
+    return this->context->plain_places->Acquire(query);
+  }
+  return this->context->group_places->Acquire(query, this->job.caller,
+                                              this->job.waiter, yield);
+}
+
+bool RequestFlow::RunAttempts(Coroutine yield) {
+  for (;;) {
+    const PlaceResult place = this->AcquirePlace(yield);
+    if (this->job.caller->HasEnded()) {
+      this->LogEnd(0, "the caller left");
+      return false;
+    }
+    if (place.placement == nullptr) {
+      return this->runs == 0
+                 ? this->Refuse(kHttpUnavailable, place.retry_after,
+                                place.reason)
+                 : this->Refuse(kHttpBadGateway, Duration{0}, place.reason);
+    }
+    this->last_server = place.placement->ServerId();
+    ServerAttempt attempt(&this->job, place.placement.get());
+    const AttemptEnd end = attempt.Run(yield);
+    this->NoteAttempt(*place.placement, end, attempt);
+    switch (end) {
+      case AttemptEnd::kDelivered:
+        this->LogEnd(kHttpOk, attempt.Reason());
+        return true;
+      case AttemptEnd::kCallerGone:
+        this->LogEnd(0, attempt.Reason());
+        return false;
+      case AttemptEnd::kTimeUp:
+        return this->Refuse(kHttpGatewayTimeout, Duration{0}, attempt.Reason());
+      default:
+        break;
+    }
+    if (!this->MayRepeat(end)) {
+      return this->GiveUp(end, attempt);
+    }
+  }
+}
+
+void RequestFlow::NoteAttempt(const Placement& placement,
+                              AttemptEnd end,
+                              const ServerAttempt& attempt) {
+  this->excluded.insert(placement.ServerId());
+  if (end == AttemptEnd::kNotRun) {
+    ++this->declined;
+  } else {
+    ++this->runs;
+  }
+  if (!attempt.BlamedServer().empty()) {
+    this->context->prober->Probe({attempt.BlamedServer()});
+  }
+  if (!this->uses_groups) {
+    if (end == AttemptEnd::kDelivered) {
+      this->context->plain_places->NoteSuccess(placement.ServerId());
+    } else if (end != AttemptEnd::kCallerGone) {
+      this->context->plain_places->NoteFailure(placement.ServerId());
+    }
+  }
+  if (end != AttemptEnd::kDelivered) {
+    LogInfo("attempt", {{"id", this->request.id},
+                        {"server", placement.ServerId()},
+                        {"group", placement.Group()},
+                        {"epoch", placement.Epoch()},
+                        {"end", ToString(end)},
+                        {"reason", attempt.Reason()}});
+  }
+}
+
+bool RequestFlow::MayRepeat(AttemptEnd end) {
+  const bool not_run = end == AttemptEnd::kNotRun;
+  if (not_run ? this->declined > kMaxDeclined
+              : this->job.route->repeatability == Repeatability::kAtMostOnce ||
+                    this->runs >= this->job.route->attempts) {
+    return false;
+  }
+  const MonotonicTime now = this->context->loop->Now();
+  return now < this->job.end && !this->job.caller->HasEnded() &&
+         this->context->repeats->TryTake(this->service, now);
+}
+
+bool RequestFlow::GiveUp(AttemptEnd end, const ServerAttempt& attempt) {
+  if (end == AttemptEnd::kFailure && !this->job.answer->HasBegun()) {
+    const HeldAnswer& failure = attempt.Failure();
+    this->job.answer->SendWhole(failure.status, failure.headers, failure.body);
+    this->LogEnd(failure.status, attempt.Reason());
+    return true;
+  }
+  return this->runs == 0
+             ? this->Refuse(kHttpUnavailable, kShortestRetry, attempt.Reason())
+             : this->Refuse(kHttpBadGateway, Duration{0}, attempt.Reason());
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/request_reader.cc
@@ -0,0 +1,132 @@
+#include "entry/request_reader.h"
+
+#include <algorithm>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace kumquatcart {
+
+namespace {
+
+namespace http = boost::beast::http;
+using Parser = http::request_parser<http::string_body>;
+
+constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+ReadResult ClassifyError(const boost::system::error_code& error) {
+  if (error == http::error::header_limit) {
+    return ReadResult::kHeaderTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return ReadResult::kBodyTooLarge;
+  }
+  return ReadResult::kBadRequest;
+}
+
+// A message with both framings, or with a coding other than chunked, may be
+// read otherwise by the server and is not passed on.
+bool HasAmbiguousFraming(const Parser& parser) {
+  const auto& head = parser.get();
+  if (head.count(http::field::transfer_encoding) == 0) {
+    return head.count(http::field::content_length) > 1;
+  }
+  return head.count(http::field::transfer_encoding) > 1 ||
+         head.count(http::field::content_length) > 0 ||
+         !EqualsIgnoringCase(std::string(head[http::field::transfer_encoding]),
+                             "chunked");
+}
+
+bool WantsContinue(const Parser& parser) {
+  return EqualsIgnoringCase(std::string(parser.get()[http::field::expect]),
+                            "100-continue");
+}
+
+ReadRequest Take(Parser* parser) {
+  ReadRequest request;
+  auto message = parser->release();
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request.keeps_connection = message.keep_alive() && message.version() == 11;
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+bool RequestReader::WaitForFirstByte(const CallerLimits& limits,
+                                     const bool* should_close,
+                                     Coroutine yield) {
+  const MonotonicTime deadline = this->loop->Now() + limits.idle_timeout;
+  while (this->connection->Input().empty()) {
+    if (this->connection->HasEnded() || *should_close ||
+        this->loop->Now() >= deadline) {
+      return false;
+    }
+    this->waiter->WaitUntil(deadline, yield);
+  }
+  return true;
+}
+
+ReadOutcome RequestReader::Read(const CallerLimits& limits,
+                                const bool* should_close,
+                                Coroutine yield) {
+  ReadOutcome outcome;
+  if (!this->WaitForFirstByte(limits, should_close, yield)) {
+    return outcome;
+  }
+  outcome.received_at = std::max(this->connection->LastInput(),
+                                 this->loop->Now() - limits.header_timeout);
+  const MonotonicTime deadline = outcome.received_at + limits.header_timeout;
+  Parser parser;
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
+  parser.eager(true);
+  bool checked_head = false;
+  for (;;) {
+    while (!this->connection->Input().empty() && !parser.is_done()) {
+      const std::string_view input = this->connection->Input();
+      boost::system::error_code error;
+      const std::size_t used =
+          parser.put(boost::asio::buffer(input.data(), input.size()), error);
+      this->connection->Consume(used);
+      if (error && error != http::error::need_more) {
+        outcome.result = ClassifyError(error);
+        return outcome;
+      }
+      if (used == 0) {
+        break;
+      }
+    }
+    if (parser.is_header_done() && !checked_head) {
+      checked_head = true;
+      if (HasAmbiguousFraming(parser)) {
+        outcome.result = ReadResult::kBadRequest;
+        return outcome;
+      }
+      if (WantsContinue(parser) && !parser.is_done()) {
+        this->connection->Send(kContinue);
+      }
+    }
+    if (parser.is_done()) {
+      outcome.result = ReadResult::kRequest;
+      outcome.request = Take(&parser);
+      return outcome;
+    }
+    if (this->connection->HasEnded()) {
+      outcome.result = ReadResult::kClosed;
+      return outcome;
+    }
+    if (!this->waiter->WaitUntil(deadline, yield)) {
+      outcome.result = ReadResult::kTimedOut;
+      return outcome;
+    }
+  }
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/server_attempt.cc
@@ -0,0 +1,248 @@
+#include "entry/server_attempt.h"
+
+#include <algorithm>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "base/scope_guard.h"
+#include "entry/entry_constants.h"
+#include "entry/group_watch.h"
+
+namespace kumquatcart {
+
+namespace {
+
+TcpEndpoint AddressOf(const Placement& placement) {
+  return TcpEndpoint(boost::asio::ip::make_address(placement.Address().host),
+                     placement.Address().port);
+}
+
+// Statuses that tell a caller that its request has not run and never will.
+bool PromisesNotRun(int status) {
+  return status == kHttpTooManyRequests || status == kHttpUnavailable ||
+         status == kHttpRequestTimeout || status == kHttpMisdirected;
+}
+
+}  // namespace
+
+const char* ToString(AttemptEnd end) {
+  constexpr const char* kNames[] = {"delivered",    "failure",     "not_run",
+                                    "may_have_run", "caller_gone", "time_up"};
+  return kNames[static_cast<int>(end)];
+}
+
+ServerAttempt::ServerAttempt(AttemptJob* job, const Placement* placement)
+    : job(job), placement(placement) {
+  this->response.emplace(job->request->method == "HEAD");
+}
+
+AttemptEnd ServerAttempt::Done(AttemptEnd end, std::string reason) {
+  this->reason = std::move(reason);
+  return end;
+}
+
+bool ServerAttempt::OpenConnection(Coroutine yield) {
+  EntryContext& context = *this->job->context;
+  const TcpEndpoint address = AddressOf(*this->placement);
+  if (this->job->route->repeatability != Repeatability::kAtMostOnce) {
+    this->connection = context.pool->TakeIdle(address, kReuseIdle);
+    if (this->connection != nullptr) {
+      this->connection->Attach(this->job->waiter);
+      return true;
+    }
+  }
+  this->connection = std::make_shared<TcpConnection>(context.loop);
+  return this->connection->Connect(
+      address, std::min(context.loop->Now() + kConnectTimeout, this->job->end),
+      this->job->waiter, yield);
+}
+
+void ServerAttempt::SendRequest() {
+  SendFacts facts;
+  facts.server_id = this->placement->ServerId();
+  facts.organisation = this->job->organisation;
+  facts.remaining = this->job->end - this->job->context->loop->Now();
+  facts.resume_after = this->job->progress.has_events
+                           ? this->job->progress.last_event
+                           : this->job->request->resume_after;
+  this->connection->Send(
+      SerializeRequest(EncodeForServer(*this->job->request, facts)));
+}
+
+AttemptEnd ServerAttempt::Run(Coroutine yield) {
+  const ScopeGuard guard([this] {
+    if (this->connection != nullptr) {
+      this->connection->Attach(nullptr);
+      this->connection->Close();
+    }
+  });
+  if (!this->OpenConnection(yield)) {
+    if (!this->placement->Group().empty()) {
+      this->job->context->prober->Probe({this->placement->ServerId()});
+    }
+    return this->Done(AttemptEnd::kNotRun, "no connection");
+  }
+  this->SendRequest();
+  GroupWatch& watch = *this->job->context->group_watch;
+  const std::string& group = this->placement->Group();
+  if (!group.empty()) {
+    watch.Begin(group);
+  }
+  const AttemptEnd end = this->Relay(yield);
+  if (!group.empty()) {
+    watch.End(group);
+  }
+  return end;
+}
+
+AttemptEnd ServerAttempt::Relay(Coroutine yield) {
+  for (;;) {
+    const std::optional<AttemptEnd> end = this->Step();
+    if (end) {
+      return *end;
+    }
+    const bool woken = this->job->waiter->WaitUntil(this->job->end, yield);
+    if (!woken && this->job->context->loop->Now() >= this->job->end) {
+      // What has arrived meanwhile still counts.
+      const std::optional<AttemptEnd> last = this->Step();
+      return last ? *last
+                  : this->Done(AttemptEnd::kTimeUp, "no whole answer in time");
+    }
+  }
+}
+
+std::optional<AttemptEnd> ServerAttempt::Step() {
+  if (this->job->caller->HasEnded()) {
+    return this->Done(AttemptEnd::kCallerGone, "the caller left");
+  }
+  if (this->job->caller->Unsent() > kAnswerBacklogBytes) {
+    return std::nullopt;  // Goes on once the caller has taken some.
+  }
+  const std::optional<AttemptEnd> end = this->HandleInput();
+  if (end) {
+    return end;
+  }
+  if (!this->placement->Group().empty() &&
+      !this->job->context->view->CanFinish(this->placement->Group(),
+                                           this->placement->Epoch())) {
+    return this->Done(AttemptEnd::kMayHaveRun, "the group lost a member");
+  }
+  return std::nullopt;
+}
+
+bool ServerAttempt::IsStray() const {
+  return this->head.request_id != this->job->request->id;
+}
+
+std::optional<AttemptEnd> ServerAttempt::HandleInput() {
+  for (;;) {
+    const ResponseState state = this->response->Poll(this->connection.get());
+    if (this->response->HasHead() && !this->head_read) {
+      this->head = DecodeAnswerHead(*this->response);
+      this->head_read = true;
+    }
+    if (state == ResponseState::kBroken) {
+      return this->Done(this->connection->HasSentAny() ? AttemptEnd::kMayHaveRun
+                                                       : AttemptEnd::kNotRun,
+                        this->head_read ? "the answer broke off" : "no answer");
+    }
+    if (!this->head_read) {
+      return std::nullopt;
+    }
+    if (!this->head.not_run && this->IsStray()) {
+      // A late or repeated answer to another request: ours comes after it.
+      if (state != ResponseState::kComplete) {
+        return std::nullopt;
+      }
+      this->response.emplace(this->job->request->method == "HEAD");
+      this->head_read = false;
+      continue;
+    }
+    if (this->job->route->streaming && this->head.status == kHttpOk &&
+        this->head.is_signed && !this->head.is_encoded) {
+      return this->HandleStreamInput(state);
+    }
+    if (state != ResponseState::kComplete) {
+      return std::nullopt;
+    }
+    return this->HandleWholeAnswer();
+  }
+}
+
+void ServerAttempt::PassOnEvents(const std::string& bytes) {
+  StreamProgress& progress = this->job->progress;
+  std::string passed;
+  for (const StreamEvent& event : this->splitter.Feed(bytes)) {
+    if (event.id && progress.last_event && *event.id <= *progress.last_event) {
+      continue;  // The caller has it from an earlier attempt.
+    }
+    if (event.id) {
+      progress.last_event = event.id;
+    }
+    if (!progress.has_events) {
+      progress.has_events = true;
+      progress.first_event_at = this->job->context->loop->Now();
+    }
+    passed += event.text;
+  }
+  if (!passed.empty()) {
+    this->job->answer->SendPart(passed);
+    this->job->context->group_watch->NoteProgress(this->placement->Group());
+  }
+}
+
+std::optional<AttemptEnd> ServerAttempt::HandleStreamInput(
+    ResponseState state) {
+  if (!this->job->answer->HasBegun()) {
+    this->job->answer->BeginStream(this->head.status,
+                                   ForwardedAnswerFields(*this->response));
+  }
+  this->PassOnEvents(this->response->TakeBody());
+  if (state != ResponseState::kComplete) {
+    return std::nullopt;
+  }
+  this->job->answer->SendPart(this->splitter.Partial());
+  this->job->answer->EndStream();
+  this->FinishConnection();
+  return this->Done(AttemptEnd::kDelivered, "whole stream");
+}
+
+std::optional<AttemptEnd> ServerAttempt::HandleWholeAnswer() {
+  const int status = this->head.status;
+  if (this->head.not_run) {
+    this->blamed = this->head.blamed_server;
+    this->FinishConnection();
+    return this->Done(AttemptEnd::kNotRun,
+                      "declined with " + std::to_string(status));
+  }
+  if (this->head.is_encoded || PromisesNotRun(status) ||
+      (status / 100 == 2 && !this->head.is_signed)) {
+    return this->Done(AttemptEnd::kMayHaveRun,
+                      "unusable answer " + std::to_string(status));
+  }
+  HeldAnswer answer{status, ForwardedAnswerFields(*this->response),
+                    this->response->TakeBody()};
+  this->FinishConnection();
+  if (status >= kHttpServerError || this->job->answer->HasBegun()) {
+    this->failure = std::move(answer);
+    return this->Done(AttemptEnd::kFailure,
+                      "the server failed with " + std::to_string(status));
+  }
+  this->job->answer->SendWhole(answer.status, std::move(answer.headers),
+                               answer.body);
+  return this->Done(AttemptEnd::kDelivered, "whole answer");
+}
+
+void ServerAttempt::FinishConnection() {
+  if (!this->response->KeepsConnection() || this->connection->Unsent() > 0 ||
+      !this->connection->Input().empty() || this->connection->HasEnded() ||
+      this->head.idle_limit <= Duration{0}) {
+    return;
+  }
+  this->job->context->pool->Keep(AddressOf(*this->placement),
+                                 std::move(this->connection),
+                                 this->head.idle_limit);
+  this->connection = nullptr;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/text_service.cc
@@ -0,0 +1,108 @@
+#include "entry/text_service.h"
+
+#include "entry/answer_sender.h"
+#include "entry/entry_constants.h"
+
+namespace kumquatcart {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Pause after a failed accept, as when descriptors run out.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+// Connections that wait to be accepted.
+constexpr int kBacklog = 512;
+
+CallerLimits ServiceLimits() {
+  CallerLimits limits;
+  limits.body_bytes = kServiceBodyBytes;
+  return limits;
+}
+
+}  // namespace
+
+Listener::Listener(EventLoop* loop, Accept accept)
+    : loop(loop), accept(std::move(accept)), acceptor(loop->Context()) {}
+
+Status Listener::Start(const TcpEndpoint& listen) {
+  boost::system::error_code error;
+  this->acceptor.open(listen.protocol(), error);
+  if (!error) {
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(listen, error);
+  }
+  if (!error) {
+    this->acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return MakeError(ErrorCode::kUnavailable,
+                     "cannot listen: " + error.message());
+  }
+  this->AcceptNext();
+  return Ok();
+}
+
+void Listener::Stop() {
+  this->stopped = true;
+  boost::system::error_code ignored;  // Closing is final whatever it returns.
+  this->acceptor.close(ignored);
+}
+
+void Listener::AcceptNext() {
+  this->acceptor.async_accept(
+      [this](const boost::system::error_code& error, tcp::socket socket) {
+        if (this->stopped) {
+          return;
+        }
+        if (!error) {
+          this->accept(std::move(socket));
+          this->AcceptNext();
+          return;
+        }
+        this->loop->Spawn([this](Coroutine yield) {
+          this->loop->Sleep(kAcceptPause, yield);
+          if (!this->stopped) {
+            this->AcceptNext();
+          }
+        });
+      });
+}
+
+TextService::TextService(EventLoop* loop, Handler handle)
+    : loop(loop),
+      handle(std::move(handle)),
+      listener(loop,
+               [this](tcp::socket socket) { this->Serve(std::move(socket)); }) {
+}
+
+void TextService::Serve(tcp::socket socket) {
+  const auto connection = TcpConnection::Adopt(this->loop, std::move(socket));
+  this->loop->Spawn([this, connection](Coroutine yield) {
+    Waiter waiter(this->loop);
+    connection->Attach(&waiter);
+    RequestReader reader(this->loop, connection.get(), &waiter);
+    const bool never_closes = false;
+    for (;;) {
+      const ReadOutcome outcome =
+          reader.Read(ServiceLimits(), &never_closes, yield);
+      if (outcome.result != ReadResult::kRequest) {
+        break;
+      }
+      AnswerSender sender(connection.get(), outcome.request.method == "HEAD");
+      const TextAnswer answer = this->handle(outcome.request, yield);
+      sender.SendWhole(answer.status, {}, answer.body);
+      if (!outcome.request.keeps_connection) {
+        break;
+      }
+    }
+    connection->FinishSending();
+    this->loop->Sleep(kAcceptPause, yield);
+    connection->Attach(nullptr);
+    connection->Close();
+  });
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/text_service.h
@@ -0,0 +1,64 @@
+// Small HTTP services of the process itself.
+#ifndef ENTRY_TEXT_SERVICE_H_
+#define ENTRY_TEXT_SERVICE_H_
+
+#include <functional>
+#include <string>
+
+#include "base/outcome.h"
+#include "entry/request_reader.h"
+#include "net/event_loop.h"
+
+namespace kumquatcart {
+
+struct TextAnswer {
+  int status = 0;
+  std::string body;
+};
+
+// Calls `accept` with each connection that comes to `listen`. Errors:
+// kUnavailable. For the event loop's thread.
+class Listener {
+ public:
+  using Accept = std::function<void(boost::asio::ip::tcp::socket)>;
+
+  Listener(EventLoop* loop, Accept accept);
+
+  Status Start(const TcpEndpoint& listen);
+
+  // Takes no more connections.
+  void Stop();
+
+ private:
+  void AcceptNext();
+
+  EventLoop* const loop;
+  const Accept accept;
+  boost::asio::ip::tcp::acceptor acceptor;
+  bool stopped = false;
+};
+
+// Answers each request on `listen` with what `handle` returns. For the event
+// loop's thread.
+class TextService {
+ public:
+  using Handler = std::function<TextAnswer(const ReadRequest&, Coroutine)>;
+
+  TextService(EventLoop* loop, Handler handle);
+
+  // Errors: kUnavailable.
+  Status Start(const TcpEndpoint& listen) {
+    return this->listener.Start(listen);
+  }
+
+ private:
+  void Serve(boost::asio::ip::tcp::socket socket);
+
+  EventLoop* const loop;
+  const Handler handle;
+  Listener listener;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_TEXT_SERVICE_H_
--- /dev/null
+++ b/src/model/backend_server.h
@@ -0,0 +1,98 @@
+// Backend servers as they register themselves, and the groups they report.
+#ifndef MODEL_BACKEND_SERVER_H_
+#define MODEL_BACKEND_SERVER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "base/comparable.h"
+#include "model/vm.h"
+
+namespace kumquatcart {
+
+// What a server says of its part in a group.
+enum class MembershipState { kJoining, kReady, kOpen, kClosing, kBroken };
+
+// Lower-case name for logs. Thread safe.
+inline const char* ToString(MembershipState state) {
+  constexpr const char* kNames[] = {"joining", "ready", "open", "closing",
+                                    "broken"};
+  return kNames[static_cast<int>(state)];
+}
+
+// The group that a server last joined.
+struct GroupMembership {
+  std::string group;
+  std::int64_t epoch = 0;
+  int rank = 0;  // 0 is the head.
+  MembershipState state = MembershipState::kJoining;
+
+  auto Tie() const {
+    return std::tie(this->group, this->epoch, this->rank, this->state);
+  }
+};
+
+// One registered server.
+struct BackendServer {
+  std::string id;  // Of one start; a restarted server mostly has another.
+  std::string service;
+  Endpoint endpoint;
+  std::string failure_domain;
+  std::string fabric_domain;    // Empty for plain services.
+  std::int64_t started_ms = 0;  // Unix time of its start; 0 where not given.
+  int slots = 1;
+  bool draining = false;
+  std::string loaded_model;                // Empty: none.
+  std::vector<std::string> staged_models;  // In its VM's memory.
+  std::optional<GroupMembership> membership;
+
+  auto Tie() const {
+    return std::tie(this->id, this->service, this->endpoint,
+                    this->failure_domain, this->fabric_domain, this->started_ms,
+                    this->slots, this->draining, this->loaded_model,
+                    this->staged_models, this->membership);
+  }
+};
+
+// What a server answers when asked for its state; some hundred milliseconds
+// old.
+struct EngineReport {
+  std::string loaded_model;  // Empty: none.
+  std::int64_t started_ms = 0;
+  std::int64_t orders_accepted = 0;
+  int waiting = 0;
+  int running = 0;
+  double pace = 1;  // Above 1: slower than it should be.
+  std::vector<std::string> staged_models;
+  std::optional<GroupMembership> membership;
+
+  auto Tie() const {
+    return std::tie(this->loaded_model, this->started_ms, this->orders_accepted,
+                    this->waiting, this->running, this->pace,
+                    this->staged_models, this->membership);
+  }
+};
+
+// The recorded intent of one group: who forms it. The record's place in the log
+// is its epoch.
+struct GroupRecord {
+  std::string group;
+  std::int64_t epoch = 0;
+  std::string service;
+  std::string model;
+  std::string fabric_domain;
+  std::vector<std::string> members;  // Server ids; the first is the head.
+                                     // Empty: the group is dissolved.
+
+  auto Tie() const {
+    return std::tie(this->group, this->epoch, this->service, this->model,
+                    this->fabric_domain, this->members);
+  }
+};
+
+}  // namespace kumquatcart
+
+#endif  // MODEL_BACKEND_SERVER_H_
--- /dev/null
+++ b/src/net/event_loop.cc
@@ -0,0 +1,31 @@
+#include "net/event_loop.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/coroutine/attributes.hpp>
+
+#include "net/net_constants.h"
+
+namespace kumquatcart {
+
+void EventLoop::Spawn(std::function<void(Coroutine)> body) {
+  boost::asio::spawn(this->context, std::move(body),
+                     boost::coroutines::attributes(kCoroutineStackBytes));
+}
+
+void EventLoop::Sleep(Duration duration, Coroutine yield) {
+  boost::asio::steady_timer timer(this->context, duration);
+  boost::system::error_code ignored;  // Only a cancelled timer fails.
+  timer.async_wait(yield[ignored]);
+}
+
+void EventLoop::Run() {
+  auto guard = boost::asio::make_work_guard(this->context);
+  this->context.run();
+}
+
+void EventLoop::Stop() {
+  this->context.stop();
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,86 @@
+#include "net/http_client.h"
+
+#include "net/response_stream.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// How long a connection stays in the pool; shorter than the usual idle timeout
+// of a server, which the reply's head need not state.
+constexpr std::chrono::seconds kIdleLimit{4};
+
+OutgoingRequest WithHost(OutgoingRequest request, const TcpEndpoint& endpoint) {
+  if (FindHeader(request.headers, "Host").empty()) {
+    request.headers.push_back(
+        {"Host", endpoint.address().to_string() + ":" +
+                     std::to_string(endpoint.port())});
+  }
+  return request;
+}
+
+HttpReply Failed(ExchangeResult result) {
+  HttpReply reply;
+  reply.result = result;
+  return reply;
+}
+
+}  // namespace
+
+const char* ToString(ExchangeResult result) {
+  switch (result) {
+    case ExchangeResult::kAnswered:
+      return "answered";
+    case ExchangeResult::kNotSent:
+      return "not_sent";
+    case ExchangeResult::kNoAnswer:
+      return "no_answer";
+    case ExchangeResult::kTimedOut:
+      return "timed_out";
+  }
+  return "not_sent";
+}
+
+HttpReply HttpClient::Exchange(const TcpEndpoint& endpoint,
+                               const OutgoingRequest& request,
+                               MonotonicTime deadline,
+                               Duration max_idle,
+                               Coroutine yield) {
+  Waiter waiter(this->loop);
+  ConnectionPtr connection = this->pool.TakeIdle(endpoint, max_idle);
+  if (connection == nullptr) {
+    connection = std::make_shared<TcpConnection>(this->loop);
+    if (!connection->Connect(endpoint, deadline, &waiter, yield)) {
+      connection->Attach(nullptr);
+      return Failed(ExchangeResult::kNotSent);
+    }
+  }
+  connection->Attach(&waiter);
+  connection->Send(SerializeRequest(WithHost(request, endpoint)));
+  ResponseStream response(request.method == "HEAD");
+  ResponseState state = response.Poll(connection.get());
+  bool in_time = true;
+  while (state == ResponseState::kIncomplete && in_time) {
+    in_time = waiter.WaitUntil(deadline, yield);
+    state = response.Poll(connection.get());
+  }
+  connection->Attach(nullptr);
+  if (state != ResponseState::kComplete) {
+    connection->Close();
+    return Failed(state == ResponseState::kBroken ? ExchangeResult::kNoAnswer
+                                                  : ExchangeResult::kTimedOut);
+  }
+  HttpReply reply;
+  reply.result = ExchangeResult::kAnswered;
+  reply.status = response.Status();
+  reply.headers = response.Headers();
+  reply.body = response.TakeBody();
+  if (response.KeepsConnection() && connection->Unsent() == 0) {
+    this->pool.Keep(endpoint, std::move(connection), kIdleLimit);
+  } else {
+    connection->Close();
+  }
+  return reply;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/net/response_stream.cc
@@ -0,0 +1,101 @@
+#include "net/response_stream.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace kumquatcart {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// Largest response head accepted from a server.
+constexpr std::uint32_t kResponseHeadLimitBytes = 64 * 1024;
+
+}  // namespace
+
+ResponseStream::ResponseStream(bool without_body) : without_body(without_body) {
+  this->Restart();
+}
+
+void ResponseStream::Restart() {
+  this->parser.emplace();
+  this->parser->header_limit(kResponseHeadLimitBytes);
+  this->parser->body_limit(boost::none);
+  this->parser->eager(true);
+  this->parser->skip(this->without_body);
+}
+
+ResponseState ResponseStream::Poll(TcpConnection* connection) {
+  if (this->state != ResponseState::kIncomplete) {
+    return this->state;
+  }
+  this->state = this->ParseInput(connection);
+  if (this->state != ResponseState::kIncomplete || !connection->HasEnded()) {
+    return this->state;
+  }
+  // Without a length the body ends with the connection, unless it was reset.
+  boost::system::error_code error;
+  this->parser->put_eof(error);
+  this->state = !connection->HasFailed() && !error && this->parser->is_done()
+                    ? ResponseState::kComplete
+                    : ResponseState::kBroken;
+  return this->state;
+}
+
+ResponseState ResponseStream::ParseInput(TcpConnection* connection) {
+  while (!connection->Input().empty()) {
+    const std::string_view input = connection->Input();
+    boost::system::error_code error;
+    const std::size_t used = this->parser->put(
+        boost::asio::buffer(input.data(), input.size()), error);
+    connection->Consume(used);
+    if (error && error != http::error::need_more) {
+      return ResponseState::kBroken;
+    }
+    if (this->parser->is_done()) {
+      if (this->Status() / 100 != 1) {
+        return ResponseState::kComplete;
+      }
+      this->Restart();  // An interim response precedes the real one.
+      continue;
+    }
+    if (used == 0) {
+      return ResponseState::kIncomplete;
+    }
+  }
+  return ResponseState::kIncomplete;
+}
+
+bool ResponseStream::HasHead() const {
+  return this->parser->is_header_done() && this->Status() / 100 != 1;
+}
+
+int ResponseStream::Status() const {
+  return static_cast<int>(this->parser->get().result_int());
+}
+
+std::string_view ResponseStream::Header(std::string_view name) const {
+  const auto value = this->parser->get()[{name.data(), name.size()}];
+  return {value.data(), value.size()};
+}
+
+HeaderList ResponseStream::Headers() const {
+  HeaderList headers;
+  for (const auto& field : this->parser->get()) {
+    headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
+bool ResponseStream::KeepsConnection() const {
+  return this->parser->keep_alive();
+}
+
+std::string ResponseStream::TakeBody() {
+  std::string body;
+  body.swap(this->parser->get().body());
+  return body;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/net/tcp_connection.cc
@@ -0,0 +1,207 @@
+#include "net/tcp_connection.h"
+
+#include <netinet/tcp.h>
+
+#include <array>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "net/net_constants.h"
+
+namespace kumquatcart {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using UserTimeout =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+}  // namespace
+
+TcpConnection::TcpConnection(EventLoop* loop)
+    : loop(loop), socket(loop->Context()) {}
+
+TcpConnection::~TcpConnection() = default;
+
+std::shared_ptr<TcpConnection> TcpConnection::Adopt(EventLoop* loop,
+                                                    tcp::socket socket) {
+  auto connection = std::make_shared<TcpConnection>(loop);
+  connection->socket = std::move(socket);
+  connection->Start();
+  return connection;
+}
+
+bool TcpConnection::Connect(const TcpEndpoint& endpoint,
+                            MonotonicTime deadline,
+                            Waiter* waiter,
+                            Coroutine yield) {
+  this->waiter = waiter;
+  bool done = false;
+  boost::system::error_code result;
+  this->socket.async_connect(
+      endpoint, [self = this->shared_from_this(), &done,
+                 &result](const boost::system::error_code& error) {
+        if (self->closed) {
+          return;  // The caller gave up; its variables are gone.
+        }
+        done = true;
+        result = error;
+        self->NotifyOwner();
+      });
+  while (!done) {
+    if (!waiter->WaitUntil(deadline, yield) && !done) {
+      this->Close();
+      return false;
+    }
+  }
+  if (result) {
+    this->Close();
+    return false;
+  }
+  this->Start();
+  return true;
+}
+
+void TcpConnection::Start() {
+  boost::system::error_code ignored;  // Options only tune the connection.
+  this->socket.set_option(tcp::no_delay(true), ignored);
+  this->socket.set_option(
+      UserTimeout(static_cast<int>(kUnacknowledgedTimeout.count())), ignored);
+  this->socket.non_blocking(true, ignored);
+  this->last_input = this->loop->Now();
+  this->WaitForInput();
+}
+
+void TcpConnection::WaitForInput() {
+  if (this->reading || this->ended) {
+    return;
+  }
+  this->reading = true;
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const boost::system::error_code& e) {
+        self->reading = false;
+        if (self->ended) {
+          return;
+        }
+        if (e) {
+          self->End(/*by_error=*/true);
+          return;
+        }
+        self->ReadInput();
+      });
+}
+
+void TcpConnection::ReadInput() {
+  static thread_local std::array<char, kReadChunkBytes> chunk;
+  boost::system::error_code error;
+  const std::size_t count =
+      this->socket.read_some(boost::asio::buffer(chunk), error);
+  if (error == boost::asio::error::would_block ||
+      error == boost::asio::error::interrupted) {
+    this->WaitForInput();
+    return;
+  }
+  if (error) {
+    this->End(/*by_error=*/error != boost::asio::error::eof);
+    return;
+  }
+  this->input.append(chunk.data(), count);
+  this->last_input = this->loop->Now();
+  if (this->input.size() - this->consumed < kInputPauseBytes) {
+    this->WaitForInput();
+  }
+  this->NotifyOwner();
+}
+
+void TcpConnection::Consume(std::size_t count) {
+  this->consumed += count;
+  if (this->consumed == this->input.size()) {
+    this->input.clear();
+    this->consumed = 0;
+  } else if (this->consumed > kReadChunkBytes) {
+    this->input.erase(0, this->consumed);
+    this->consumed = 0;
+  }
+  if (this->input.size() - this->consumed < kInputPauseBytes) {
+    this->WaitForInput();
+  }
+}
+
+void TcpConnection::Send(std::string bytes) {
+  if (this->closed || this->failed) {
+    return;
+  }
+  this->unsent += bytes.size();
+  if (this->queued.empty()) {
+    this->queued = std::move(bytes);
+  } else {
+    this->queued += bytes;
+  }
+  this->WriteNext();
+}
+
+void TcpConnection::WriteNext() {
+  if (this->write_in_progress || this->closed) {
+    return;
+  }
+  if (this->queued.empty()) {
+    if (this->finish_after_writes) {
+      boost::system::error_code ignored;  // The other side may be gone.
+      this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    return;
+  }
+  this->writing = std::move(this->queued);
+  this->queued.clear();
+  this->write_in_progress = true;
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->writing),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t count) {
+        self->write_in_progress = false;
+        self->sent_any = self->sent_any || count > 0;
+        if (error) {
+          self->End(/*by_error=*/true);
+          return;
+        }
+        self->unsent -= self->writing.size();
+        self->WriteNext();
+        if (self->unsent == 0) {
+          self->NotifyOwner();
+        }
+      });
+}
+
+void TcpConnection::FinishSending() {
+  this->finish_after_writes = true;
+  this->WriteNext();
+}
+
+void TcpConnection::End(bool by_error) {
+  if (this->ended && !by_error) {
+    return;
+  }
+  this->ended = true;
+  this->failed = this->failed || by_error;
+  this->NotifyOwner();
+}
+
+void TcpConnection::Close() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  this->ended = true;
+  boost::system::error_code ignored;  // Closing is final whatever it returns.
+  this->socket.close(ignored);
+}
+
+void TcpConnection::NotifyOwner() {
+  if (this->waiter != nullptr) {
+    this->waiter->Notify();
+  }
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/net/waiter.cc
@@ -0,0 +1,27 @@
+#include "net/waiter.h"
+
+namespace kumquatcart {
+
+Waiter::Waiter(EventLoop* loop) : timer(loop->Context()) {}
+
+void Waiter::Notify() {
+  this->notified = true;
+  if (this->waiting) {
+    this->timer.cancel();
+  }
+}
+
+bool Waiter::WaitUntil(MonotonicTime deadline, Coroutine yield) {
+  if (!this->notified) {
+    this->timer.expires_at(deadline);
+    this->waiting = true;
+    boost::system::error_code ignored;  // Cancelled means notified.
+    this->timer.async_wait(yield[ignored]);
+    this->waiting = false;
+  }
+  const bool woken = this->notified;
+  this->notified = false;
+  return woken;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/peers/node_digest.cc
@@ -0,0 +1,65 @@
+#include "peers/node_digest.h"
+
+#include "base/json.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Marks the layout, so that another version of the program is ignored.
+constexpr int kDigestFormat = 1;
+
+Json EncodeNews(const std::vector<GroupNews>& groups) {
+  Json json = Json::array();
+  for (const GroupNews& news : groups) {
+    json.push_back(Json::array({news.group, news.epoch, news.open}));
+  }
+  return json;
+}
+
+std::vector<GroupNews> DecodeNews(const Json& json) {
+  std::vector<GroupNews> groups;
+  for (const Json& row : json) {
+    groups.push_back({row.at(0).get<std::string>(),
+                      row.at(1).get<std::int64_t>(), row.at(2).get<bool>()});
+  }
+  return groups;
+}
+
+}  // namespace
+
+std::string EncodeDigest(const NodeDigest& digest) {
+  const Json json =
+      Json::array({kDigestFormat, digest.node, digest.failure_domain,
+                   digest.is_stopping, digest.reaches_store, digest.has_traffic,
+                   digest.config_version, digest.topic_ends, digest.in_flight,
+                   digest.unreachable, EncodeNews(digest.groups)});
+  const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+  return std::string(bytes.begin(), bytes.end());
+}
+
+Result<NodeDigest> DecodeDigest(const std::string& bytes) {
+  try {
+    const Json json = Json::from_cbor(bytes);
+    if (json.at(0).get<int>() != kDigestFormat) {
+      return MakeError(ErrorCode::kInvalidArgument, "unknown digest format");
+    }
+    NodeDigest digest;
+    digest.node = json.at(1).get<std::string>();
+    digest.failure_domain = json.at(2).get<std::string>();
+    digest.is_stopping = json.at(3).get<bool>();
+    digest.reaches_store = json.at(4).get<bool>();
+    digest.has_traffic = json.at(5).get<bool>();
+    digest.config_version = json.at(6).get<std::int64_t>();
+    digest.topic_ends = json.at(7).get<std::vector<std::int64_t>>();
+    digest.in_flight = json.at(8).get<std::map<std::string, int>>();
+    digest.unreachable = json.at(9).get<std::vector<std::string>>();
+    digest.groups = DecodeNews(json.at(10));
+    return digest;
+  } catch (const Json::exception& error) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     std::string("digest: ") + error.what());
+  }
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/peers/node_digest.h
@@ -0,0 +1,54 @@
+// What entry VMs tell one another several times a second.
+#ifndef PEERS_NODE_DIGEST_H_
+#define PEERS_NODE_DIGEST_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "base/comparable.h"
+#include "base/outcome.h"
+
+namespace kumquatcart {
+
+// Whether a group takes requests under an epoch, as its planner knows.
+struct GroupNews {
+  std::string group;
+  std::int64_t epoch = 0;
+  bool open = false;
+
+  auto Tie() const { return std::tie(this->group, this->epoch, this->open); }
+};
+
+// Immutable once sent.
+struct NodeDigest {
+  std::string node;
+  std::string failure_domain;
+  bool is_stopping = false;
+  bool reaches_store = true;
+  bool has_traffic = false;  // Callers' requests have begun.
+  std::int64_t config_version = 0;
+  std::vector<std::int64_t> topic_ends;  // By StoreTopic.
+  std::map<std::string, int> in_flight;  // Own requests by server id.
+  std::vector<std::string> unreachable;  // Servers that did not answer.
+  std::vector<GroupNews> groups;         // Of domains that it plans.
+
+  auto Tie() const {
+    return std::tie(this->node, this->failure_domain, this->is_stopping,
+                    this->reaches_store, this->has_traffic,
+                    this->config_version, this->topic_ends, this->in_flight,
+                    this->unreachable, this->groups);
+  }
+};
+
+// CBOR. Thread safe.
+std::string EncodeDigest(const NodeDigest& digest);
+
+// Errors: kInvalidArgument. Thread safe.
+Result<NodeDigest> DecodeDigest(const std::string& bytes);
+
+}  // namespace kumquatcart
+
+#endif  // PEERS_NODE_DIGEST_H_
--- /dev/null
+++ b/src/peers/peer_directory.cc
@@ -0,0 +1,62 @@
+#include "peers/peer_directory.h"
+
+#include <algorithm>
+
+namespace kumquatcart {
+
+namespace {
+
+// Silence after which a peer counts as gone: several lost digests in a row.
+constexpr Duration kPeerSilence = std::chrono::milliseconds(900);
+
+}  // namespace
+
+void PeerDirectory::PutPeer(const std::string& node,
+                            const std::string& failure_domain,
+                            const Endpoint& endpoint) {
+  if (node == this->own_node) {
+    return;
+  }
+  PeerState& peer = this->peers[node];
+  peer.endpoint = endpoint;
+  peer.failure_domain = failure_domain;
+}
+
+bool PeerDirectory::Hear(const NodeDigest& digest, MonotonicTime now) {
+  const auto found = this->peers.find(digest.node);
+  if (found == this->peers.end()) {
+    return false;
+  }
+  found->second.digest = digest;
+  found->second.heard_at = now;
+  return true;
+}
+
+int PeerDirectory::LiveNodes(MonotonicTime now) const {
+  return 1 +
+         static_cast<int>(std::count_if(
+             this->peers.begin(), this->peers.end(), [now](const auto& entry) {
+               return entry.second.IsHeardSince(now - kPeerSilence);
+             }));
+}
+
+bool PeerDirectory::Plans(const std::string& failure_domain,
+                          bool own_reaches_store,
+                          bool own_is_stopping,
+                          MonotonicTime now) const {
+  // Nodes of the failure domain go first, then by name.
+  using Rank = std::pair<bool, std::string>;
+  if (!own_reaches_store || own_is_stopping) {
+    return false;
+  }
+  const Rank own{this->own_failure_domain != failure_domain, this->own_node};
+  return std::none_of(
+      this->peers.begin(), this->peers.end(), [&](const auto& entry) {
+        const PeerState& peer = entry.second;
+        return peer.IsHeardSince(now - kPeerSilence) &&
+               peer.digest.reaches_store && !peer.digest.is_stopping &&
+               Rank{peer.failure_domain != failure_domain, entry.first} < own;
+      });
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/platform/caller_codec.cc
@@ -0,0 +1,249 @@
+#include "platform/caller_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <set>
+
+#include <fmt/format.h>
+
+#include "base/ids.h"
+#include "platform/wire_names.h"
+
+namespace kumquatcart {
+
+namespace {
+
+constexpr char kBearer[] = "Bearer ";
+constexpr char kEventStreamType[] = "text/event-stream";
+constexpr int kHttpMisdirected = 421;
+
+// How long an idle connection to a server is kept where its answer does not
+// say; the page on servers states no default.
+constexpr Duration kDefaultIdleLimit = std::chrono::seconds(2);
+// Taken off a stated idle limit, since the server's clock began earlier.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
+
+struct LessIgnoringCase {
+  bool operator()(const std::string& left, const std::string& right) const {
+    return std::lexicographical_compare(
+        left.begin(), left.end(), right.begin(), right.end(),
+        [](unsigned char a, unsigned char b) {
+          return std::tolower(a) < std::tolower(b);
+        });
+  }
+};
+using NameSet = std::set<std::string, LessIgnoringCase>;
+
+// Fields that concern one connection only, or its framing.
+const NameSet& ConnectionFields() {
+  static const NameSet names = {"Connection",
+                                "Keep-Alive",
+                                "Proxy-Connection",
+                                "Proxy-Authenticate",
+                                "Proxy-Authorization",
+                                "TE",
+                                "Trailer",
+                                "Transfer-Encoding",
+                                "Upgrade",
+                                "Content-Length",
+                                "Expect"};
+  return names;
+}
+
+// Fields that only this system may set towards a server.
+const NameSet& SystemFields() {
+  static const NameSet names = {
+      wire::kAuthorization, wire::kTenant,      wire::kExpectInstance,
+      wire::kExpectVersion, wire::kUrgency,     wire::kDeadline,
+      wire::kLastEventId,   wire::kNotExecuted, wire::kSeal};
+  return names;
+}
+
+// Fields whose loss would change what the request means; a Connection field
+// that names one of them is not heeded.
+const NameSet& EssentialFields() {
+  static const NameSet names = {
+      "Host",         wire::kRequestId,  wire::kModel,     wire::kTokenCounts,
+      "Content-Type", "X-Prompt-Prefix", wire::kLengthHint};
+  return names;
+}
+
+NameSet FieldsNamedByConnection(const HeaderList& headers) {
+  NameSet names;
+  for (const HeaderField& field : headers) {
+    if (!EqualsIgnoringCase(field.name, "Connection")) {
+      continue;
+    }
+    std::string token;
+    for (const char c : field.value + ",") {
+      if (c == ',') {
+        if (!token.empty() && EssentialFields().count(token) == 0) {
+          names.insert(token);
+        }
+        token.clear();
+      } else if (c != ' ' && c != '\t') {
+        token.push_back(c);
+      }
+    }
+  }
+  return names;
+}
+
+std::optional<std::int64_t> ParseCount(std::string_view text) {
+  std::int64_t number = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
+      number < 0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+void DecodeTokenCounts(std::string_view text, CallerRequest* request) {
+  const std::size_t comma = text.find(',');
+  if (comma == std::string_view::npos) {
+    return;
+  }
+  request->prompt_tokens = ParseCount(text.substr(0, comma)).value_or(0);
+  request->max_output_tokens = ParseCount(text.substr(comma + 1)).value_or(0);
+}
+
+std::string HostWithoutPort(std::string_view host) {
+  return std::string(host.substr(0, host.find(':')));
+}
+
+void DecodeFields(const HeaderList& headers, CallerRequest* request) {
+  request->id = std::string(FindHeader(headers, wire::kRequestId));
+  request->host = HostWithoutPort(FindHeader(headers, "Host"));
+  request->model = std::string(FindHeader(headers, wire::kModel));
+  request->patience = std::chrono::milliseconds(
+      ParseCount(FindHeader(headers, wire::kDeadline)).value_or(0));
+  request->expected_output_tokens =
+      ParseCount(FindHeader(headers, wire::kLengthHint));
+  request->resume_after = ParseCount(FindHeader(headers, wire::kLastEventId));
+  DecodeTokenCounts(FindHeader(headers, wire::kTokenCounts), request);
+  const std::string_view credentials =
+      FindHeader(headers, wire::kAuthorization);
+  if (credentials.rfind(kBearer, 0) == 0) {
+    request->key = std::string(credentials.substr(sizeof(kBearer) - 1));
+  }
+}
+
+bool HasManyHosts(const HeaderList& headers) {
+  return std::count_if(headers.begin(), headers.end(),
+                       [](const HeaderField& field) {
+                         return EqualsIgnoringCase(field.name, "Host");
+                       }) != 1;
+}
+
+// "timeout=N" of a Keep-Alive field.
+Duration DecodeIdleLimit(std::string_view keep_alive) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = keep_alive.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return kDefaultIdleLimit;
+  }
+  std::string_view digits = keep_alive.substr(at + kTimeout.size());
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  const Duration stated = std::chrono::seconds(ParseCount(digits).value_or(0));
+  return std::max(stated - kIdleMargin, Duration{0});
+}
+
+}  // namespace
+
+Result<CallerRequest> DecodeCallerRequest(std::string method,
+                                          std::string target,
+                                          const HeaderList& headers,
+                                          std::string body) {
+  if (target.empty() || target.front() != '/') {
+    return MakeError(ErrorCode::kInvalidArgument, "target is no path");
+  }
+  if (HasManyHosts(headers)) {
+    return MakeError(ErrorCode::kInvalidArgument, "not exactly one host");
+  }
+  CallerRequest request;
+  request.method = std::move(method);
+  request.target = std::move(target);
+  request.body = std::move(body);
+  DecodeFields(headers, &request);
+  if (request.id.empty()) {
+    return MakeError(ErrorCode::kInvalidArgument, "no request id");
+  }
+  const NameSet named = FieldsNamedByConnection(headers);
+  for (const HeaderField& field : headers) {
+    if (ConnectionFields().count(field.name) == 0 &&
+        SystemFields().count(field.name) == 0 && named.count(field.name) == 0) {
+      request.forwarded.push_back(field);
+    }
+  }
+  return request;
+}
+
+bool IsReadinessCall(const std::string& target) {
+  return target == wire::kReadyPath;
+}
+
+OutgoingRequest EncodeForServer(const CallerRequest& request,
+                                const SendFacts& facts) {
+  OutgoingRequest sent{request.method, request.target, request.forwarded,
+                       request.body};
+  sent.headers.push_back(
+      {wire::kDeadline,
+       std::to_string(std::max<std::int64_t>(ToMillis(facts.remaining), 1))});
+  sent.headers.push_back({wire::kExpectInstance, facts.server_id});
+  if (!facts.organisation.empty()) {
+    sent.headers.push_back({wire::kTenant, facts.organisation});
+  }
+  if (facts.resume_after) {
+    sent.headers.push_back(
+        {wire::kLastEventId, std::to_string(*facts.resume_after)});
+  }
+  return sent;
+}
+
+ServerAnswerHead DecodeAnswerHead(const ResponseStream& response) {
+  ServerAnswerHead head;
+  head.status = response.Status();
+  head.request_id = std::string(response.Header(wire::kRequestId));
+  head.is_signed = !response.Header(wire::kSeal).empty();
+  head.not_run = !response.Header(wire::kNotExecuted).empty() ||
+                 head.status == kHttpMisdirected;
+  head.is_event_stream =
+      response.Header("Content-Type").rfind(kEventStreamType, 0) == 0;
+  head.is_encoded = !response.Header("Content-Encoding").empty();
+  head.blamed_server = std::string(response.Header(wire::kAtServer));
+  head.idle_limit = DecodeIdleLimit(response.Header("Keep-Alive"));
+  return head;
+}
+
+HeaderList ForwardedAnswerFields(const ResponseStream& response) {
+  const HeaderList all = response.Headers();
+  const NameSet named = FieldsNamedByConnection(all);
+  HeaderList fields;
+  for (const HeaderField& field : all) {
+    if (ConnectionFields().count(field.name) == 0 &&
+        named.count(field.name) == 0) {
+      fields.push_back(field);
+    }
+  }
+  return fields;
+}
+
+HeaderList OwnAnswerFields(const std::string& request_id,
+                           Duration retry_after) {
+  HeaderList fields;
+  if (!request_id.empty()) {
+    fields.push_back({wire::kRequestId, request_id});
+  }
+  if (retry_after > Duration{0}) {
+    fields.push_back(
+        {wire::kRetryAfter,
+         fmt::format("{:.3f}",
+                     std::chrono::duration<double>(retry_after).count())});
+  }
+  return fields;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/platform/config_decoder.cc
@@ -0,0 +1,157 @@
+#include "platform/config_decoder.h"
+
+#include <utility>
+
+#include "base/json.h"
+
+namespace kumquatcart {
+
+namespace {
+
+constexpr char kStreamingKind[] = "streaming";
+constexpr char kIdempotentKind[] = "idempotent";
+
+Duration Millis(const Json& json, const char* name, double fallback) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(json.value(name, fallback)));
+}
+
+Duration Seconds(const Json& json, const char* name) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(json.value(name, 0.0)));
+}
+
+Repeatability DecodeRepeatability(const Json& json) {
+  const auto kind = json.at("kind").get<std::string>();
+  if (kind == kIdempotentKind) {
+    return Repeatability::kIdempotent;
+  }
+  return kind == kStreamingKind && json.value("resumable", false)
+             ? Repeatability::kResumable
+             : Repeatability::kAtMostOnce;
+}
+
+RouteRule DecodeRoute(const Json& json) {
+  RouteRule route;
+  route.name = json.value("name", std::string());
+  route.host = json.at("host").get<std::string>();
+  route.path_prefix = json.at("path_prefix").get<std::string>();
+  route.repeatability = DecodeRepeatability(json);
+  route.streaming = json.at("kind").get<std::string>() == kStreamingKind;
+  route.is_public = json.value("public", false);
+  route.timeout = Millis(json, "timeout_ms", 0);
+  route.target_latency = Millis(json, "target_latency_ms", 0);
+  route.gap_target = Millis(json, "gap_aim_ms", 0);
+  route.priority = json.value("priority", 0);
+  route.attempts = json.value("attempts", 1);
+  const auto split = json.find("traffic_split");
+  if (split != json.end() && split->is_array() && !split->empty()) {
+    for (const Json& part : *split) {
+      route.services.push_back({part.at("service").get<std::string>(),
+                                part.at("weight").get<double>()});
+    }
+  } else {
+    route.services.push_back({json.at("service").get<std::string>(), 1});
+  }
+  return route;
+}
+
+ModelSpec DecodeModel(const Json& json) {
+  ModelSpec model;
+  model.name = json.at("name").get<std::string>();
+  model.group_size = json.value("size", 1);
+  model.work_share = json.value("share", 0.0);
+  model.pace = json.value("pace", 1.0);
+  model.load_time = Seconds(json, "load_s");
+  model.warm_time = Seconds(json, "warm_s");
+  return model;
+}
+
+EngineSpec DecodeEngine(const Json& json) {
+  EngineSpec engine;
+  engine.slots = json.value("slots", 1);
+  engine.cache_tokens = json.value("kv_capacity_tokens", std::int64_t{0});
+  engine.step = Millis(json, "step_ms", 0);
+  engine.step_per_request = Millis(json, "per_seq_ms", 0);
+  engine.prompt_tokens_per_second = json.value("read_per_s", 0.0);
+  engine.stride = json.value("stride", 1);
+  engine.loads_per_second = json.value("loads_per_s", 0.0);
+  engine.loads_at_once = json.value("loads_at_once", 1);
+  engine.forming = Millis(json, "form_ms", 0);
+  for (const Json& model : json.value("models", Json::array())) {
+    engine.models.push_back(DecodeModel(model));
+  }
+  return engine;
+}
+
+ServiceSpec DecodeService(const Json& json) {
+  ServiceSpec service;
+  service.name = json.at("name").get<std::string>();
+  service.max_connections = json.value("max_connections", 0);
+  const auto engine = json.find("engine");
+  if (engine != json.end() && engine->is_object()) {
+    service.engine = DecodeEngine(*engine);
+  }
+  return service;
+}
+
+CallerLimits DecodeLimits(const Json& json) {
+  CallerLimits limits;
+  limits.header_bytes = json.value("max_header_bytes", limits.header_bytes);
+  limits.body_bytes = json.value("max_body_bytes", limits.body_bytes);
+  limits.header_timeout =
+      Millis(json, "header_timeout_ms",
+             static_cast<double>(ToMillis(limits.header_timeout)));
+  limits.idle_timeout =
+      Millis(json, "idle_timeout_ms",
+             static_cast<double>(ToMillis(limits.idle_timeout)));
+  return limits;
+}
+
+void DecodeKeys(const Json& json, RoutingConfig* config) {
+  const auto tenants = json.find("tenants");
+  if (tenants == json.end() || !tenants->is_array()) {
+    return;
+  }
+  config->needs_keys = true;
+  for (const Json& tenant : *tenants) {
+    KeyHolder holder;
+    holder.organisation = tenant.at("name").get<std::string>();
+    const auto priority = tenant.find("priority");
+    if (priority != tenant.end() && priority->is_number_integer()) {
+      holder.priority = priority->get<int>();
+    }
+    for (const Json& key : tenant.value("api_keys", Json::array())) {
+      config->holders[key.get<std::string>()] = holder;
+    }
+  }
+}
+
+RoutingConfig Decode(const Json& json) {
+  RoutingConfig config;
+  config.version = json.at("version").get<std::int64_t>();
+  for (const Json& route : json.at("routes")) {
+    config.routes.push_back(DecodeRoute(route));
+  }
+  for (const Json& entry : json.at("services")) {
+    ServiceSpec service = DecodeService(entry);
+    config.services[service.name] = std::move(service);
+  }
+  config.limits = DecodeLimits(json.value("limits", Json::object()));
+  DecodeKeys(json, &config);
+  return config;
+}
+
+}  // namespace
+
+Result<RoutingConfig> DecodeRoutingConfig(const std::string& text) {
+  BOOST_OUTCOME_TRY(json, ParseJson(text));
+  try {
+    return Decode(json);
+  } catch (const Json::exception& error) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     std::string("configuration: ") + error.what());
+  }
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/platform/engine_client.cc
@@ -0,0 +1,130 @@
+#include "platform/engine_client.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include "base/json.h"
+#include "platform/platform_constants.h"
+#include "platform/wire_names.h"
+
+namespace kumquatcart {
+
+namespace {
+
+constexpr int kHttpAccepted = 202;
+constexpr int kHttpPreconditionFailed = 412;
+constexpr int kHttpMisdirected = 421;
+
+// Servers close idle connections after some seconds.
+constexpr Duration kMaxIdle = std::chrono::milliseconds(1500);
+
+TcpEndpoint AddressOf(const BackendServer& server) {
+  return TcpEndpoint(boost::asio::ip::make_address(server.endpoint.host),
+                     server.endpoint.port);
+}
+
+Json EncodeOrder(GroupOrder order, const GroupRecord& record) {
+  if (order == GroupOrder::kStage) {
+    return Json{{"op", "stage"}, {"model", record.model}};
+  }
+  Json json{{"group", record.group}, {"epoch", record.epoch}};
+  switch (order) {
+    case GroupOrder::kJoin:
+      json["op"] = "join";
+      json["model"] = record.model;
+      json["members"] = record.members;
+      break;
+    case GroupOrder::kOpen:
+      json["op"] = "open";
+      break;
+    case GroupOrder::kClose:
+      json["op"] = "close";
+      json["close_mode"] = "wait";
+      break;
+    case GroupOrder::kPreempt:
+      json["op"] = "close";
+      json["close_mode"] = "preempt";
+      break;
+    default:
+      json["op"] = "leave";
+      break;
+  }
+  return json;
+}
+
+OrderOutcome Classify(const HttpReply& reply) {
+  if (reply.result == ExchangeResult::kNotSent) {
+    return OrderOutcome::kUnreachable;
+  }
+  if (reply.result != ExchangeResult::kAnswered) {
+    return OrderOutcome::kUnknown;
+  }
+  switch (reply.status) {
+    case kHttpAccepted:
+      return OrderOutcome::kBegan;
+    case kHttpOk:
+      return OrderOutcome::kHolds;
+    case kHttpConflict:
+      return OrderOutcome::kConflict;
+    case kHttpPreconditionFailed:
+      return OrderOutcome::kStale;
+    case kHttpMisdirected:
+      return OrderOutcome::kWrongServer;
+    default:
+      return OrderOutcome::kRefused;
+  }
+}
+
+}  // namespace
+
+const char* ToString(GroupOrder order) {
+  constexpr const char* kNames[] = {"join",    "open",  "close",
+                                    "preempt", "leave", "stage"};
+  return kNames[static_cast<int>(order)];
+}
+
+const char* ToString(OrderOutcome outcome) {
+  constexpr const char* kNames[] = {"began",       "holds",        "conflict",
+                                    "stale",       "wrong_server", "refused",
+                                    "unreachable", "unknown"};
+  return kNames[static_cast<int>(outcome)];
+}
+
+OrderOutcome EngineClient::Send(const BackendServer& server,
+                                GroupOrder order,
+                                const GroupRecord& record,
+                                Duration timeout,
+                                Coroutine yield) {
+  OutgoingRequest request;
+  request.method = "POST";
+  request.target = wire::kOrderPath;
+  request.headers = {{"Content-Type", "application/json"},
+                     {wire::kExpectInstance, server.id}};
+  request.body = EncodeOrder(order, record).dump();
+  return Classify(this->client->Exchange(AddressOf(server), request,
+                                         this->loop->Now() + timeout, kMaxIdle,
+                                         yield));
+}
+
+Result<EngineReport> EngineClient::Report(const BackendServer& server,
+                                          Duration timeout,
+                                          Coroutine yield) {
+  OutgoingRequest request;
+  request.method = "GET";
+  request.target = wire::kReportPath;
+  request.headers = {{wire::kExpectInstance, server.id}};
+  const HttpReply reply = this->client->Exchange(
+      AddressOf(server), request, this->loop->Now() + timeout, kMaxIdle, yield);
+  if (reply.Is(kHttpMisdirected)) {
+    return MakeError(ErrorCode::kNotFound, "another server has the address");
+  }
+  if (reply.result == ExchangeResult::kTimedOut) {
+    return MakeError(ErrorCode::kTimeout, "no report in time");
+  }
+  if (!reply.Is(kHttpOk)) {
+    return MakeError(ErrorCode::kUnavailable,
+                     std::string("report: ") + ToString(reply.result));
+  }
+  return DecodeEngineReport(reply.body);
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/platform/engine_client.h
@@ -0,0 +1,60 @@
+// Orders to model servers, and their reports.
+#ifndef PLATFORM_ENGINE_CLIENT_H_
+#define PLATFORM_ENGINE_CLIENT_H_
+
+#include <string>
+
+#include "base/outcome.h"
+#include "model/backend_server.h"
+#include "net/http_client.h"
+#include "platform/server_decoder.h"
+
+namespace kumquatcart {
+
+enum class GroupOrder { kJoin, kOpen, kClose, kPreempt, kLeave, kStage };
+
+// Lower-case name for logs. Thread safe.
+const char* ToString(GroupOrder order);
+
+enum class OrderOutcome {
+  kBegan,        // The server carries it out.
+  kHolds,        // The state already holds.
+  kConflict,     // It does not fit the server's state now.
+  kStale,        // The server has seen a higher epoch.
+  kWrongServer,  // Another server has the address.
+  kRefused,      // No such order, or any other answer.
+  kUnreachable,  // The server has not seen it.
+  kUnknown,      // It may be carried out, now or seconds later.
+};
+
+// Lower-case name for logs. Thread safe.
+const char* ToString(OrderOutcome outcome);
+
+// For the event loop's thread.
+class EngineClient {
+ public:
+  EngineClient(EventLoop* loop, HttpClient* client)
+      : loop(loop), client(client) {}
+
+  // Sends one order about `record`'s group to `server`. kStage uses the
+  // record's model only.
+  OrderOutcome Send(const BackendServer& server,
+                    GroupOrder order,
+                    const GroupRecord& record,
+                    Duration timeout,
+                    Coroutine yield);
+
+  // Asks a server for its state. Errors: kTimeout, kUnavailable, kNotFound
+  // where another server has the address, kInvalidArgument.
+  Result<EngineReport> Report(const BackendServer& server,
+                              Duration timeout,
+                              Coroutine yield);
+
+ private:
+  EventLoop* const loop;
+  HttpClient* const client;
+};
+
+}  // namespace kumquatcart
+
+#endif  // PLATFORM_ENGINE_CLIENT_H_
--- /dev/null
+++ b/src/platform/process_settings.cc
@@ -0,0 +1,130 @@
+#include "platform/process_settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "base/json.h"
+#include "model/endpoint_parser.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Defaults for bounds that a settings file may leave out; each is the strictest
+// value that deployments have used.
+constexpr double kDefaultDrainMs = 2000;
+constexpr double kDefaultGraceSeconds = 8;
+constexpr double kDefaultStallMs = 6000;
+constexpr double kDefaultRetryRatio = 0.1;
+constexpr double kDefaultRetryBase = 20;
+constexpr double kDefaultRetryWindowSeconds = 10;
+constexpr std::uint64_t kDefaultCallBytes = 1024 * 1024;
+constexpr std::uint32_t kDefaultDescriptors = 1024;
+
+Duration FromMillis(double millis) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(millis));
+}
+
+Result<Endpoint> EndpointAt(const Json& table, const char* name) {
+  const auto found = table.find(name);
+  if (found == table.end() || !found->is_string()) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     std::string("settings: no address ") + name);
+  }
+  return ParseEndpoint(found->get<std::string>());
+}
+
+double NumberAt(const Json& table, const char* name, double fallback) {
+  const auto found = table.find(name);
+  return found != table.end() && found->is_number() ? found->get<double>()
+                                                    : fallback;
+}
+
+const Json& TableAt(const Json& json, const char* name) {
+  static const Json empty = Json::object();
+  const auto found = json.find(name);
+  return found != json.end() && found->is_object() ? *found : empty;
+}
+
+void DecodeBounds(const Json& json, ProcessSettings* settings) {
+  const Json& bounds = TableAt(json, "bounds");
+  settings->drain_bound =
+      FromMillis(NumberAt(bounds, "drain_ms", kDefaultDrainMs));
+  settings->stop_grace =
+      FromMillis(NumberAt(bounds, "grace_s", kDefaultGraceSeconds) * 1000);
+  settings->stall_time =
+      FromMillis(NumberAt(bounds, "stall_ms", kDefaultStallMs));
+  settings->retry_ratio =
+      NumberAt(bounds, "retry_budget_ratio", kDefaultRetryRatio);
+  settings->retry_base =
+      NumberAt(bounds, "retry_budget_base", kDefaultRetryBase);
+  settings->retry_window = FromMillis(
+      NumberAt(bounds, "budget_window_s", kDefaultRetryWindowSeconds) * 1000);
+}
+
+Status DecodeAddresses(const Json& json, ProcessSettings* settings) {
+  const Json& listen = TableAt(json, "listen");
+  BOOST_OUTCOME_TRY(callers, EndpointAt(listen, "front"));
+  BOOST_OUTCOME_TRY(readiness, EndpointAt(listen, "ready"));
+  BOOST_OUTCOME_TRY(store, EndpointAt(TableAt(json, "platform"), "address"));
+  settings->callers = callers;
+  settings->readiness = readiness;
+  settings->store = store;
+  const auto ports = json.find("inner_ports");
+  if (ports == json.end() || !ports->is_array() || ports->size() != 2) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "settings: inner_ports is not a pair of ports");
+  }
+  const auto first = ports->at(0).get<std::uint16_t>();
+  const auto last = ports->at(1).get<std::uint16_t>();
+  if (last <= first) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "settings: inner_ports holds fewer than two ports");
+  }
+  settings->peers = Endpoint{settings->callers.host, first};
+  settings->metrics = Endpoint{settings->callers.host, last};
+  return Ok();
+}
+
+Result<ProcessSettings> Decode(const Json& json) {
+  ProcessSettings settings;
+  settings.node_name = json.at("node_name").get<std::string>();
+  settings.failure_domain = json.at("zone").get<std::string>();
+  for (const auto& zone : TableAt(json, "zones").items()) {
+    settings.failure_domains.push_back(zone.key());
+  }
+  std::sort(settings.failure_domains.begin(), settings.failure_domains.end());
+  BOOST_OUTCOME_TRY(DecodeAddresses(json, &settings));
+  DecodeBounds(json, &settings);
+  settings.call_bytes = static_cast<std::uint64_t>(
+      NumberAt(TableAt(json, "platform"), "call_bytes", kDefaultCallBytes));
+  settings.descriptors = static_cast<std::uint32_t>(
+      NumberAt(TableAt(json, "limits"), "max_fds", kDefaultDescriptors));
+  return settings;
+}
+
+}  // namespace
+
+Result<ProcessSettings> DecodeProcessSettings(const std::string& text) {
+  BOOST_OUTCOME_TRY(json, ParseJson(text));
+  try {
+    return Decode(json);
+  } catch (const Json::exception& error) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     std::string("settings: ") + error.what());
+  }
+}
+
+Result<ProcessSettings> ReadProcessSettings(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return MakeError(ErrorCode::kNotFound, "cannot read " + path);
+  }
+  return DecodeProcessSettings(text.str());
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/platform/process_settings.h
@@ -0,0 +1,55 @@
+// The settings file that the platform writes for each process.
+#ifndef PLATFORM_PROCESS_SETTINGS_H_
+#define PLATFORM_PROCESS_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/outcome.h"
+#include "model/vm.h"
+
+namespace kumquatcart {
+
+// What an entry VM process learns from its VM.
+struct ProcessSettings {
+  std::string node_name;
+  std::string failure_domain;
+  std::vector<std::string> failure_domains;  // All of the deployment, sorted.
+  Endpoint callers;                          // Where callers connect.
+  Endpoint readiness;  // Where the platform asks for readiness.
+  Endpoint peers;      // Free port for the system's own messages.
+  Endpoint metrics;    // Free port for metrics.
+  Endpoint store;
+  std::uint64_t call_bytes = 0;  // Largest body of an append.
+  Duration drain_bound{0};       // A leaving server gets no request after this.
+  Duration stop_grace{0};        // From the stop signal to the kill.
+  Duration stall_time{0};        // A group that lost a member stands this long.
+  double retry_ratio = 0;  // Repeats allowed for each request, system-wide.
+  double retry_base = 0;   // Repeats allowed beside those, in one window.
+  Duration retry_window{0};
+  std::uint32_t descriptors = 0;  // Largest number of open descriptors.
+
+  auto Tie() const {
+    return std::tie(this->node_name, this->failure_domain,
+                    this->failure_domains, this->callers, this->readiness,
+                    this->peers, this->metrics, this->store, this->call_bytes,
+                    this->drain_bound, this->stop_grace, this->stall_time,
+                    this->retry_ratio, this->retry_base, this->retry_window,
+                    this->descriptors);
+  }
+};
+
+// Decodes the text of a settings file. Errors: kInvalidArgument naming the
+// field. Thread safe.
+Result<ProcessSettings> DecodeProcessSettings(const std::string& text);
+
+// Reads and decodes the file at `path`. Errors: kNotFound, kInvalidArgument.
+// Thread safe.
+Result<ProcessSettings> ReadProcessSettings(const std::string& path);
+
+}  // namespace kumquatcart
+
+#endif  // PLATFORM_PROCESS_SETTINGS_H_
--- /dev/null
+++ b/src/platform/store_client.cc
@@ -0,0 +1,316 @@
+#include "platform/store_client.h"
+
+#include <fmt/format.h>
+#include <boost/beast/core/detail/base64.hpp>
+
+#include "base/json.h"
+#include "base/logging.h"
+#include "platform/platform_constants.h"
+#include "platform/wire_names.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// A store that is up answers in some ten milliseconds, a slow one within half a
+// second.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+// Time beyond the wait that a waiting read may take.
+constexpr Duration kReadSlack = std::chrono::milliseconds(800);
+// Largest body asked of one read.
+constexpr int kReadKilobytes = 1024;
+constexpr Duration kMaxIdle = std::chrono::seconds(2);
+
+// Part of an unexpected answer's body that goes into the log.
+constexpr std::size_t kLoggedBodyBytes = 80;
+
+constexpr std::size_t kOffsetBytes = 8;
+constexpr std::size_t kLengthBytes = 4;
+constexpr int kHttpPreconditionFailed = 412;
+
+const char* TopicName(StoreTopic topic) {
+  constexpr const char* kNames[] = {wire::kOperatorTopic, wire::kServersTopic,
+                                    wire::kGroupsTopic, wire::kNodesTopic};
+  return kNames[static_cast<int>(topic)];
+}
+
+std::uint64_t ReadBigEndian(const std::string& bytes,
+                            std::size_t at,
+                            std::size_t count) {
+  std::uint64_t number = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    number = (number << 8) | static_cast<unsigned char>(bytes[at + i]);
+  }
+  return number;
+}
+
+std::string DecodeBase64(const std::string& text) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string bytes(base64::decoded_size(text.size()), '\0');
+  const auto sizes = base64::decode(bytes.data(), text.data(), text.size());
+  bytes.resize(sizes.first);
+  return bytes;
+}
+
+OutgoingRequest Get(std::string target) {
+  return OutgoingRequest{"GET", std::move(target), {}, {}};
+}
+
+Error Unreadable(const std::string& reason) {
+  return MakeError(ErrorCode::kInvalidArgument,
+                   "the store's answer cannot be read: " + reason);
+}
+
+Error CallFailure(const HttpReply& reply) {
+  if (reply.result == ExchangeResult::kTimedOut) {
+    return MakeError(ErrorCode::kTimeout, "the store did not answer in time");
+  }
+  return MakeError(ErrorCode::kUnavailable,
+                   fmt::format("store call: {}, status {} {}",
+                               ToString(reply.result), reply.status,
+                               reply.body.substr(0, kLoggedBodyBytes)));
+}
+
+// Whether a relay may do better.
+bool IsRefusal(const HttpReply& reply) {
+  return reply.result != ExchangeResult::kAnswered ||
+         reply.status == kHttpUnavailable ||
+         reply.status == kHttpTooManyRequests;
+}
+
+Result<TopicRecord> DecodeContent(const std::string& body,
+                                  std::size_t at,
+                                  std::size_t size,
+                                  std::int64_t offset) {
+  if (size == 0) {
+    return Unreadable("a record without a key");
+  }
+  const std::size_t key_size = static_cast<unsigned char>(body[at]);
+  if (1 + key_size > size) {
+    return Unreadable("a key beyond its record");
+  }
+  TopicRecord record;
+  record.offset = offset;
+  record.key = body.substr(at + 1, key_size);
+  if (size > 1 + key_size) {
+    record.value = body.substr(at + 1 + key_size, size - 1 - key_size);
+  }
+  return record;
+}
+
+struct NewestPage {
+  std::vector<TopicRecord> records;
+  std::int64_t end = 0;
+  bool has_more = false;
+};
+
+Result<NewestPage> DecodeNewestPage(const std::string& body) {
+  BOOST_OUTCOME_TRY(json, ParseJson(body));
+  NewestPage page;
+  try {
+    for (const Json& item : json.at("items")) {
+      TopicRecord record;
+      record.key = item.at("key").get<std::string>();
+      record.value = DecodeBase64(item.at("value").get<std::string>());
+      record.offset = item.at("offset").get<std::int64_t>();
+      page.records.push_back(std::move(record));
+    }
+    page.end = json.at("end").get<std::int64_t>();
+    page.has_more = json.value("has_more", false);
+  } catch (const Json::exception& error) {
+    return Unreadable(error.what());
+  }
+  return page;
+}
+
+}  // namespace
+
+const char* ToString(StoreTopic topic) {
+  constexpr const char* kNames[] = {"operator", "servers", "groups", "nodes"};
+  return kNames[static_cast<int>(topic)];
+}
+
+std::string ConfigurationKey() {
+  return wire::kConfigKey;
+}
+
+StoreClient::StoreClient(EventLoop* loop, TcpEndpoint store)
+    : loop(loop), store(std::move(store)), client(loop) {}
+
+void StoreClient::SetRelays(std::vector<TcpEndpoint> relays) {
+  this->relays = std::move(relays);
+}
+
+bool StoreClient::IsStoreCall(const std::string& target) {
+  return target.rfind(wire::kLogReadPath, 0) == 0 ||
+         target.rfind(wire::kLogNewestPath, 0) == 0 ||
+         target.rfind(wire::kLogAppendPath, 0) == 0;
+}
+
+HttpReply StoreClient::PassOn(const OutgoingRequest& request,
+                              Duration timeout,
+                              Coroutine yield) {
+  HttpReply reply = this->client.Exchange(
+      this->store, request, this->loop->Now() + timeout, kMaxIdle, yield);
+  this->NoteReachability(reply);
+  return reply;
+}
+
+void StoreClient::NoteReachability(const HttpReply& reply) {
+  const bool answered = !IsRefusal(reply);
+  if (answered == this->reachable) {
+    return;
+  }
+  this->reachable = answered;
+  if (answered) {
+    this->reachable_since = this->loop->Now();
+    LogInfo("store_regained");
+  } else {
+    LogWarning("store_lost",
+               {{"result", ToString(reply.result)}, {"status", reply.status}});
+  }
+}
+
+HttpReply StoreClient::Call(const OutgoingRequest& request,
+                            Duration timeout,
+                            Coroutine yield) {
+  HttpReply reply = this->PassOn(request, timeout, yield);
+  if (!IsRefusal(reply) || this->relays.empty()) {
+    return reply;
+  }
+  const TcpEndpoint relay =
+      this->relays[this->next_relay++ % this->relays.size()];
+  HttpReply relayed = this->client.Exchange(
+      relay, request, this->loop->Now() + timeout, kMaxIdle, yield);
+  return IsRefusal(relayed) ? reply : relayed;
+}
+
+Result<TopicBatch> StoreClient::ReadNewest(StoreTopic topic, Coroutine yield) {
+  TopicBatch batch;
+  std::string after;
+  for (bool first = true, more = true; more; first = false) {
+    std::string target = fmt::format("{}?topic={}&part=0", wire::kLogNewestPath,
+                                     TopicName(topic));
+    if (!first) {
+      target += "&after=" + after;
+    }
+    const HttpReply reply =
+        this->Call(Get(std::move(target)), kCallTimeout, yield);
+    if (reply.Is(kHttpNotFound)) {
+      return batch;  // Nobody has written to the topic yet.
+    }
+    if (!reply.Is(kHttpOk)) {
+      return CallFailure(reply);
+    }
+    BOOST_OUTCOME_TRY(page, DecodeNewestPage(reply.body));
+    if (first) {
+      batch.end = page.end;
+    }
+    more = page.has_more && !page.records.empty();
+    if (more) {
+      after = page.records.back().key;
+    }
+    for (TopicRecord& record : page.records) {
+      batch.records.push_back(std::move(record));
+    }
+  }
+  return batch;
+}
+
+Result<TopicBatch> StoreClient::ReadSince(StoreTopic topic,
+                                          std::int64_t from,
+                                          Duration wait,
+                                          Coroutine yield) {
+  const HttpReply reply = this->Call(
+      Get(fmt::format("{}?topic={}&part=0&from={}&max_kb={}&wait_ms={}",
+                      wire::kLogReadPath, TopicName(topic), from,
+                      kReadKilobytes, ToMillis(wait))),
+      wait + kReadSlack, yield);
+  if (reply.Is(kHttpGone)) {
+    return MakeError(ErrorCode::kExpired, "the records were dropped");
+  }
+  if (reply.Is(kHttpNotFound)) {
+    return TopicBatch{{}, from};
+  }
+  if (!reply.Is(kHttpOk)) {
+    return CallFailure(reply);
+  }
+  return DecodeRecords(reply.body, from);
+}
+
+Result<std::int64_t> StoreClient::Append(StoreTopic topic,
+                                         const std::string& key,
+                                         const std::string& value,
+                                         std::optional<std::int64_t> at,
+                                         Coroutine yield) {
+  OutgoingRequest request;
+  request.method = "POST";
+  request.target =
+      fmt::format("{}?topic={}&part=0", wire::kLogAppendPath, TopicName(topic));
+  if (at) {
+    request.target += fmt::format("&at={}", *at);
+  }
+  request.body = EncodeRecord(key, value);
+  const HttpReply reply = this->Call(request, kCallTimeout, yield);
+  if (reply.Is(kHttpPreconditionFailed)) {
+    return MakeError(ErrorCode::kConflict, "the topic ends elsewhere");
+  }
+  if (reply.Is(kHttpOk)) {
+    BOOST_OUTCOME_TRY(json, ParseJson(reply.body));
+    const auto offset = json.find("offset");
+    if (offset == json.end() || !offset->is_number_integer()) {
+      return MakeError(ErrorCode::kUnknown, "an append without an offset");
+    }
+    return offset->get<std::int64_t>();
+  }
+  const bool surely_not_done = reply.result == ExchangeResult::kNotSent ||
+                               reply.result == ExchangeResult::kAnswered;
+  return MakeError(
+      surely_not_done ? ErrorCode::kUnavailable : ErrorCode::kUnknown,
+      fmt::format("append: {}, status {}", ToString(reply.result),
+                  reply.status));
+}
+
+Result<TopicBatch> DecodeRecords(const std::string& body, std::int64_t from) {
+  if (body.size() < 2 * kOffsetBytes) {
+    return Unreadable("no offsets");
+  }
+  TopicBatch batch;
+  batch.end = from;
+  std::size_t at = 2 * kOffsetBytes;
+  while (at < body.size()) {
+    if (at + kLengthBytes > body.size()) {
+      return Unreadable("a cut length");
+    }
+    const std::size_t size = ReadBigEndian(body, at, kLengthBytes);
+    at += kLengthBytes;
+    if (size > body.size() - at) {
+      return Unreadable("a cut record");
+    }
+    Result<TopicRecord> record = DecodeContent(body, at, size, batch.end);
+    if (record.has_value()) {
+      batch.records.push_back(std::move(record.value()));
+    } else {
+      LogWarning("record_ignored",
+                 {{"offset", batch.end}, {"reason", record.error().message}});
+    }
+    at += size;
+    ++batch.end;
+  }
+  return batch;
+}
+
+std::string EncodeRecord(const std::string& key, const std::string& value) {
+  const std::size_t size = 1 + key.size() + value.size();
+  std::string bytes;
+  bytes.reserve(kLengthBytes + size);
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    bytes.push_back(static_cast<char>((size >> shift) & 0xFF));
+  }
+  bytes.push_back(static_cast<char>(key.size()));
+  bytes += key;
+  bytes += value;
+  return bytes;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/platform/store_client.h
@@ -0,0 +1,118 @@
+// The platform's store: topics that keep the newest record of each key.
+#ifndef PLATFORM_STORE_CLIENT_H_
+#define PLATFORM_STORE_CLIENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "base/outcome.h"
+#include "net/http_client.h"
+
+namespace kumquatcart {
+
+// The topics that the system uses.
+enum class StoreTopic {
+  kOperator,  // The operator's configuration; read only.
+  kServers,   // Backend servers register there; read only.
+  kGroups,    // Records of replica groups.
+  kNodes,     // Entry VMs announce their peer addresses.
+};
+inline constexpr int kStoreTopicCount = 4;
+
+// Lower-case name for logs. Thread safe.
+const char* ToString(StoreTopic topic);
+
+struct TopicRecord {
+  std::string key;
+  std::optional<std::string> value;  // None: the key was dropped.
+  std::int64_t offset = 0;
+
+  auto Tie() const { return std::tie(this->key, this->value, this->offset); }
+};
+
+// Records in order of their offsets, and the offset that comes next.
+struct TopicBatch {
+  std::vector<TopicRecord> records;
+  std::int64_t end = 0;
+
+  auto Tie() const { return std::tie(this->records, this->end); }
+};
+
+// Key of the configuration in the operator's topic.
+std::string ConfigurationKey();
+
+// Reads and writes the store, directly or through another entry VM where the
+// store refuses this one. For the event loop's thread.
+class StoreClient {
+ public:
+  StoreClient(EventLoop* loop, TcpEndpoint store);
+
+  // Entry VMs that pass calls on to the store, asked in turn after a direct
+  // call failed.
+  void SetRelays(std::vector<TcpEndpoint> relays);
+
+  // The newest record of every key. The pages are no snapshot: continue with
+  // ReadSince from the result's end. Errors: kUnavailable, kTimeout,
+  // kInvalidArgument for an answer that cannot be read.
+  Result<TopicBatch> ReadNewest(StoreTopic topic, Coroutine yield);
+
+  // Records from offset `from` on, after waiting up to `wait` for the first.
+  // Errors: kExpired where records were dropped (read the newest again), and
+  // those of ReadNewest.
+  Result<TopicBatch> ReadSince(StoreTopic topic,
+                               std::int64_t from,
+                               Duration wait,
+                               Coroutine yield);
+
+  // Appends one record and returns its offset. With `at`, only if the topic
+  // ends there. Errors: kConflict (the topic ends elsewhere), kUnavailable (not
+  // done), kUnknown (may be done, now or seconds later).
+  Result<std::int64_t> Append(StoreTopic topic,
+                              const std::string& key,
+                              const std::string& value,
+                              std::optional<std::int64_t> at,
+                              Coroutine yield);
+
+  // Passes a peer's call on to the store unchanged. For the relay service.
+  HttpReply PassOn(const OutgoingRequest& request,
+                   Duration timeout,
+                   Coroutine yield);
+
+  // Whether `target` is a call that PassOn takes.
+  static bool IsStoreCall(const std::string& target);
+
+  // Whether the last direct call was answered.
+  bool IsReachable() const { return this->reachable; }
+
+  // When a direct call was first answered after a failed one.
+  MonotonicTime ReachableSince() const { return this->reachable_since; }
+
+ private:
+  HttpReply Call(const OutgoingRequest& request,
+                 Duration timeout,
+                 Coroutine yield);
+  void NoteReachability(const HttpReply& reply);
+
+  EventLoop* const loop;
+  const TcpEndpoint store;
+  HttpClient client;
+  std::vector<TcpEndpoint> relays;
+  std::size_t next_relay = 0;
+  bool reachable = true;
+  MonotonicTime reachable_since;
+};
+
+// Decodes the body of a read: the topic's end, its first offset, then records.
+// `from` is the offset of the first record. Errors: kInvalidArgument. Thread
+// safe.
+Result<TopicBatch> DecodeRecords(const std::string& body, std::int64_t from);
+
+// One record as an append sends it. Thread safe.
+std::string EncodeRecord(const std::string& key, const std::string& value);
+
+}  // namespace kumquatcart
+
+#endif  // PLATFORM_STORE_CLIENT_H_
--- /dev/null
+++ b/src/routing/shared_load.cc
@@ -0,0 +1,65 @@
+#include "routing/shared_load.h"
+
+namespace kumquatcart {
+
+namespace {
+
+int CountOf(const InFlightCounts& counts, const std::string& server) {
+  const auto found = counts.find(server);
+  return found == counts.end() ? 0 : found->second;
+}
+
+void Decrease(InFlightCounts* counts, const std::string& server, int by) {
+  const auto found = counts->find(server);
+  if (found == counts->end()) {
+    return;
+  }
+  found->second -= by;
+  if (found->second <= 0) {
+    counts->erase(found);
+  }
+}
+
+}  // namespace
+
+void SharedLoad::End(const std::string& server) {
+  Decrease(&this->own, server, 1);
+}
+
+void SharedLoad::Subtract(const InFlightCounts& counts) {
+  for (const auto& [server, count] : counts) {
+    Decrease(&this->others, server, count);
+  }
+}
+
+void SharedLoad::Report(const std::string& node,
+                        InFlightCounts counts,
+                        MonotonicTime now) {
+  NodeReport& report = this->reports[node];
+  this->Subtract(report.counts);
+  for (const auto& [server, count] : counts) {
+    this->others[server] += count;
+  }
+  report = NodeReport{std::move(counts), now};
+}
+
+void SharedLoad::Forget(MonotonicTime oldest) {
+  for (auto entry = this->reports.begin(); entry != this->reports.end();) {
+    if (entry->second.at < oldest) {
+      this->Subtract(entry->second.counts);
+      entry = this->reports.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+int SharedLoad::Own(const std::string& server) const {
+  return CountOf(this->own, server);
+}
+
+int SharedLoad::Total(const std::string& server) const {
+  return CountOf(this->own, server) + CountOf(this->others, server);
+}
+
+}  // namespace kumquatcart
