Keep standbys of both models in each domain and replace leaving members warm

The lost members were replaced by standbys of the other model, whose join loads for 12 s; three VMs gave the same joins over and over (916 orders), since a planner that lost its turn went on. Members whose entry lapsed while they answered (12 s, servers cut from the store) closed 5 of 6 groups of the large model. Ruled out: places (in-flight counts agreed between VMs), detection (under 1 s). Change: a standby has one model loaded and the other staged, both join without a load; leaving and unregistered members that answer stay until a warm standby is free, but not as heads; only the planner of a failure domain gives orders, and none to members that are joining; calls go to a relay first while the store refuses a VM; hearsay does not make every VM probe.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -27,6 +27,7 @@
     return;
   }
   this->removals.erase(server.id);
+  this->unregistered.erase(server.id);
   if (is_new) {
     this->domain_changes[server.fabric_domain] = now;
   }
@@ -60,13 +61,27 @@
       ++entry;
       continue;
     }
-    LogInfo("server_removed", {{"server", entry->first}});
-    this->servers.erase(entry->first);
-    this->unreachable.erase(entry->first);
+    const bool is_member = this->IsMember(entry->first);
+    LogInfo("server_removed",
+            {{"server", entry->first}, {"member", is_member ? 1 : 0}});
+    if (is_member && this->IsReachable(entry->first)) {
+      this->unregistered.insert(entry->first);
+    } else {
+      this->servers.erase(entry->first);
+      this->unreachable.erase(entry->first);
+    }
     entry = this->removals.erase(entry);
   }
 }
 
+bool FleetView::IsMember(const std::string& id) const {
+  return std::any_of(
+      this->groups.begin(), this->groups.end(), [&id](const auto& entry) {
+        const std::vector<std::string>& members = entry.second.record.members;
+        return std::find(members.begin(), members.end(), id) != members.end();
+      });
+}
+
 const BackendServer* FleetView::FindServer(const std::string& id) const {
   const auto found = this->servers.find(id);
   return found == this->servers.end() ? nullptr : &found->second;
@@ -129,14 +144,22 @@
     if (this->unreachable.erase(id) > 0) {
       LogInfo("server_reachable", {{"server", id}});
     }
+  } else if (this->unregistered.erase(id) > 0) {
+    LogWarning("server_gone", {{"server", id}});
+    this->servers.erase(id);
   } else if (this->unreachable.emplace(id, now).second) {
     LogWarning("server_unreachable", {{"server", id}});
   }
 }
 
-bool FleetView::IsUsable(const std::string& id) const {
+ServerStanding FleetView::StandingOf(const std::string& id) const {
   const BackendServer* server = this->FindServer(id);
-  return server != nullptr && !server->draining && this->IsReachable(id);
+  if (server == nullptr || !this->IsReachable(id)) {
+    return ServerStanding::kLost;
+  }
+  return server->draining || this->unregistered.count(id) > 0
+             ? ServerStanding::kLeaving
+             : ServerStanding::kUsable;
 }
 
 bool FleetView::Serves(const GroupStatus& status) const {
@@ -144,10 +167,10 @@
   if (!status.open || members.empty() || !this->IsUsable(members.front())) {
     return false;
   }
-  return std::all_of(
-      members.begin(), members.end(), [this](const std::string& id) {
-        return this->servers.count(id) > 0 && this->IsReachable(id);
-      });
+  return std::all_of(members.begin(), members.end(),
+                     [this](const std::string& id) {
+                       return this->StandingOf(id) != ServerStanding::kLost;
+                     });
 }
 
 bool FleetView::CanFinish(const std::string& group, std::int64_t epoch) const {
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "control/group_planner.h"
 #include "model/backend_server.h"
 #include "model/routing_config.h"
 
@@ -40,7 +41,8 @@
   // The store dropped the entry; it takes effect at `effective`, since entries
   // that lapsed while the store was away may come back.
   void RemoveServer(const std::string& id, MonotonicTime effective);
-  // Carries out removals that are due.
+  // Carries out removals that are due. Members of groups that still answer are
+  // kept, as servers that are no longer registered.
   void ExpireServers(MonotonicTime now);
   const std::map<std::string, BackendServer>& Servers() const {
     return this->servers;
@@ -67,11 +69,18 @@
     return this->unreachable;
   }
 
-  // Registered, not leaving, and not known to be unreachable.
-  bool IsUsable(const std::string& id) const;
+  // Whether the server may take requests and join groups.
+  ServerStanding StandingOf(const std::string& id) const;
+  bool IsUsable(const std::string& id) const {
+    return this->StandingOf(id) == ServerStanding::kUsable;
+  }
+  // Servers that are no longer registered but were members when last seen.
+  const std::set<std::string>& Unregistered() const {
+    return this->unregistered;
+  }
 
   // Whether the group serves: open under its newest record, with every member
-  // reachable and its head not leaving.
+  // there and a head that is registered and not leaving.
   bool Serves(const GroupStatus& status) const;
 
   // Whether a request that runs under `epoch` of `group` can go on: false once
@@ -83,9 +92,12 @@
   void NoteTraffic() { this->has_traffic = true; }
 
  private:
+  bool IsMember(const std::string& id) const;
+
   std::shared_ptr<const RoutingConfig> config;
   std::map<std::string, BackendServer> servers;
   std::map<std::string, MonotonicTime> removals;
+  std::set<std::string> unregistered;
   std::map<std::string, MonotonicTime> domain_changes;
   std::map<std::string, GroupStatus> groups;
   std::map<std::string, MonotonicTime> unreachable;
--- a/src/control/group_driver.cc
+++ b/src/control/group_driver.cc
@@ -20,6 +20,9 @@
 constexpr Duration kJoinPoll = std::chrono::milliseconds(80);
 // After this, joins that show no effect are sent again.
 constexpr Duration kRejoinAfter = std::chrono::milliseconds(1500);
+// A staging order that shows no effect is sent again after this: well above the
+// time of a load that shares the weight store with others.
+constexpr Duration kStageRetry = std::chrono::seconds(40);
 // Time that a group which loses a member by planned work gets to finish its
 // requests; below the shortest time for which a leaving server goes on.
 constexpr Duration kFinishTime = std::chrono::milliseconds(1800);
@@ -28,9 +31,6 @@
 // Span over which loads are counted against the weight store's rate.
 constexpr Duration kLoadWindow = std::chrono::seconds(5);
 
-// Stands for the model of a standby that has not reported one yet.
-constexpr char kStillLoading[] = "(loading)";
-
 std::string StandbyName(const std::string& server) {
   return "standby." + server;
 }
@@ -104,13 +104,14 @@
 PlannedServer GroupDriver::Describe(const BackendServer& server) const {
   PlannedServer planned;
   planned.id = server.id;
-  planned.usable = this->parts.view->IsUsable(server.id);
+  planned.standing = this->parts.view->StandingOf(server.id);
   planned.staged_models = server.staged_models;
   planned.assignable =
       !server.membership || server.membership->group == StandbyName(server.id);
   if (server.membership && planned.assignable) {
+    planned.is_loading = server.membership->state == MembershipState::kJoining;
     planned.standby_model =
-        server.loaded_model.empty() ? kStillLoading : server.loaded_model;
+        planned.is_loading ? std::string() : server.loaded_model;
   }
   return planned;
 }
@@ -251,8 +252,14 @@
 
 bool GroupDriver::IsCurrent(const GroupRecord& record) const {
   const GroupStatus* status = this->parts.view->FindGroup(record.group);
-  return status != nullptr && status->record.epoch == record.epoch &&
-         !this->stopping;
+  if (status == nullptr || status->record.epoch != record.epoch) {
+    return false;
+  }
+  const BackendServer* head =
+      record.members.empty()
+          ? nullptr
+          : this->parts.view->FindServer(record.members.front());
+  return head == nullptr || this->Plans(head->failure_domain);
 }
 
 void GroupDriver::DriveGroup(const GroupRecord& record, Coroutine yield) {
@@ -318,8 +325,8 @@
   std::vector<std::function<void(Coroutine)>> tasks;
   for (const std::string& id : record.members) {
     const BackendServer* server = this->parts.view->FindServer(id);
-    if (server == nullptr || ready.count(id) > 0) {
-      continue;
+    if (server == nullptr || ready.count(id) > 0 || IsIn(*server, record)) {
+      continue;  // A member that is joining needs no second order.
     }
     tasks.emplace_back([this, copy = *server, &record](Coroutine inner) {
       this->Send(copy, GroupOrder::kJoin, record, inner);
@@ -376,7 +383,7 @@
     this->parts.loop->Sleep(kJoinPoll, yield);
     ready = this->CollectReady(record, std::move(ready), yield);
     for (const std::string& id : record.members) {
-      if (!this->parts.view->IsUsable(id)) {
+      if (this->parts.view->StandingOf(id) == ServerStanding::kLost) {
         return false;  // The planner replaces it.
       }
     }
@@ -468,6 +475,12 @@
     return;
   }
   GroupRecord record;
+  if (standby.stages_only) {
+    record.model = standby.model;
+    this->Send(copy, GroupOrder::kStage, record, yield);
+    this->parts.loop->Sleep(kStageRetry, yield);
+    return;
+  }
   record.group = StandbyName(copy.id);
   record.epoch = std::max<std::int64_t>(this->parts.records->End(), 1);
   record.model = standby.model;
--- a/src/control/group_planner.cc
+++ b/src/control/group_planner.cc
@@ -15,6 +15,9 @@
   return std::find(list.begin(), list.end(), text) != list.end();
 }
 
+// Rank of a join that loads from the weight store.
+constexpr int kColdJoin = 2;
+
 // Works on one domain; lives for one call of PlanDomain.
 class DomainPlanner {
  public:
@@ -26,8 +29,8 @@
       this->names.insert(group.group);
     }
     for (const PlannedServer& server : input.servers) {
-      this->usable[server.id] = server.usable;
-      if (server.usable && server.assignable &&
+      this->standings[server.id] = server.standing;
+      if (server.standing == ServerStanding::kUsable && server.assignable &&
           in_groups.count(server.id) == 0) {
         this->free.push_back(&server);
       }
@@ -47,9 +50,10 @@
   }
 
  private:
-  bool IsUsable(const std::string& id) const {
-    const auto found = this->usable.find(id);
-    return found != this->usable.end() && found->second;
+  ServerStanding StandingOf(const std::string& id) const {
+    const auto found = this->standings.find(id);
+    return found == this->standings.end() ? ServerStanding::kLost
+                                          : found->second;
   }
 
   // How much work it takes to bring `server` into a group of `model`.
@@ -57,7 +61,15 @@
     if (server.standby_model == model) {
       return 0;
     }
-    return Contains(server.staged_models, model) ? 1 : 2;
+    return Contains(server.staged_models, model) ? 1 : kColdJoin;
+  }
+
+  // Whether a free server would join a group of `model` without a load.
+  bool HasWarmServer(const std::string& model) const {
+    return std::any_of(this->free.begin(), this->free.end(),
+                       [&model](const PlannedServer* server) {
+                         return JoinCost(*server, model) < kColdJoin;
+                       });
   }
 
   // Takes the free server that joins `model` soonest. Precondition: one is
@@ -76,46 +88,81 @@
   // Whether every member is out of reach though still registered, as when the
   // whole domain is dark: the group may come back as it was, and none of its
   // servers is of other use meanwhile.
-  bool MayReturn(const GroupRecord& group, std::size_t lost) const {
-    return lost == group.members.size() &&
+  bool MayReturn(const GroupRecord& group) const {
+    return std::all_of(group.members.begin(), group.members.end(),
+                       [this](const std::string& id) {
+                         return this->StandingOf(id) == ServerStanding::kLost;
+                       }) &&
            std::any_of(group.members.begin(), group.members.end(),
                        [this](const std::string& id) {
-                         return this->usable.count(id) > 0;
+                         return this->standings.count(id) > 0;
                        });
   }
 
   void CheckGroup(const GroupRecord& group) {
-    const auto lost = static_cast<std::size_t>(std::count_if(
-        group.members.begin(), group.members.end(),
-        [this](const std::string& id) { return !this->IsUsable(id); }));
-    const bool is_whole =
-        lost == 0 && this->input.broken_groups.count(group.group) == 0;
-    if (is_whole || this->MayReturn(group, lost)) {
-      this->assigned[group.model] += static_cast<int>(group.members.size());
+    std::vector<std::string> kept;     // Usable, in their order.
+    std::vector<std::string> leaving;  // Still there.
+    for (const std::string& id : group.members) {
+      switch (this->StandingOf(id)) {
+        case ServerStanding::kUsable:
+          kept.push_back(id);
+          break;
+        case ServerStanding::kLeaving:
+          leaving.push_back(id);
+          break;
+        case ServerStanding::kLost:
+          break;
+      }
+    }
+    const std::size_t lost =
+        group.members.size() - kept.size() - leaving.size();
+    if (this->MayReturn(group)) {
+      this->Count(group.model, group.members.size());
       return;
     }
-    GroupRecord next = group;
-    next.epoch = 0;
-    next.members.clear();
-    if (lost <= this->free.size()) {
-      // Survivors first: the head is one that has its model loaded.
-      for (const std::string& id : group.members) {
-        if (this->IsUsable(id)) {
-          next.members.push_back(id);
-        }
-      }
-      for (std::size_t i = 0; i < lost; ++i) {
-        next.members.push_back(this->TakeFree(group.model));
+    const bool is_broken = this->input.broken_groups.count(group.group) > 0;
+    if (lost > this->free.size() || kept.empty()) {
+      this->Record(group, {});
+      return;
+    }
+    bool changed = is_broken || lost > 0;
+    for (std::size_t i = 0; i < lost; ++i) {
+      kept.push_back(this->TakeFree(group.model));
+    }
+    for (const std::string& id : leaving) {
+      if (this->HasWarmServer(group.model)) {
+        kept.push_back(this->TakeFree(group.model));
+        changed = true;
+      } else {
+        changed = changed || id == group.members.front();
+        kept.push_back(id);  // Behind the others, so that it is not the head.
       }
-      this->assigned[group.model] += static_cast<int>(next.members.size());
     }
+    this->Count(group.model, kept.size());
+    if (changed) {
+      this->Record(group, std::move(kept));
+    }
+  }
+
+  void Count(const std::string& model, std::size_t servers) {
+    this->assigned[model] += static_cast<int>(servers);
+  }
+
+  // Plans a new record of `group`. Survivors come first, so that the head is
+  // one that has its model loaded.
+  void Record(const GroupRecord& group, std::vector<std::string> members) {
+    GroupRecord next = group;
+    next.epoch = 0;
+    next.members = std::move(members);
     this->plan.records.push_back(std::move(next));
   }
 
   int Reserve() const {
-    const auto usable_count = std::count_if(
-        this->input.servers.begin(), this->input.servers.end(),
-        [](const PlannedServer& server) { return server.usable; });
+    const auto usable_count =
+        std::count_if(this->input.servers.begin(), this->input.servers.end(),
+                      [](const PlannedServer& server) {
+                        return server.standing == ServerStanding::kUsable;
+                      });
     return std::max(1, static_cast<int>(std::lround(
                            kReserveShare * static_cast<double>(usable_count))));
   }
@@ -188,36 +235,56 @@
            (own == standbys.end() ? 1 : 2 * own->second + 1);
   }
 
+  // The model that has fewest standbys for its members, but for `other_than`;
+  // null where there is none.
+  const ModelSpec* NeediestModel(const std::map<std::string, int>& standbys,
+                                 const std::string& other_than) const {
+    const ModelSpec* chosen = nullptr;
+    for (const ModelSpec& model : this->input.models) {
+      if (model.name != other_than &&
+          (chosen == nullptr || this->StandbyNeed(model, standbys) >
+                                    this->StandbyNeed(*chosen, standbys))) {
+        chosen = &model;
+      }
+    }
+    return chosen;
+  }
+
   void AssignStandbys() {
     std::map<std::string, int> standbys;
-    std::vector<const PlannedServer*> unassigned;
     for (const PlannedServer* server : this->free) {
-      if (server->standby_model.empty()) {
-        unassigned.push_back(server);
-      } else {
+      if (!server->standby_model.empty()) {
         ++standbys[server->standby_model];
       }
     }
-    for (const PlannedServer* server : unassigned) {
-      const ModelSpec* chosen = nullptr;
-      for (const ModelSpec& model : this->input.models) {
-        if (chosen == nullptr || this->StandbyNeed(model, standbys) >
-                                     this->StandbyNeed(*chosen, standbys)) {
-          chosen = &model;
-        }
+    for (const PlannedServer* server : this->free) {
+      const bool is_loaded = !server->standby_model.empty();
+      const ModelSpec* model =
+          this->NeediestModel(standbys, server->standby_model);
+      if (model == nullptr || server->is_loading) {
+        continue;
       }
-      if (chosen == nullptr) {
-        return;
+      if (!is_loaded) {
+        ++standbys[model->name];
+        this->plan.standbys.push_back({server->id, model->name, false});
+      } else if (!this->HoldsOtherModel(*server)) {
+        this->plan.standbys.push_back({server->id, model->name, true});
       }
-      ++standbys[chosen->name];
-      this->plan.standbys.push_back({server->id, chosen->name});
     }
   }
 
+  // Whether the server's VM has a model in memory beside the loaded one.
+  static bool HoldsOtherModel(const PlannedServer& server) {
+    return std::any_of(server.staged_models.begin(), server.staged_models.end(),
+                       [&server](const std::string& model) {
+                         return model != server.standby_model;
+                       });
+  }
+
   const DomainInput& input;
   std::map<std::string, int> assigned;
   std::set<std::string> names;
-  std::map<std::string, bool> usable;
+  std::map<std::string, ServerStanding> standings;
   std::vector<const PlannedServer*> free;
   DomainPlan plan;
 };
--- a/src/control/group_planner.h
+++ b/src/control/group_planner.h
@@ -14,17 +14,26 @@
 
 namespace kumquatcart {
 
+// Whether a server can be counted on.
+enum class ServerStanding {
+  kUsable,   // Registered, reachable and not leaving.
+  kLeaving,  // Answers, but is draining or no longer registered: it takes no
+             // requests and may end at any moment.
+  kLost,     // Does not answer.
+};
+
 // A server as the planner sees it.
 struct PlannedServer {
   std::string id;
-  bool usable = false;      // Registered, reachable and not leaving.
+  ServerStanding standing = ServerStanding::kLost;
   bool assignable = false;  // Free to join: belongs to no group but a standby.
   std::string standby_model;  // The model that its standby group has loaded.
+  bool is_loading = false;    // Its standby group is not ready yet.
   std::vector<std::string> staged_models;
 
   auto Tie() const {
-    return std::tie(this->id, this->usable, this->assignable,
-                    this->standby_model, this->staged_models);
+    return std::tie(this->id, this->standing, this->assignable,
+                    this->standby_model, this->is_loading, this->staged_models);
   }
 };
 
@@ -47,8 +56,13 @@
 struct StandbyAssignment {
   std::string server;
   std::string model;
+  // Loads the model into the VM's memory only: the server has another one
+  // loaded already, and joins a group of either soon.
+  bool stages_only = false;
 
-  auto Tie() const { return std::tie(this->server, this->model); }
+  auto Tie() const {
+    return std::tie(this->server, this->model, this->stages_only);
+  }
 };
 
 struct DomainPlan {
@@ -58,10 +72,11 @@
   auto Tie() const { return std::tie(this->records, this->standbys); }
 };
 
-// Replaces lost and leaving members where free servers allow, dissolves groups
-// that cannot be made whole, forms groups of the models that lack most from
-// free servers beyond a reserve, and spreads standbys over the models. The same
-// input gives the same plan. Thread safe.
+// Replaces lost members where free servers allow and dissolves groups that
+// cannot be made whole. Replaces leaving members by standbys that join soon;
+// where there is none they stay, though not as heads. Forms groups of the
+// models that lack most from free servers beyond a reserve, and spreads
+// standbys over the models. The same input gives the same plan. Thread safe.
 DomainPlan PlanDomain(const DomainInput& input);
 
 }  // namespace kumquatcart
--- a/src/control/server_prober.cc
+++ b/src/control/server_prober.cc
@@ -13,6 +13,9 @@
 constexpr int kProbes = 2;
 // Pause between probes of a server that did not answer.
 constexpr Duration kReprobeInterval = std::chrono::milliseconds(700);
+// A server that answered this process is not asked again on a peer's word for
+// this long: the peer may be cut off from it.
+constexpr Duration kHearsayInterval = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -24,6 +27,8 @@
       for (const auto& entry : this->view->Unreachable()) {
         lost.push_back(entry.first);
       }
+      lost.insert(lost.end(), this->view->Unregistered().begin(),
+                  this->view->Unregistered().end());
       this->Probe(lost);
     }
   });
@@ -35,6 +40,7 @@
     if (server == nullptr || !this->in_progress.insert(id).second) {
       continue;
     }
+    this->asked_at[id] = this->loop->Now();
     this->loop->Spawn([this, copy = *server](Coroutine yield) {
       this->ProbeOne(copy, yield);
       this->in_progress.erase(copy.id);
@@ -42,6 +48,19 @@
   }
 }
 
+void ServerProber::ProbeOnHearsay(const std::vector<std::string>& servers) {
+  const MonotonicTime now = this->loop->Now();
+  std::vector<std::string> due;
+  for (const std::string& id : servers) {
+    const auto asked = this->asked_at.find(id);
+    if (asked == this->asked_at.end() ||
+        now - asked->second > kHearsayInterval) {
+      due.push_back(id);
+    }
+  }
+  this->Probe(due);
+}
+
 void ServerProber::ProbeOne(const BackendServer& server, Coroutine yield) {
   const bool was_reachable = this->view->IsReachable(server.id);
   bool answered = false;
--- a/src/control/server_prober.h
+++ b/src/control/server_prober.h
@@ -3,6 +3,7 @@
 #define CONTROL_SERVER_PROBER_H_
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
   // Asks each server now, all at once, unless it is being asked.
   void Probe(const std::vector<std::string>& servers);
 
+  // A peer could not reach these: asks those that were not asked lately.
+  void ProbeOnHearsay(const std::vector<std::string>& servers);
+
  private:
   void ProbeOne(const BackendServer& server, Coroutine yield);
 
@@ -38,6 +42,7 @@
   FleetView* const view;
   const std::function<void()> changed;
   std::set<std::string> in_progress;
+  std::map<std::string, MonotonicTime> asked_at;
 };
 
 }  // namespace kumquatcart
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -12,8 +12,6 @@
 // How long a read waits for the next record. Long, since each read is a call;
 // peers' digests tell of a read that fell silent.
 constexpr Duration kReadWait = std::chrono::seconds(15);
-// Pause after a change, so that changes that come together cost one read.
-constexpr Duration kBatchPause = std::chrono::milliseconds(40);
 // Pause after a failed call.
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
 // Time for the waiting read to bring what a peer has seen already.
@@ -31,7 +29,7 @@
       if (!read) {
         this->loop->Sleep(kRetryPause, yield);
       } else if (this->end != before) {
-        this->loop->Sleep(kBatchPause, yield);
+        this->loop->Sleep(this->batch_pause, yield);
       }
     }
   });
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -21,8 +21,13 @@
   TopicFollower(EventLoop* loop,
                 StoreClient* store,
                 StoreTopic topic,
+                Duration batch_pause,
                 Apply apply)
-      : loop(loop), store(store), topic(topic), apply(std::move(apply)) {}
+      : loop(loop),
+        store(store),
+        topic(topic),
+        batch_pause(batch_pause),
+        apply(std::move(apply)) {}
 
   // Starts to follow, until the process ends.
   void Start();
@@ -50,6 +55,8 @@
   EventLoop* const loop;
   StoreClient* const store;
   const StoreTopic topic;
+  // After a change, so that changes that come together cost one read.
+  const Duration batch_pause;
   const Apply apply;
   bool synced = false;
   bool records_expired = false;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -32,6 +32,11 @@
 // Kept of the stop's grace for the last answers to leave.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+// Pauses between two reads of a topic that changes. Servers change in numbers
+// at once, and nothing about them is urgent within the bound on leaving
+// servers.
+constexpr Duration kBatchPause = std::chrono::milliseconds(40);
+constexpr Duration kServersPause = std::chrono::milliseconds(250);
 // A relayed read may wait as long as a direct one.
 constexpr Duration kRelayTimeout = std::chrono::seconds(16);
 // Pause between tries to announce this process.
@@ -74,18 +79,22 @@
       operator_topic(&this->loop,
                      &this->store,
                      StoreTopic::kOperator,
+                     kBatchPause,
                      [this](const TopicRecord& r) { this->ApplyConfig(r); }),
       servers_topic(&this->loop,
                     &this->store,
                     StoreTopic::kServers,
+                    kServersPause,
                     [this](const TopicRecord& r) { this->ApplyServer(r); }),
       groups_topic(&this->loop,
                    &this->store,
                    StoreTopic::kGroups,
+                   kBatchPause,
                    [this](const TopicRecord& r) { this->ApplyGroup(r); }),
       nodes_topic(&this->loop,
                   &this->store,
                   StoreTopic::kNodes,
+                  kServersPause,
                   [this](const TopicRecord& r) { this->ApplyNode(r); }),
       driver({&this->loop, &this->store, &this->engines, &this->prober,
               &this->view, &this->peers, &this->groups_topic,
@@ -290,7 +299,7 @@
       doubtful.push_back(id);
     }
   }
-  this->prober.Probe(doubtful);
+  this->prober.ProbeOnHearsay(doubtful);
   this->group_places.NoteChange();
 }
 
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -233,9 +233,8 @@
     this->LogEnd(failure.status, reason);
     return true;
   }
-  return this->runs == 0
-             ? this->Refuse(kHttpUnavailable, retry_after, reason)
-             : this->Refuse(kHttpBadGateway, Duration{0}, reason);
+  return this->runs == 0 ? this->Refuse(kHttpUnavailable, retry_after, reason)
+                         : this->Refuse(kHttpBadGateway, Duration{0}, reason);
 }
 
 }  // namespace kumquatcart
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -19,6 +19,9 @@
 constexpr Duration kReadSlack = std::chrono::milliseconds(800);
 // Largest body asked of one read.
 constexpr int kReadKilobytes = 1024;
+// While the store refuses this VM, calls go to a relay first, and to the store
+// itself once in this time.
+constexpr Duration kDirectInterval = std::chrono::seconds(1);
 constexpr Duration kMaxIdle = std::chrono::seconds(2);
 
 // Part of an unexpected answer's body that goes into the log.
@@ -174,15 +177,31 @@
 HttpReply StoreClient::Call(const OutgoingRequest& request,
                             Duration timeout,
                             Coroutine yield) {
+  const MonotonicTime now = this->loop->Now();
+  const bool asks_relay_first = !this->reachable && !this->relays.empty() &&
+                                now - this->direct_at < kDirectInterval;
+  if (asks_relay_first) {
+    HttpReply relayed = this->CallRelay(request, timeout, yield);
+    if (!IsRefusal(relayed)) {
+      return relayed;
+    }
+  }
+  this->direct_at = now;
   HttpReply reply = this->PassOn(request, timeout, yield);
-  if (!IsRefusal(reply) || this->relays.empty()) {
+  if (!IsRefusal(reply) || asks_relay_first || this->relays.empty()) {
     return reply;
   }
+  HttpReply relayed = this->CallRelay(request, timeout, yield);
+  return IsRefusal(relayed) ? reply : relayed;
+}
+
+HttpReply StoreClient::CallRelay(const OutgoingRequest& request,
+                                 Duration timeout,
+                                 Coroutine yield) {
   const TcpEndpoint relay =
       this->relays[this->next_relay++ % this->relays.size()];
-  HttpReply relayed = this->client.Exchange(
-      relay, request, this->loop->Now() + timeout, kMaxIdle, yield);
-  return IsRefusal(relayed) ? reply : relayed;
+  return this->client.Exchange(relay, request, this->loop->Now() + timeout,
+                               kMaxIdle, yield);
 }
 
 Result<TopicBatch> StoreClient::ReadNewest(StoreTopic topic, Coroutine yield) {
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -94,6 +94,9 @@
   HttpReply Call(const OutgoingRequest& request,
                  Duration timeout,
                  Coroutine yield);
+  HttpReply CallRelay(const OutgoingRequest& request,
+                      Duration timeout,
+                      Coroutine yield);
   void NoteReachability(const HttpReply& reply);
 
   EventLoop* const loop;
@@ -103,6 +106,7 @@
   std::size_t next_relay = 0;
   bool reachable = true;
   MonotonicTime reachable_since;
+  MonotonicTime direct_at;  // Last direct call.
 };
 
 // Decodes the body of a read: the topic's end, its first offset, then records.
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -57,8 +57,23 @@
   CHECK(!view.CanFinish("g", 5));
   view.SetReachable("b", true, kStart);
   CHECK(view.Serves(*view.FindGroup("g")));
+}
+
+TEST_CASE("A member that lost its entry but answers keeps its group going") {
+  FleetView view = MakeOpenGroup();
   view.RemoveServer("b", kStart);
   view.ExpireServers(kStart);
+  CHECK(view.Serves(*view.FindGroup("g")));
+  CHECK(view.StandingOf("b") == ServerStanding::kLeaving);
+  view.SetReachable("b", false, kStart);
+  CHECK(!view.Serves(*view.FindGroup("g")));
+  CHECK(view.FindServer("b") == nullptr);
+}
+
+TEST_CASE("A head that lost its entry takes no requests") {
+  FleetView view = MakeOpenGroup();
+  view.RemoveServer("a", kStart);
+  view.ExpireServers(kStart);
   CHECK(!view.Serves(*view.FindGroup("g")));
 }
 
--- a/tests/control/group_planner_test.cc
+++ b/tests/control/group_planner_test.cc
@@ -24,7 +24,7 @@
   for (int i = 0; i < count; ++i) {
     PlannedServer server;
     server.id = "s" + std::to_string(i);
-    server.usable = true;
+    server.standing = ServerStanding::kUsable;
     server.assignable = true;
     input.servers.push_back(server);
   }
@@ -44,6 +44,7 @@
     for (const StandbyAssignment& standby : plan.standbys) {
       if (standby.server == server.id) {
         server.standby_model = standby.model;
+        server.staged_models = {standby.model == "large" ? "small" : "large"};
       }
     }
   }
@@ -101,7 +102,7 @@
 TEST_CASE("A lost member is replaced by the standby of its model") {
   DomainInput input = MakeRunningDomain();
   const GroupRecord group = input.groups[0];
-  Find(&input, group.members[0])->usable = false;
+  Find(&input, group.members[0])->standing = ServerStanding::kLost;
   const DomainPlan plan = PlanDomain(input);
   REQUIRE(plan.records.size() == 1);
   const GroupRecord& next = plan.records[0];
@@ -115,7 +116,8 @@
   DomainInput input = MakeRunningDomain();
   const GroupRecord group = input.groups[0];
   for (int i = 0; i < 3; ++i) {
-    Find(&input, group.members[static_cast<std::size_t>(i)])->usable = false;
+    Find(&input, group.members[static_cast<std::size_t>(i)])->standing =
+        ServerStanding::kLost;
   }
   const DomainPlan plan = PlanDomain(input);
   REQUIRE(!plan.records.empty());
@@ -126,7 +128,7 @@
 TEST_CASE("Groups of a dark domain are kept while its servers may return") {
   DomainInput input = MakeRunningDomain();
   for (PlannedServer& server : input.servers) {
-    server.usable = false;
+    server.standing = ServerStanding::kLost;
   }
   CHECK(PlanDomain(input).records.empty());
   input.servers.clear();
@@ -141,6 +143,48 @@
   CHECK(plan.records[0].members == input.groups[1].members);
 }
 
+TEST_CASE("A standby holds the other model in its VM's memory") {
+  DomainInput input = MakeRunningDomain();
+  for (PlannedServer& server : input.servers) {
+    server.staged_models = {server.standby_model};
+  }
+  const DomainPlan plan = PlanDomain(input);
+  REQUIRE(plan.standbys.size() == 2);
+  for (const StandbyAssignment& standby : plan.standbys) {
+    CHECK(standby.stages_only);
+    CHECK(standby.model != Find(&input, standby.server)->standby_model);
+  }
+}
+
+TEST_CASE("A leaving member is replaced by a standby that joins soon") {
+  DomainInput input = MakeRunningDomain();
+  const GroupRecord group = input.groups[0];
+  Find(&input, group.members[1])->standing = ServerStanding::kLeaving;
+  const DomainPlan plan = PlanDomain(input);
+  REQUIRE(plan.records.size() == 1);
+  CHECK(plan.records[0].members.size() == group.members.size());
+  CHECK(std::count(plan.records[0].members.begin(),
+                   plan.records[0].members.end(), group.members[1]) == 0);
+}
+
+TEST_CASE("A leaving member stays while no standby can replace it") {
+  DomainInput input = MakeRunningDomain();
+  for (PlannedServer& server : input.servers) {
+    if (!server.standby_model.empty()) {
+      server.standing = ServerStanding::kLost;
+    }
+  }
+  const GroupRecord group = input.groups[0];
+  Find(&input, group.members[1])->standing = ServerStanding::kLeaving;
+  CHECK(PlanDomain(input).records.empty());
+  // As the head it would have to take requests.
+  Find(&input, group.members[0])->standing = ServerStanding::kLeaving;
+  const DomainPlan plan = PlanDomain(input);
+  REQUIRE(plan.records.size() == 1);
+  CHECK(plan.records[0].members.size() == group.members.size());
+  CHECK(plan.records[0].members.front() == group.members[2]);
+}
+
 TEST_CASE("A domain that is still growing forms no groups") {
   DomainInput input = MakeDomain(11, 6, 3);
   input.is_growing = true;
@@ -150,7 +194,7 @@
 TEST_CASE("A server that is in a former group still is not assigned") {
   DomainInput input = MakeRunningDomain();
   const GroupRecord group = input.groups[0];
-  Find(&input, group.members[0])->usable = false;
+  Find(&input, group.members[0])->standing = ServerStanding::kLost;
   for (PlannedServer& server : input.servers) {
     if (!server.standby_model.empty()) {
       server.assignable = false;
