--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -79,6 +79,14 @@
   return true;
 }
 
+void RequestFlow::WaitForConfig(Coroutine yield) {
+  const MonotonicTime deadline = this->context->loop->Now() + kConfigWait;
+  while (this->context->routes == nullptr && !this->job.caller->HasEnded() &&
+         this->job.waiter->WaitUntil(deadline, yield)) {
+  }
+  this->routes = this->context->routes;
+}
+
 bool RequestFlow::Identify() {
   if (this->routes == nullptr) {
     this->Refuse(kHttpUnavailable, kNoConfigRetry, "no configuration yet");
@@ -109,6 +117,9 @@
 }
 
 bool RequestFlow::Run(Coroutine yield) {
+  if (this->routes == nullptr) {
+    this->WaitForConfig(yield);
+  }
   if (!this->Identify()) {
     return true;
   }
--- a/src/entry/request_flow.h
+++ b/src/entry/request_flow.h
@@ -26,6 +26,8 @@
 
  private:
   bool Refuse(int status, Duration retry_after, std::string reason);
+  // Gives a process that has just started time to read its configuration.
+  void WaitForConfig(Coroutine yield);
   // Finds route, caller and service. False when the request was answered.
   bool Identify();
   bool RunAttempts(Coroutine yield);
@@ -43,7 +45,7 @@
   EntryContext* const context;
   const CallerRequest& request;
   const MonotonicTime received_at;
-  const std::shared_ptr<const RouteTable> routes;
+  std::shared_ptr<const RouteTable> routes;
   std::string service;
   bool uses_groups = false;
   AttemptJob job;
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -56,7 +56,9 @@
   this->front = std::make_unique<LoopServer>(
       &this->loop,
       [this](const auto& connection, Waiter* waiter, Coroutine yield) {
+        this->sessions.insert(waiter);
         ServeCaller(&this->context, connection, waiter, yield);
+        this->sessions.erase(waiter);
       });
 }
 
@@ -110,6 +112,12 @@
   this->view.SetOpen(record.group, 1, true);
 }
 
+void EntryFixture::NotifySessions() {
+  for (Waiter* session : this->sessions) {
+    session->Notify();
+  }
+}
+
 std::string EntryFixture::Ask(const std::string& request) {
   std::string bytes;
   RunCoroutine(&this->loop, [&](Coroutine yield) {
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -3,6 +3,7 @@
 #define ENTRY_ENTRY_FIXTURE_H_
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
   void AddPlain(const std::string& id, LoopServer::Script script);
   void AddGroup(const std::string& id, LoopServer::Script script);
 
+  // Wakes every request, as news do.
+  void NotifySessions();
+
   // Sends `request` on a new connection and returns all bytes that come until
   // the entry VM ends it. `Connection: close` in the request makes it end.
   std::string Ask(const std::string& request);
@@ -55,6 +59,7 @@
   MetricRegistry metrics;
   std::vector<std::unique_ptr<LoopServer>> servers;
   std::unique_ptr<LoopServer> front;
+  std::set<Waiter*> sessions;
 };
 
 // A request for `path` that ends its connection. `extra` are header lines.
--- a/tests/entry/request_path_test.cc
+++ b/tests/entry/request_path_test.cc
@@ -141,6 +141,19 @@
   CHECK(answer.find("Retry-After: ") != std::string::npos);
 }
 
+TEST_CASE("A request that comes just before the configuration is served") {
+  EntryFixture fixture;
+  fixture.AddPlain("a", Serve(&fixture, "a"));
+  const auto routes = fixture.context.routes;
+  fixture.context.routes = nullptr;
+  fixture.loop.Spawn([&](Coroutine yield) {
+    fixture.loop.Sleep(std::chrono::milliseconds(20), yield);
+    fixture.context.routes = routes;
+    fixture.NotifySessions();
+  });
+  CHECK(HasStatus(fixture.Ask(MakeRequest("GET", "/again/x")), "200"));
+}
+
 TEST_CASE("Requests with two framings are refused") {
   EntryFixture fixture;
   fixture.AddPlain("a", Serve(&fixture, "a"));
