Read the store by one VM of each failure domain; let the planner alone ask servers

Ruled out: longer waits (changes, not time-outs, made the calls). Change: the planner of a failure domain reads the topics; its digest tells the others how far it is, and they fetch the records from its memory (CBOR). A VM that sees a group stand still tells the planner, which asks the members; its digest tells all. A VM asks a head itself after 850 ms of silence. Reads wait 3.5 s, not 15 s, so that a connection that fell silent is known within the bound.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -72,6 +72,18 @@
     }
     entry = this->removals.erase(entry);
   }
+  this->DropFormerMembers();
+}
+
+void FleetView::DropFormerMembers() {
+  for (auto id = this->unregistered.begin(); id != this->unregistered.end();) {
+    if (this->IsMember(*id)) {
+      ++id;
+      continue;
+    }
+    this->servers.erase(*id);
+    id = this->unregistered.erase(id);
+  }
 }
 
 bool FleetView::IsMember(const std::string& id) const {
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -93,6 +93,8 @@
 
  private:
   bool IsMember(const std::string& id) const;
+  // Forgets unregistered servers whose group has replaced them.
+  void DropFormerMembers();
 
   std::shared_ptr<const RoutingConfig> config;
   std::map<std::string, BackendServer> servers;
--- a/src/control/group_driver.cc
+++ b/src/control/group_driver.cc
@@ -52,7 +52,7 @@
 
 void GroupDriver::Start() {
   this->parts.loop->Spawn([this](Coroutine yield) {
-    while (!this->stopping) {
+    for (;;) {
       this->Tick();
       this->parts.loop->Sleep(kTickInterval, yield);
     }
@@ -65,18 +65,12 @@
     return;
   }
   for (const Domain& domain : this->Domains()) {
-    if (this->Plans(domain.failure_domain)) {
+    if (this->parts.role->IsMine(domain.failure_domain)) {
       this->WorkOn(domain);
     }
   }
 }
 
-bool GroupDriver::Plans(const std::string& failure_domain) const {
-  return this->parts.peers->Plans(failure_domain,
-                                  this->parts.store->IsReachable(),
-                                  this->stopping, this->parts.loop->Now());
-}
-
 std::vector<GroupDriver::Domain> GroupDriver::Domains() const {
   const RoutingConfig& config = *this->parts.view->Config();
   std::map<std::string, Domain> by_name;
@@ -259,7 +253,7 @@
       record.members.empty()
           ? nullptr
           : this->parts.view->FindServer(record.members.front());
-  return head == nullptr || this->Plans(head->failure_domain);
+  return head == nullptr || this->parts.role->IsMine(head->failure_domain);
 }
 
 void GroupDriver::DriveGroup(const GroupRecord& record, Coroutine yield) {
@@ -503,12 +497,13 @@
       continue;
     }
     const auto known = planned.find(head->failure_domain);
-    const bool plans = known != planned.end()
-                           ? known->second
-                           : planned
-                                 .emplace(head->failure_domain,
-                                          this->Plans(head->failure_domain))
-                                 .first->second;
+    const bool plans =
+        known != planned.end()
+            ? known->second
+            : planned
+                  .emplace(head->failure_domain,
+                           this->parts.role->IsMine(head->failure_domain))
+                  .first->second;
     if (plans) {
       news.push_back({entry.first, record.epoch, entry.second.open});
     }
--- a/src/control/group_driver.h
+++ b/src/control/group_driver.h
@@ -31,7 +31,8 @@
     EngineClient* engines;
     ServerProber* prober;
     FleetView* view;
-    PeerDirectory* peers;
+    const PeerDirectory* peers;
+    PlannerRole* role;
     TopicFollower* records;
     // Called when a group begins or ceases to take requests.
     std::function<void()> changed;
@@ -43,7 +44,7 @@
   void Start();
 
   // Gives no more orders.
-  void Stop() { this->stopping = true; }
+  void Stop() { this->parts.role->Stop(); }
 
   // Whether the groups of the planned domains take requests, for the peers.
   std::vector<GroupNews> News() const;
@@ -59,7 +60,6 @@
 
   void Tick();
   std::vector<Domain> Domains() const;
-  bool Plans(const std::string& failure_domain) const;
   void WorkOn(const Domain& domain);
   DomainInput MakeInput(const Domain& domain) const;
   PlannedServer Describe(const BackendServer& server) const;
@@ -99,7 +99,6 @@
                     Coroutine yield);
 
   const Parts parts;
-  bool stopping = false;
   std::set<std::string> running;
   std::deque<MonotonicTime> loads;  // Starts of loads from the weight store.
 };
--- a/src/control/server_prober.cc
+++ b/src/control/server_prober.cc
@@ -1,5 +1,7 @@
 #include "control/server_prober.h"
 
+#include <algorithm>
+
 #include "base/logging.h"
 #include "net/run_all.h"
 
@@ -14,9 +16,18 @@
 constexpr Duration kSecondProbe = std::chrono::milliseconds(80);
 // Pause between probes of a server that did not answer.
 constexpr Duration kReprobeInterval = std::chrono::milliseconds(700);
-// A server that answered this process is not asked again on a peer's word for
+// A server that answered the planner is not asked again on a peer's word for
 // this long: the peer may be cut off from it.
-constexpr Duration kHearsayInterval = std::chrono::seconds(2);
+constexpr Duration kHearsayInterval = std::chrono::milliseconds(1500);
+// A server found unreachable is tried again after this where the planner does
+// not say the same.
+constexpr Duration kOwnWordLifetime = std::chrono::milliseconds(1500);
+// For how long a doubt is told in digests.
+constexpr Duration kDoubtLifetime = std::chrono::milliseconds(500);
+
+bool Contains(const std::vector<std::string>& list, const std::string& text) {
+  return std::find(list.begin(), list.end(), text) != list.end();
+}
 
 }  // namespace
 
@@ -24,17 +35,96 @@
   this->loop->Spawn([this](Coroutine yield) {
     for (;;) {
       this->loop->Sleep(kReprobeInterval, yield);
-      std::vector<std::string> lost;
-      for (const auto& entry : this->view->Unreachable()) {
-        lost.push_back(entry.first);
-      }
-      lost.insert(lost.end(), this->view->Unregistered().begin(),
-                  this->view->Unregistered().end());
-      this->Probe(lost);
+      this->ReviewUnreachable();
     }
   });
 }
 
+const PeerState* ServerProber::PlannerOf(const std::string& server) const {
+  const BackendServer* known = this->view->FindServer(server);
+  return known == nullptr ? nullptr : this->role->Other(known->failure_domain);
+}
+
+void ServerProber::ReviewUnreachable() {
+  const MonotonicTime now = this->loop->Now();
+  std::vector<std::string> own;
+  std::vector<std::string> back;
+  for (const auto& [id, since] : this->view->Unreachable()) {
+    const PeerState* planner = this->PlannerOf(id);
+    if (planner == nullptr) {
+      own.push_back(id);
+    } else if (!Contains(planner->digest.unreachable, id) &&
+               now - since > kOwnWordLifetime) {
+      back.push_back(id);
+    }
+  }
+  for (const std::string& id : this->view->Unregistered()) {
+    if (this->PlannerOf(id) == nullptr) {
+      own.push_back(id);
+    }
+  }
+  this->Probe(own);
+  for (const std::string& id : back) {
+    this->view->SetReachable(id, true, now);
+  }
+  if (!back.empty()) {
+    this->changed();
+  }
+}
+
+void ServerProber::Doubt(const std::vector<std::string>& servers) {
+  const MonotonicTime now = this->loop->Now();
+  std::vector<std::string> own;
+  const PeerState* told = nullptr;
+  for (const std::string& id : servers) {
+    const PeerState* planner = this->PlannerOf(id);
+    if (planner == nullptr) {
+      own.push_back(id);
+    } else {
+      this->doubted_at[id] = now;
+      told = planner;
+    }
+  }
+  this->Probe(own);
+  if (told != nullptr) {
+    this->tell(*told);
+  }
+}
+
+std::vector<std::string> ServerProber::Doubted() const {
+  std::vector<std::string> doubted;
+  for (const auto& [id, at] : this->doubted_at) {
+    if (this->loop->Now() - at < kDoubtLifetime) {
+      doubted.push_back(id);
+    }
+  }
+  return doubted;
+}
+
+void ServerProber::HearPeer(const NodeDigest& digest) {
+  std::vector<std::string> to_ask;
+  bool learnt = false;
+  for (const std::string& id : digest.unreachable) {
+    const PeerState* planner = this->PlannerOf(id);
+    if (planner == nullptr) {
+      to_ask.push_back(id);
+    } else if (planner->digest.node == digest.node &&
+               this->view->IsReachable(id)) {
+      this->view->SetReachable(id, false, this->loop->Now());
+      learnt = true;
+    }
+  }
+  for (const std::string& id : digest.doubted) {
+    if (this->PlannerOf(id) == nullptr) {
+      to_ask.push_back(id);
+    }
+  }
+  this->ProbeOnHearsay(to_ask);
+  if (learnt) {
+    this->changed();
+  }
+}
+
 void ServerProber::Probe(const std::vector<std::string>& servers) {
   for (const std::string& id : servers) {
     const BackendServer* server = this->view->FindServer(id);
@@ -54,8 +144,9 @@
   std::vector<std::string> due;
   for (const std::string& id : servers) {
     const auto asked = this->asked_at.find(id);
-    if (asked == this->asked_at.end() ||
-        now - asked->second > kHearsayInterval) {
+    if (this->view->IsReachable(id) &&
+        (asked == this->asked_at.end() ||
+         now - asked->second > kHearsayInterval)) {
       due.push_back(id);
     }
   }
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -1,6 +1,7 @@
 #include "control/topic_follower.h"
 
 #include <algorithm>
+#include <set>
 #include <vector>
 
 #include "base/logging.h"
@@ -9,9 +10,11 @@
 
 namespace {
 
-// How long a read waits for the next record. Long, since each read is a call;
-// peers' digests tell of a read that fell silent.
-constexpr Duration kReadWait = std::chrono::seconds(15);
+// How long a read waits for the next record. Each read is a call; but a
+// connection that fell silent is known only after this.
+constexpr Duration kReadWait = std::chrono::milliseconds(3500);
+// How often a process that does not read the store looks whether it should.
+constexpr Duration kRoleInterval = std::chrono::milliseconds(100);
 // Pause after a failed call.
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
 // Time for the waiting read to bring what a peer has seen already.
@@ -22,6 +25,10 @@
 void TopicFollower::Start() {
   this->loop->Spawn([this](Coroutine yield) {
     for (;;) {
+      if (this->synced && !this->role->ReadsStore()) {
+        this->loop->Sleep(kRoleInterval, yield);
+        continue;
+      }
       const std::int64_t before = this->end;
       const bool read = this->synced && !this->records_expired
                             ? this->ReadMore(kReadWait, yield)
@@ -53,26 +60,49 @@
 }
 
 void TopicFollower::TakeSnapshot(const TopicBatch& batch) {
-  std::map<std::string, std::int64_t> listed;
+  std::set<std::string> listed;
   for (const TopicRecord& record : batch.records) {
-    listed[record.key] = record.offset;
+    listed.insert(record.key);
     this->Take(record);
   }
   // A key that the store no longer lists was dropped, unless the page is older
   // than what is known.
   std::vector<std::string> dropped;
-  for (const auto& [key, offset] : this->offsets) {
-    if (listed.count(key) == 0 && offset < batch.end) {
+  for (const auto& [key, record] : this->newest) {
+    if (listed.count(key) == 0 && record.value && record.offset < batch.end) {
       dropped.push_back(key);
     }
   }
   for (const std::string& key : dropped) {
-    this->apply(TopicRecord{key, std::nullopt, batch.end});
-    this->offsets.erase(key);
+    this->newest[key] = TopicRecord{key, std::nullopt, batch.end - 1};
+    this->apply(this->newest[key]);
   }
   this->end = std::max(this->end, batch.end);
 }
 
+bool TopicFollower::TakeRecords(const TopicBatch& batch) {
+  for (const TopicRecord& record : batch.records) {
+    this->Take(record);
+  }
+  this->end = std::max(this->end, batch.end);
+  return true;
+}
+
+TopicBatch TopicFollower::RecordsSince(std::int64_t from) const {
+  TopicBatch batch;
+  batch.end = this->end;
+  for (const auto& entry : this->newest) {
+    if (entry.second.offset >= from) {
+      batch.records.push_back(entry.second);
+    }
+  }
+  std::sort(batch.records.begin(), batch.records.end(),
+            [](const TopicRecord& left, const TopicRecord& right) {
+              return left.offset < right.offset;
+            });
+  return batch;
+}
+
 bool TopicFollower::ReadMore(Duration wait, Coroutine yield) {
   const Result<TopicBatch> batch =
       this->store->ReadSince(this->topic, this->end, wait, yield);
@@ -87,34 +117,38 @@
                                      {"reason", batch.error().message}});
     return false;
   }
-  for (const TopicRecord& record : batch.value().records) {
-    this->Take(record);
-  }
-  this->end = std::max(this->end, batch.value().end);
-  return true;
+  return this->TakeRecords(batch.value());
 }
 
 void TopicFollower::Take(const TopicRecord& record) {
-  const auto known = this->offsets.find(record.key);
-  if (known != this->offsets.end() && known->second >= record.offset) {
+  const auto known = this->newest.find(record.key);
+  if (known != this->newest.end() && known->second.offset >= record.offset) {
     return;
   }
-  this->offsets[record.key] = record.offset;
+  this->newest[record.key] = record;
   this->apply(record);
 }
 
-void TopicFollower::NotePeerEnd(std::int64_t peer_end) {
+void TopicFollower::NotePeerEnd(const TcpEndpoint& peer,
+                                std::int64_t peer_end) {
   if (peer_end <= this->end || this->catching_up || !this->synced) {
     return;
   }
   this->catching_up = true;
-  this->loop->Spawn([this, peer_end](Coroutine yield) {
-    this->loop->Sleep(kPeerLead, yield);
+  this->loop->Spawn([this, peer, peer_end](Coroutine yield) {
+    if (this->role->ReadsStore()) {
+      this->loop->Sleep(kPeerLead, yield);
+    }
     if (this->end < peer_end) {
-      LogWarning("topic_behind_peers", {{"topic", ToString(this->topic)},
-                                        {"end", this->end},
-                                        {"peer_end", peer_end}});
-      this->CatchUp(yield);
+      const Result<TopicBatch> batch = this->fetch(peer, this->end, yield);
+      if (batch.has_value()) {
+        this->TakeRecords(batch.value());
+      } else {
+        LogWarning("topic_behind_peers", {{"topic", ToString(this->topic)},
+                                          {"end", this->end},
+                                          {"peer_end", peer_end},
+                                          {"reason", batch.error().message}});
+      }
     }
     this->catching_up = false;
   });
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 
+#include "control/planner_role.h"
 #include "platform/store_client.h"
 
 namespace kumquatcart {
@@ -17,16 +18,25 @@
  public:
   // A record without a value tells that its key was dropped.
   using Apply = std::function<void(const TopicRecord&)>;
+  // Asks a peer for the topic's records from an offset on.
+  using FetchFromPeer =
+      std::function<Result<TopicBatch>(const TcpEndpoint& peer,
+                                       std::int64_t from,
+                                       Coroutine yield)>;
 
   TopicFollower(EventLoop* loop,
                 StoreClient* store,
                 StoreTopic topic,
                 Duration batch_pause,
+                const PlannerRole* role,
+                FetchFromPeer fetch,
                 Apply apply)
       : loop(loop),
         store(store),
         topic(topic),
         batch_pause(batch_pause),
+        role(role),
+        fetch(std::move(fetch)),
         apply(std::move(apply)) {}
 
   // Starts to follow, until the process ends.
@@ -38,10 +48,14 @@
   // The first offset not seen yet.
   std::int64_t End() const { return this->end; }
 
-  // A peer has seen the topic up to `peer_end`: reads again on another
-  // connection if the waiting read does not bring it soon, as happens when its
-  // connection went silent.
-  void NotePeerEnd(std::int64_t peer_end);
+  // A peer has seen the topic up to `peer_end`. A process that does not read
+  // the store asks that peer for the records; one that does, only if its
+  // waiting read does not bring them soon, as happens when its connection went
+  // silent.
+  void NotePeerEnd(const TcpEndpoint& peer, std::int64_t peer_end);
+
+  // The newest records from offset `from` on, for a peer.
+  TopicBatch RecordsSince(std::int64_t from) const;
 
   // Reads what there is, without waiting for more. False when it fails.
   bool CatchUp(Coroutine yield);
@@ -50,6 +64,7 @@
   bool ReadNewest(Coroutine yield);
   bool ReadMore(Duration wait, Coroutine yield);
   void TakeSnapshot(const TopicBatch& batch);
+  bool TakeRecords(const TopicBatch& batch);
   void Take(const TopicRecord& record);
 
   EventLoop* const loop;
@@ -57,12 +72,14 @@
   const StoreTopic topic;
   // After a change, so that changes that come together cost one read.
   const Duration batch_pause;
+  const PlannerRole* const role;
+  const FetchFromPeer fetch;
   const Apply apply;
   bool synced = false;
   bool records_expired = false;
   bool catching_up = false;
   std::int64_t end = 0;
-  std::map<std::string, std::int64_t> offsets;  // Newest record of each key.
+  std::map<std::string, TopicRecord> newest;  // By key, dropped ones too.
 };
 
 }  // namespace kumquatcart
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -39,6 +39,10 @@
 constexpr Duration kServersPause = std::chrono::milliseconds(250);
 // A relayed read may wait as long as a direct one.
 constexpr Duration kRelayTimeout = std::chrono::seconds(16);
+// A peer answers from memory.
+constexpr Duration kPeerTimeout = std::chrono::milliseconds(500);
+// Connections between entry VMs are kept for some seconds.
+constexpr Duration kPeerIdle = std::chrono::seconds(3);
 // Pause between tries to announce this process.
 constexpr Duration kAnnounceRetry = std::chrono::milliseconds(500);
 
@@ -58,14 +62,22 @@
       settings_path(std::move(settings_path)),
       signals(this->loop.Context(), SIGTERM, SIGINT, SIGHUP),
       store(&this->loop, TcpAddress(this->settings.store)),
+      peer_http(&this->loop),
       engine_http(&this->loop),
       engines(&this->loop, &this->engine_http),
       pool(&this->loop),
       peers(this->settings.node_name, this->settings.failure_domain),
-      prober(&this->loop,
-             &this->engines,
-             &this->view,
-             [this] { this->NoteFleetChange(); }),
+      role(&this->loop,
+           &this->peers,
+           &this->store,
+           this->settings.failure_domain),
+      prober(
+          &this->loop,
+          &this->engines,
+          &this->view,
+          &this->role,
+          [this](const PeerState& peer) { this->digests.Tell(peer); },
+          [this] { this->NoteFleetChange(); }),
       repeats(BoundsOf(this->settings)),
       group_places(&this->loop,
                    &this->view,
@@ -80,24 +92,32 @@
                      &this->store,
                      StoreTopic::kOperator,
                      kBatchPause,
+                     &this->role,
+                     this->Fetcher(StoreTopic::kOperator),
                      [this](const TopicRecord& r) { this->ApplyConfig(r); }),
       servers_topic(&this->loop,
                     &this->store,
                     StoreTopic::kServers,
                     kServersPause,
+                    &this->role,
+                    this->Fetcher(StoreTopic::kServers),
                     [this](const TopicRecord& r) { this->ApplyServer(r); }),
       groups_topic(&this->loop,
                    &this->store,
                    StoreTopic::kGroups,
                    kBatchPause,
+                   &this->role,
+                   this->Fetcher(StoreTopic::kGroups),
                    [this](const TopicRecord& r) { this->ApplyGroup(r); }),
       nodes_topic(&this->loop,
                   &this->store,
                   StoreTopic::kNodes,
                   kServersPause,
+                  &this->role,
+                  this->Fetcher(StoreTopic::kNodes),
                   [this](const TopicRecord& r) { this->ApplyNode(r); }),
       driver({&this->loop, &this->store, &this->engines, &this->prober,
-              &this->view, &this->peers, &this->groups_topic,
+              &this->view, &this->peers, &this->role, &this->groups_topic,
               [this] { this->NoteFleetChange(); }}),
       digests(
           &this->loop,
@@ -117,7 +137,7 @@
                         return TextAnswer{kHttpOk, this->metrics.Serialize()};
                       }),
       relay(&this->loop, [this](const ReadRequest& request, Coroutine yield) {
-        return this->RelayStoreCall(request, yield);
+        return this->AnswerPeer(request, yield);
       }) {
   this->context.loop = &this->loop;
   this->context.settings = &this->settings;
@@ -276,16 +296,19 @@
   for (const auto& entry : this->view.Unreachable()) {
     digest.unreachable.push_back(entry.first);
   }
+  digest.doubted = this->prober.Doubted();
   digest.groups = this->driver.News();
   return digest;
 }
 
 void EntryProcess::HearDigest(const NodeDigest& digest) {
   this->load.Report(digest.node, digest.in_flight, this->loop.Now());
+  const TcpEndpoint address =
+      TcpAddress(this->peers.Peers().at(digest.node).endpoint);
   const std::vector<TopicFollower*> followers = this->Followers();
   for (std::size_t i = 0;
        i < std::min(followers.size(), digest.topic_ends.size()); ++i) {
-    followers[i]->NotePeerEnd(digest.topic_ends[i]);
+    followers[i]->NotePeerEnd(address, digest.topic_ends[i]);
   }
   if (digest.has_traffic) {
     this->view.NoteTraffic();
@@ -293,13 +316,7 @@
   for (const GroupNews& news : digest.groups) {
     this->view.SetOpen(news.group, news.epoch, news.open);
   }
-  std::vector<std::string> doubtful;
-  for (const std::string& id : digest.unreachable) {
-    if (this->view.IsReachable(id)) {
-      doubtful.push_back(id);
-    }
-  }
-  this->prober.ProbeOnHearsay(doubtful);
+  this->prober.HearPeer(digest);
   this->group_places.NoteChange();
 }
 
@@ -322,6 +339,7 @@
     this->load.Forget(now - kCountsLifetime);
     this->pool.Prune();
     this->engine_http.PruneIdle();
+    this->peer_http.PruneIdle();
     this->repeats.SetNodes(this->peers.LiveNodes(now));
     const auto written =
         std::filesystem::last_write_time(this->settings_path, error);
@@ -405,6 +423,37 @@
   return TextAnswer{ready ? kHttpOk : kHttpUnavailable, ""};
 }
 
+TopicFollower::FetchFromPeer EntryProcess::Fetcher(StoreTopic topic) {
+  return [this, topic](const TcpEndpoint& peer, std::int64_t from,
+                       Coroutine yield) {
+    return this->FetchRecords(peer, RecordQuery{topic, from}, yield);
+  };
+}
+
+Result<TopicBatch> EntryProcess::FetchRecords(const TcpEndpoint& peer,
+                                              const RecordQuery& query,
+                                              Coroutine yield) {
+  const HttpReply reply = this->peer_http.Exchange(
+      peer, OutgoingRequest{"GET", EncodeRecordQuery(query), {}, {}},
+      this->loop.Now() + kPeerTimeout, kPeerIdle, yield);
+  if (!reply.Is(kHttpOk)) {
+    return MakeError(ErrorCode::kUnavailable,
+                     std::string("peer: ") + ToString(reply.result));
+  }
+  return DecodeBatch(reply.body);
+}
+
+TextAnswer EntryProcess::AnswerPeer(const ReadRequest& request,
+                                    Coroutine yield) {
+  const std::optional<RecordQuery> query = DecodeRecordQuery(request.target);
+  if (!query) {
+    return this->RelayStoreCall(request, yield);
+  }
+  const TopicFollower* follower =
+      this->Followers()[static_cast<std::size_t>(query->topic)];
+  return TextAnswer{kHttpOk, EncodeBatch(follower->RecordsSince(query->from))};
+}
+
 TextAnswer EntryProcess::RelayStoreCall(const ReadRequest& request,
                                         Coroutine yield) {
   if (!StoreClient::IsStoreCall(request.target)) {
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -17,6 +17,7 @@
 #include "entry/plain_places.h"
 #include "entry/text_service.h"
 #include "peers/digest_exchange.h"
+#include "peers/record_exchange.h"
 
 namespace kumquatcart {
 
@@ -47,7 +48,13 @@
   void Stop(Coroutine yield);
   void AcceptCaller(boost::asio::ip::tcp::socket socket);
   TextAnswer AnswerReadiness() const;
+  TextAnswer AnswerPeer(const ReadRequest& request, Coroutine yield);
   TextAnswer RelayStoreCall(const ReadRequest& request, Coroutine yield);
+  Result<TopicBatch> FetchRecords(const TcpEndpoint& peer,
+                                  const RecordQuery& query,
+                                  Coroutine yield);
+  // A function that fetches `topic` from a peer.
+  TopicFollower::FetchFromPeer Fetcher(StoreTopic topic);
   std::vector<TopicFollower*> Followers();
 
   ProcessSettings settings;
@@ -56,12 +63,14 @@
   boost::asio::signal_set signals;
   MetricRegistry metrics;
   StoreClient store;
+  HttpClient peer_http;
   HttpClient engine_http;
   EngineClient engines;
   FleetView view;
   SharedLoad load;
   ConnectionPool pool;
   PeerDirectory peers;
+  PlannerRole role;
   ServerProber prober;
   RepeatAllowance repeats;
   GroupPlaces group_places;
--- a/src/entry/group_watch.cc
+++ b/src/entry/group_watch.cc
@@ -10,6 +10,8 @@
 // Standstill after which members are asked: above the longest pass of a full
 // batch that also reads prompts.
 constexpr Duration kStandstill = std::chrono::milliseconds(300);
+// Standstill after which this process asks the head itself.
+constexpr Duration kLongStandstill = std::chrono::milliseconds(850);
 // Pause before members are asked again.
 constexpr Duration kAskInterval = std::chrono::milliseconds(600);
 
@@ -55,7 +57,12 @@
                              {"epoch", status->record.epoch},
                              {"streams", activity.streams},
                              {"silent_ms", ToMillis(now - activity.moved_at)}});
-    this->prober->Probe(status->record.members);
+    this->prober->Doubt(status->record.members);
+    if (now - activity.moved_at > kLongStandstill &&
+        !status->record.members.empty()) {
+      // The planner has answered by now; the path from here may be cut.
+      this->prober->Probe({status->record.members.front()});
+    }
   }
 }
 
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -205,7 +205,7 @@
     ++this->runs;
   }
   if (!attempt.BlamedServer().empty()) {
-    this->context->prober->Probe({attempt.BlamedServer()});
+    this->context->prober->Doubt({attempt.BlamedServer()});
   }
   if (!this->uses_groups) {
     if (end == AttemptEnd::kDelivered) {
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -78,7 +78,7 @@
   });
   if (!this->OpenConnection(yield)) {
     if (!this->placement->Group().empty()) {
-      this->job->context->prober->Probe({this->placement->ServerId()});
+      this->job->context->prober->Doubt({this->placement->ServerId()});
     }
     return this->Done(AttemptEnd::kNotRun, "no connection");
   }
--- a/src/peers/digest_exchange.cc
+++ b/src/peers/digest_exchange.cc
@@ -68,14 +68,22 @@
     if (bytes.empty()) {
       bytes = EncodeDigest(this->compose());
     }
-    boost::system::error_code ignored;  // A lost digest is followed by others.
-    this->socket.send_to(
-        boost::asio::buffer(bytes),
-        {boost::asio::ip::make_address(peer.endpoint.host), peer.endpoint.port},
-        0, ignored);
+    this->Send(bytes, peer);
   }
 }
 
+void DigestExchange::Send(const std::string& bytes, const PeerState& peer) {
+  boost::system::error_code ignored;  // A lost digest is followed by others.
+  this->socket.send_to(
+      boost::asio::buffer(bytes),
+      {boost::asio::ip::make_address(peer.endpoint.host), peer.endpoint.port},
+      0, ignored);
+}
+
+void DigestExchange::Tell(const PeerState& peer) {
+  this->Send(EncodeDigest(this->compose()), peer);
+}
+
 void DigestExchange::Receive() {
   this->socket.async_receive_from(
       boost::asio::buffer(this->buffer), this->sender,
--- a/src/peers/digest_exchange.h
+++ b/src/peers/digest_exchange.h
@@ -35,13 +35,17 @@
   // Binds and starts. Errors: kUnavailable.
   Status Start(const Endpoint& listen);
 
-  // Sends at once, unless that was done just now.
+  // Sends to all at once, unless that was done just now.
   void Hurry();
 
+  // Sends to one peer at once.
+  void Tell(const PeerState& peer);
+
  private:
   void Receive();
   void HandleDatagram(std::size_t size);
   void SendAll(MonotonicTime now);
+  void Send(const std::string& bytes, const PeerState& peer);
 
   EventLoop* const loop;
   PeerDirectory* const peers;
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -29,11 +29,11 @@
 }  // namespace
 
 std::string EncodeDigest(const NodeDigest& digest) {
-  const Json json =
-      Json::array({kDigestFormat, digest.node, digest.failure_domain,
-                   digest.is_stopping, digest.reaches_store, digest.has_traffic,
-                   digest.config_version, digest.topic_ends, digest.in_flight,
-                   digest.unreachable, EncodeNews(digest.groups)});
+  const Json json = Json::array(
+      {kDigestFormat, digest.node, digest.failure_domain, digest.is_stopping,
+       digest.reaches_store, digest.has_traffic, digest.config_version,
+       digest.topic_ends, digest.in_flight, digest.unreachable, digest.doubted,
+       EncodeNews(digest.groups)});
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -54,7 +54,8 @@
     digest.topic_ends = json.at(7).get<std::vector<std::int64_t>>();
     digest.in_flight = json.at(8).get<std::map<std::string, int>>();
     digest.unreachable = json.at(9).get<std::vector<std::string>>();
-    digest.groups = DecodeNews(json.at(10));
+    digest.doubted = json.at(10).get<std::vector<std::string>>();
+    digest.groups = DecodeNews(json.at(11));
     return digest;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/peers/node_digest.h
+++ b/src/peers/node_digest.h
@@ -33,13 +33,14 @@
   std::vector<std::int64_t> topic_ends;  // By StoreTopic.
   std::map<std::string, int> in_flight;  // Own requests by server id.
   std::vector<std::string> unreachable;  // Servers that did not answer.
+  std::vector<std::string> doubted;      // Servers that should be asked.
   std::vector<GroupNews> groups;         // Of domains that it plans.
 
   auto Tie() const {
     return std::tie(this->node, this->failure_domain, this->is_stopping,
                     this->reaches_store, this->has_traffic,
                     this->config_version, this->topic_ends, this->in_flight,
-                    this->unreachable, this->groups);
+                    this->unreachable, this->doubted, this->groups);
   }
 };
 
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -40,23 +40,32 @@
              }));
 }
 
+const PeerState* PeerDirectory::Planner(const std::string& failure_domain,
+                                        MonotonicTime now) const {
+  const PeerState* planner = nullptr;
+  Rank first;
+  for (const auto& [node, peer] : this->peers) {
+    const Rank rank{peer.failure_domain != failure_domain, node};
+    if (peer.IsHeardSince(now - kPeerSilence) && peer.digest.reaches_store &&
+        !peer.digest.is_stopping && (planner == nullptr || rank < first)) {
+      planner = &peer;
+      first = rank;
+    }
+  }
+  return planner;
+}
+
 bool PeerDirectory::Plans(const std::string& failure_domain,
                           bool own_reaches_store,
                           bool own_is_stopping,
                           MonotonicTime now) const {
-  // Nodes of the failure domain go first, then by name.
-  using Rank = std::pair<bool, std::string>;
   if (!own_reaches_store || own_is_stopping) {
     return false;
   }
+  const PeerState* other = this->Planner(failure_domain, now);
   const Rank own{this->own_failure_domain != failure_domain, this->own_node};
-  return std::none_of(
-      this->peers.begin(), this->peers.end(), [&](const auto& entry) {
-        const PeerState& peer = entry.second;
-        return peer.IsHeardSince(now - kPeerSilence) &&
-               peer.digest.reaches_store && !peer.digest.is_stopping &&
-               Rank{peer.failure_domain != failure_domain, entry.first} < own;
-      });
+  return other == nullptr || own < Rank{other->failure_domain != failure_domain,
+                                        other->digest.node};
 }
 
 }  // namespace kumquatcart
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -55,7 +55,15 @@
              bool own_is_stopping,
              MonotonicTime now) const;
 
+  // The peer that comes first for `failure_domain` by the same rule, without
+  // regard to this process; null where none can plan.
+  const PeerState* Planner(const std::string& failure_domain,
+                           MonotonicTime now) const;
+
  private:
+  // Nodes of the failure domain go first, then by name.
+  using Rank = std::pair<bool, std::string>;
+
   const std::string own_node;
   const std::string own_failure_domain;
   std::map<std::string, PeerState> peers;
--- /dev/null
+++ b/src/peers/record_exchange.cc
@@ -0,0 +1,90 @@
+#include "peers/record_exchange.h"
+
+#include <charconv>
+#include <string_view>
+
+#include <fmt/format.h>
+
+#include "base/json.h"
+
+namespace kumquatcart {
+
+namespace {
+
+constexpr std::string_view kPath = "/peer/records/";
+
+// Takes a number and the slash after it, if any, from the front of `text`.
+std::optional<std::int64_t> TakeNumber(std::string_view* text) {
+  std::int64_t number = 0;
+  const auto parsed =
+      std::from_chars(text->data(), text->data() + text->size(), number);
+  if (parsed.ec != std::errc() || number < 0) {
+    return std::nullopt;
+  }
+  text->remove_prefix(static_cast<std::size_t>(parsed.ptr - text->data()));
+  if (!text->empty() && text->front() == '/') {
+    text->remove_prefix(1);
+  }
+  return number;
+}
+
+}  // namespace
+
+std::string EncodeRecordQuery(const RecordQuery& query) {
+  return fmt::format("{}{}/{}", kPath, static_cast<int>(query.topic),
+                     query.from);
+}
+
+std::optional<RecordQuery> DecodeRecordQuery(const std::string& target) {
+  std::string_view rest = target;
+  if (rest.substr(0, kPath.size()) != kPath) {
+    return std::nullopt;
+  }
+  rest.remove_prefix(kPath.size());
+  const std::optional<std::int64_t> topic = TakeNumber(&rest);
+  const std::optional<std::int64_t> from = TakeNumber(&rest);
+  if (!topic || !from || *topic >= kStoreTopicCount || !rest.empty()) {
+    return std::nullopt;
+  }
+  return RecordQuery{static_cast<StoreTopic>(*topic), *from};
+}
+
+std::string EncodeBatch(const TopicBatch& batch) {
+  Json records = Json::array();
+  for (const TopicRecord& record : batch.records) {
+    records.push_back(Json::array(
+        {Json::binary({record.key.begin(), record.key.end()}),
+         record.value
+             ? Json::binary({record.value->begin(), record.value->end()})
+             : Json(nullptr),
+         record.offset}));
+  }
+  const std::vector<std::uint8_t> bytes =
+      Json::to_cbor(Json::array({batch.end, std::move(records)}));
+  return std::string(bytes.begin(), bytes.end());
+}
+
+Result<TopicBatch> DecodeBatch(const std::string& bytes) {
+  try {
+    const Json json = Json::from_cbor(bytes);
+    TopicBatch batch;
+    batch.end = json.at(0).get<std::int64_t>();
+    for (const Json& row : json.at(1)) {
+      const auto& key = row.at(0).get_binary();
+      TopicRecord record;
+      record.key = std::string(key.begin(), key.end());
+      if (!row.at(1).is_null()) {
+        const auto& value = row.at(1).get_binary();
+        record.value = std::string(value.begin(), value.end());
+      }
+      record.offset = row.at(2).get<std::int64_t>();
+      batch.records.push_back(std::move(record));
+    }
+    return batch;
+  } catch (const Json::exception& error) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     std::string("records: ") + error.what());
+  }
+}
+
+}  // namespace kumquatcart
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -51,6 +51,9 @@
   ConnectionPool pool;
   HttpClient engine_http;
   EngineClient engines;
+  StoreClient store;
+  PeerDirectory peers;
+  PlannerRole role;
   ServerProber prober;
   GroupPlaces group_places;
   PlainPlaces plain_places;
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "peers/peer_directory.h"
+#include "peers/record_exchange.h"
 
 namespace kumquatcart {
 namespace {
@@ -19,6 +20,7 @@
   digest.topic_ends = {1, 2, 3, 4};
   digest.in_flight = {{"s", 3}};
   digest.unreachable = {"t"};
+  digest.doubted = {"u", "v"};
   digest.groups = {{"g", 7, true}};
   const Result<NodeDigest> decoded = DecodeDigest(EncodeDigest(digest));
   REQUIRE(decoded.has_value());
@@ -76,6 +78,36 @@
   CHECK(directory.Plans("zone1", true, false, kStart));
 }
 
+TEST_CASE("The planner is the first that can write to the store") {
+  PeerDirectory directory = MakeDirectory();
+  CHECK(directory.Planner("zone1", kStart) == nullptr);
+  directory.Hear(DigestOf("c"), kStart);
+  CHECK(directory.Planner("zone1", kStart)->digest.node == "c");
+  directory.Hear(DigestOf("a"), kStart);
+  CHECK(directory.Planner("zone1", kStart)->digest.node == "a");
+  CHECK(directory.Planner("zone2", kStart)->digest.node == "c");
+}
+
+TEST_CASE("Records survive the way between entry VMs") {
+  TopicBatch batch;
+  batch.end = 9;
+  batch.records = {{"k", std::string("v\0\xff", 3), 7}, {"gone", {}, 8}};
+  const Result<TopicBatch> decoded = DecodeBatch(EncodeBatch(batch));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded.value() == batch);
+  CHECK(DecodeBatch("x").has_error());
+}
+
+TEST_CASE("A record query is read back, and nothing else") {
+  const RecordQuery query{StoreTopic::kGroups, 41};
+  CHECK(DecodeRecordQuery(EncodeRecordQuery(query)) == query);
+  CHECK(!DecodeRecordQuery("/peer/records/9/1"));
+  CHECK(!DecodeRecordQuery("/peer/records/1"));
+  CHECK(!DecodeRecordQuery("/peer/records/1/2/x"));
+  CHECK(!DecodeRecordQuery("/peer/records/-1/2"));
+  CHECK(!DecodeRecordQuery("/api/log-read"));
+}
+
 TEST_CASE("Digests of unknown nodes are not taken") {
   PeerDirectory directory = MakeDirectory();
   CHECK(!directory.Hear(DigestOf("x"), kStart));
