Let every VM read the configuration, and two of each failure domain the rest

Change: all read the operator's topic, which changes seldom; two nodes of each failure domain read the others; reads of servers wait 1.2 s. Change: before traffic a domain settles for 1.3 s; a remote planner dissolves nothing and needs most of the domain.

--- a/src/control/group_driver.cc
+++ b/src/control/group_driver.cc
@@ -28,6 +28,9 @@
 constexpr Duration kFinishTime = std::chrono::milliseconds(1800);
 // A domain whose newest server is younger may still be registering others.
 constexpr Duration kDomainSettles = std::chrono::milliseconds(350);
+// The same before the first request: then there is time, and groups formed from
+// a part of the domain would not be the ones that the whole domain should have.
+constexpr Duration kFirstServersSettle = std::chrono::milliseconds(1300);
 // Span over which loads are counted against the weight store's rate.
 constexpr Duration kLoadWindow = std::chrono::seconds(5);
 
@@ -135,7 +138,8 @@
   input.assigned_elsewhere = this->AssignedElsewhere(domain);
   input.is_growing =
       this->parts.loop->Now() - this->parts.view->DomainChangedAt(domain.name) <
-      kDomainSettles;
+      (this->parts.view->HasTraffic() ? kDomainSettles : kFirstServersSettle);
+  input.is_remote = domain.failure_domain != this->parts.failure_domain;
   for (const BackendServer* server : domain.servers) {
     input.servers.push_back(this->Describe(*server));
   }
--- a/src/control/group_driver.h
+++ b/src/control/group_driver.h
@@ -34,6 +34,7 @@
     const PeerDirectory* peers;
     PlannerRole* role;
     TopicFollower* records;
+    std::string failure_domain;  // This entry VM's own.
     // Called when a group begins or ceases to take requests.
     std::function<void()> changed;
   };
--- a/src/control/group_planner.cc
+++ b/src/control/group_planner.cc
@@ -38,6 +38,10 @@
   }
 
   DomainPlan Plan() {
+    if (this->input.is_remote &&
+        2 * this->UsableServers() <= this->input.servers.size()) {
+      return {};
+    }
     for (const GroupRecord& group : this->input.groups) {
       this->CheckGroup(group);
     }
@@ -122,7 +126,9 @@
     }
     const bool is_broken = this->input.broken_groups.count(group.group) > 0;
     if (lost > this->free.size() || kept.empty()) {
-      this->Record(group, {});
+      if (!this->input.is_remote) {
+        this->Record(group, {});
+      }
       return;
     }
     bool changed = is_broken || lost > 0;
@@ -157,14 +163,18 @@
     this->plan.records.push_back(std::move(next));
   }
 
-  int Reserve() const {
-    const auto usable_count =
+  std::size_t UsableServers() const {
+    return static_cast<std::size_t>(
         std::count_if(this->input.servers.begin(), this->input.servers.end(),
                       [](const PlannedServer& server) {
                         return server.standing == ServerStanding::kUsable;
-                      });
-    return std::max(1, static_cast<int>(std::lround(
-                           kReserveShare * static_cast<double>(usable_count))));
+                      }));
+  }
+
+  int Reserve() const {
+    return std::max(
+        1, static_cast<int>(std::lround(
+               kReserveShare * static_cast<double>(this->UsableServers()))));
   }
 
   // Servers that `model` lacks to hold its share once one more group is formed.
--- a/src/control/group_planner.h
+++ b/src/control/group_planner.h
@@ -50,6 +50,10 @@
   std::map<std::string, int> assigned_elsewhere;
   // Servers have come just now and more may follow: form no new groups yet.
   bool is_growing = false;
+  // Planned from another failure domain, since this one's entry VMs are silent:
+  // a partition may be what makes members look lost, so groups are mended but
+  // not dissolved, and only where most servers answer.
+  bool is_remote = false;
 };
 
 // A server to keep loaded with a model, ready to replace a lost member.
--- a/src/control/planner_role.cc
+++ b/src/control/planner_role.cc
@@ -2,6 +2,14 @@
 
 namespace kumquatcart {
 
+namespace {
+
+// Nodes of a failure domain that follow the store: one may be refused by it, or
+// stand still, without the others noticing at once.
+constexpr int kReaders = 2;
+
+}  // namespace
+
 bool PlannerRole::IsMine(const std::string& failure_domain) const {
   return this->peers->Plans(failure_domain, this->store->IsReachable(),
                             this->stopping, this->loop->Now());
@@ -14,7 +22,8 @@
 }
 
 bool PlannerRole::ReadsStore() const {
-  return this->Other(this->own_failure_domain) == nullptr;
+  return this->Other(this->own_failure_domain) == nullptr ||
+         this->peers->NodesBefore(this->loop->Now()) < kReaders;
 }
 
 }  // namespace kumquatcart
--- a/src/control/planner_role.h
+++ b/src/control/planner_role.h
@@ -28,8 +28,9 @@
   // The peer that plans it; null where this process does, or nobody.
   const PeerState* Other(const std::string& failure_domain) const;
 
-  // Whether this process follows the store itself: it plans its own failure
-  // domain, or nobody does. The others get the records from peers.
+  // Whether this process follows the store for its failure domain: it is among
+  // the first nodes there, or nobody plans it. The others get the records from
+  // peers.
   bool ReadsStore() const;
 
   // The process stops: it plans nothing any more.
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -10,9 +10,6 @@
 
 namespace {
 
-// How long a read waits for the next record. Each read is a call; but a
-// connection that fell silent is known only after this.
-constexpr Duration kReadWait = std::chrono::milliseconds(3500);
 // How often a process that does not read the store looks whether it should.
 constexpr Duration kRoleInterval = std::chrono::milliseconds(100);
 // Pause after a failed call.
@@ -25,27 +22,32 @@
 void TopicFollower::Start() {
   this->loop->Spawn([this](Coroutine yield) {
     for (;;) {
-      if (this->synced && !this->role->ReadsStore()) {
+      if (this->synced && !this->ReadsStore()) {
         this->loop->Sleep(kRoleInterval, yield);
         continue;
       }
       const std::int64_t before = this->end;
       const bool read = this->synced && !this->records_expired
-                            ? this->ReadMore(kReadWait, yield)
+                            ? this->ReadMore(this->settings.read_wait, yield)
                             : this->ReadNewest(yield);
       if (!read) {
         this->loop->Sleep(kRetryPause, yield);
       } else if (this->end != before) {
-        this->loop->Sleep(this->batch_pause, yield);
+        this->loop->Sleep(this->settings.batch_pause, yield);
       }
     }
   });
 }
 
+bool TopicFollower::ReadsStore() const {
+  return this->settings.read_by_all || this->role->ReadsStore();
+}
+
 bool TopicFollower::ReadNewest(Coroutine yield) {
-  const Result<TopicBatch> batch = this->store->ReadNewest(this->topic, yield);
+  const Result<TopicBatch> batch =
+      this->store->ReadNewest(this->settings.topic, yield);
   if (batch.has_error()) {
-    LogWarning("topic_read_failed", {{"topic", ToString(this->topic)},
+    LogWarning("topic_read_failed", {{"topic", ToString(this->settings.topic)},
                                      {"reason", batch.error().message}});
     return false;
   }
@@ -54,7 +56,7 @@
   if (!this->synced) {
     this->synced = true;
     LogInfo("topic_synced",
-            {{"topic", ToString(this->topic)}, {"end", this->end}});
+            {{"topic", ToString(this->settings.topic)}, {"end", this->end}});
   }
   return true;
 }
@@ -105,15 +107,15 @@
 
 bool TopicFollower::ReadMore(Duration wait, Coroutine yield) {
   const Result<TopicBatch> batch =
-      this->store->ReadSince(this->topic, this->end, wait, yield);
+      this->store->ReadSince(this->settings.topic, this->end, wait, yield);
   if (batch.has_error()) {
     if (batch.error().code == ErrorCode::kExpired) {
       LogInfo("topic_records_expired",
-              {{"topic", ToString(this->topic)}, {"from", this->end}});
+              {{"topic", ToString(this->settings.topic)}, {"from", this->end}});
       this->records_expired = true;
       return true;
     }
-    LogWarning("topic_read_failed", {{"topic", ToString(this->topic)},
+    LogWarning("topic_read_failed", {{"topic", ToString(this->settings.topic)},
                                      {"reason", batch.error().message}});
     return false;
   }
@@ -136,7 +138,7 @@
   }
   this->catching_up = true;
   this->loop->Spawn([this, peer, peer_end](Coroutine yield) {
-    if (this->role->ReadsStore()) {
+    if (this->ReadsStore()) {
       this->loop->Sleep(kPeerLead, yield);
     }
     if (this->end < peer_end) {
@@ -144,10 +146,11 @@
       if (batch.has_value()) {
         this->TakeRecords(batch.value());
       } else {
-        LogWarning("topic_behind_peers", {{"topic", ToString(this->topic)},
-                                          {"end", this->end},
-                                          {"peer_end", peer_end},
-                                          {"reason", batch.error().message}});
+        LogWarning("topic_behind_peers",
+                   {{"topic", ToString(this->settings.topic)},
+                    {"end", this->end},
+                    {"peer_end", peer_end},
+                    {"reason", batch.error().message}});
       }
     }
     this->catching_up = false;
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -12,6 +12,19 @@
 
 namespace kumquatcart {
 
+// How one topic is followed.
+struct FollowerSettings {
+  StoreTopic topic = StoreTopic::kOperator;
+  // Every entry VM reads it; otherwise a few of each failure domain do.
+  bool read_by_all = false;
+  // How long a read waits for the next record. Each read is a call; but a
+  // connection that fell silent, and a store that refuses this VM, are known
+  // only after this.
+  Duration read_wait{0};
+  // After a change, so that changes that come together cost one read.
+  Duration batch_pause{0};
+};
+
 // Hands on every change of the topic's keys, in order, each once. For the event
 // loop's thread.
 class TopicFollower {
@@ -26,15 +39,13 @@
 
   TopicFollower(EventLoop* loop,
                 StoreClient* store,
-                StoreTopic topic,
-                Duration batch_pause,
+                FollowerSettings settings,
                 const PlannerRole* role,
                 FetchFromPeer fetch,
                 Apply apply)
       : loop(loop),
         store(store),
-        topic(topic),
-        batch_pause(batch_pause),
+        settings(settings),
         role(role),
         fetch(std::move(fetch)),
         apply(std::move(apply)) {}
@@ -61,6 +72,7 @@
   bool CatchUp(Coroutine yield);
 
  private:
+  bool ReadsStore() const;
   bool ReadNewest(Coroutine yield);
   bool ReadMore(Duration wait, Coroutine yield);
   void TakeSnapshot(const TopicBatch& batch);
@@ -69,9 +81,7 @@
 
   EventLoop* const loop;
   StoreClient* const store;
-  const StoreTopic topic;
-  // After a change, so that changes that come together cost one read.
-  const Duration batch_pause;
+  const FollowerSettings settings;
   const PlannerRole* const role;
   const FetchFromPeer fetch;
   const Apply apply;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -32,11 +32,21 @@
 // Kept of the stop's grace for the last answers to leave.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
-// Pauses between two reads of a topic that changes. Servers change in numbers
-// at once, and nothing about them is urgent within the bound on leaving
-// servers.
-constexpr Duration kBatchPause = std::chrono::milliseconds(40);
-constexpr Duration kServersPause = std::chrono::milliseconds(250);
+// The configuration changes seldom and must be in force everywhere within its
+// bound, so every VM reads it. Servers change often and in numbers; a leaving
+// one must be known everywhere within its bound. Nothing waits for the others.
+constexpr FollowerSettings kOperatorTopic{StoreTopic::kOperator, true,
+                                          std::chrono::milliseconds(3500),
+                                          std::chrono::milliseconds(40)};
+constexpr FollowerSettings kServersTopic{StoreTopic::kServers, false,
+                                         std::chrono::milliseconds(1200),
+                                         std::chrono::milliseconds(250)};
+constexpr FollowerSettings kGroupsTopic{StoreTopic::kGroups, false,
+                                        std::chrono::milliseconds(3500),
+                                        std::chrono::milliseconds(40)};
+constexpr FollowerSettings kNodesTopic{StoreTopic::kNodes, false,
+                                       std::chrono::milliseconds(3500),
+                                       std::chrono::milliseconds(250)};
 // A relayed read may wait as long as a direct one.
 constexpr Duration kRelayTimeout = std::chrono::seconds(16);
 // A peer answers from memory.
@@ -90,34 +100,31 @@
       group_watch(&this->loop, &this->view, &this->prober),
       operator_topic(&this->loop,
                      &this->store,
-                     StoreTopic::kOperator,
-                     kBatchPause,
+                     kOperatorTopic,
                      &this->role,
                      this->Fetcher(StoreTopic::kOperator),
                      [this](const TopicRecord& r) { this->ApplyConfig(r); }),
       servers_topic(&this->loop,
                     &this->store,
-                    StoreTopic::kServers,
-                    kServersPause,
+                    kServersTopic,
                     &this->role,
                     this->Fetcher(StoreTopic::kServers),
                     [this](const TopicRecord& r) { this->ApplyServer(r); }),
       groups_topic(&this->loop,
                    &this->store,
-                   StoreTopic::kGroups,
-                   kBatchPause,
+                   kGroupsTopic,
                    &this->role,
                    this->Fetcher(StoreTopic::kGroups),
                    [this](const TopicRecord& r) { this->ApplyGroup(r); }),
       nodes_topic(&this->loop,
                   &this->store,
-                  StoreTopic::kNodes,
-                  kServersPause,
+                  kNodesTopic,
                   &this->role,
                   this->Fetcher(StoreTopic::kNodes),
                   [this](const TopicRecord& r) { this->ApplyNode(r); }),
       driver({&this->loop, &this->store, &this->engines, &this->prober,
               &this->view, &this->peers, &this->role, &this->groups_topic,
+              this->settings.failure_domain,
               [this] { this->NoteFleetChange(); }}),
       digests(
           &this->loop,
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -9,6 +9,11 @@
 // Silence after which a peer counts as gone: several lost digests in a row.
 constexpr Duration kPeerSilence = std::chrono::milliseconds(900);
 
+bool CanPlan(const PeerState& peer, MonotonicTime now) {
+  return peer.IsHeardSince(now - kPeerSilence) && peer.digest.reaches_store &&
+         !peer.digest.is_stopping;
+}
+
 }  // namespace
 
 void PeerDirectory::PutPeer(const std::string& node,
@@ -46,8 +51,7 @@
   Rank first;
   for (const auto& [node, peer] : this->peers) {
     const Rank rank{peer.failure_domain != failure_domain, node};
-    if (peer.IsHeardSince(now - kPeerSilence) && peer.digest.reaches_store &&
-        !peer.digest.is_stopping && (planner == nullptr || rank < first)) {
+    if (CanPlan(peer, now) && (planner == nullptr || rank < first)) {
       planner = &peer;
       first = rank;
     }
@@ -55,6 +59,15 @@
   return planner;
 }
 
+int PeerDirectory::NodesBefore(MonotonicTime now) const {
+  return static_cast<int>(std::count_if(
+      this->peers.begin(), this->peers.end(), [this, now](const auto& entry) {
+        const PeerState& peer = entry.second;
+        return peer.failure_domain == this->own_failure_domain &&
+               entry.first < this->own_node && CanPlan(peer, now);
+      }));
+}
+
 bool PeerDirectory::Plans(const std::string& failure_domain,
                           bool own_reaches_store,
                           bool own_is_stopping,
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -55,6 +55,10 @@
              bool own_is_stopping,
              MonotonicTime now) const;
 
+  // Nodes of the own failure domain that come before this process and reach
+  // the store.
+  int NodesBefore(MonotonicTime now) const;
+
   // The peer that comes first for `failure_domain` by the same rule, without
   // regard to this process; null where none can plan.
   const PeerState* Planner(const std::string& failure_domain,
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -16,7 +16,7 @@
 // second.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
 // Time beyond the wait that a waiting read may take.
-constexpr Duration kReadSlack = std::chrono::milliseconds(800);
+constexpr Duration kReadSlack = std::chrono::milliseconds(500);
 // Largest body asked of one read.
 constexpr int kReadKilobytes = 1024;
 // While the store refuses this VM, calls go to a relay first, and to the store
--- a/tests/control/group_planner_test.cc
+++ b/tests/control/group_planner_test.cc
@@ -135,6 +135,26 @@
   CHECK(PlanDomain(input).records.size() == 2);
 }
 
+TEST_CASE("After a partition heals, a remote planner dissolves nothing") {
+  DomainInput input = MakeRunningDomain();
+  input.is_remote = true;
+  // Most servers are known to be back, four members of a group not yet.
+  const GroupRecord group = input.groups[0];
+  for (std::size_t i = 0; i < 4; ++i) {
+    Find(&input, group.members[i])->standing = ServerStanding::kLost;
+  }
+  CHECK(PlanDomain(input).records.empty());
+  // With most of the domain out of reach it does not even replace a member.
+  for (PlannedServer& server : input.servers) {
+    server.standing = ServerStanding::kLost;
+  }
+  Find(&input, input.servers.back().id)->standing = ServerStanding::kUsable;
+  Find(&input, group.members[0])->standing = ServerStanding::kUsable;
+  CHECK(PlanDomain(input).records.empty());
+  input.is_remote = false;
+  CHECK(!PlanDomain(input).records.empty());
+}
+
 TEST_CASE("A broken group is formed anew with the same members") {
   DomainInput input = MakeRunningDomain();
   input.broken_groups.insert(input.groups[1].group);
--- /dev/null
+++ b/tests/entry/topic_follower_test.cc
@@ -0,0 +1,153 @@
+#include "control/topic_follower.h"
+
+#include <catch2/catch.hpp>
+
+#include "fakes/loop_server.h"
+#include "fakes/loop_store.h"
+
+namespace kumquatcart {
+namespace {
+
+constexpr char kTopic[] = "keyed.servers";
+
+// A follower of the servers' topic and what it has applied.
+struct Following {
+  Following()
+      : store(&this->loop),
+        client(&this->loop, this->store.Address()),
+        peers("b", "zone"),
+        role(&this->loop, &this->peers, &this->client, "zone"),
+        follower(
+            &this->loop,
+            &this->client,
+            FollowerSettings{StoreTopic::kServers, false,
+                             std::chrono::milliseconds(500),
+                             std::chrono::milliseconds(1)},
+            &this->role,
+            [this](const TcpEndpoint&, std::int64_t from, Coroutine) {
+              ++this->fetches;
+              this->fetched_from = from;
+              return Result<TopicBatch>(this->at_peer);
+            },
+            [this](const TopicRecord& record) {
+              this->applied.push_back(record);
+              this->known[record.key] = record.value.value_or("(dropped)");
+            }) {}
+
+  // Lets the loop run until `done` or for two seconds.
+  void RunUntil(const std::function<bool()>& done) {
+    RunCoroutine(&this->loop, [&](Coroutine yield) {
+      const MonotonicTime deadline = this->loop.Now() + std::chrono::seconds(2);
+      while (!done() && this->loop.Now() < deadline) {
+        this->loop.Sleep(std::chrono::milliseconds(1), yield);
+      }
+    });
+  }
+
+  EventLoop loop;
+  LoopStore store;
+  StoreClient client;
+  PeerDirectory peers;
+  PlannerRole role;
+  TopicBatch at_peer;
+  int fetches = 0;
+  std::int64_t fetched_from = -1;
+  std::vector<TopicRecord> applied;
+  std::map<std::string, std::string> known;
+  TopicFollower follower;
+};
+
+TEST_CASE("A follower applies the newest of each key, then every change") {
+  Following f;
+  f.store.Put(kTopic, "a", "1");
+  f.store.Put(kTopic, "a", "2");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  CHECK(f.known == std::map<std::string, std::string>{{"a", "2"}});
+  f.store.Put(kTopic, "b", "1");
+  f.store.Put(kTopic, "a", "");
+  f.RunUntil([&] { return f.applied.size() == 3; });
+  CHECK(f.known ==
+        std::map<std::string, std::string>{{"a", "(dropped)"}, {"b", "1"}});
+  CHECK(f.follower.End() == 4);
+}
+
+TEST_CASE("Keys dropped within expired records are noticed") {
+  Following f;
+  f.store.Put(kTopic, "a", "1");
+  f.store.Put(kTopic, "b", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.store.refusal = 503;
+  f.store.Put(kTopic, "a", "");
+  f.store.Put(kTopic, "c", "1");
+  f.store.Expire(kTopic);
+  f.store.refusal = std::nullopt;
+  f.RunUntil([&] { return f.known.count("c") > 0; });
+  CHECK(f.known["a"] == "(dropped)");
+  CHECK(f.known["b"] == "1");
+}
+
+TEST_CASE("A process that is not the planner asks the peer that is ahead") {
+  Following f;
+  f.store.Put(kTopic, "a", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  for (const char* node : {"a", "a2"}) {
+    f.peers.PutPeer(node, "zone", Endpoint{"127.0.0.1", 1});
+    NodeDigest digest;
+    digest.node = node;
+    f.peers.Hear(digest, f.loop.Now());
+  }
+  CHECK(!f.role.ReadsStore());
+  const int calls = f.store.calls;
+  f.at_peer.end = 3;
+  f.at_peer.records = {{"b", "1", 1}, {"a", std::nullopt, 2}};
+  f.follower.NotePeerEnd(TcpEndpoint(), 3);
+  f.RunUntil([&] { return f.follower.End() == 3; });
+  CHECK(f.fetched_from == 1);
+  CHECK(f.known["a"] == "(dropped)");
+  CHECK(f.known["b"] == "1");
+  CHECK(f.store.calls <= calls + 1);  // A read may have been on its way.
+  // A peer that is not ahead is not asked.
+  f.follower.NotePeerEnd(TcpEndpoint(), 3);
+  CHECK(f.fetches == 1);
+}
+
+TEST_CASE("Records go on to peers with the dropped ones") {
+  Following f;
+  f.store.Put(kTopic, "a", "1");
+  f.store.Put(kTopic, "b", "1");
+  f.store.Put(kTopic, "c", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.store.Put(kTopic, "b", "");
+  f.RunUntil([&] { return f.follower.End() == 4; });
+  const TopicBatch batch = f.follower.RecordsSince(2);
+  CHECK(batch.end == 4);
+  CHECK(batch.records ==
+        std::vector<TopicRecord>{{"c", "1", 2}, {"b", std::nullopt, 3}});
+}
+
+TEST_CASE(
+    "An append whose condition fails is a conflict, a refusal is not done") {
+  Following f;
+  RunCoroutine(&f.loop, [&](Coroutine yield) {
+    CHECK(f.client.Append(StoreTopic::kGroups, "g", "1", 0, yield).value() ==
+          0);
+    CHECK(
+        f.client.Append(StoreTopic::kGroups, "g", "2", 0, yield).error().code ==
+        ErrorCode::kConflict);
+    f.store.refusal = 503;
+    CHECK(
+        f.client.Append(StoreTopic::kGroups, "g", "2", 1, yield).error().code ==
+        ErrorCode::kUnavailable);
+    CHECK(!f.client.IsReachable());
+    f.store.refusal = std::nullopt;
+    CHECK(f.client.Append(StoreTopic::kGroups, "g", "2", 1, yield).has_value());
+    CHECK(f.client.IsReachable());
+  });
+}
+
+}  // namespace
+}  // namespace kumquatcart
