End coroutines before the objects that they use; load no standby while a domain grows; explain

Change: no standbys while a domain grows; owners of the event loop end its coroutines first. 'kumquatcart explain ID' tells a request's story from logs.

--- a/src/cli/command_list.cc
+++ b/src/cli/command_list.cc
@@ -1,6 +1,7 @@
 #include "cli/command_list.h"
 
 #include "cli/entry_command.h"
+#include "cli/explain_command.h"
 #include "cli/operator_commands.h"
 #include "cli/serve_command.h"
 
@@ -10,6 +11,7 @@
   CommandList commands;
   commands.push_back(std::make_unique<ServeCommand>());
   commands.push_back(std::make_unique<EntryCommand>());
+  commands.push_back(std::make_unique<ExplainCommand>());
   AddOperatorCommands(MakeHttpOperatorBackend, &commands);
   return commands;
 }
--- a/src/control/group_planner.cc
+++ b/src/control/group_planner.cc
@@ -48,8 +48,8 @@
     if (!this->input.is_growing) {
       while (this->FormGroup()) {
       }
+      this->AssignStandbys();
     }
-    this->AssignStandbys();
     return std::move(this->plan);
   }
 
--- a/src/control/group_planner.h
+++ b/src/control/group_planner.h
@@ -48,7 +48,8 @@
   std::vector<ModelSpec> models;
   // Servers in groups of each model in the rest of the failure domain.
   std::map<std::string, int> assigned_elsewhere;
-  // Servers have come just now and more may follow: form no new groups yet.
+  // Servers have come just now and more may follow: form no new groups yet, and
+  // load no model that the servers' groups may not need.
   bool is_growing = false;
   // Planned from another failure domain, since this one's entry VMs are silent:
   // a partition may be what makes members look lost, so groups are mended but
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -26,6 +26,9 @@
  public:
   // `settings_path` is read again when its file changes.
   EntryProcess(ProcessSettings settings, std::string settings_path);
+  ~EntryProcess() { this->loop.EndCoroutines(); }
+  EntryProcess(const EntryProcess&) = delete;
+  EntryProcess& operator=(const EntryProcess&) = delete;
 
   // Binds all addresses and starts to follow the store. Errors: kUnavailable.
   Status Start();
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -28,4 +28,8 @@
   this->context.stop();
 }
 
+void EventLoop::EndCoroutines() {
+  this->context.EndOperations();
+}
+
 }  // namespace kumquatcart
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -36,8 +36,19 @@
   // Thread safe.
   void Stop();
 
+  // Ends every coroutine where it waits. The owner of objects that coroutines
+  // use calls it before it destroys them; nothing runs afterwards.
+  void EndCoroutines();
+
  private:
-  boost::asio::io_context context{1};
+  // Makes the end of all pending operations callable before destruction.
+  class EndableContext : public boost::asio::io_context {
+   public:
+    using boost::asio::io_context::io_context;
+    void EndOperations() { this->shutdown(); }
+  };
+
+  EndableContext context{1};
 };
 
 }  // namespace kumquatcart
--- a/tests/control/group_planner_test.cc
+++ b/tests/control/group_planner_test.cc
@@ -209,6 +209,7 @@
   DomainInput input = MakeDomain(11, 6, 3);
   input.is_growing = true;
   CHECK(PlanDomain(input).records.empty());
+  CHECK(PlanDomain(input).standbys.empty());
 }
 
 TEST_CASE("A server that is in a former group still is not assigned") {
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -21,6 +21,9 @@
 class EntryFixture {
  public:
   EntryFixture();
+  ~EntryFixture() { this->loop.EndCoroutines(); }
+  EntryFixture(const EntryFixture&) = delete;
+  EntryFixture& operator=(const EntryFixture&) = delete;
 
   // Adds a server of the plain service, or of the model service with an open
   // group of its own.
--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -34,6 +34,8 @@
               this->known[record.key] = record.value.value_or("(dropped)");
             }) {}
 
+  ~Following() { this->loop.EndCoroutines(); }
+
   // Lets the loop run until `done` or for two seconds.
   void RunUntil(const std::function<bool()>& done) {
     RunCoroutine(&this->loop, [&](Coroutine yield) {
