Do not end a stream that has begun for the silence of its group

Groups lost members with no warm standby left; streams that could not go on elsewhere were ended while their server had not broken off. Change: a place and a repeat are reserved before a stream leaves its group; where there is none, it stays until the server breaks off or the time is up.

--- a/src/entry/group_places.h
+++ b/src/entry/group_places.h
@@ -83,6 +83,9 @@
                       Waiter* waiter,
                       Coroutine yield);
 
+  // A free place at once, or null.
+  PlacementPtr TryTake(const PlaceQuery& query);
+
   // Groups or loads have changed: gives free places to those who wait.
   void NoteChange();
 
@@ -95,7 +98,6 @@
     PlacementPtr placement;
   };
 
-  PlacementPtr TryTake(const PlaceQuery& query);
   // Requests for the same model that wait already.
   int Ahead(const PlaceQuery& query) const;
   // Open groups of the query's model that are not excluded.
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -39,6 +39,7 @@
   this->job.caller = caller;
   this->job.waiter = waiter;
   this->job.answer = answer;
+  this->job.reserve_next = [this] { return this->ReserveNext(); };
 }
 
 void RequestFlow::LogEnd(int status, const std::string& reason) {
@@ -147,7 +148,34 @@
   return std::min(this->context->loop->Now() + allowed, this->job.end);
 }
 
+bool RequestFlow::ReserveNext() {
+  const MonotonicTime now = this->context->loop->Now();
+  if (this->reserved != nullptr) {
+    return true;
+  }
+  if (!this->HasAttemptLeft(AttemptEnd::kMayHaveRun, this->runs + 1) ||
+      now >= this->job.end) {
+    return false;
+  }
+  PlaceQuery query;
+  query.service = this->service;
+  query.model = this->request.model;
+  query.excluded = this->excluded;
+  query.excluded.insert(this->last_server);
+  this->reserved = this->context->group_places->TryTake(query);
+  if (this->reserved != nullptr &&
+      !this->context->repeats->TryTake(this->service, now)) {
+    this->reserved = nullptr;
+  }
+  return this->reserved != nullptr;
+}
+
 PlaceResult RequestFlow::AcquirePlace(Coroutine yield) {
+  if (this->reserved != nullptr) {
+    PlaceResult result;
+    result.placement = std::move(this->reserved);
+    return result;
+  }
   PlaceQuery query;
   query.service = this->service;
   query.model = this->request.model;
@@ -224,15 +252,20 @@
   }
 }
 
+bool RequestFlow::HasAttemptLeft(AttemptEnd end, int runs_so_far) const {
+  return end == AttemptEnd::kNotRun
+             ? this->declined <= kMaxDeclined
+             : this->job.route->repeatability != Repeatability::kAtMostOnce &&
+                   runs_so_far < this->job.route->attempts;
+}
+
 bool RequestFlow::MayRepeat(AttemptEnd end) {
-  const bool not_run = end == AttemptEnd::kNotRun;
-  if (not_run ? this->declined > kMaxDeclined
-              : this->job.route->repeatability == Repeatability::kAtMostOnce ||
-                    this->runs >= this->job.route->attempts) {
-    return false;
+  if (this->reserved != nullptr) {
+    return true;  // The repeat was taken with the place.
   }
   const MonotonicTime now = this->context->loop->Now();
-  return now < this->job.end && !this->job.caller->HasEnded() &&
+  return this->HasAttemptLeft(end, this->runs) && now < this->job.end &&
+         !this->job.caller->HasEnded() &&
          this->context->repeats->TryTake(this->service, now);
 }
 
--- a/src/entry/request_flow.h
+++ b/src/entry/request_flow.h
@@ -34,6 +34,10 @@
   PlaceResult AcquirePlace(Coroutine yield);
   // Whether the request may be sent once more after an attempt that ended so.
   bool MayRepeat(AttemptEnd end);
+  // Whether the request's kind and its attempts so far allow one more.
+  bool HasAttemptLeft(AttemptEnd end, int runs_so_far) const;
+  // Takes a free place for the attempt after the present one.
+  bool ReserveNext();
   // Answers after the last attempt, whose end was `reason`.
   bool GiveUp(Duration retry_after, const std::string& reason);
   void NoteAttempt(const Placement& placement,
@@ -55,6 +59,8 @@
   std::string last_server;
   // A server's failure, kept in case that no other server does better.
   std::optional<HeldAnswer> held_failure;
+  // Place and repeat that were taken for the next attempt.
+  PlacementPtr reserved;
 };
 
 }  // namespace kumquatcart
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -124,9 +124,12 @@
   }
   if (!this->placement->Group().empty() &&
       !this->job->context->view->CanFinish(this->placement->Group(),
-                                           this->placement->Epoch())) {
+                                           this->placement->Epoch()) &&
+      (this->job->reserve_next() || !this->job->answer->HasBegun())) {
     return this->Done(AttemptEnd::kMayHaveRun, "the group lost a member");
   }
+  // Without another place, an answer that has begun is not ended for a
+  // silence: the server may still go on.
   return std::nullopt;
 }
 
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -3,6 +3,7 @@
 #define ENTRY_SERVER_ATTEMPT_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -53,6 +54,9 @@
   AnswerSender* answer = nullptr;
   StreamProgress progress;
   MonotonicTime end;  // No answer is of use after this.
+  // Reserves a place where the request can go on in place of a group that lost
+  // a member. False when there is none, or no further attempt is allowed.
+  std::function<bool()> reserve_next;
 };
 
 // For the event loop's thread; used once.
--- a/tests/entry/request_path_test.cc
+++ b/tests/entry/request_path_test.cc
@@ -231,6 +231,58 @@
   CHECK(answer.find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("A stream that has begun is not ended for its group's silence") {
+  EntryFixture fixture;
+  fixture.AddGroup(
+      "a", [&](const auto& connection, Waiter* waiter, Coroutine yield) {
+        ReadHead(connection.get(), waiter, yield);
+        connection->Send(StreamHead("") + Event(1));
+        fixture.loop.Sleep(std::chrono::milliseconds(20), yield);
+        // The group is believed to have lost a member, and no other one serves.
+        fixture.view.SetReachable("a", false, fixture.loop.Now());
+        fixture.NotifySessions();
+        fixture.loop.Sleep(std::chrono::milliseconds(20), yield);
+        connection->Send(Event(2));
+        connection->FinishSending();
+      });
+  const std::string answer =
+      fixture.Ask(MakeRequest("POST", "/stream/x", "Content-Length: 0\r\n"));
+  CHECK(answer.find(Event(2)) != std::string::npos);
+  CHECK(answer.substr(answer.size() - 5) == "0\r\n\r\n");
+}
+
+TEST_CASE("A stream leaves a group that lost a member for one with room") {
+  EntryFixture fixture;
+  int asked = 0;
+  const auto stall_first = [&](const auto& connection, Waiter* waiter,
+                               Coroutine yield) {
+    fixture.received.push_back(ReadHead(connection.get(), waiter, yield));
+    if (++asked == 1) {
+      connection->Send(StreamHead("") + Event(1));
+      fixture.loop.Sleep(std::chrono::milliseconds(20), yield);
+      const bool first_is_a =
+          fixture.received[0].find("X-Expect-Instance: a\r") !=
+          std::string::npos;
+      fixture.view.SetReachable(first_is_a ? "a" : "b", false,
+                                fixture.loop.Now());
+      fixture.NotifySessions();
+      while (!connection->HasEnded()) {
+        waiter->WaitUntil(MonotonicTime::max(), yield);
+      }
+      return;
+    }
+    connection->Send(StreamHead("") + Event(2));
+    connection->FinishSending();
+  };
+  fixture.AddGroup("a", stall_first);
+  fixture.AddGroup("b", stall_first);
+  const std::string answer =
+      fixture.Ask(MakeRequest("POST", "/stream/x", "Content-Length: 0\r\n"));
+  CHECK(asked == 2);
+  CHECK(answer.find(Event(1)) != std::string::npos);
+  CHECK(answer.find(Event(2)) != std::string::npos);
+}
+
 TEST_CASE("Without a group of the model a request is refused at once") {
   EntryFixture fixture;
   const std::string answer =
