--- a/tests/cli/request_story_test.cc
+++ b/tests/cli/request_story_test.cc
@@ -14,8 +14,8 @@
     "time=2 level=info event=group_open group=other epoch=6",
     "time=3 level=info event=group_silent group=g epoch=5 streams=4",
     "time=4 level=warning event=server_unreachable server=a",
-    "time=5 level=info event=attempt id=r1 server=a group=g epoch=5 "
-    "end=may_have_run reason=\"the group lost a member\"",
+    ("time=5 level=info event=attempt id=r1 server=a group=g epoch=5 "
+     "end=may_have_run reason=\"the group lost a member\""),
     "time=6 level=info event=request id=r2 server=b status=200",
     "time=7 level=info event=request id=r1 server=c status=502",
     "time=8 level=info event=server_reachable server=a",
