Draw groups by free slots and unread prompts; let what can be on time go first

Late ones came in clusters at one server, after a group had opened or lost a member: all eight VMs take the group that looks least loaded in counts that are 150 ms old, and the streams of a lost group reach the others together. Engines read prompts between the steps of the streams that they write, so 10,000 unread tokens stop 26 streams for 250 ms. After all VMs had restarted, callers who were late already took the places of new ones.

Telling how long a caller has tried from its patience: the first tries of one route state any value within 20 %, so nothing follows from it (tried, and taken out).

Change: the choice among groups is a draw by free slots, distance and unread prompts (routing/place_choice); a group may have as many unread tokens as fit into a pause (routing/reading_room); waiting requests that can meet their target go first, late ones leave some slots and room (routing/waiting_line); a stream that lost its group stands in line while its old attempt goes on, and is sent with low urgency; Retry-After is spread. Digests carry unread tokens. The request log has the longest pause and the prompt's length.

--- a/src/entry/entry_constants.h
+++ b/src/entry/entry_constants.h
@@ -31,9 +31,8 @@
 // Retry-After while no configuration is known: the store answers by then.
 inline constexpr Duration kNoConfigRetry = std::chrono::milliseconds(400);
 
-// Least and largest Retry-After.
+// Retry-After where another server may take the request at once.
 inline constexpr Duration kShortestRetry = std::chrono::milliseconds(100);
-inline constexpr Duration kLongestRetry = std::chrono::milliseconds(1500);
 
 // Sends of one request that servers declined, besides those that ran it.
 inline constexpr int kMaxDeclined = 2;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -86,11 +86,11 @@
       repeats(BoundsOf(this->settings)),
       group_places(&this->loop,
                    &this->view,
-                   &this->load,
+                   WorkCounts{&this->load, &this->unread},
                    this->settings.failure_domain),
       plain_places(&this->loop,
                    &this->view,
-                   &this->load,
+                   WorkCounts{&this->load, &this->unread},
                    this->settings.failure_domain),
       group_watch(&this->loop, &this->view, &this->prober),
       operator_topic(&this->loop,
@@ -294,6 +294,7 @@
   digest.topic_ends = {this->operator_topic.End(), this->servers_topic.End(),
                        this->groups_topic.End(), this->nodes_topic.End()};
   digest.in_flight = this->load.OwnCounts();
+  digest.unread = this->unread.OwnCounts();
   for (const auto& entry : this->view.Unreachable()) {
     digest.unreachable.push_back(entry.first);
   }
@@ -304,6 +305,7 @@
 
 void EntryProcess::HearDigest(const NodeDigest& digest) {
   this->load.Report(digest.node, digest.in_flight, this->loop.Now());
+  this->unread.Report(digest.node, digest.unread, this->loop.Now());
   const TcpEndpoint address =
       ToTcpEndpoint(this->peers.Peers().at(digest.node).endpoint);
   const std::vector<TopicFollower*> followers = this->Followers();
@@ -342,6 +344,7 @@
     this->engine_http.PruneIdle();
     this->peer_http.PruneIdle();
     this->repeats.SetNodes(this->peers.LiveNodes(now));
+    this->group_places.SetNodes(this->peers.LiveNodes(now));
     const auto written =
         std::filesystem::last_write_time(this->settings_path, error);
     if (!error && written != settings_time) {
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -72,6 +72,7 @@
   EngineClient engines;
   FleetView view;
   SharedLoad load;
+  SharedLoad unread;
   ConnectionPool pool;
   PeerDirectory peers;
   PlannerRole role;
--- /dev/null
+++ b/src/entry/placement.h
@@ -0,0 +1,57 @@
+// The server that takes a request.
+#ifndef ENTRY_PLACEMENT_H_
+#define ENTRY_PLACEMENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "model/backend_server.h"
+#include "routing/shared_load.h"
+
+namespace kumquatcart {
+
+// What is counted of the work at each server. Not owned.
+struct WorkCounts {
+  SharedLoad* requests = nullptr;  // In progress.
+  SharedLoad* unread = nullptr;    // Prompt tokens sent and not read yet.
+};
+
+// Counts in the server's work while it lives. For the event loop's thread.
+class Placement {
+ public:
+  // `released` is called at the end; may be null.
+  Placement(WorkCounts counts,
+            const BackendServer& server,
+            std::string group,
+            std::int64_t epoch,
+            int prompt_tokens,
+            std::function<void()> released);
+  ~Placement();
+  Placement(const Placement&) = delete;
+  Placement& operator=(const Placement&) = delete;
+
+  const std::string& ServerId() const { return this->server_id; }
+  const Endpoint& Address() const { return this->address; }
+  // Empty for servers of plain services.
+  const std::string& Group() const { return this->group; }
+  std::int64_t Epoch() const { return this->epoch; }
+
+  // The server has begun to answer, so it has read the prompt.
+  void NotePromptRead();
+
+ private:
+  const WorkCounts counts;
+  const std::string server_id;
+  const Endpoint address;
+  const std::string group;
+  const std::int64_t epoch;
+  int unread_tokens;
+  const std::function<void()> released;
+};
+using PlacementPtr = std::unique_ptr<Placement>;
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_PLACEMENT_H_
--- a/src/entry/plain_places.cc
+++ b/src/entry/plain_places.cc
@@ -32,7 +32,7 @@
         query.excluded.count(server.id) > 0) {
       continue;
     }
-    const int taken = this->load->Total(server.id);
+    const int taken = this->counts.requests->Total(server.id);
     if (taken >= server.slots * kRequestsPerSlot) {
       result.reason = "all servers are full";
       continue;
@@ -48,7 +48,7 @@
   }
   if (best != nullptr) {
     result.placement =
-        std::make_unique<Placement>(this->load, *best, "", 0, nullptr);
+        std::make_unique<Placement>(this->counts, *best, "", 0, 0, nullptr);
   }
   return result;
 }
--- a/src/entry/plain_places.h
+++ b/src/entry/plain_places.h
@@ -15,11 +15,11 @@
  public:
   PlainPlaces(EventLoop* loop,
               FleetView* view,
-              SharedLoad* load,
+              WorkCounts counts,
               std::string failure_domain)
       : loop(loop),
         view(view),
-        load(load),
+        counts(counts),
         failure_domain(std::move(failure_domain)) {}
 
   PlaceResult Acquire(const PlaceQuery& query);
@@ -30,7 +30,7 @@
  private:
   EventLoop* const loop;
   FleetView* const view;
-  SharedLoad* const load;
+  const WorkCounts counts;
   const std::string failure_domain;
   FailureScore failures;
 };
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -15,6 +15,9 @@
 // Part of the target for the first event that a stream may spend waiting for a
 // place: reading the prompt and the first pass take the rest.
 constexpr double kWaitPart = 0.4;
+// How long a late request may wait: callers of a stream leave after two seconds
+// without an event, and reading the prompt takes some of them.
+constexpr Duration kLateWait = std::chrono::milliseconds(1300);
 // Waits of requests to routes without a target.
 constexpr Duration kDefaultWait = std::chrono::milliseconds(150);
 
@@ -41,6 +44,7 @@
   this->job.waiter = waiter;
   this->job.answer = answer;
   this->job.reserve_next = [this] { return this->ReserveNext(); };
+  this->job.drop_reserved = [this] { this->DropReserved(); };
 }
 
 void RequestFlow::LogEnd(int status, const std::string& reason) {
@@ -57,10 +61,13 @@
        {"reason", reason},
        {"runs", this->runs},
        {"declined", this->declined},
+       {"prompt", this->request.prompt_tokens},
+       {"patience_ms", ToMillis(this->request.patience)},
        {"config", this->routes ? this->routes->Config().version : 0},
        {"first_ms", has_events ? ToMillis(this->job.progress.first_event_at -
                                           this->received_at)
                                : -1},
+       {"pause_ms", ToMillis(this->job.progress.longest_pause)},
        {"ms", ToMillis(now - this->received_at)}});
   this->context->metrics
       ->GetCounter("kumquatcart_requests_total",
@@ -140,13 +147,10 @@
 
 MonotonicTime RequestFlow::LatestStart() const {
   const Duration target = this->job.route->target_latency;
-  const Duration wait =
-      target > Duration{0}
-          ? std::chrono::duration_cast<Duration>(target * kWaitPart)
-          : kDefaultWait;
-  // A stream that has begun is worth waiting longer for than a new one.
-  const Duration allowed = this->job.progress.has_events ? 4 * wait : wait;
-  return std::min(this->context->loop->Now() + allowed, this->job.end);
+  return this->received_at +
+         (target > Duration{0}
+              ? std::chrono::duration_cast<Duration>(target * kWaitPart)
+              : kDefaultWait);
 }
 
 PlaceQuery RequestFlow::MakeQuery() const {
@@ -154,7 +158,11 @@
   query.service = this->service;
   query.model = this->request.model;
   query.excluded = this->excluded;
-  query.wait_until = this->LatestStart();
+  query.prompt_tokens = this->request.prompt_tokens;
+  query.gap_target = this->job.route->gap_target;
+  query.latest_start = this->LatestStart();
+  query.wait_until =
+      std::min(this->context->loop->Now() + kLateWait, this->job.end);
   return query;
 }
 
@@ -164,17 +172,28 @@
     return true;
   }
   if (!this->HasAttemptLeft(AttemptEnd::kMayHaveRun, this->runs + 1) ||
-      now >= this->job.end) {
+      now >= this->job.end ||
+      !this->context->repeats->HasLeft(this->service, now)) {
+    // No place is held for a repeat that may not be sent: its server could be
+    // leaving by the time that it may.
+    this->ticket = nullptr;
     return false;
   }
-  PlaceQuery query = this->MakeQuery();
-  query.excluded.insert(this->last_server);
-  this->reserved = this->context->group_places->TryTake(query);
-  if (this->reserved != nullptr &&
+  if (this->ticket == nullptr) {
+    PlaceQuery query = this->MakeQuery();
+    query.excluded.insert(this->last_server);
+    this->ticket = this->context->group_places->Join(query, this->job.waiter);
+  }
+  if (!this->ticket->IsGranted() ||
       !this->context->repeats->TryTake(this->service, now)) {
-    this->reserved = nullptr;
+    return false;
   }
-  return this->reserved != nullptr;
+  this->reserved = this->ticket->Take();
+  return true;
+}
+
+void RequestFlow::DropReserved() {
+  this->ticket = nullptr;
 }
 
 PlaceResult RequestFlow::AcquirePlace(Coroutine yield) {
@@ -202,8 +221,10 @@
       return this->GiveUp(place.retry_after, place.reason);
     }
     this->last_server = place.placement->ServerId();
+    this->job.is_late = this->context->loop->Now() > this->LatestStart();
     ServerAttempt attempt(&this->job, place.placement.get());
     const AttemptEnd end = attempt.Run(yield);
+    this->ticket = nullptr;
     this->NoteAttempt(*place.placement, end, attempt);
     switch (end) {
       case AttemptEnd::kDelivered:
--- a/src/entry/request_flow.h
+++ b/src/entry/request_flow.h
@@ -37,13 +37,15 @@
   bool MayRepeat(AttemptEnd end);
   // Whether the request's kind and its attempts so far allow one more.
   bool HasAttemptLeft(AttemptEnd end, int runs_so_far) const;
-  // Takes a free place for the attempt after the present one.
+  // Takes a place for the attempt after the present one, or stands in line.
   bool ReserveNext();
+  void DropReserved();
   // Answers after the last attempt, whose end was `reason`.
   bool GiveUp(Duration retry_after, const std::string& reason);
   void NoteAttempt(const Placement& placement,
                    AttemptEnd end,
                    const ServerAttempt& attempt);
+  // Latest start with which the answer meets its target.
   MonotonicTime LatestStart() const;
   void LogEnd(int status, const std::string& reason);
 
@@ -60,6 +62,8 @@
   std::string last_server;
   // A server's failure, kept in case that no other server does better.
   std::optional<HeldAnswer> held_failure;
+  // Turn in the line for the next attempt's place, while this one goes on.
+  PlaceTicketPtr ticket;
   // Place and repeat that were taken for the next attempt.
   PlacementPtr reserved;
 };
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -20,13 +20,24 @@
 
 }  // namespace
 
+void StreamProgress::NoteEvents(MonotonicTime now) {
+  if (this->has_events) {
+    this->longest_pause =
+        std::max(this->longest_pause, now - this->last_event_at);
+  } else {
+    this->has_events = true;
+    this->first_event_at = now;
+  }
+  this->last_event_at = now;
+}
+
 const char* ToString(AttemptEnd end) {
   constexpr const char* kNames[] = {"delivered",    "failure",     "not_run",
                                     "may_have_run", "caller_gone", "time_up"};
   return kNames[static_cast<int>(end)];
 }
 
-ServerAttempt::ServerAttempt(AttemptJob* job, const Placement* placement)
+ServerAttempt::ServerAttempt(AttemptJob* job, Placement* placement)
     : job(job), placement(placement) {
   this->response.emplace(job->request->method == "HEAD");
 }
@@ -57,6 +68,7 @@
   facts.server_id = this->placement->ServerId();
   facts.organisation = this->job->organisation;
   facts.remaining = this->job->end - this->job->context->loop->Now();
+  facts.is_late = this->job->is_late;
   facts.resume_after = this->job->progress.has_events
                            ? this->job->progress.last_event
                            : this->job->request->resume_after;
@@ -117,10 +129,13 @@
   if (end) {
     return end;
   }
-  if (!this->placement->Group().empty() &&
-      !this->job->context->view->CanFinish(this->placement->Group(),
-                                           this->placement->Epoch()) &&
-      (this->job->reserve_next() || !this->job->answer->HasBegun())) {
+  if (this->placement->Group().empty()) {
+    return std::nullopt;
+  }
+  if (this->job->context->view->CanFinish(this->placement->Group(),
+                                          this->placement->Epoch())) {
+    this->job->drop_reserved();
+  } else if (this->job->reserve_next() || !this->job->answer->HasBegun()) {
     return this->Done(AttemptEnd::kMayHaveRun, "the group lost a member");
   }
   // Without another place, an answer that has begun is not ended for a
@@ -181,13 +196,11 @@
     if (event.id) {
       progress.last_event = event.id;
     }
-    if (!progress.has_events) {
-      progress.has_events = true;
-      progress.first_event_at = this->job->context->loop->Now();
-    }
     passed += event.text;
   }
   if (!passed.empty()) {
+    this->placement->NotePromptRead();
+    progress.NoteEvents(this->job->context->loop->Now());
     this->job->answer->SendPart(passed);
     this->job->context->group_watch->NoteProgress(this->placement->Group());
   }
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -31,9 +31,14 @@
 
 // The part of a stream that the caller has, over all attempts.
 struct StreamProgress {
+  // Events were passed on at `now`.
+  void NoteEvents(MonotonicTime now);
+
   std::optional<std::int64_t> last_event;  // Newest event id passed on.
   bool has_events = false;
   MonotonicTime first_event_at;
+  MonotonicTime last_event_at;
+  Duration longest_pause{0};  // Between two events.
 };
 
 // A server's answer that was held back because another may be better.
@@ -49,6 +54,7 @@
   const CallerRequest* request = nullptr;
   const RouteRule* route = nullptr;
   std::string organisation;
+  bool is_late = false;  // It misses its target anyway.
   TcpConnection* caller = nullptr;
   Waiter* waiter = nullptr;
   AnswerSender* answer = nullptr;
@@ -57,12 +63,14 @@
   // Reserves a place where the request can go on in place of a group that lost
   // a member. False when there is none, or no further attempt is allowed.
   std::function<bool()> reserve_next;
+  // Gives such a place back, or the turn in the line for one.
+  std::function<void()> drop_reserved;
 };
 
 // For the event loop's thread; used once.
 class ServerAttempt {
  public:
-  ServerAttempt(AttemptJob* job, const Placement* placement);
+  ServerAttempt(AttemptJob* job, Placement* placement);
 
   AttemptEnd Run(Coroutine yield);
 
@@ -88,7 +96,7 @@
   AttemptEnd Done(AttemptEnd end, std::string reason);
 
   AttemptJob* const job;
-  const Placement* const placement;
+  Placement* const placement;
   ConnectionPtr connection;
   std::optional<ResponseStream> response;
   ServerAnswerHead head;
--- a/src/model/routing_config.h
+++ b/src/model/routing_config.h
@@ -81,6 +81,16 @@
   int loads_at_once = 1;
   Duration forming{0};  // From the order to open until requests are taken.
 
+  // Null where no model has that name.
+  const ModelSpec* FindModel(const std::string& name) const {
+    for (const ModelSpec& model : this->models) {
+      if (model.name == name) {
+        return &model;
+      }
+    }
+    return nullptr;
+  }
+
   auto Tie() const {
     return std::tie(this->slots, this->cache_tokens, this->models, this->step,
                     this->step_per_request, this->prompt_tokens_per_second,
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Marks the layout, so that another version of the program is ignored.
-constexpr int kDigestFormat = 1;
+constexpr int kDigestFormat = 2;
 
 Json EncodeNews(const std::vector<GroupNews>& groups) {
   Json json = Json::array();
@@ -32,8 +32,8 @@
   const Json json = Json::array(
       {kDigestFormat, digest.node, digest.failure_domain, digest.is_stopping,
        digest.reaches_store, digest.has_traffic, digest.config_version,
-       digest.topic_ends, digest.in_flight, digest.unreachable, digest.doubted,
-       EncodeNews(digest.groups)});
+       digest.topic_ends, digest.in_flight, digest.unread, digest.unreachable,
+       digest.doubted, EncodeNews(digest.groups)});
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -53,9 +53,10 @@
     digest.config_version = json.at(6).get<std::int64_t>();
     digest.topic_ends = json.at(7).get<std::vector<std::int64_t>>();
     digest.in_flight = json.at(8).get<std::map<std::string, int>>();
-    digest.unreachable = json.at(9).get<std::vector<std::string>>();
-    digest.doubted = json.at(10).get<std::vector<std::string>>();
-    digest.groups = DecodeNews(json.at(11));
+    digest.unread = json.at(9).get<std::map<std::string, int>>();
+    digest.unreachable = json.at(10).get<std::vector<std::string>>();
+    digest.doubted = json.at(11).get<std::vector<std::string>>();
+    digest.groups = DecodeNews(json.at(12));
     return digest;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/peers/node_digest.h
+++ b/src/peers/node_digest.h
@@ -32,6 +32,7 @@
   std::int64_t config_version = 0;
   std::vector<std::int64_t> topic_ends;  // By StoreTopic.
   std::map<std::string, int> in_flight;  // Own requests by server id.
+  std::map<std::string, int> unread;  // Prompt tokens of those, not read yet.
   std::vector<std::string> unreachable;  // Servers that did not answer.
   std::vector<std::string> doubted;      // Servers that should be asked.
   std::vector<GroupNews> groups;         // Of domains that it plans.
@@ -40,7 +41,8 @@
     return std::tie(this->node, this->failure_domain, this->is_stopping,
                     this->reaches_store, this->has_traffic,
                     this->config_version, this->topic_ends, this->in_flight,
-                    this->unreachable, this->doubted, this->groups);
+                    this->unread, this->unreachable, this->doubted,
+                    this->groups);
   }
 };
 
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -21,6 +21,7 @@
 // say; the page on servers states no default.
 constexpr Duration kDefaultIdleLimit = std::chrono::seconds(2);
 // Taken off a stated idle limit, since the server's clock began earlier.
+constexpr char kLateUrgency[] = "8";  // Of 0 to 9; others have 5.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
 
 struct LessIgnoringCase {
@@ -191,6 +192,9 @@
   if (!facts.organisation.empty()) {
     sent.headers.push_back({wire::kTenant, facts.organisation});
   }
+  if (facts.is_late) {
+    sent.headers.push_back({wire::kUrgency, kLateUrgency});
+  }
   if (facts.resume_after) {
     sent.headers.push_back(
         {wire::kLastEventId, std::to_string(*facts.resume_after)});
--- a/src/platform/caller_codec.h
+++ b/src/platform/caller_codec.h
@@ -27,10 +27,11 @@
   std::string organisation;  // Empty: the route needs no key.
   Duration remaining{0};     // Time that the server may take.
   std::optional<std::int64_t> resume_after;  // Continue after this event.
+  bool is_late = false;  // Others go before it at the server.
 
   auto Tie() const {
     return std::tie(this->server_id, this->organisation, this->remaining,
-                    this->resume_after);
+                    this->resume_after, this->is_late);
   }
 };
 
--- a/src/routing/place_choice.cc
+++ b/src/routing/place_choice.cc
@@ -1,31 +1,73 @@
 #include "routing/place_choice.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace kumquatcart {
 
 namespace {
 
-// Load, as a part of a group's slots, for which a group in another failure
-// domain is given up: traffic between failure domains costs and may be cut.
-constexpr double kDistanceLoad = 0.15;
-// Difference of load within which candidates count as alike: what other entry
-// VMs may have added since they last told.
-constexpr double kSpreadLoad = 0.12;
+// Weight of a group in another failure domain against a near one: traffic
+// between failure domains costs and may be cut.
+constexpr double kFarWeight = 0.5;
+// Prompt tokens of this entry VM at a group that halve its weight: about one
+// prompt.
+constexpr double kOwnPromptTokens = 1500;
+// Part of the slots, and of the room for prompts, that late requests leave
+// free: what arrives while one of them runs.
+constexpr double kKeptSlots = 0.15;
+constexpr double kKeptRoom = 0.5;
+
+bool Takes(const PlaceCandidate& candidate, const PlaceDemand& demand) {
+  const double slots =
+      candidate.slots * (demand.is_late ? 1 - kKeptSlots : 1.0);
+  if (candidate.taken + 1 > slots) {
+    return false;
+  }
+  const double room =
+      demand.room.value_or(0) * (demand.is_late ? 1 - kKeptRoom : 1.0);
+  return !demand.room || candidate.unread <= 0 ||
+         candidate.unread + demand.prompt_tokens <= room;
+}
+
+double WeightOf(const PlaceCandidate& candidate, const PlaceDemand& demand) {
+  const double free =
+      1 - static_cast<double>(candidate.taken) / candidate.slots;
+  const double others = candidate.unread - candidate.own_unread;
+  const double unread =
+      candidate.own_unread / kOwnPromptTokens +
+      (demand.room && *demand.room > 0 ? std::max(0.0, others) / *demand.room
+                                       : 0);
+  return free * (candidate.is_near ? 1 : kFarWeight) / (1 + unread);
+}
+
+bool HasOwnRoom(const std::vector<PlaceCandidate>& candidates,
+                const PlaceDemand& demand) {
+  double own_unread = 0;
+  for (const PlaceCandidate& candidate : candidates) {
+    own_unread += candidate.own_unread;
+  }
+  return !demand.own_room || own_unread <= 0 ||
+         own_unread + demand.prompt_tokens <= *demand.own_room;
+}
 
 }  // namespace
 
 std::optional<std::size_t> ChoosePlace(
     const std::vector<PlaceCandidate>& candidates,
+    const PlaceDemand& demand,
     const std::vector<double>& draws) {
   std::optional<std::size_t> best;
+  if (!HasOwnRoom(candidates, demand)) {
+    return best;
+  }
   double best_score = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const PlaceCandidate& candidate = candidates[i];
-    if (candidate.taken >= candidate.slots) {
+    if (!Takes(candidates[i], demand)) {
       continue;
     }
-    const double score =
-        static_cast<double>(candidate.taken) / candidate.slots +
-        (candidate.is_near ? 0 : kDistanceLoad) + kSpreadLoad * draws[i];
+    // The smallest of exponential draws falls to each by its weight.
+    const double score = -std::log(draws[i]) / WeightOf(candidates[i], demand);
     if (!best || score < best_score) {
       best = i;
       best_score = score;
--- a/src/routing/repeat_allowance.cc
+++ b/src/routing/repeat_allowance.cc
@@ -24,17 +24,21 @@
   counts.requests.push_back(now);
 }
 
-bool RepeatAllowance::TryTake(const std::string& service, MonotonicTime now) {
+bool RepeatAllowance::HasLeft(const std::string& service, MonotonicTime now) {
   Counts& counts = this->by_service[service];
   this->Expire(&counts, now);
   const double allowed =
       kUsedPart *
       (this->bounds.base / this->nodes +
        this->bounds.ratio * static_cast<double>(counts.requests.size()));
-  if (static_cast<double>(counts.repeats.size()) + 1 > allowed) {
+  return static_cast<double>(counts.repeats.size()) + 1 <= allowed;
+}
+
+bool RepeatAllowance::TryTake(const std::string& service, MonotonicTime now) {
+  if (!this->HasLeft(service, now)) {
     return false;
   }
-  counts.repeats.push_back(now);
+  this->by_service[service].repeats.push_back(now);
   return true;
 }
 
--- a/src/routing/repeat_allowance.h
+++ b/src/routing/repeat_allowance.h
@@ -29,6 +29,9 @@
   // Notes a request for `service` that this entry VM took.
   void NoteRequest(const std::string& service, MonotonicTime now);
 
+  // Whether TryTake would take one at `now`.
+  bool HasLeft(const std::string& service, MonotonicTime now);
+
   // Takes one repeat. False when the window holds no more.
   bool TryTake(const std::string& service, MonotonicTime now);
 
--- a/src/routing/shared_load.cc
+++ b/src/routing/shared_load.cc
@@ -22,8 +22,8 @@
 
 }  // namespace
 
-void SharedLoad::End(const std::string& server) {
-  Decrease(&this->own, server, 1);
+void SharedLoad::End(const std::string& server, int amount) {
+  Decrease(&this->own, server, amount);
 }
 
 void SharedLoad::Subtract(const InFlightCounts& counts) {
--- a/src/routing/shared_load.h
+++ b/src/routing/shared_load.h
@@ -1,4 +1,4 @@
-// Requests in progress at each backend server, as all entry VMs know them.
+// Work in progress at each backend server, as all entry VMs know it.
 #ifndef ROUTING_SHARED_LOAD_H_
 #define ROUTING_SHARED_LOAD_H_
 
@@ -9,22 +9,23 @@
 
 namespace kumquatcart {
 
-// Requests in progress by server id.
+// Work in progress by server id: requests, or prompt tokens that are not read.
 using InFlightCounts = std::map<std::string, int>;
 
-// Sums this process's own requests and what the others last told. Not thread
-// safe.
+// Sums this process's own work and what the others last told. Not thread safe.
 class SharedLoad {
  public:
-  void Begin(const std::string& server) { ++this->own[server]; }
-  void End(const std::string& server);
+  void Begin(const std::string& server, int amount = 1) {
+    this->own[server] += amount;
+  }
+  void End(const std::string& server, int amount = 1);
 
   // Replaces what `node` told before.
   void Report(const std::string& node,
               InFlightCounts counts,
               MonotonicTime now);
 
-  // Drops what nodes told before `oldest`: their requests are unknown since.
+  // Drops what nodes told before `oldest`: their work is unknown since.
   void Forget(MonotonicTime oldest);
 
   int Own(const std::string& server) const;
--- a/src/routing/wait_forecast.cc
+++ b/src/routing/wait_forecast.cc
@@ -1,5 +1,7 @@
 #include "routing/wait_forecast.h"
 
+#include <algorithm>
+
 #include "routing/expiring_times.h"
 
 namespace kumquatcart {
@@ -9,6 +11,10 @@
 // Span over which places that became free are counted: about as long as a
 // generation takes.
 constexpr Duration kSpan = std::chrono::seconds(2);
+// Least and largest Retry-After: a refused caller's way back, and a third of
+// the patience that callers usually have.
+constexpr Duration kShortestReturn = std::chrono::milliseconds(100);
+constexpr Duration kLongestReturn = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -27,4 +33,9 @@
                        : kSpan * (ahead + 1) / static_cast<int>(times.size());
 }
 
+Duration SpreadReturn(Duration expected, double draw) {
+  return std::clamp(std::chrono::duration_cast<Duration>(expected * (1 + draw)),
+                    kShortestReturn, kLongestReturn);
+}
+
 }  // namespace kumquatcart
--- a/src/routing/wait_forecast.h
+++ b/src/routing/wait_forecast.h
@@ -25,6 +25,11 @@
   std::map<std::string, std::deque<MonotonicTime>> releases;
 };
 
+// Retry-After for one of many who are refused together: about `expected`, later
+// ones by as much again, so that they do not all come back at one moment.
+// `draw`: 0 up to 1. Thread safe.
+Duration SpreadReturn(Duration expected, double draw);
+
 }  // namespace kumquatcart
 
 #endif  // ROUTING_WAIT_FORECAST_H_
--- /dev/null
+++ b/src/routing/waiting_line.cc
@@ -0,0 +1,22 @@
+#include "routing/waiting_line.h"
+
+namespace kumquatcart {
+
+bool IsLate(const WaitingRequest& request, MonotonicTime now) {
+  return now > request.latest_start;
+}
+
+bool GoesBefore(const WaitingRequest& left,
+                const WaitingRequest& right,
+                MonotonicTime now) {
+  const bool left_late = IsLate(left, now);
+  const bool right_late = IsLate(right, now);
+  if (left_late != right_late) {
+    return right_late;
+  }
+  return left_late ? left.since < right.since
+                   : std::tie(left.latest_start, left.since) <
+                         std::tie(right.latest_start, right.since);
+}
+
+}  // namespace kumquatcart
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -47,8 +47,14 @@
           &this->role,
           [](const PeerState&) {},
           [] {}),
-      group_places(&this->loop, &this->view, &this->load, "zone"),
-      plain_places(&this->loop, &this->view, &this->load, "zone"),
+      group_places(&this->loop,
+                   &this->view,
+                   WorkCounts{&this->load, &this->unread},
+                   "zone"),
+      plain_places(&this->loop,
+                   &this->view,
+                   WorkCounts{&this->load, &this->unread},
+                   "zone"),
       group_watch(&this->loop, &this->view, &this->prober),
       repeats(RepeatBounds{0.2, 100, std::chrono::seconds(10)}) {
   this->context.loop = &this->loop;
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -43,6 +43,9 @@
   // Lets everything go on for `duration`.
   void RunFor(Duration duration);
 
+  // Requests in progress at a server, as this entry VM counts them.
+  int InProgress(const std::string& id) const { return this->load.Own(id); }
+
   // Heads of the requests that servers received, in order.
   std::vector<std::string> received;
   EventLoop loop;
@@ -56,6 +59,7 @@
   void ApplyConfig();
 
   SharedLoad load;
+  SharedLoad unread;
   ConnectionPool pool;
   HttpClient engine_http;
   EngineClient engines;
--- a/tests/entry/request_path_test.cc
+++ b/tests/entry/request_path_test.cc
@@ -315,6 +315,58 @@
   CHECK(answer.find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("No place is held for a stream that may not be sent again") {
+  EntryFixture fixture;
+  fixture.AddGroup(
+      "a", [&](const auto& connection, Waiter* waiter, Coroutine yield) {
+        ReadHead(connection.get(), waiter, yield);
+        connection->Send(StreamHead("") + Event(1));
+        fixture.loop.Sleep(std::chrono::milliseconds(20), yield);
+        fixture.AddGroup("b", Serve(&fixture, "b"));
+        while (fixture.context.repeats->TryTake("models", fixture.loop.Now())) {
+        }
+        fixture.view.SetReachable("a", false, fixture.loop.Now());
+        fixture.NotifySessions();
+        fixture.loop.Sleep(std::chrono::milliseconds(20), yield);
+        // Its server could leave before a repeat is allowed again.
+        CHECK(fixture.InProgress("b") == 0);
+        connection->Send(Event(2));
+        connection->FinishSending();
+      });
+  fixture.Ask(MakeRequest("POST", "/stream/x", "Content-Length: 0\r\n"));
+  CHECK(fixture.received.empty());
+}
+
+TEST_CASE("A stream goes on where a place becomes free") {
+  EntryFixture fixture;
+  std::vector<MonotonicTime> ends;
+  fixture.AddGroup("b", StaySilent(&fixture, &ends));
+  const std::string request = MakeRequest("GET", "/stream/x");
+  for (int i = 0; i < 4; ++i) {  // All places of the group.
+    fixture.AskAndLeave(request, std::chrono::milliseconds(200));
+  }
+  fixture.RunFor(std::chrono::milliseconds(30));
+  fixture.AddGroup(
+      "a", [&](const auto& connection, Waiter* waiter, Coroutine yield) {
+        ReadHead(connection.get(), waiter, yield);
+        connection->Send(StreamHead("") + Event(1));
+        fixture.loop.Sleep(std::chrono::milliseconds(20), yield);
+        fixture.view.SetReachable("a", false, fixture.loop.Now());
+        fixture.NotifySessions();
+        while (!connection->HasEnded()) {
+          waiter->WaitUntil(MonotonicTime::max(), yield);
+        }
+      });
+  fixture.AskAndLeave(request, std::chrono::milliseconds(500));
+  fixture.RunFor(std::chrono::milliseconds(100));
+  CHECK(fixture.received.size() == 4);  // It stands in line meanwhile.
+  fixture.RunFor(std::chrono::milliseconds(200));
+  REQUIRE(fixture.received.size() == 5);
+  CHECK(fixture.received[4].find("Last-Event-Id: 1\r\n") != std::string::npos);
+  CHECK(fixture.received[4].find("X-Request-Urgency: 8\r\n") !=
+        std::string::npos);
+}
+
 TEST_CASE("A stream that has begun is not ended for its group's silence") {
   EntryFixture fixture;
   fixture.AddGroup(
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -19,6 +19,7 @@
   digest.config_version = 9;
   digest.topic_ends = {1, 2, 3, 4};
   digest.in_flight = {{"s", 3}};
+  digest.unread = {{"s", 1420}};
   digest.unreachable = {"t"};
   digest.doubted = {"u", "v"};
   digest.groups = {{"g", 7, true}};
--- /dev/null
+++ b/tests/routing/reading_room_test.cc
@@ -0,0 +1,132 @@
+// Many prompts for few groups at once, after all entry VMs have started again.
+#include "routing/reading_room.h"
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "routing/place_choice.h"
+
+namespace kumquatcart {
+namespace {
+
+constexpr Duration kGapTarget = std::chrono::milliseconds(250);
+constexpr int kGroups = 5;
+constexpr int kNodes = 8;
+
+EngineSpec Engine() {
+  EngineSpec engine;
+  engine.slots = 26;
+  engine.step = std::chrono::microseconds(6450);
+  engine.step_per_request = std::chrono::microseconds(97);
+  engine.prompt_tokens_per_second = 56100;
+  engine.stride = 6;
+  return engine;
+}
+
+ModelSpec Model(double pace) {
+  ModelSpec model;
+  model.name = "m";
+  model.group_size = 6;
+  model.pace = pace;
+  return model;
+}
+
+// Time of one pass of a full group that reads `unread` tokens in it.
+double PassMs(double unread, double pace) {
+  const EngineSpec engine = Engine();
+  return pace * (engine.stride * (6.45 + engine.slots * 0.0967) +
+                 unread / engine.prompt_tokens_per_second * 1000);
+}
+
+TEST_CASE("A full room of unread prompts keeps pauses within their target") {
+  for (const double pace : {0.6, 1.0, 1.5}) {
+    const std::optional<double> room =
+        ReadingRoom(Engine(), Model(pace), kGapTarget);
+    REQUIRE(room);
+    CHECK(PassMs(*room, pace) < 251);
+    // And it is worth having: more than two prompts of usual length.
+    CHECK(*room > 2 * 1500);
+  }
+}
+
+TEST_CASE("Without a target or a rate there is no bound") {
+  CHECK(!ReadingRoom(Engine(), Model(1), Duration{0}));
+  EngineSpec unknown = Engine();
+  unknown.prompt_tokens_per_second = 0;
+  CHECK(!ReadingRoom(unknown, Model(1), kGapTarget));
+}
+
+TEST_CASE("A node alone may use every group's room, one of many a part") {
+  CHECK(OwnReadingRoom(5000, kGroups, 1) >= 5000 * kGroups);
+  CHECK(OwnReadingRoom(5000, kGroups, 1000) == 5000);
+}
+
+TEST_CASE("Prompts ahead take longer where more nodes share the groups") {
+  const Duration alone = ReadingWait(Engine(), Model(1), 10000, kGroups, 1);
+  const Duration shared =
+      ReadingWait(Engine(), Model(1), 10000, kGroups, kNodes);
+  CHECK(ToMillis(shared) == ToMillis(kNodes * alone));
+  CHECK(ReadingWait(Engine(), Model(1), 10000, 0, kNodes) == Duration{0});
+}
+
+// One moment in which every node places `each` prompts and has not heard of
+// the others yet. Returns the pass of each group.
+std::vector<double> PassesMs(int each, bool bounded) {
+  std::minstd_rand generator(11);
+  std::uniform_real_distribution<double> uniform(1e-9, 1);
+  std::exponential_distribution<double> length(1.0 / 1500);
+  const std::optional<double> room =
+      ReadingRoom(Engine(), Model(1), kGapTarget);
+  std::vector<double> unread(kGroups, 0);
+  for (int node = 0; node < kNodes; ++node) {
+    std::vector<double> own(kGroups, 0);
+    std::vector<int> taken(kGroups, 4);
+    for (int request = 0; request < each; ++request) {
+      PlaceDemand demand;
+      demand.prompt_tokens = std::min(4000.0, 200 + length(generator));
+      if (bounded) {
+        demand.room = room;
+        demand.own_room = OwnReadingRoom(*room, kGroups, kNodes);
+      }
+      std::vector<PlaceCandidate> candidates;
+      std::vector<double> draws;
+      for (int group = 0; group < kGroups; ++group) {
+        candidates.push_back({taken[group], 26, true, own[group], own[group]});
+        draws.push_back(uniform(generator));
+      }
+      const std::optional<std::size_t> chosen =
+          ChoosePlace(candidates, demand, draws);
+      if (chosen) {
+        ++taken[*chosen];
+        own[*chosen] += demand.prompt_tokens;
+        unread[*chosen] += demand.prompt_tokens;
+      }
+    }
+  }
+  std::vector<double> passes;
+  for (const double tokens : unread) {
+    passes.push_back(PassMs(tokens, 1));
+  }
+  return passes;
+}
+
+TEST_CASE("Callers of an outage do not stop the streams of all groups") {
+  // Each node has a dozen of them; without a bound their prompts stop every
+  // stream for most of a second.
+  const std::vector<double> naive = PassesMs(12, false);
+  const std::vector<double> bounded = PassesMs(12, true);
+  // Twice the room, since each node may use twice its part.
+  const double most =
+      PassMs(2 * *ReadingRoom(Engine(), Model(1), kGapTarget), 1);
+  const auto mean = [](const std::vector<double>& passes) {
+    return std::accumulate(passes.begin(), passes.end(), 0.0) / kGroups;
+  };
+  CHECK(mean(bounded) <= most);
+  CHECK(mean(naive) > most);
+}
+
+}  // namespace
+}  // namespace kumquatcart
--- a/tests/routing/repeat_allowance_test.cc
+++ b/tests/routing/repeat_allowance_test.cc
@@ -48,6 +48,17 @@
   CHECK(allowance.TryTake("other", kStart));
 }
 
+TEST_CASE("Asking whether a repeat is left takes none") {
+  RepeatAllowance allowance(kBounds);
+  int taken = 0;
+  while (allowance.HasLeft("s", kStart) && allowance.HasLeft("s", kStart)) {
+    CHECK(allowance.TryTake("s", kStart));
+    ++taken;
+  }
+  CHECK(!allowance.TryTake("s", kStart));
+  CHECK(taken > 0);
+}
+
 TEST_CASE("A repeat is allowed again once the window has passed") {
   RepeatAllowance allowance(kBounds);
   while (allowance.TryTake("s", kStart)) {
--- a/tests/routing/wait_forecast_test.cc
+++ b/tests/routing/wait_forecast_test.cc
@@ -91,5 +91,14 @@
         std::chrono::seconds(2));
 }
 
+TEST_CASE("Callers who are refused together come back spread out") {
+  const Duration expected = std::chrono::milliseconds(400);
+  CHECK(SpreadReturn(expected, 0) == expected);
+  CHECK(SpreadReturn(expected, 0.5) == std::chrono::milliseconds(600));
+  CHECK(SpreadReturn(Duration{0}, 0) == std::chrono::milliseconds(100));
+  CHECK(SpreadReturn(std::chrono::seconds(9), 0) ==
+        std::chrono::milliseconds(2500));
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- /dev/null
+++ b/tests/routing/waiting_line_test.cc
@@ -0,0 +1,80 @@
+// Recovery after an outage: those who have waited through it come together with
+// new callers, more than the groups can take at once.
+#include "routing/waiting_line.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace kumquatcart {
+namespace {
+
+using std::chrono::milliseconds;
+
+const MonotonicTime kStart{std::chrono::seconds(100)};
+
+TEST_CASE("Requests that can be on time go before late ones") {
+  const WaitingRequest late{"m", kStart - milliseconds(1), kStart};
+  const WaitingRequest fresh{"m", kStart + milliseconds(50), kStart};
+  const WaitingRequest pressing{"m", kStart + milliseconds(10), kStart};
+  CHECK(GoesBefore(fresh, late, kStart));
+  CHECK(!GoesBefore(late, fresh, kStart));
+  CHECK(GoesBefore(pressing, fresh, kStart));
+  // Once their time has passed, the one that waits longest is first.
+  const MonotonicTime later = kStart + milliseconds(100);
+  const WaitingRequest younger{"m", kStart, kStart + milliseconds(5)};
+  CHECK(GoesBefore(fresh, younger, later));
+  CHECK(!GoesBefore(younger, fresh, later));
+}
+
+TEST_CASE("The order is strict") {
+  const WaitingRequest request{"m", kStart, kStart};
+  CHECK(!GoesBefore(request, request, kStart));
+  CHECK(!GoesBefore(request, request, kStart + milliseconds(1)));
+}
+
+struct Served {
+  int on_time = 0;
+  int late = 0;
+};
+
+// 120 callers who are late already come with the first of the new ones, of whom
+// 40 arrive each second; one place becomes free each 20 ms.
+Served PlayRecovery(bool in_order_of_arrival) {
+  constexpr int kBacklog = 120;
+  constexpr int kSteps = 300;
+  std::vector<WaitingRequest> line(
+      kBacklog, WaitingRequest{"m", kStart - milliseconds(500), kStart});
+  Served served;
+  for (int step = 0; step < kSteps; ++step) {
+    const MonotonicTime now = kStart + step * milliseconds(20);
+    if (step % 5 != 0) {
+      line.push_back({"m", now + milliseconds(160), now});
+    }
+    if (line.empty()) {
+      continue;
+    }
+    const auto first = std::min_element(
+        line.begin(), line.end(),
+        [&](const WaitingRequest& left, const WaitingRequest& right) {
+          return in_order_of_arrival ? left.since < right.since
+                                     : GoesBefore(left, right, now);
+        });
+    ++(IsLate(*first, now) ? served.late : served.on_time);
+    line.erase(first);
+  }
+  return served;
+}
+
+TEST_CASE("A backlog of late requests does not make the new ones late") {
+  const Served naive = PlayRecovery(true);
+  const Served ordered = PlayRecovery(false);
+  CHECK(naive.on_time < 100);
+  CHECK(ordered.on_time == 240);
+  // As many are served either way.
+  CHECK(ordered.on_time + ordered.late == naive.on_time + naive.late);
+}
+
+}  // namespace
+}  // namespace kumquatcart
