Digests state their interval; few read the store, whatever the number of VMs

A node sends digests each 150 ms at up to ten peers and less often with more, each 1.35 s at 89; but a peer counted as gone after 900 ms of silence. So most nodes took themselves for a planner and reader most of the time. Besides, every VM read the configuration for itself.

Ruled out: the waiting reads of the three other topics (six readers at 250 ms are 24 calls a second at most, at any number of VMs).

Change: a digest states when the next one is due, and three that are missing make its node count as gone (900 ms at least). The first two nodes of a failure domain speak each 300 ms at the latest, so that a planner is still replaced within a second. Four VMs of a failure domain read the configuration, in small deployments all; the second reader of the other topics pauses for 800 ms.

--- a/src/control/planner_role.h
+++ b/src/control/planner_role.h
@@ -29,9 +29,9 @@
   const PeerState* Other(const std::string& failure_domain) const;
 
   // Whether this process follows the store for its failure domain: it is among
-  // the first nodes there, or nobody plans it. The others get the records from
-  // peers.
-  bool ReadsStore() const;
+  // the first `readers` nodes there, or nobody plans it. The others get the
+  // records from peers.
+  bool ReadsStore(int readers) const;
 
   // The process stops: it plans nothing any more.
   void Stop() { this->stopping = true; }
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -33,14 +33,17 @@
       if (!read) {
         this->loop->Sleep(kRetryPause, yield);
       } else if (this->end != before) {
-        this->loop->Sleep(this->settings.batch_pause, yield);
+        this->loop->Sleep(this->role->ReadsStore(1)
+                              ? this->settings.batch_pause
+                              : this->settings.standby_pause,
+                          yield);
       }
     }
   });
 }
 
 bool TopicFollower::ReadsStore() const {
-  return this->settings.read_by_all || this->role->ReadsStore();
+  return this->role->ReadsStore(this->settings.readers);
 }
 
 bool TopicFollower::ReadNewest(Coroutine yield) {
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -15,14 +15,17 @@
 // How one topic is followed.
 struct FollowerSettings {
   StoreTopic topic = StoreTopic::kOperator;
-  // Every entry VM reads it; otherwise a few of each failure domain do.
-  bool read_by_all = false;
+  // Entry VMs of each failure domain that read it: one may be refused by the
+  // store, or stand still, without the others noticing at once.
+  int readers = 1;
   // How long a read waits for the next record. Each read is a call; but a
   // connection that fell silent, and a store that refuses this VM, are known
   // only after this.
   Duration read_wait{0};
   // After a change, so that changes that come together cost one read.
   Duration batch_pause{0};
+  // The same for readers other than the planner, which stand by.
+  Duration standby_pause{0};
 };
 
 // Hands on every change of the topic's keys, in order, each once. For the event
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -21,8 +21,10 @@
 
 // Upkeep of tables: removals that are due, stale reports, idle connections.
 constexpr Duration kUpkeepInterval = std::chrono::milliseconds(250);
-// A peer's counts are forgotten after this silence.
+// A peer's counts are forgotten after this silence, and after as many digests
+// as may be lost in a row.
 constexpr Duration kCountsLifetime = std::chrono::milliseconds(1500);
+constexpr int kLostDigests = 3;
 // After the store was away, lapsed entries of servers that live come back
 // within two seconds.
 constexpr Duration kEntriesReturn = std::chrono::milliseconds(2500);
@@ -32,21 +34,28 @@
 // Kept of the stop's grace for the last answers to leave.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
-// The configuration changes seldom and must be in force everywhere within its
-// bound, so every VM reads it. Servers change often and in numbers; a leaving
-// one must be known everywhere within its bound. Nothing waits for the others.
-constexpr FollowerSettings kOperatorTopic{StoreTopic::kOperator, true,
-                                          std::chrono::milliseconds(3500),
-                                          std::chrono::milliseconds(40)};
-constexpr FollowerSettings kServersTopic{StoreTopic::kServers, false,
-                                         std::chrono::milliseconds(1200),
-                                         std::chrono::milliseconds(250)};
-constexpr FollowerSettings kGroupsTopic{StoreTopic::kGroups, false,
-                                        std::chrono::milliseconds(3500),
-                                        std::chrono::milliseconds(40)};
-constexpr FollowerSettings kNodesTopic{StoreTopic::kNodes, false,
-                                       std::chrono::milliseconds(3500),
-                                       std::chrono::milliseconds(250)};
+// The configuration must be in force everywhere within its bound, whatever
+// becomes of a reader and of those who hear from it, so it has more of them;
+// in small deployments every VM is one. Servers change often and in numbers; a
+// leaving one must be known everywhere within its bound. Nothing waits for the
+// others.
+constexpr int kOperatorReaders = 4;
+constexpr int kOtherReaders = 2;
+constexpr Duration kShortPause = std::chrono::milliseconds(40);
+constexpr Duration kBatchPause = std::chrono::milliseconds(250);
+constexpr Duration kStandbyPause = std::chrono::milliseconds(800);
+constexpr Duration kReadWait = std::chrono::milliseconds(3500);
+constexpr Duration kServersReadWait = std::chrono::milliseconds(1200);
+constexpr FollowerSettings kOperatorTopic{StoreTopic::kOperator,
+                                          kOperatorReaders, kReadWait,
+                                          kShortPause, kShortPause};
+constexpr FollowerSettings kServersTopic{StoreTopic::kServers, kOtherReaders,
+                                         kServersReadWait, kBatchPause,
+                                         kStandbyPause};
+constexpr FollowerSettings kGroupsTopic{StoreTopic::kGroups, kOtherReaders,
+                                        kReadWait, kShortPause, kStandbyPause};
+constexpr FollowerSettings kNodesTopic{StoreTopic::kNodes, kOtherReaders,
+                                       kReadWait, kBatchPause, kStandbyPause};
 // A relayed read waits up to 3.5 s at the store, as a direct one does.
 constexpr Duration kRelayTimeout = std::chrono::seconds(5);
 // A peer answers from memory.
@@ -339,7 +348,8 @@
     this->loop.Sleep(kUpkeepInterval, yield);
     const MonotonicTime now = this->loop.Now();
     this->view.ExpireServers(now);
-    this->load.Forget(now - kCountsLifetime);
+    this->load.Forget(now - std::max(kCountsLifetime,
+                                     kLostDigests * this->digests.Interval()));
     this->pool.Prune();
     this->engine_http.PruneIdle();
     this->peer_http.PruneIdle();
--- a/src/peers/digest_exchange.cc
+++ b/src/peers/digest_exchange.cc
@@ -1,5 +1,7 @@
 #include "peers/digest_exchange.h"
 
+#include <algorithm>
+
 #include <boost/asio/buffer.hpp>
 
 #include "base/logging.h"
@@ -13,6 +15,10 @@
 // number beyond, so that the cost of receiving stays the same.
 constexpr Duration kInterval = std::chrono::milliseconds(150);
 constexpr std::size_t kFullRatePeers = 10;
+// Longest time between two digests of the first nodes of a failure domain, and
+// how many these are: the one that plans, and the one that would take over.
+constexpr Duration kFirstNodesInterval = std::chrono::milliseconds(300);
+constexpr int kFirstNodes = 2;
 // Least time between two rounds, however often news come.
 constexpr Duration kShortestInterval = std::chrono::milliseconds(30);
 // A peer not heard for this long gets digests at the slow rate only.
@@ -39,14 +45,27 @@
   this->loop->Spawn([this](Coroutine yield) {
     for (;;) {
       this->SendAll(this->loop->Now());
-      const std::size_t scale =
-          1 + this->peers->Peers().size() / kFullRatePeers;
-      this->loop->Sleep(kInterval * static_cast<int>(scale), yield);
+      this->loop->Sleep(this->Interval(), yield);
     }
   });
   return Ok();
 }
 
+Duration DigestExchange::Interval() const {
+  const auto scale =
+      static_cast<int>(1 + this->peers->Peers().size() / kFullRatePeers);
+  const bool is_first =
+      this->peers->NodesBefore(this->loop->Now()) < kFirstNodes;
+  return is_first ? std::min(kInterval * scale, kFirstNodesInterval)
+                  : kInterval * scale;
+}
+
+std::string DigestExchange::Encode() const {
+  NodeDigest digest = this->compose();
+  digest.interval_ms = static_cast<int>(ToMillis(this->Interval()));
+  return EncodeDigest(digest);
+}
+
 void DigestExchange::Hurry() {
   const MonotonicTime now = this->loop->Now();
   if (now - this->sent_at >= kShortestInterval) {
@@ -65,7 +84,7 @@
     }
     peer.sent_at = now;
     if (bytes.empty()) {
-      bytes = EncodeDigest(this->compose());
+      bytes = this->Encode();
     }
     this->Send(bytes, peer);
   }
@@ -78,7 +97,7 @@
 }
 
 void DigestExchange::Tell(const PeerState& peer) {
-  this->Send(EncodeDigest(this->compose()), peer);
+  this->Send(this->Encode(), peer);
 }
 
 void DigestExchange::Receive() {
--- a/src/peers/digest_exchange.h
+++ b/src/peers/digest_exchange.h
@@ -38,6 +38,10 @@
   // Sends to all at once, unless that was done just now.
   void Hurry();
 
+  // Time between two rounds. The first nodes of a failure domain, which plan
+  // and read for it, never speak seldom.
+  Duration Interval() const;
+
   // Sends to one peer at once.
   void Tell(const PeerState& peer);
 
@@ -46,6 +50,7 @@
   void HandleDatagram(std::size_t size);
   void SendAll(MonotonicTime now);
   void Send(const std::string& bytes, const PeerState& peer);
+  std::string Encode() const;
 
   EventLoop* const loop;
   PeerDirectory* const peers;
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Marks the layout, so that another version of the program is ignored.
-constexpr int kDigestFormat = 2;
+constexpr int kDigestFormat = 3;
 
 Json EncodeNews(const std::vector<GroupNews>& groups) {
   Json json = Json::array();
@@ -29,11 +29,12 @@
 }  // namespace
 
 std::string EncodeDigest(const NodeDigest& digest) {
-  const Json json = Json::array(
-      {kDigestFormat, digest.node, digest.failure_domain, digest.is_stopping,
-       digest.reaches_store, digest.has_traffic, digest.config_version,
-       digest.topic_ends, digest.in_flight, digest.unread, digest.unreachable,
-       digest.doubted, EncodeNews(digest.groups)});
+  const Json json =
+      Json::array({kDigestFormat, digest.node, digest.failure_domain,
+                   digest.interval_ms, digest.is_stopping, digest.reaches_store,
+                   digest.has_traffic, digest.config_version, digest.topic_ends,
+                   digest.in_flight, digest.unread, digest.unreachable,
+                   digest.doubted, EncodeNews(digest.groups)});
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -47,16 +48,17 @@
     NodeDigest digest;
     digest.node = json.at(1).get<std::string>();
     digest.failure_domain = json.at(2).get<std::string>();
-    digest.is_stopping = json.at(3).get<bool>();
-    digest.reaches_store = json.at(4).get<bool>();
-    digest.has_traffic = json.at(5).get<bool>();
-    digest.config_version = json.at(6).get<std::int64_t>();
-    digest.topic_ends = json.at(7).get<std::vector<std::int64_t>>();
-    digest.in_flight = json.at(8).get<std::map<std::string, int>>();
-    digest.unread = json.at(9).get<std::map<std::string, int>>();
-    digest.unreachable = json.at(10).get<std::vector<std::string>>();
-    digest.doubted = json.at(11).get<std::vector<std::string>>();
-    digest.groups = DecodeNews(json.at(12));
+    digest.interval_ms = json.at(3).get<int>();
+    digest.is_stopping = json.at(4).get<bool>();
+    digest.reaches_store = json.at(5).get<bool>();
+    digest.has_traffic = json.at(6).get<bool>();
+    digest.config_version = json.at(7).get<std::int64_t>();
+    digest.topic_ends = json.at(8).get<std::vector<std::int64_t>>();
+    digest.in_flight = json.at(9).get<std::map<std::string, int>>();
+    digest.unread = json.at(10).get<std::map<std::string, int>>();
+    digest.unreachable = json.at(11).get<std::vector<std::string>>();
+    digest.doubted = json.at(12).get<std::vector<std::string>>();
+    digest.groups = DecodeNews(json.at(13));
     return digest;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/peers/node_digest.h
+++ b/src/peers/node_digest.h
@@ -26,6 +26,7 @@
 struct NodeDigest {
   std::string node;
   std::string failure_domain;
+  int interval_ms = 0;  // Time until the next one; 0: not stated.
   bool is_stopping = false;
   bool reaches_store = true;
   bool has_traffic = false;  // Callers' requests have begun.
@@ -38,8 +39,8 @@
   std::vector<GroupNews> groups;         // Of domains that it plans.
 
   auto Tie() const {
-    return std::tie(this->node, this->failure_domain, this->is_stopping,
-                    this->reaches_store, this->has_traffic,
+    return std::tie(this->node, this->failure_domain, this->interval_ms,
+                    this->is_stopping, this->reaches_store, this->has_traffic,
                     this->config_version, this->topic_ends, this->in_flight,
                     this->unread, this->unreachable, this->doubted,
                     this->groups);
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -6,16 +6,26 @@
 
 namespace {
 
-// Silence after which a peer counts as gone: several lost digests in a row.
+// Silence after which a peer counts as gone: several lost digests in a row, and
+// at least the time for which a busy VM may stand still.
+constexpr int kLostDigests = 3;
 constexpr Duration kPeerSilence = std::chrono::milliseconds(900);
 
 bool CanPlan(const PeerState& peer, MonotonicTime now) {
-  return peer.IsHeardSince(now - kPeerSilence) && peer.digest.reaches_store &&
+  return peer.IsAlive(now) && peer.digest.reaches_store &&
          !peer.digest.is_stopping;
 }
 
 }  // namespace
 
+bool PeerState::IsAlive(MonotonicTime now) const {
+  const Duration silence = std::max(
+      kPeerSilence,
+      kLostDigests * std::chrono::duration_cast<Duration>(
+                         std::chrono::milliseconds(this->digest.interval_ms)));
+  return this->IsHeardSince(now - silence);
+}
+
 void PeerDirectory::PutPeer(const std::string& node,
                             const std::string& failure_domain,
                             const Endpoint& endpoint) {
@@ -40,9 +50,8 @@
 int PeerDirectory::LiveNodes(MonotonicTime now) const {
   return 1 +
          static_cast<int>(std::count_if(
-             this->peers.begin(), this->peers.end(), [now](const auto& entry) {
-               return entry.second.IsHeardSince(now - kPeerSilence);
-             }));
+             this->peers.begin(), this->peers.end(),
+             [now](const auto& entry) { return entry.second.IsAlive(now); }));
 }
 
 const PeerState* PeerDirectory::Planner(const std::string& failure_domain,
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -23,6 +23,9 @@
   bool IsHeardSince(MonotonicTime oldest) const {
     return this->heard_at >= oldest && this->heard_at != MonotonicTime{};
   }
+
+  // Whether it has been silent for no longer than some lost digests explain.
+  bool IsAlive(MonotonicTime now) const;
 };
 
 // Decides who plans which failure domain from what peers told. Only the event
--- a/tests/entry/group_driver_test.cc
+++ b/tests/entry/group_driver_test.cc
@@ -93,9 +93,9 @@
         records(
             &this->loop,
             &this->client,
-            FollowerSettings{StoreTopic::kGroups, false,
-                             std::chrono::milliseconds(200),
-                             std::chrono::milliseconds(1)},
+            FollowerSettings{
+                StoreTopic::kGroups, 2, std::chrono::milliseconds(200),
+                std::chrono::milliseconds(1), std::chrono::milliseconds(1)},
             &this->role,
             nullptr,
             [this](const TopicRecord& record) {
--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -20,9 +20,9 @@
         follower(
             &this->loop,
             &this->client,
-            FollowerSettings{StoreTopic::kServers, false,
-                             std::chrono::milliseconds(500),
-                             std::chrono::milliseconds(1)},
+            FollowerSettings{
+                StoreTopic::kServers, 2, std::chrono::milliseconds(500),
+                std::chrono::milliseconds(1), std::chrono::milliseconds(1)},
             &this->role,
             [this](const TcpEndpoint&, std::int64_t from, Coroutine) {
               ++this->fetches;
@@ -101,7 +101,7 @@
     digest.node = node;
     f.peers.Hear(digest, f.loop.Now());
   }
-  CHECK(!f.role.ReadsStore());
+  CHECK(!f.role.ReadsStore(2));
   const int calls = f.store.calls;
   f.at_peer.end = 3;
   f.at_peer.records = {{"b", "1", 1}, {"a", std::nullopt, 2}};
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -15,6 +15,7 @@
   NodeDigest digest;
   digest.node = "n1";
   digest.failure_domain = "a";
+  digest.interval_ms = 150;
   digest.is_stopping = true;
   digest.config_version = 9;
   digest.topic_ends = {1, 2, 3, 4};
@@ -109,6 +110,31 @@
   CHECK(!DecodeRecordQuery("/api/log-read"));
 }
 
+TEST_CASE("A peer that speaks seldom is not taken for gone") {
+  // Each of 89 nodes tells 88 others.
+  PeerDirectory directory = MakeDirectory();
+  NodeDigest seldom = DigestOf("a");
+  seldom.interval_ms = 1350;
+  directory.Hear(seldom, kStart);
+  const MonotonicTime next = kStart + std::chrono::milliseconds(1350);
+  CHECK(directory.LiveNodes(next) == 2);
+  CHECK(directory.NodesBefore(next) == 1);
+  CHECK(!directory.Plans("zone1", true, false, next));
+  CHECK(directory.Plans("zone1", true, false,
+                        kStart + std::chrono::milliseconds(4200)));
+}
+
+TEST_CASE("A planner that falls silent is replaced within a second") {
+  PeerDirectory directory = MakeDirectory();
+  NodeDigest often = DigestOf("a");
+  often.interval_ms = 300;
+  directory.Hear(often, kStart);
+  CHECK(!directory.Plans("zone1", true, false,
+                         kStart + std::chrono::milliseconds(800)));
+  CHECK(directory.Plans("zone1", true, false,
+                        kStart + std::chrono::milliseconds(1000)));
+}
+
 TEST_CASE("Digests of unknown nodes are not taken") {
   PeerDirectory directory = MakeDirectory();
   CHECK(!directory.Hear(DigestOf("x"), kStart));
