--- /dev/null
+++ b/tools/soak/loopback.h
@@ -0,0 +1,26 @@
+// Addresses of the soak's parts on loopback.
+#ifndef SOAK_LOOPBACK_H_
+#define SOAK_LOOPBACK_H_
+
+#include <string>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "net/event_loop.h"
+
+namespace kumquatcart::soak {
+
+constexpr char kPlatformHost[] = "127.0.1.1";
+constexpr char kServersHost[] = "127.0.1.2";
+
+// A port of `host` that nothing uses at this moment.
+inline TcpEndpoint FreeLoopbackAddress(EventLoop* loop,
+                                       const std::string& host) {
+  boost::asio::ip::tcp::acceptor acceptor(
+      loop->Context(), TcpEndpoint(boost::asio::ip::make_address(host), 0));
+  return acceptor.local_endpoint();
+}
+
+}  // namespace kumquatcart::soak
+
+#endif  // SOAK_LOOPBACK_H_
--- /dev/null
+++ b/tools/soak/main.cc
@@ -0,0 +1,64 @@
+// kumquatcart-soak: real entry VM processes under random faults.
+#include <filesystem>
+#include <iostream>
+
+#include <fmt/format.h>
+#include <CLI/CLI.hpp>
+
+#include "base/logging.h"
+#include "soak/soak_run.h"
+
+namespace {
+
+constexpr int kBroken = 1;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using kumquatcart::soak::SoakReport;
+  using kumquatcart::soak::SoakSettings;
+  CLI::App app{
+      "Plays faults on entry VM processes and checks what they promise"};
+  SoakSettings settings;
+  int seconds = 15;
+  int seeds = 1;
+  bool verbose = false;
+  settings.directory = "soak";
+  app.add_option("--program", settings.program, "The kumquatcart binary")
+      ->required()
+      ->check(CLI::ExistingFile);
+  app.add_option("--directory", settings.directory,
+                 "For logs and settings; one folder a seed");
+  app.add_option("--seed", settings.seed, "First seed");
+  app.add_option("--seeds", seeds, "Seeds to play, one after the other");
+  app.add_option("--seconds", seconds, "Time with faults, of each seed")
+      ->check(CLI::Range(1, 3600));
+  app.add_option("--entries", settings.entries, "Entry VM processes")
+      ->check(CLI::Range(1, 40));
+  app.add_option("--callers", settings.callers, "Callers at once")
+      ->check(CLI::Range(1, 400));
+  app.add_flag("--verbose", verbose, "Prints each fault as it begins");
+  CLI11_PARSE(app, argc, argv);
+  kumquatcart::ConfigureLogging(
+      verbose ? kumquatcart::LogLevel::kInfo : kumquatcart::LogLevel::kError,
+      kumquatcart::LogFormat::kKeyValue);
+  settings.length = std::chrono::seconds(seconds);
+  const std::string base = settings.directory;
+  bool any_broken = false;
+  for (int i = 0; i < seeds; ++i, ++settings.seed) {
+    settings.directory = fmt::format("{}/{}", base, settings.seed);
+    std::filesystem::remove_all(settings.directory);
+    std::filesystem::create_directories(settings.directory);
+    const SoakReport report = kumquatcart::soak::RunSoak(settings);
+    std::cout << fmt::format(
+        "seed {}: {} faults, {} served, {} refused, {} failed, {} broken\n",
+        settings.seed, report.faults, report.served, report.refused,
+        report.failed, report.broken.size());
+    for (const std::string& what : report.broken) {
+      std::cout << "  " << what << '\n';
+    }
+    std::cout.flush();
+    any_broken = any_broken || !report.broken.empty();
+  }
+  return any_broken ? kBroken : 0;
+}
--- /dev/null
+++ b/tools/soak/run_ledger.cc
@@ -0,0 +1,67 @@
+#include "soak/run_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace kumquatcart::soak {
+
+namespace {
+
+// Servers that may run one request, as the configuration says.
+constexpr std::size_t kAttempts = 2;
+
+}  // namespace
+
+void RunLedger::NoteSent(const std::string& id, RequestKind kind) {
+  Entry& entry = this->entries[id];
+  entry.sent = true;
+  entry.kind = kind;
+}
+
+void RunLedger::NoteRun(const std::string& id, const std::string& server) {
+  this->entries[id].runs.push_back(server);
+}
+
+void RunLedger::NoteEnd(const std::string& id, RequestEnd end) {
+  this->entries[id].end = end;
+}
+
+void RunLedger::Accuse(std::string what) {
+  this->accusations.push_back(std::move(what));
+}
+
+std::vector<std::string> RunLedger::Judge() const {
+  std::vector<std::string> broken = this->accusations;
+  for (const auto& [id, entry] : this->entries) {
+    if (!entry.sent) {
+      broken.push_back(fmt::format("{} ran and no caller sent it", id));
+      continue;
+    }
+    const bool at_most_once = entry.kind == RequestKind::kAtMostOnce;
+    const std::size_t allowed = at_most_once ? 1 : kAttempts;
+    if (entry.runs.size() > allowed) {
+      broken.push_back(fmt::format("{} ran {} times, at {}", id,
+                                   entry.runs.size(),
+                                   fmt::join(entry.runs, ", ")));
+    }
+    if (at_most_once && entry.end == RequestEnd::kRefused &&
+        !entry.runs.empty()) {
+      broken.push_back(
+          fmt::format("{} was refused and ran at {}", id, entry.runs.front()));
+    }
+    if (entry.end == RequestEnd::kServed && entry.runs.empty()) {
+      broken.push_back(fmt::format("{} was served and never ran", id));
+    }
+  }
+  return broken;
+}
+
+int RunLedger::Count(RequestEnd end) const {
+  return static_cast<int>(std::count_if(
+      this->entries.begin(), this->entries.end(),
+      [end](const auto& entry) { return entry.second.end == end; }));
+}
+
+}  // namespace kumquatcart::soak
--- /dev/null
+++ b/tools/soak/run_ledger.h
@@ -0,0 +1,50 @@
+// What callers have sent and what servers have run, to be compared at the end.
+#ifndef SOAK_RUN_LEDGER_H_
+#define SOAK_RUN_LEDGER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kumquatcart::soak {
+
+enum class RequestKind { kAtMostOnce, kIdempotent, kStream };
+
+// What the caller made of one request.
+enum class RequestEnd {
+  kOpen,     // Not ended yet.
+  kServed,   // A whole success of its own.
+  kRefused,  // Told that it has not run and never will.
+  kFailed,   // Anything else that promises nothing.
+};
+
+// The soak's one thread uses it.
+class RunLedger {
+ public:
+  void NoteSent(const std::string& id, RequestKind kind);
+  void NoteRun(const std::string& id, const std::string& server);
+  void NoteEnd(const std::string& id, RequestEnd end);
+  // A promise was broken, in words.
+  void Accuse(std::string what);
+
+  // Compares runs with answers; call when nothing runs any more. Returns every
+  // broken promise.
+  std::vector<std::string> Judge() const;
+
+  int Count(RequestEnd end) const;
+
+ private:
+  struct Entry {
+    bool sent = false;
+    RequestKind kind = RequestKind::kIdempotent;
+    RequestEnd end = RequestEnd::kOpen;
+    std::vector<std::string> runs;  // Servers, in order.
+  };
+
+  std::map<std::string, Entry> entries;
+  std::vector<std::string> accusations;
+};
+
+}  // namespace kumquatcart::soak
+
+#endif  // SOAK_RUN_LEDGER_H_
--- /dev/null
+++ b/tools/soak/server_stand_in.cc
@@ -0,0 +1,360 @@
+#include "soak/server_stand_in.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "entry/answer_sender.h"
+#include "net/http_status.h"
+#include "soak/expected_answer.h"
+#include "soak/loopback.h"
+
+namespace kumquatcart::soak {
+
+namespace {
+
+constexpr char kServersTopic[] = "keyed.servers";
+constexpr Duration kWork = std::chrono::milliseconds(30);
+constexpr Duration kEventInterval = std::chrono::milliseconds(25);
+constexpr Duration kWarmJoin = std::chrono::milliseconds(200);
+constexpr Duration kLoad = std::chrono::milliseconds(900);
+constexpr Duration kForming = std::chrono::milliseconds(100);
+// A head whose group is not whole gives up after this.
+constexpr Duration kStall = std::chrono::milliseconds(2500);
+// An entry lapses this long after its server's end.
+constexpr Duration kLapse = std::chrono::milliseconds(1500);
+// A leaving server goes on for this long.
+constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
+constexpr int kSlots = 8;
+
+std::string ReadyKey(const std::string& group,
+                     std::int64_t epoch,
+                     const std::vector<std::string>& members) {
+  return fmt::format("{}/{}/{}", group, epoch, fmt::join(members, ","));
+}
+
+}  // namespace
+
+ServerStandIn::ServerStandIn(ServerParts parts,
+                             std::string id,
+                             std::string service,
+                             bool forms_groups)
+    : parts(parts),
+      id(std::move(id)),
+      service(std::move(service)),
+      forms_groups(forms_groups) {}
+
+Status ServerStandIn::Start() {
+  EventLoop* loop = this->parts.loop;
+  this->address = FreeLoopbackAddress(loop, kServersHost);
+  this->proxy_address = FreeLoopbackAddress(loop, kServersHost);
+  this->listener = std::make_unique<Listener>(
+      loop, [this](boost::asio::ip::tcp::socket socket) {
+        this->Serve(std::move(socket));
+      });
+  this->proxy = std::make_unique<TcpProxy>(loop, this->address);
+  BOOST_OUTCOME_TRY(this->listener->Start(this->address));
+  BOOST_OUTCOME_TRY(this->proxy->Start(this->proxy_address));
+  this->alive = true;
+  (*this->parts.table)[this->id] = this;
+  this->Register();
+  return Ok();
+}
+
+void ServerStandIn::Die() {
+  if (!this->alive) {
+    return;
+  }
+  this->alive = false;
+  this->parts.table->erase(this->id);
+  this->listener->Stop();
+  this->proxy->SetState(LinkState::kRefused);
+  this->parts.loop->Spawn([store = this->parts.store, loop = this->parts.loop,
+                           key = this->id](Coroutine yield) {
+    loop->Sleep(kLapse, yield);
+    store->Put(kServersTopic, key, std::nullopt);
+  });
+}
+
+void ServerStandIn::Drain() {
+  this->draining = true;
+  this->Register();
+  this->parts.loop->Spawn([this](Coroutine yield) {
+    this->parts.loop->Sleep(kDrainTime, yield);
+    this->Die();
+  });
+}
+
+Json ServerStandIn::Describe() const {
+  Json json{{"models", Json::array()},
+            {"staged", this->staged},
+            {"seq", this->orders},
+            {"born", 1700}};
+  if (!this->loaded_model.empty()) {
+    json["models"].push_back(
+        {{"name", this->loaded_model}, {"version", 1}, {"adapters", {}}});
+  }
+  if (this->membership) {
+    const auto& members = this->membership->members;
+    json["group"] = {
+        {"name", this->membership->group},
+        {"epoch", this->membership->epoch},
+        {"rank",
+         std::find(members.begin(), members.end(), this->id) - members.begin()},
+        {"state", this->membership->state}};
+  }
+  return json;
+}
+
+void ServerStandIn::Register() {
+  Json json = this->Describe();
+  json["service"] = this->service;
+  json["address"] = this->proxy_address.address().to_string() + ":" +
+                    std::to_string(this->proxy_address.port());
+  json["zone"] = "zone";
+  json["version"] = "v1";
+  json["slots"] = kSlots;
+  json["state"] = this->draining ? "draining" : "ready";
+  json["cold_left_ms"] = 0;
+  if (this->forms_groups) {
+    json["domain"] = "zone-d0";
+  }
+  this->parts.store->Put(kServersTopic, this->id, json.dump());
+}
+
+void ServerStandIn::Serve(boost::asio::ip::tcp::socket socket) {
+  const auto connection =
+      TcpConnection::Adopt(this->parts.loop, std::move(socket));
+  this->parts.loop->Spawn([this, connection](Coroutine yield) {
+    Waiter waiter(this->parts.loop);
+    connection->Attach(&waiter);
+    RequestReader reader(this->parts.loop, connection.get(), &waiter);
+    const bool never_closes = false;
+    for (;;) {
+      const ReadOutcome outcome =
+          reader.Read(CallerLimits{}, &never_closes, yield);
+      if (outcome.result != ReadResult::kRequest || !this->alive ||
+          !this->Answer(outcome.request, connection.get(), &waiter, yield)) {
+        break;
+      }
+    }
+    connection->Attach(nullptr);
+    connection->Close();
+  });
+}
+
+void ServerStandIn::AnswerText(const ReadRequest& request,
+                               int status,
+                               const std::string& body,
+                               bool not_run,
+                               TcpConnection* connection) const {
+  HeaderList headers{{"X-Request-Id",
+                      std::string(FindHeader(request.headers, "X-Request-Id"))},
+                     {"Keep-Alive", "timeout=5"}};
+  if (not_run) {
+    headers.push_back({"X-Not-Executed", "1"});
+  } else {
+    headers.push_back({"X-Response-Seal", this->id});
+  }
+  AnswerSender(connection, false).SendWhole(status, headers, body);
+}
+
+bool ServerStandIn::Answer(const ReadRequest& request,
+                           TcpConnection* connection,
+                           Waiter* waiter,
+                           Coroutine yield) {
+  if (FindHeader(request.headers, "X-Expect-Instance") != this->id) {
+    this->AnswerText(request, kHttpMisdirected, "", true, connection);
+    return true;
+  }
+  if (request.target == "/api/report") {
+    this->AnswerText(request, kHttpOk, this->Describe().dump(), false,
+                     connection);
+    return true;
+  }
+  if (request.target == "/api/order") {
+    const Result<Json> order = ParseJson(request.body);
+    const TextAnswer answer = order.has_error()
+                                  ? TextAnswer{kHttpBadRequest, ""}
+                                  : this->TakeOrder(order.value());
+    this->AnswerText(request, answer.status, answer.body, false, connection);
+    return true;
+  }
+  if (this->forms_groups) {
+    return this->Stream(request, connection, waiter, yield);
+  }
+  const std::string caller_id(FindHeader(request.headers, "X-Request-Id"));
+  this->parts.ledger->NoteRun(caller_id, this->id);
+  this->parts.loop->Sleep(kWork, yield);
+  if (!this->alive) {
+    return false;
+  }
+  this->AnswerText(request, kHttpOk, ExpectedBody(caller_id), false,
+                   connection);
+  return true;
+}
+
+TextAnswer ServerStandIn::TakeOrder(const Json& order) {
+  const std::string op = order.value("op", std::string());
+  if (op == "stage") {
+    ++this->orders;
+    this->parts.loop->Spawn(
+        [this, model = order.value("model", std::string())](Coroutine yield) {
+          this->parts.loop->Sleep(kLoad, yield);
+          if (this->alive) {
+            this->staged.insert(model);
+            this->Register();
+          }
+        });
+    return {kHttpAccepted, ""};
+  }
+  if (op == "join") {
+    return this->Join(order);
+  }
+  if (!this->membership ||
+      this->membership->group != order.value("group", std::string()) ||
+      this->membership->epoch != order.value("epoch", std::int64_t{0})) {
+    return {kHttpConflict, ""};
+  }
+  ++this->orders;
+  if (op == "leave") {
+    this->membership.reset();
+  } else if (op == "close") {
+    this->membership->state = "ready";
+  } else if (op == "open") {
+    if (this->membership->state != "ready") {
+      return {kHttpConflict, ""};
+    }
+    this->parts.loop->Spawn(
+        [this, opened = *this->membership](Coroutine yield) {
+          this->parts.loop->Sleep(kForming, yield);
+          if (this->alive && this->membership &&
+              this->membership->epoch == opened.epoch &&
+              this->membership->group == opened.group) {
+            this->membership->state = "open";
+            this->Register();
+          }
+        });
+  }
+  this->Register();
+  return {kHttpAccepted, ""};
+}
+
+TextAnswer ServerStandIn::Join(const Json& order) {
+  Membership joined{order.at("group").get<std::string>(),
+                    order.at("epoch").get<std::int64_t>(),
+                    order.at("members").get<std::vector<std::string>>(),
+                    "joining"};
+  if (this->membership && this->membership->epoch > joined.epoch) {
+    return {kHttpPreconditionFailed, ""};
+  }
+  if (this->membership && this->membership->group != joined.group &&
+      this->IsServing(*this->membership)) {
+    this->parts.ledger->Accuse(
+        fmt::format("{} joined {} while its group {} was open", this->id,
+                    joined.group, this->membership->group));
+  }
+  if (this->membership && this->membership->group == joined.group &&
+      this->membership->epoch == joined.epoch) {
+    return {kHttpOk, ""};
+  }
+  ++this->orders;
+  const std::string model = order.value("model", std::string());
+  const bool is_warm =
+      this->loaded_model == model || this->staged.count(model) > 0;
+  this->membership = joined;
+  this->Register();
+  this->parts.loop->Spawn([this, joined, model, is_warm](Coroutine yield) {
+    this->parts.loop->Sleep(is_warm ? kWarmJoin : kLoad, yield);
+    this->staged.insert(model);
+    this->loaded_model = model;
+    this->BecomeReady(joined);
+  });
+  return {kHttpAccepted, ""};
+}
+
+void ServerStandIn::BecomeReady(const Membership& joined) {
+  if (!this->alive || !this->membership ||
+      this->membership->group != joined.group ||
+      this->membership->epoch != joined.epoch) {
+    return;
+  }
+  this->membership->state = "ready";
+  this->ever_ready.insert(ReadyKey(joined.group, joined.epoch, joined.members));
+  this->Register();
+}
+
+bool ServerStandIn::IsServing(const Membership& served) const {
+  const auto head = this->parts.table->find(served.members.front());
+  return head != this->parts.table->end() && head->second->membership &&
+         head->second->membership->group == served.group &&
+         head->second->membership->epoch == served.epoch &&
+         head->second->membership->state == "open";
+}
+
+bool ServerStandIn::IsWhole(const Membership& served) const {
+  return std::all_of(
+      served.members.begin(), served.members.end(),
+      [this, &served](const std::string& member) {
+        const auto found = this->parts.table->find(member);
+        return found != this->parts.table->end() && found->second->membership &&
+               found->second->membership->group == served.group &&
+               found->second->membership->epoch == served.epoch;
+      });
+}
+
+bool ServerStandIn::Stream(const ReadRequest& request,
+                           TcpConnection* connection,
+                           Waiter* waiter,
+                           Coroutine yield) {
+  if (!this->membership || this->membership->state != "open") {
+    this->AnswerText(request, kHttpMisdirected, "", true, connection);
+    return true;
+  }
+  const Membership served = *this->membership;
+  const std::string caller_id(FindHeader(request.headers, "X-Request-Id"));
+  const std::string resume(FindHeader(request.headers, "Last-Event-Id"));
+  this->parts.ledger->NoteRun(caller_id, this->id);
+  for (const std::string& member : served.members) {
+    const auto found = this->parts.table->find(member);
+    if (found != this->parts.table->end() &&
+        found->second->ever_ready.count(
+            ReadyKey(served.group, served.epoch, served.members)) == 0) {
+      this->parts.ledger->Accuse(
+          fmt::format("{} ran in {} of which {} was never ready", caller_id,
+                      served.group, member));
+    }
+  }
+  AnswerSender sender(connection, false);
+  MonotonicTime whole_at = this->parts.loop->Now();
+  for (int event = resume.empty() ? 1 : std::stoi(resume) + 1;
+       event <= kStreamEvents;) {
+    waiter->WaitUntil(this->parts.loop->Now() + kEventInterval, yield);
+    const MonotonicTime now = this->parts.loop->Now();
+    if (!this->alive || connection->HasEnded() || !this->membership ||
+        this->membership->epoch != served.epoch ||
+        this->membership->state != "open" || now - whole_at > kStall) {
+      return false;
+    }
+    if (!this->IsWhole(served)) {
+      continue;
+    }
+    whole_at = now;
+    if (!sender.HasBegun()) {
+      sender.BeginStream(kHttpOk, {{"X-Request-Id", caller_id},
+                                   {"X-Response-Seal", this->id},
+                                   {"Content-Type", "text/event-stream"}});
+    }
+    sender.SendPart(fmt::format("id: {}\ndata: {}\n\n", event,
+                                ExpectedEvent(caller_id, event)));
+    ++event;
+  }
+  if (!sender.HasBegun()) {
+    sender.BeginStream(
+        kHttpOk, {{"X-Request-Id", caller_id}, {"X-Response-Seal", this->id}});
+  }
+  sender.EndStream();
+  return true;
+}
+
+}  // namespace kumquatcart::soak
--- /dev/null
+++ b/tools/soak/server_stand_in.h
@@ -0,0 +1,112 @@
+// A backend server: of a plain service, or one that forms replica groups.
+#ifndef SOAK_SERVER_STAND_IN_H_
+#define SOAK_SERVER_STAND_IN_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/json.h"
+#include "entry/text_service.h"
+#include "soak/run_ledger.h"
+#include "soak/store_stand_in.h"
+#include "soak/tcp_proxy.h"
+
+namespace kumquatcart::soak {
+
+class ServerStandIn;
+
+// Finds the servers that live, so that a group's head stands still while one of
+// its members is gone.
+using ServerTable = std::map<std::string, ServerStandIn*>;
+
+// What a server needs. The referents outlive it.
+struct ServerParts {
+  EventLoop* loop = nullptr;
+  StoreStandIn* store = nullptr;
+  RunLedger* ledger = nullptr;
+  ServerTable* table = nullptr;
+};
+
+// Listens behind a proxy of its own, which the entry VMs know as its address.
+// For the event loop's thread. Lives until the loop has ended.
+class ServerStandIn {
+ public:
+  ServerStandIn(ServerParts parts,
+                std::string id,
+                std::string service,
+                bool forms_groups);
+  ~ServerStandIn() { this->Die(); }
+  ServerStandIn(const ServerStandIn&) = delete;
+  ServerStandIn& operator=(const ServerStandIn&) = delete;
+
+  // Listens and registers. Errors: kUnavailable.
+  Status Start();
+
+  // Ends without a word; its entry lapses later.
+  void Die();
+  // Tells that it is leaving, goes on for a while, and is gone.
+  void Drain();
+  bool IsAlive() const { return this->alive; }
+  bool IsDraining() const { return this->draining; }
+  bool FormsGroups() const { return this->forms_groups; }
+
+  TcpProxy& Link() { return *this->proxy; }
+  const std::string& Id() const { return this->id; }
+
+ private:
+  struct Membership {
+    std::string group;
+    std::int64_t epoch = 0;
+    std::vector<std::string> members;
+    std::string state;
+  };
+
+  void Register();
+  Json Describe() const;
+  void Serve(boost::asio::ip::tcp::socket socket);
+  // False when the connection is to be closed.
+  bool Answer(const ReadRequest& request,
+              TcpConnection* connection,
+              Waiter* waiter,
+              Coroutine yield);
+  TextAnswer TakeOrder(const Json& order);
+  TextAnswer Join(const Json& order);
+  void BecomeReady(const Membership& joined);
+  bool Stream(const ReadRequest& request,
+              TcpConnection* connection,
+              Waiter* waiter,
+              Coroutine yield);
+  // Whether the head of that group is alive and open.
+  bool IsServing(const Membership& served) const;
+  // Whether every member is alive and in the group that this server heads.
+  bool IsWhole(const Membership& served) const;
+  void AnswerText(const ReadRequest& request,
+                  int status,
+                  const std::string& body,
+                  bool not_run,
+                  TcpConnection* connection) const;
+
+  const ServerParts parts;
+  const std::string id;
+  const std::string service;
+  const bool forms_groups;
+  TcpEndpoint address;
+  std::unique_ptr<Listener> listener;
+  std::unique_ptr<TcpProxy> proxy;
+  TcpEndpoint proxy_address;
+  bool alive = false;
+  bool draining = false;
+  int orders = 0;
+  std::string loaded_model;
+  std::set<std::string> staged;
+  std::optional<Membership> membership;
+  // Groups, epochs and lists under which it was ready once.
+  std::set<std::string> ever_ready;
+};
+
+}  // namespace kumquatcart::soak
+
+#endif  // SOAK_SERVER_STAND_IN_H_
--- /dev/null
+++ b/tools/soak/soak_caller.cc
@@ -0,0 +1,161 @@
+#include "soak/soak_caller.h"
+
+#include <fmt/format.h>
+
+#include "net/http_status.h"
+#include "soak/expected_answer.h"
+
+namespace kumquatcart::soak {
+
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(3);
+// Beyond the patience that the request states: the answer's way back.
+constexpr Duration kSlack = std::chrono::milliseconds(500);
+constexpr Duration kThinking = std::chrono::milliseconds(40);
+// One request in so many is given up midway.
+constexpr int kLeavesOneIn = 25;
+constexpr Duration kLeavesAfter = std::chrono::milliseconds(60);
+
+const char* PathOf(RequestKind kind) {
+  constexpr const char* kPaths[] = {"/once/", "/again/", "/stream/"};
+  return kPaths[static_cast<int>(kind)];
+}
+
+bool PromisesNotRun(int status) {
+  return status == kHttpTooManyRequests || status == kHttpUnavailable ||
+         status == kHttpRequestTimeout || status == kHttpMisdirected;
+}
+
+std::string ExpectedStream(const std::string& id) {
+  std::string text;
+  for (int event = 1; event <= kStreamEvents; ++event) {
+    text +=
+        fmt::format("id: {}\ndata: {}\n\n", event, ExpectedEvent(id, event));
+  }
+  return text;
+}
+
+}  // namespace
+
+SoakCaller::SoakCaller(EventLoop* loop,
+                       RunLedger* ledger,
+                       std::string name,
+                       std::uint64_t seed,
+                       std::function<TcpEndpoint()> pick,
+                       std::function<bool()> goes_on)
+    : loop(loop),
+      ledger(ledger),
+      name(std::move(name)),
+      generator(
+          static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
+      pick(std::move(pick)),
+      goes_on(std::move(goes_on)),
+      waiter(loop) {}
+
+RequestKind SoakCaller::PickKind() {
+  return static_cast<RequestKind>(
+      std::uniform_int_distribution<int>(0, 2)(this->generator));
+}
+
+void SoakCaller::Run(Coroutine yield) {
+  while (this->goes_on()) {
+    if (this->connection == nullptr || this->connection->HasEnded()) {
+      this->connection = std::make_shared<TcpConnection>(this->loop);
+      if (!this->connection->Connect(
+              this->pick(), this->loop->Now() + std::chrono::seconds(1),
+              &this->waiter, yield)) {
+        this->connection = nullptr;
+        this->loop->Sleep(kThinking, yield);
+        continue;
+      }
+    }
+    const RequestKind kind = this->PickKind();
+    const std::string id = fmt::format("{}-{}", this->name, ++this->asked);
+    this->ledger->NoteSent(id, kind);
+    const RequestEnd end = this->Ask(kind, id, yield);
+    this->ledger->NoteEnd(id, end);
+    this->served += end == RequestEnd::kServed ? 1 : 0;
+    this->loop->Sleep(kThinking, yield);
+  }
+  if (this->connection != nullptr) {
+    this->connection->Attach(nullptr);
+    this->connection->Close();
+  }
+}
+
+RequestEnd SoakCaller::Ask(RequestKind kind,
+                           const std::string& id,
+                           Coroutine yield) {
+  const bool leaves =
+      std::uniform_int_distribution<int>(1, kLeavesOneIn)(this->generator) == 1;
+  OutgoingRequest request{
+      "POST",
+      PathOf(kind),
+      {{"Host", kRouteHost},
+       {"X-Request-Id", id},
+       {"X-Model", "m"},
+       {"X-Token-Counts", "100,60"},
+       {"X-Deadline-Ms", std::to_string(ToMillis(kPatience))},
+       {"Authorization", std::string("Bearer ") + kCallerKey}},
+      ""};
+  this->connection->Attach(&this->waiter);
+  this->connection->Send(SerializeRequest(request));
+  const MonotonicTime deadline =
+      this->loop->Now() + (leaves ? kLeavesAfter : kPatience + kSlack);
+  ResponseStream response(false);
+  ResponseState state = ResponseState::kIncomplete;
+  while (state == ResponseState::kIncomplete) {
+    state = response.Poll(this->connection.get());
+    if (state == ResponseState::kIncomplete &&
+        !this->waiter.WaitUntil(deadline, yield)) {
+      break;
+    }
+  }
+  RequestEnd end = RequestEnd::kFailed;
+  if (state == ResponseState::kComplete) {
+    end = this->Check(kind, id, response, response.TakeBody());
+  }
+  const std::string_view field =
+      response.HasHead() ? response.Header("Connection") : std::string_view();
+  if (state != ResponseState::kComplete ||
+      EqualsIgnoringCase(std::string(field), "close")) {
+    this->connection->Attach(nullptr);
+    this->connection->Close();
+    this->connection = nullptr;
+  } else if (!this->connection->Input().empty()) {
+    this->ledger->Accuse(id + ": bytes after the answer");
+  }
+  return end;
+}
+
+RequestEnd SoakCaller::Check(RequestKind kind,
+                             const std::string& id,
+                             const ResponseStream& response,
+                             const std::string& body) {
+  const int status = response.Status();
+  const bool is_signed = !response.Header("X-Response-Seal").empty();
+  if (status / 100 == 2) {
+    const std::string expected =
+        kind == RequestKind::kStream ? ExpectedStream(id) : ExpectedBody(id);
+    if (!is_signed || body != expected ||
+        response.Header("X-Request-Id") != id) {
+      this->ledger->Accuse(
+          fmt::format("{}: a success that is not its own: {}", id, body));
+    }
+    return RequestEnd::kServed;
+  }
+  if (status == kHttpNotFound || status == kHttpUnauthorized ||
+      status == kHttpBadRequest) {
+    this->ledger->Accuse(fmt::format("{}: denied with {}", id, status));
+  }
+  if (PromisesNotRun(status) && !is_signed) {
+    if (status == kHttpUnavailable && response.Header("Retry-After").empty()) {
+      this->ledger->Accuse(id + ": refused without a Retry-After");
+    }
+    return RequestEnd::kRefused;
+  }
+  return RequestEnd::kFailed;
+}
+
+}  // namespace kumquatcart::soak
--- /dev/null
+++ b/tools/soak/soak_caller.h
@@ -0,0 +1,60 @@
+// A caller that checks every answer.
+#ifndef SOAK_SOAK_CALLER_H_
+#define SOAK_SOAK_CALLER_H_
+
+#include <functional>
+#include <random>
+#include <string>
+
+#include "net/response_stream.h"
+#include "net/tcp_connection.h"
+#include "soak/run_ledger.h"
+
+namespace kumquatcart::soak {
+
+// Host of every route, and the key of every caller.
+constexpr char kRouteHost[] = "soak.example";
+constexpr char kCallerKey[] = "key-1";
+
+// Sends one request after the other over connections that it keeps until they
+// end. For the event loop's thread.
+class SoakCaller {
+ public:
+  // `pick` names the address for the next connection, `went_on` tells whether
+  // to go on. `seed` makes its choices.
+  SoakCaller(EventLoop* loop,
+             RunLedger* ledger,
+             std::string name,
+             std::uint64_t seed,
+             std::function<TcpEndpoint()> pick,
+             std::function<bool()> goes_on);
+
+  void Run(Coroutine yield);
+
+  int Served() const { return this->served; }
+  int Asked() const { return this->asked; }
+
+ private:
+  RequestKind PickKind();
+  // What became of one request on the open connection.
+  RequestEnd Ask(RequestKind kind, const std::string& id, Coroutine yield);
+  RequestEnd Check(RequestKind kind,
+                   const std::string& id,
+                   const ResponseStream& response,
+                   const std::string& body);
+
+  EventLoop* const loop;
+  RunLedger* const ledger;
+  const std::string name;
+  std::minstd_rand generator;
+  const std::function<TcpEndpoint()> pick;
+  const std::function<bool()> goes_on;
+  std::shared_ptr<TcpConnection> connection;
+  Waiter waiter;
+  int asked = 0;
+  int served = 0;
+};
+
+}  // namespace kumquatcart::soak
+
+#endif  // SOAK_SOAK_CALLER_H_
--- /dev/null
+++ b/tools/soak/soak_run.cc
@@ -0,0 +1,146 @@
+#include "soak/soak_run.h"
+
+#include <csignal>
+
+#include <fmt/format.h>
+
+#include "net/http_status.h"
+#include "soak/fault_schedule.h"
+
+namespace kumquatcart::soak {
+
+namespace {
+
+// From the start of the processes to the first request: groups form meanwhile.
+constexpr Duration kSettling = std::chrono::seconds(4);
+// From the end of the last fault until everything must be as before it.
+constexpr Duration kRecovery = std::chrono::seconds(6);
+// Time over which the share that is served is taken in the end.
+constexpr Duration kMeasured = std::chrono::seconds(2);
+constexpr double kServedShare = 0.9;
+constexpr Duration kWatch = std::chrono::milliseconds(50);
+// Time until every request has ended: longer than callers wait.
+constexpr Duration kLastAnswers = std::chrono::seconds(4);
+constexpr Duration kStopTime = std::chrono::seconds(8);
+
+// Asks one process again and again for the newest route that it has shown, for
+// as long as it lives.
+void WatchConfig(SoakWorld* world,
+                 EntryChild* entry,
+                 const bool* goes_on,
+                 Coroutine yield) {
+  int shown = 0;
+  while (*goes_on) {
+    world->loop.Sleep(4 * kWatch, yield);
+    if (!entry->IsRunning() || entry->IsStopping()) {
+      shown = 0;
+      continue;
+    }
+    const int newest = world->Version();
+    if (world->AskRoute(*entry, newest, yield) == kHttpOk) {
+      shown = std::max(shown, newest);
+      continue;
+    }
+    if (shown == 0 || entry->IsStopping()) {
+      continue;
+    }
+    const int status = world->AskRoute(*entry, shown, yield);
+    if (status == kHttpNotFound && !entry->IsStopping() && entry->IsRunning()) {
+      world->ledger.Accuse(
+          fmt::format("{} went back behind version {}", entry->Name(), shown));
+    }
+  }
+}
+
+void CheckEnd(SoakWorld* world, Coroutine yield) {
+  int asked = 0;
+  int served = 0;
+  for (const auto& caller : world->callers) {
+    asked -= caller->Asked();
+    served -= caller->Served();
+  }
+  world->loop.Sleep(kMeasured, yield);
+  for (const auto& caller : world->callers) {
+    asked += caller->Asked();
+    served += caller->Served();
+  }
+  if (served < kServedShare * asked || served == 0) {
+    world->ledger.Accuse(fmt::format(
+        "{} of {} requests served after the last fault", served, asked));
+  }
+  for (const auto& entry : world->entries) {
+    if (!world->IsReady(*entry, yield)) {
+      world->ledger.Accuse(entry->Name() + " is not ready in the end");
+    }
+    const int status = world->AskRoute(*entry, world->Version(), yield);
+    if (status != kHttpOk) {
+      world->ledger.Accuse(fmt::format("{} answers {} on the newest route",
+                                       entry->Name(), status));
+    }
+  }
+}
+
+void StopAll(SoakWorld* world, Coroutine yield) {
+  for (const auto& entry : world->entries) {
+    entry->Signal(SIGTERM, true);
+  }
+  const MonotonicTime deadline = world->loop.Now() + kStopTime;
+  bool running = true;
+  while (running && world->loop.Now() < deadline) {
+    world->loop.Sleep(kWatch, yield);
+    running = false;
+    for (const auto& entry : world->entries) {
+      entry->Reap();
+      running = running || entry->IsRunning();
+    }
+  }
+}
+
+}  // namespace
+
+SoakReport RunSoak(const SoakSettings& settings) {
+  SoakWorld world(settings);
+  SoakReport report;
+  if (const Status started = world.Start(); started.has_error()) {
+    report.broken.push_back(started.error().message);
+    return report;
+  }
+  FaultSchedule schedule(&world, settings.seed);
+  bool restarts = true;
+  bool watches = true;
+  world.loop.Spawn([&](Coroutine yield) {
+    while (restarts) {
+      world.KeepProcesses(restarts);
+      world.loop.Sleep(kWatch, yield);
+    }
+  });
+  world.loop.Spawn([&](Coroutine yield) {
+    world.loop.Sleep(kSettling, yield);
+    world.StartCallers();
+    for (const auto& entry : world.entries) {
+      world.loop.Spawn(
+          [&world, &watches, child = entry.get()](Coroutine inner) {
+            WatchConfig(&world, child, &watches, inner);
+          });
+    }
+    schedule.Run(world.loop.Now() + settings.length, yield);
+    world.loop.Sleep(kRecovery, yield);
+    CheckEnd(&world, yield);
+    watches = false;
+    world.StopCallers();
+    world.loop.Sleep(kLastAnswers, yield);
+    restarts = false;
+    StopAll(&world, yield);
+    world.loop.Stop();
+  });
+  world.loop.Run();
+  report.broken = world.ledger.Judge();
+  report.faults = schedule.Faults();
+  report.served = world.ledger.Count(RequestEnd::kServed);
+  report.refused = world.ledger.Count(RequestEnd::kRefused);
+  report.failed = world.ledger.Count(RequestEnd::kFailed);
+  world.loop.EndCoroutines();
+  return report;
+}
+
+}  // namespace kumquatcart::soak
--- /dev/null
+++ b/tools/soak/soak_run.h
@@ -0,0 +1,26 @@
+// One soak from its start to its verdict.
+#ifndef SOAK_SOAK_RUN_H_
+#define SOAK_SOAK_RUN_H_
+
+#include <string>
+#include <vector>
+
+#include "soak/soak_world.h"
+
+namespace kumquatcart::soak {
+
+struct SoakReport {
+  std::vector<std::string> broken;  // Promises that were broken, in words.
+  int faults = 0;
+  int served = 0;
+  int refused = 0;
+  int failed = 0;
+};
+
+// Faults for the settings' length, then a calm end in which everything must
+// come back. Blocks; starts processes and ends them.
+SoakReport RunSoak(const SoakSettings& settings);
+
+}  // namespace kumquatcart::soak
+
+#endif  // SOAK_SOAK_RUN_H_
--- /dev/null
+++ b/tools/soak/soak_world.cc
@@ -0,0 +1,189 @@
+#include "soak/soak_world.h"
+
+#include <fmt/format.h>
+
+#include "net/http_status.h"
+#include "soak/loopback.h"
+
+namespace kumquatcart::soak {
+
+namespace {
+
+constexpr char kPlainService[] = "plain";
+constexpr char kModelService[] = "models";
+constexpr Duration kQuestionTimeout = std::chrono::milliseconds(1500);
+
+Json MakeRoute(const std::string& path,
+               const std::string& kind,
+               const char* service) {
+  Json route{{"name", path},
+             {"host", kRouteHost},
+             {"path_prefix", path},
+             {"kind", kind},
+             {"timeout_ms", 3000},
+             {"target_latency_ms", 400},
+             {"service", service},
+             {"attempts", kind == "non_idempotent" ? 1 : 2},
+             {"resumable", kind == "streaming"}};
+  if (kind == "streaming") {
+    route["gap_aim_ms"] = 250;
+  }
+  return route;
+}
+
+std::string VersionPath(int version) {
+  return fmt::format("/v{}/", version);
+}
+
+}  // namespace
+
+SoakWorld::SoakWorld(const SoakSettings& settings)
+    : store(&this->loop),
+      settings(settings),
+      generator(static_cast<std::minstd_rand::result_type>(
+          settings.seed % 2147483646 + 1)) {}
+
+Status SoakWorld::Start() {
+  this->store_address = FreeLoopbackAddress(&this->loop, kPlatformHost);
+  BOOST_OUTCOME_TRY(this->store.Start(this->store_address));
+  this->ChangeConfig();
+  for (int i = 0; i < this->settings.plain_servers; ++i) {
+    this->AddServer(false);
+  }
+  for (int i = 0; i < this->settings.engines; ++i) {
+    this->AddServer(true);
+  }
+  for (int i = 0; i < this->settings.entries; ++i) {
+    this->entries.push_back(std::make_unique<EntryChild>(
+        &this->loop, &this->ledger,
+        ChildPlaces{this->settings.program, this->settings.directory}, i,
+        this->store_address));
+    BOOST_OUTCOME_TRY(this->entries.back()->Prepare());
+    this->entries.back()->Launch();
+  }
+  return Ok();
+}
+
+void SoakWorld::StartCallers() {
+  for (int i = 0; i < this->settings.callers; ++i) {
+    this->callers.push_back(std::make_unique<SoakCaller>(
+        &this->loop, &this->ledger, fmt::format("c{}", i),
+        this->settings.seed * 1000 + static_cast<std::uint64_t>(i),
+        [this] {
+          const std::size_t pick = std::uniform_int_distribution<std::size_t>(
+              0, this->entries.size() - 1)(this->generator);
+          return this->entries[pick]->Callers();
+        },
+        [this] { return this->calling; }));
+    this->loop.Spawn([caller = this->callers.back().get()](Coroutine yield) {
+      caller->Run(yield);
+    });
+  }
+}
+
+int SoakWorld::ChangeConfig() {
+  ++this->version;
+  Json routes{MakeRoute("/once/", "non_idempotent", kPlainService),
+              MakeRoute("/again/", "idempotent", kPlainService),
+              MakeRoute("/stream/", "streaming", kModelService)};
+  for (int added = 1; added <= this->version; ++added) {
+    routes.push_back(
+        MakeRoute(VersionPath(added), "idempotent", kPlainService));
+  }
+  const Json engine{{"slots", 8},
+                    {"step_ms", 4},
+                    {"per_seq_ms", 0.1},
+                    {"stride", 6},
+                    {"read_per_s", 56000},
+                    {"loads_per_s", 5},
+                    {"loads_at_once", 4},
+                    {"form_ms", 100},
+                    {"models",
+                     {{{"name", "m"},
+                       {"size", 2},
+                       {"share", 1.0},
+                       {"pace", 1.0},
+                       {"load_s", 0.9},
+                       {"warm_s", 0.2}}}}};
+  const Json config{
+      {"version", this->version},
+      {"routes", routes},
+      {"services",
+       {{{"name", kPlainService}, {"max_connections", 100}},
+        {{"name", kModelService},
+         {"max_connections", 100},
+         {"engine", engine}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 65536},
+        {"header_timeout_ms", 3000},
+        {"idle_timeout_ms", 15000}}},
+      {"tenants", {{{"name", "org"}, {"api_keys", {kCallerKey}}}}}};
+  this->store.Put("keyed.op", "config", config.dump());
+  return this->version;
+}
+
+void SoakWorld::AddServer(bool forms_groups) {
+  this->servers.push_back(std::make_unique<ServerStandIn>(
+      ServerParts{&this->loop, &this->store, &this->ledger, &this->table},
+      fmt::format("i{}", ++this->servers_started),
+      forms_groups ? kModelService : kPlainService, forms_groups));
+  if (this->servers.back()->Start().has_error()) {
+    this->ledger.Accuse("a stand-in server could not listen");
+  }
+}
+
+std::vector<ServerStandIn*> SoakWorld::Servers(bool forms_groups) const {
+  std::vector<ServerStandIn*> found;
+  for (const auto& server : this->servers) {
+    if (server->IsAlive() && !server->IsDraining() &&
+        server->FormsGroups() == forms_groups) {
+      found.push_back(server.get());
+    }
+  }
+  return found;
+}
+
+void SoakWorld::KeepProcesses(bool restarts) {
+  for (const auto& entry : this->entries) {
+    entry->Reap();
+    if (restarts && !entry->IsRunning()) {
+      entry->Launch();
+    }
+  }
+}
+
+HttpReply SoakWorld::Exchange(const TcpEndpoint& address,
+                              const std::string& target,
+                              const std::string& id,
+                              Coroutine yield) {
+  HttpClient client(&this->loop);
+  return client.Exchange(
+      address,
+      OutgoingRequest{
+          "GET",
+          target,
+          {{"Host", kRouteHost},
+           {"X-Request-Id", id},
+           {"X-Deadline-Ms", std::to_string(ToMillis(kQuestionTimeout))},
+           {"Authorization", std::string("Bearer ") + kCallerKey}},
+          ""},
+      this->loop.Now() + kQuestionTimeout, Duration{0}, yield);
+}
+
+int SoakWorld::AskRoute(const EntryChild& entry,
+                        int asked_version,
+                        Coroutine yield) {
+  const std::string id = fmt::format("q{}", ++this->questions);
+  this->ledger.NoteSent(id, RequestKind::kIdempotent);
+  const HttpReply reply = this->Exchange(
+      entry.Callers(), VersionPath(asked_version) + "x", id, yield);
+  return reply.result == ExchangeResult::kAnswered ? reply.status : 0;
+}
+
+bool SoakWorld::IsReady(const EntryChild& entry, Coroutine yield) {
+  return this->Exchange(entry.Readiness(), "/api/ready", "ready", yield)
+      .Is(kHttpOk);
+}
+
+}  // namespace kumquatcart::soak
--- /dev/null
+++ b/tools/soak/soak_world.h
@@ -0,0 +1,79 @@
+// Everything of one soak: stand-ins, processes, callers.
+#ifndef SOAK_SOAK_WORLD_H_
+#define SOAK_SOAK_WORLD_H_
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "soak/entry_child.h"
+#include "soak/server_stand_in.h"
+#include "soak/soak_caller.h"
+#include "soak/store_stand_in.h"
+
+namespace kumquatcart::soak {
+
+struct SoakSettings {
+  std::string program;    // The kumquatcart binary.
+  std::string directory;  // Exists; settings and logs go there.
+  std::uint64_t seed = 1;
+  Duration length{0};  // With faults; a calm end follows.
+  int entries = 3;
+  int plain_servers = 3;
+  int engines = 7;
+  int callers = 10;
+};
+
+// For the event loop's thread; holds until the loop has ended.
+class SoakWorld {
+ public:
+  explicit SoakWorld(const SoakSettings& settings);
+
+  // Starts stand-ins and processes. Errors: kUnavailable.
+  Status Start();
+  void StartCallers();
+  void StopCallers() { this->calling = false; }
+
+  // Writes a new configuration, with one route more; returns its version.
+  int ChangeConfig();
+  int Version() const { return this->version; }
+  // Starts one more server of the kind.
+  void AddServer(bool forms_groups);
+  // Servers that live and are not leaving.
+  std::vector<ServerStandIn*> Servers(bool forms_groups) const;
+  // Starts processes that have ended, and takes note of ends.
+  void KeepProcesses(bool restarts);
+
+  // Asks for a route that came with `version`, at one process, and returns the
+  // status; 0 for no answer.
+  int AskRoute(const EntryChild& entry, int version, Coroutine yield);
+  bool IsReady(const EntryChild& entry, Coroutine yield);
+
+  EventLoop loop;
+  RunLedger ledger;
+  StoreStandIn store;
+  std::vector<std::unique_ptr<EntryChild>> entries;
+  std::vector<std::unique_ptr<SoakCaller>> callers;
+
+ private:
+  HttpReply Exchange(const TcpEndpoint& address,
+                     const std::string& target,
+                     const std::string& id,
+                     Coroutine yield);
+
+  const SoakSettings settings;
+  ServerTable table;
+  std::vector<std::unique_ptr<ServerStandIn>> servers;
+  std::minstd_rand generator;
+  TcpEndpoint store_address;
+  int version = 0;
+  int servers_started = 0;
+  int questions = 0;
+  bool calling = true;
+};
+
+}  // namespace kumquatcart::soak
+
+#endif  // SOAK_SOAK_WORLD_H_
--- /dev/null
+++ b/tools/soak/store_stand_in.h
@@ -0,0 +1,64 @@
+// The platform's store, in memory, with faults.
+#ifndef SOAK_STORE_STAND_IN_H_
+#define SOAK_STORE_STAND_IN_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "entry/text_service.h"
+
+namespace kumquatcart::soak {
+
+enum class StoreFault {
+  kNone,
+  kRefuses,      // Answers every call with 503 and does nothing.
+  kSilent,       // Answers nothing and does nothing while it lasts.
+  kLosesAnswers  // Does what appends ask and does not answer them.
+};
+
+// Lower-case name for logs. Thread safe.
+const char* ToString(StoreFault fault);
+
+// Keeps the topics whose names begin with "keyed."; offsets have no gaps. For
+// the event loop's thread.
+class StoreStandIn {
+ public:
+  explicit StoreStandIn(EventLoop* loop);
+
+  // Errors: kUnavailable.
+  Status Start(const TcpEndpoint& listen) {
+    return this->service.Start(listen);
+  }
+
+  // Writes as the operator or a server does, whatever the fault. No value drops
+  // the key.
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::optional<std::string>& value);
+
+  void SetFault(StoreFault next) { this->fault = next; }
+
+ private:
+  struct Record {
+    std::string key;
+    std::optional<std::string> value;
+  };
+  using Query = std::map<std::string, std::string>;
+
+  TextAnswer Answer(const ReadRequest& request, Coroutine yield);
+  TextAnswer Append(const Query& query, const std::string& body);
+  TextAnswer Read(const Query& query, Coroutine yield);
+  TextAnswer Newest(const Query& query);
+
+  EventLoop* const loop;
+  TextService service;
+  std::map<std::string, std::vector<Record>> topics;
+  StoreFault fault = StoreFault::kNone;
+};
+
+}  // namespace kumquatcart::soak
+
+#endif  // SOAK_STORE_STAND_IN_H_
