--- a/src/entry/entry_constants.h
+++ b/src/entry/entry_constants.h
@@ -23,10 +23,11 @@
 // Time given to a request of a caller that states none.
 inline constexpr Duration kDefaultPatience = std::chrono::seconds(8);
 
-// How long a request waits for the configuration of a process that has just
-// started: the store answers within some ten milliseconds, and a refused caller
-// would come back later than that.
-inline constexpr Duration kConfigWait = std::chrono::milliseconds(150);
+// How long a request waits for a process that has just started to read the
+// configuration, servers and groups: the store answers within some ten
+// milliseconds, and a refused caller would come back later than that.
+inline constexpr Duration kStartWait = std::chrono::milliseconds(150);
+inline constexpr Duration kStartPoll = std::chrono::milliseconds(5);
 
 // Retry-After while no configuration is known: the store answers by then.
 inline constexpr Duration kNoConfigRetry = std::chrono::milliseconds(400);
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_ENTRY_CONTEXT_H_
 #define ENTRY_ENTRY_CONTEXT_H_
 
+#include <functional>
 #include <memory>
 
 #include "base/metrics.h"
@@ -30,6 +31,8 @@
   MetricRegistry* metrics = nullptr;
   // Index of the configuration in force; null before the first one.
   std::shared_ptr<const RouteTable> routes;
+  // Whether servers and groups were read from the store once.
+  std::function<bool()> knows_fleet = [] { return true; };
   // The process was told to stop: connections end after their request.
   bool is_stopping = false;
   // Connections without a request end now.
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -159,6 +159,7 @@
   this->context.group_watch = &this->group_watch;
   this->context.repeats = &this->repeats;
   this->context.metrics = &this->metrics;
+  this->context.knows_fleet = [this] { return this->KnowsFleet(); };
 }
 
 Status EntryProcess::Start() {
@@ -430,10 +431,13 @@
   });
 }
 
+bool EntryProcess::KnowsFleet() const {
+  return this->servers_topic.IsSynced() && this->groups_topic.IsSynced();
+}
+
 TextAnswer EntryProcess::AnswerReadiness() const {
-  const bool ready =
-      !this->context.is_stopping && this->context.routes != nullptr &&
-      this->servers_topic.IsSynced() && this->groups_topic.IsSynced();
+  const bool ready = !this->context.is_stopping &&
+                     this->context.routes != nullptr && this->KnowsFleet();
   return TextAnswer{ready ? kHttpOk : kHttpUnavailable, ""};
 }
 
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -51,6 +51,7 @@
   void ReloadSettings(const char* cause);
   void Stop(Coroutine yield);
   void AcceptCaller(boost::asio::ip::tcp::socket socket);
+  bool KnowsFleet() const;
   TextAnswer AnswerReadiness() const;
   TextAnswer AnswerPeer(const ReadRequest& request, Coroutine yield);
   TextAnswer RelayStoreCall(const ReadRequest& request, Coroutine yield);
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -88,10 +88,13 @@
   return true;
 }
 
-void RequestFlow::WaitForConfig(Coroutine yield) {
-  const MonotonicTime deadline = this->context->loop->Now() + kConfigWait;
-  while (this->context->routes == nullptr && !this->job.caller->HasEnded() &&
-         this->job.waiter->WaitUntil(deadline, yield)) {
+void RequestFlow::WaitForStart(Coroutine yield) {
+  EventLoop& loop = *this->context->loop;
+  const MonotonicTime deadline = loop.Now() + kStartWait;
+  while ((this->context->routes == nullptr || !this->context->knows_fleet()) &&
+         !this->job.caller->HasEnded() && loop.Now() < deadline) {
+    this->job.waiter->WaitUntil(std::min(deadline, loop.Now() + kStartPoll),
+                                yield);
   }
   this->routes = this->context->routes;
 }
@@ -126,8 +129,8 @@
 }
 
 bool RequestFlow::Run(Coroutine yield) {
-  if (this->routes == nullptr) {
-    this->WaitForConfig(yield);
+  if (this->routes == nullptr || !this->context->knows_fleet()) {
+    this->WaitForStart(yield);
   }
   if (!this->Identify()) {
     return true;
--- a/src/entry/request_flow.h
+++ b/src/entry/request_flow.h
@@ -26,8 +26,8 @@
 
  private:
   bool Refuse(int status, Duration retry_after, std::string reason);
-  // Gives a process that has just started time to read its configuration.
-  void WaitForConfig(Coroutine yield);
+  // Gives a process that has just started time to read the store.
+  void WaitForStart(Coroutine yield);
   // Finds route, caller and service. False when the request was answered.
   bool Identify();
   bool RunAttempts(Coroutine yield);
--- a/tests/entry/request_path_test.cc
+++ b/tests/entry/request_path_test.cc
@@ -238,6 +238,18 @@
   CHECK(HasStatus(fixture.Ask(MakeRequest("GET", "/again/x")), "200"));
 }
 
+TEST_CASE("A request that comes before the groups are known waits for them") {
+  EntryFixture fixture;
+  bool known = false;
+  fixture.context.knows_fleet = [&known] { return known; };
+  fixture.loop.Spawn([&](Coroutine yield) {
+    fixture.loop.Sleep(std::chrono::milliseconds(30), yield);
+    fixture.AddPlain("a", Serve(&fixture, "a"));
+    known = true;
+  });
+  CHECK(HasStatus(fixture.Ask(MakeRequest("GET", "/again/x")), "200"));
+}
+
 TEST_CASE("Requests with two framings are refused") {
   EntryFixture fixture;
   fixture.AddPlain("a", Serve(&fixture, "a"));
--- a/tools/soak/fault_schedule.cc
+++ b/tools/soak/fault_schedule.cc
@@ -93,8 +93,11 @@
   this->Note("stop " + entry.Name());
   entry.Signal(SIGTERM, true);
   // A second signal while it stops must change nothing.
+  const int second = this->Draw(0, 1) == 0 ? SIGHUP : SIGTERM;
   this->world->loop.Sleep(this->DrawTime(50, 900), yield);
-  entry.Signal(this->Draw(0, 1) == 0 ? SIGHUP : SIGTERM, false);
+  if (entry.IsStopping()) {  // It may have been killed and started again.
+    entry.Signal(second, false);
+  }
 }
 
 void FaultSchedule::PauseEntry(Coroutine yield) {
