Postpone dropped entries only for an outage that most entry VMs see

Change: an outage counts if more than half of the nodes that read the store, as their digests tell, do not reach it (peer_directory, store_outage).

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -25,9 +25,6 @@
 // as may be lost in a row.
 constexpr Duration kCountsLifetime = std::chrono::milliseconds(1500);
 constexpr int kLostDigests = 3;
-// After the store was away, lapsed entries of servers that live come back
-// within two seconds.
-constexpr Duration kEntriesReturn = std::chrono::milliseconds(2500);
 // From the stop signal until no new connection is taken: the platform's
 // balancer asks once a second and needs two misses.
 constexpr Duration kStopAccepting = std::chrono::milliseconds(3200);
@@ -213,11 +210,8 @@
 void EntryProcess::ApplyServer(const TopicRecord& record) {
   const MonotonicTime now = this->loop.Now();
   if (!record.value) {
-    const MonotonicTime settled =
-        this->store.ReachableSince() == MonotonicTime{}
-            ? now
-            : std::max(now, this->store.ReachableSince() + kEntriesReturn);
-    this->view.RemoveServer(record.key, settled);
+    this->NoteStoreState();
+    this->view.RemoveServer(record.key, this->store_outage.Settled(now));
     this->view.ExpireServers(now);
     return;
   }
@@ -341,6 +335,12 @@
   }
 }
 
+void EntryProcess::NoteStoreState() {
+  const MonotonicTime now = this->loop.Now();
+  this->store_outage.Note(
+      this->peers.IsStoreDown(this->store.IsReachable(), now), now);
+}
+
 void EntryProcess::KeepUp(Coroutine yield) {
   std::error_code error;
   auto settings_time =
@@ -348,6 +348,7 @@
   for (;;) {
     this->loop.Sleep(kUpkeepInterval, yield);
     const MonotonicTime now = this->loop.Now();
+    this->NoteStoreState();
     this->view.ExpireServers(now);
     this->load.Forget(now - std::max(kCountsLifetime,
                                      kLostDigests * this->digests.Interval()));
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -10,6 +10,7 @@
 
 #include "base/outcome.h"
 #include "control/group_driver.h"
+#include "control/store_outage.h"
 #include "control/topic_follower.h"
 #include "entry/entry_context.h"
 #include "entry/group_places.h"
@@ -47,6 +48,7 @@
   void Announce(Coroutine yield);
   void KeepUp(Coroutine yield);
   void NoteFleetChange();
+  void NoteStoreState();
   void WaitForSignal();
   void ReloadSettings(const char* cause);
   void Stop(Coroutine yield);
@@ -76,6 +78,7 @@
   SharedLoad unread;
   ConnectionPool pool;
   PeerDirectory peers;
+  StoreOutage store_outage;
   PlannerRole role;
   ServerProber prober;
   RepeatAllowance repeats;
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -11,6 +11,9 @@
 constexpr int kLostDigests = 3;
 constexpr Duration kPeerSilence = std::chrono::milliseconds(900);
 
+// Nodes of a failure domain, by name, that read every topic of the store.
+constexpr int kStoreReaders = 2;
+
 bool CanPlan(const PeerState& peer, MonotonicTime now) {
   return peer.IsAlive(now) && peer.digest.reaches_store &&
          !peer.digest.is_stopping;
@@ -77,6 +80,30 @@
       }));
 }
 
+bool PeerDirectory::IsStoreDown(bool own_reaches_store,
+                                MonotonicTime now) const {
+  std::map<std::string, std::map<std::string, bool>> by_domain;
+  by_domain[this->own_failure_domain][this->own_node] = own_reaches_store;
+  for (const auto& [node, peer] : this->peers) {
+    if (peer.IsAlive(now) && !peer.digest.is_stopping) {
+      by_domain[peer.failure_domain][node] = peer.digest.reaches_store;
+    }
+  }
+  int readers = 0;
+  int cut_off = 0;
+  for (const auto& domain : by_domain) {
+    int taken = 0;
+    for (const auto& node : domain.second) {
+      if (taken++ == kStoreReaders) {
+        break;
+      }
+      ++readers;
+      cut_off += node.second ? 0 : 1;
+    }
+  }
+  return 2 * cut_off > readers;
+}
+
 bool PeerDirectory::Plans(const std::string& failure_domain,
                           bool own_reaches_store,
                           bool own_is_stopping,
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -58,6 +58,11 @@
              bool own_is_stopping,
              MonotonicTime now) const;
 
+  // Whether most of the nodes that read the store, the first two by name of
+  // each failure domain, do not reach it: it is down, and does not only refuse
+  // some of them.
+  bool IsStoreDown(bool own_reaches_store, MonotonicTime now) const;
+
   // Nodes of the own failure domain that come before this process and reach
   // the store.
   int NodesBefore(MonotonicTime now) const;
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -166,7 +166,6 @@
   }
   this->reachable = answered;
   if (answered) {
-    this->reachable_since = this->loop->Now();
     LogInfo("store_regained");
   } else {
     LogWarning("store_lost",
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -87,9 +87,6 @@
   // Whether the last direct call was answered.
   bool IsReachable() const { return this->reachable; }
 
-  // When a direct call was first answered after a failed one.
-  MonotonicTime ReachableSince() const { return this->reachable_since; }
-
  private:
   HttpReply Call(const OutgoingRequest& request,
                  Duration timeout,
@@ -105,7 +102,6 @@
   std::vector<TcpEndpoint> relays;
   std::size_t next_relay = 0;
   bool reachable = true;
-  MonotonicTime reachable_since;
   MonotonicTime direct_at;  // Last direct call.
 };
 
--- /dev/null
+++ b/tests/control/store_outage_test.cc
@@ -0,0 +1,30 @@
+// Entries dropped around an outage of the store.
+#include "control/store_outage.h"
+
+#include <catch2/catch.hpp>
+
+namespace kumquatcart {
+namespace {
+
+const MonotonicTime kStart{std::chrono::seconds(100)};
+
+TEST_CASE("A dropped entry counts at once while the store is up") {
+  StoreOutage outage;
+  CHECK(outage.Settled(kStart) == kStart);
+  outage.Note(false, kStart);
+  CHECK(outage.Settled(kStart) == kStart);
+}
+
+TEST_CASE("Entries dropped in an outage may come back after it") {
+  StoreOutage outage;
+  outage.Note(true, kStart);
+  CHECK(outage.Settled(kStart) >= kStart + std::chrono::seconds(2));
+  const MonotonicTime back = kStart + std::chrono::seconds(5);
+  outage.Note(false, back);
+  CHECK(outage.Settled(back) >= back + std::chrono::seconds(2));
+  const MonotonicTime later = back + std::chrono::seconds(4);
+  CHECK(outage.Settled(later) == later);
+}
+
+}  // namespace
+}  // namespace kumquatcart
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -135,6 +135,30 @@
                         kStart + std::chrono::milliseconds(1000)));
 }
 
+TEST_CASE("A store that refuses a few nodes is not down") {
+  PeerDirectory directory("b", "zone1");
+  const auto hear = [&directory](const std::string& node,
+                                 const std::string& domain, bool reaches) {
+    directory.PutPeer(node, domain, Endpoint{"10.0.0.1", 1});
+    NodeDigest digest = DigestOf(node);
+    digest.reaches_store = reaches;
+    directory.Hear(digest, kStart);
+  };
+  hear("a", "zone1", true);
+  hear("c", "zone2", true);
+  hear("d", "zone2", false);
+  hear("e", "zone3", true);
+  CHECK(!directory.IsStoreDown(false, kStart));
+  hear("c", "zone2", false);
+  hear("e", "zone3", false);
+  CHECK(directory.IsStoreDown(false, kStart));
+  // Nodes that do not read the store do not know.
+  for (const char* node : {"x", "y", "z"}) {
+    hear(node, "zone2", true);
+  }
+  CHECK(directory.IsStoreDown(false, kStart));
+}
+
 TEST_CASE("Digests of unknown nodes are not taken") {
   PeerDirectory directory = MakeDirectory();
   CHECK(!directory.Hear(DigestOf("x"), kStart));
