--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -22,8 +22,14 @@
 
 void TopicFollower::Start() {
   this->loop->Spawn([this](Coroutine yield) {
-    for (;;) {
-      if (this->synced && !this->ReadsStore()) {
+    for (bool was_reader = false;;) {
+      const bool is_reader = this->ReadsStore();
+      if (is_reader != was_reader) {
+        was_reader = is_reader;
+        LogInfo("topic_reader", {{"topic", ToString(this->settings.topic)},
+                                 {"reads", is_reader ? 1 : 0}});
+      }
+      if (this->synced && !is_reader) {
         this->loop->Sleep(kRoleCheckInterval, yield);
         continue;
       }
@@ -146,21 +152,37 @@
       this->loop->Sleep(kPendingReadGrace, yield);
     }
     if (this->end < peer_end) {
-      const Result<TopicBatch> batch = this->fetch(peer, this->end, yield);
-      if (batch.has_value()) {
-        this->ApplyRecords(batch.value());
-      } else {
-        LogWarning("topic_behind_peers",
-                   {{"topic", ToString(this->settings.topic)},
-                    {"end", this->end},
-                    {"peer_end", peer_end},
-                    {"reason", batch.error().message}});
-      }
+      this->FetchMore(peer, peer_end, yield);
     }
     this->catching_up = false;
   });
 }
 
+void TopicFollower::FetchMore(const TcpEndpoint& peer,
+                              std::int64_t peer_end,
+                              Coroutine yield) {
+  const MonotonicTime started = this->loop->Now();
+  const std::int64_t from = this->end;
+  const Result<TopicBatch> batch = this->fetch(peer, from, yield);
+  const auto elapsed_ms = ToMillis(this->loop->Now() - started);
+  const std::string address = peer.address().to_string();
+  if (batch.has_error()) {
+    LogWarning("topic_behind_peers", {{"topic", ToString(this->settings.topic)},
+                                      {"end", from},
+                                      {"peer_end", peer_end},
+                                      {"peer", address},
+                                      {"ms", elapsed_ms},
+                                      {"reason", batch.error().message}});
+    return;
+  }
+  this->ApplyRecords(batch.value());
+  LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
+                            {"from", from},
+                            {"end", this->end},
+                            {"peer", address},
+                            {"ms", elapsed_ms}});
+}
+
 bool TopicFollower::CatchUp(Coroutine yield) {
   return this->records_expired ? this->ReadNewest(yield)
                                : this->ReadMore(Duration{0}, yield);
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -79,6 +79,11 @@
   bool ReadsStore() const;
   bool ReadNewest(Coroutine yield);
   bool ReadMore(Duration wait, Coroutine yield);
+  // Requests the records from `end` on from a peer that has them up to
+  // `peer_end`.
+  void FetchMore(const TcpEndpoint& peer,
+                 std::int64_t peer_end,
+                 Coroutine yield);
   void ApplySnapshot(const TopicBatch& batch);
   void ApplyRecords(const TopicBatch& batch);
   void ApplyRecord(const TopicRecord& record);
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -59,10 +59,6 @@
                                        kReadWait, kBatchPause, kStandbyPause};
 // A relayed read waits up to 3.5 s at the store, like a direct one.
 constexpr Duration kRelayTimeout = std::chrono::seconds(5);
-// Short, since a peer answers from memory.
-constexpr Duration kPeerTimeout = std::chrono::milliseconds(500);
-// Maximum idle time of pooled connections between entry VMs.
-constexpr Duration kPeerIdleTimeout = std::chrono::seconds(3);
 // Delay between attempts to publish the node record of this process.
 constexpr Duration kNodeRecordRetryDelay = std::chrono::milliseconds(500);
 
@@ -77,7 +73,8 @@
       settings_path(std::move(settings_path)),
       signals(this->loop.Context(), SIGTERM, SIGINT, SIGHUP),
       store(&this->loop, ToTcpEndpoint(this->settings.store)),
-      peer_http(&this->loop),
+      record_client(&this->loop),
+      record_service(&this->metrics),
       engine_http(&this->loop),
       engines(&this->loop, &this->engine_http),
       pool(&this->loop),
@@ -364,7 +361,7 @@
                        kMaxLostDigests * this->digests.RoundInterval()));
     this->pool.CloseUnusable();
     this->engine_http.PruneIdle();
-    this->peer_http.PruneIdle();
+    this->record_client.PruneIdle();
     this->shared_retry_budget.SetNodeCount(this->peers.CountLiveNodes(now));
     this->group_balancer.SetNodeCount(this->peers.CountLiveNodes(now));
     const auto written =
@@ -455,24 +452,10 @@
 TopicFollower::FetchFromPeer EntryProcess::MakePeerFetcher(StoreTopic topic) {
   return [this, topic](const TcpEndpoint& peer, std::int64_t from,
                        Coroutine yield) {
-    return this->FetchRecords(peer, RecordQuery{topic, from}, yield);
+    return this->record_client.Fetch(peer, RecordQuery{topic, from}, yield);
   };
 }
 
-Result<TopicBatch> EntryProcess::FetchRecords(const TcpEndpoint& peer,
-                                              const RecordQuery& query,
-                                              Coroutine yield) {
-  const HttpResponse reply = this->peer_http.Exchange(
-      peer, OutgoingRequest{"GET", EncodeRecordQuery(query), {}, {}},
-      this->loop.Now() + kPeerTimeout, kPeerIdleTimeout, yield);
-  if (!reply.HasResponseStatus(kHttpOk)) {
-    return MakeError(
-        ErrorCode::kUnavailable,
-        std::string("request to peer failed: ") + ToString(reply.result));
-  }
-  return DecodeTopicBatch(reply.body);
-}
-
 SimpleHttpResponse EntryProcess::HandlePeerRequest(const ParsedRequest& request,
                                                    Coroutine yield) {
   const std::optional<RecordQuery> query = DecodeRecordQuery(request.target);
@@ -481,8 +464,7 @@
   }
   const TopicFollower* follower =
       this->Followers()[static_cast<std::size_t>(query->topic)];
-  return SimpleHttpResponse{
-      kHttpOk, EncodeTopicBatch(follower->RecordsSince(query->from))};
+  return this->record_service.Answer(query->topic, *follower, query->from);
 }
 
 SimpleHttpResponse EntryProcess::RelayStoreCall(const ParsedRequest& request,
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -16,9 +16,10 @@
 #include "entry/group_load_balancer.h"
 #include "entry/group_stall_detector.h"
 #include "entry/plain_load_balancer.h"
+#include "entry/record_service.h"
 #include "entry/simple_http_server.h"
 #include "peers/digest_exchange.h"
-#include "peers/record_exchange.h"
+#include "peers/record_client.h"
 #include "platform/process_settings.h"
 
 namespace kumquatcart {
@@ -61,9 +62,6 @@
                                        Coroutine yield);
   SimpleHttpResponse RelayStoreCall(const ParsedRequest& request,
                                     Coroutine yield);
-  Result<TopicBatch> FetchRecords(const TcpEndpoint& peer,
-                                  const RecordQuery& query,
-                                  Coroutine yield);
   // Returns a function that fetches records of `topic` from a peer.
   TopicFollower::FetchFromPeer MakePeerFetcher(StoreTopic topic);
   std::vector<TopicFollower*> Followers();
@@ -74,7 +72,8 @@
   boost::asio::signal_set signals;
   MetricRegistry metrics;
   StoreClient store;
-  HttpClient peer_http;
+  RecordClient record_client;
+  RecordService record_service;
   HttpClient engine_http;
   EngineClient engines;
   FleetView view;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -67,9 +67,11 @@
   connection->SetWaiter(nullptr);
   if (state != ResponseState::kComplete) {
     connection->Close();
-    return FailedReply(state == ResponseState::kParseFailed
-                           ? ExchangeResult::kNoAnswer
-                           : ExchangeResult::kTimedOut);
+    HttpResponse failed = FailedReply(state == ResponseState::kParseFailed
+                                          ? ExchangeResult::kNoAnswer
+                                          : ExchangeResult::kTimedOut);
+    failed.partial_body_bytes = response.BufferedBodyBytes();
+    return failed;
   }
   HttpResponse reply;
   reply.result = ExchangeResult::kAnswered;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -27,6 +27,8 @@
   int status = 0;
   HeaderList headers;
   std::string body;
+  // Body bytes received before a failure.
+  std::size_t partial_body_bytes = 0;
 
   bool HasResponseStatus(int expected) const {
     return this->result == ExchangeResult::kAnswered &&
