--- /dev/null
+++ b/tests/fakes/throttled_link.h
@@ -0,0 +1,79 @@
+// A network link of limited bandwidth in front of a server.
+#ifndef FAKES_THROTTLED_LINK_H_
+#define FAKES_THROTTLED_LINK_H_
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+#include "fakes/loop_server.h"
+
+namespace kumquatcart {
+
+// Forwards connections to a server. All responses share `bytes_per_second`
+// evenly; requests are not limited.
+class ThrottledLink {
+ public:
+  ThrottledLink(EventLoop* loop, TcpEndpoint server, double bytes_per_second)
+      : loop(loop),
+        server(std::move(server)),
+        bytes_per_tick(bytes_per_second *
+                       std::chrono::duration<double>(kTick).count()),
+        entrance(loop,
+                 [this](const std::shared_ptr<TcpConnection>& client,
+                        Waiter* waiter,
+                        Coroutine yield) {
+                   this->Forward(client.get(), waiter, yield);
+                   client->Close();
+                 }) {}
+
+  TcpEndpoint Address() const { return this->entrance.Address(); }
+
+ private:
+  static constexpr Duration kTick = std::chrono::milliseconds(10);
+
+  static void Pass(TcpConnection* from, TcpConnection* to, std::size_t limit) {
+    const std::string bytes(from->Input().substr(0, limit));
+    if (!bytes.empty()) {
+      from->Consume(bytes.size());
+      to->Send(bytes);
+    }
+  }
+
+  void Forward(TcpConnection* client, Waiter* waiter, Coroutine yield) {
+    const auto upstream = std::make_shared<TcpConnection>(this->loop);
+    bool connected = upstream->Connect(this->server, TestDeadline(this->loop),
+                                       waiter, yield);
+    while (connected && !client->HasEnded()) {
+      Pass(client, upstream.get(), std::string::npos);
+      if (upstream->Input().empty()) {
+        connected = !upstream->HasEnded();
+        if (connected) {
+          waiter->WaitUntil(MonotonicTime::max(), yield);
+        }
+        continue;
+      }
+      ++this->transfers;
+      while (!upstream->Input().empty() && !client->HasEnded()) {
+        this->loop->Sleep(kTick, yield);
+        Pass(upstream.get(), client,
+             std::max<std::size_t>(
+                 1, static_cast<std::size_t>(this->bytes_per_tick) /
+                        this->transfers));
+      }
+      --this->transfers;
+    }
+    upstream->SetWaiter(nullptr);
+    upstream->Close();
+  }
+
+  EventLoop* const loop;
+  const TcpEndpoint server;
+  const double bytes_per_tick;
+  std::size_t transfers = 0;
+  LoopServer entrance;
+};
+
+}  // namespace kumquatcart
+
+#endif  // FAKES_THROTTLED_LINK_H_
