Bound the record bytes a peer sends, and read the rest from the store

What callers saw: 404 for routes that a configuration confirmed over three seconds earlier had added, on VMs without any fault of their own.

Cause: a VM that does not read the store fetches a new record from the first peer that reports it, and all others do so at the same moment. 90 requests for 250 KB ask 24 MB of one link of 20 Mbit/s; each is given up after 0.5 s and starts from nothing at the next peer, which is asked by all again. The link is full and no transfer ends: congestion collapse through retries without admission control. Records of some KB, all that was there before, passed.

Change: a peer answers within 512 KB/s, a fifth of the smallest link, and rejects further requests at once; a VM that is rejected, or not answered, reads the missing records from the store, unless the store has just failed; then it goes on asking peers.

Why it works: transfers that are begun fit the link and end; the store's bandwidth does not depend on which VM was first; without the store the number of VMs that have the record multiplies with each round. In the store's view it is one read call a VM for each large record.

RecordService::Answer takes the time, and the test gives each VM a server and link of its own; bound, VMs and link are as before. New: spread without the store, the bound itself, reads after a rejection, no wait for an unreachable store. Without the bound, the second and third fail; without the read, the fourth.

Tried and left out: a transfer timeout that restarts with progress. No test needs it once the bytes are bounded.

--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -15,6 +15,12 @@
 constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(100);
 // Pause after a failed read.
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+// Wait of a read of records that are known to exist. It only extends the
+// deadline of the transfer.
+constexpr Duration kMissingReadWait = std::chrono::seconds(1);
+// Interval at which an unreachable store is tried for missing records; peers
+// are asked in the meantime.
+constexpr Duration kUnreachableReadInterval = std::chrono::seconds(3);
 // Time for the pending read to return records that a peer has seen already.
 constexpr Duration kPendingReadGrace = std::chrono::milliseconds(150);
 
@@ -151,14 +157,14 @@
     if (this->ReadsStore()) {
       this->loop->Sleep(kPendingReadGrace, yield);
     }
-    if (this->end < peer_end) {
-      this->FetchMore(peer, peer_end, yield);
+    if (this->end < peer_end && !this->FetchMore(peer, peer_end, yield)) {
+      this->ReadMissing(yield);
     }
     this->catching_up = false;
   });
 }
 
-void TopicFollower::FetchMore(const TcpEndpoint& peer,
+bool TopicFollower::FetchMore(const TcpEndpoint& peer,
                               std::int64_t peer_end,
                               Coroutine yield) {
   const MonotonicTime started = this->loop->Now();
@@ -173,7 +179,7 @@
                                       {"peer", address},
                                       {"ms", elapsed_ms},
                                       {"reason", batch.error().message}});
-    return;
+    return false;
   }
   this->ApplyRecords(batch.value());
   LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
@@ -181,11 +187,35 @@
                             {"end", this->end},
                             {"peer", address},
                             {"ms", elapsed_ms}});
+  return true;
+}
+
+void TopicFollower::ReadMissing(Coroutine yield) {
+  const MonotonicTime now = this->loop->Now();
+  if (!this->store->IsReachable() &&
+      now - this->missing_read_at < kUnreachableReadInterval) {
+    return;
+  }
+  this->missing_read_at = now;
+  const std::int64_t from = this->end;
+  if (this->CatchUp(kMissingReadWait, yield)) {
+    LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
+                              {"from", from},
+                              {"end", this->end},
+                              {"peer", "store"},
+                              {"ms", ToMillis(this->loop->Now() - now)}});
+  }
 }
 
 bool TopicFollower::CatchUp(Coroutine yield) {
-  return this->records_expired ? this->ReadNewest(yield)
-                               : this->ReadMore(Duration{0}, yield);
+  return this->CatchUp(Duration{0}, yield);
+}
+
+bool TopicFollower::CatchUp(Duration wait, Coroutine yield) {
+  if (!this->records_expired && !this->ReadMore(wait, yield)) {
+    return false;
+  }
+  return !this->records_expired || this->ReadNewest(yield);
 }
 
 }  // namespace kumquatcart
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -64,8 +64,9 @@
 
   // Handles a peer's report that it has seen the topic up to `peer_end`. If
   // this process does not read the store, it requests the missing records from
-  // the peer. If it does, it requests them only if its pending read does not
-  // return them soon, for example because the connection is dead.
+  // the peer, and from the store if the peer does not return them. A process
+  // that reads the store does so only if its pending read does not return them
+  // soon, for example because the connection is dead.
   void HandlePeerEnd(const TcpEndpoint& peer, std::int64_t peer_end);
 
   // Returns the newest record of each key from offset `from` on, for a peer.
@@ -79,11 +80,14 @@
   bool ReadsStore() const;
   bool ReadNewest(Coroutine yield);
   bool ReadMore(Duration wait, Coroutine yield);
+  bool CatchUp(Duration wait, Coroutine yield);
   // Requests the records from `end` on from a peer that has them up to
-  // `peer_end`.
-  void FetchMore(const TcpEndpoint& peer,
+  // `peer_end`. Returns false on failure.
+  bool FetchMore(const TcpEndpoint& peer,
                  std::int64_t peer_end,
                  Coroutine yield);
+  // Reads records that are known to exist, unless the store has just failed.
+  void ReadMissing(Coroutine yield);
   void ApplySnapshot(const TopicBatch& batch);
   void ApplyRecords(const TopicBatch& batch);
   void ApplyRecord(const TopicRecord& record);
@@ -98,6 +102,7 @@
   bool records_expired = false;
   bool catching_up = false;
   std::int64_t end = 0;
+  MonotonicTime missing_read_at;              // Last attempt of ReadMissing.
   std::map<std::string, TopicRecord> newest;  // By key, with removed keys.
 };
 
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -464,7 +464,8 @@
   }
   const TopicFollower* follower =
       this->Followers()[static_cast<std::size_t>(query->topic)];
-  return this->record_service.Answer(query->topic, *follower, query->from);
+  return this->record_service.Answer(query->topic, *follower, query->from,
+                                     this->loop.Now());
 }
 
 SimpleHttpResponse EntryProcess::RelayStoreCall(const ParsedRequest& request,
--- a/src/entry/record_service.cc
+++ b/src/entry/record_service.cc
@@ -8,18 +8,32 @@
 
 namespace {
 
+// A fifth of a 20 Mbit/s link, which leaves the rest to callers' requests.
+constexpr double kBytesPerSecond = 512 * 1024;
+constexpr Duration kBurst = std::chrono::seconds(1);
 // Smaller answers are counted, but not logged one by one.
 constexpr std::size_t kMinLoggedBytes = 64 * 1024;
 
 }  // namespace
 
+RecordService::RecordService(MetricRegistry* metrics)
+    : metrics(metrics), byte_budget(kBytesPerSecond, kBurst, MonotonicTime()) {}
+
 SimpleHttpResponse RecordService::Answer(StoreTopic topic,
                                          const TopicFollower& follower,
-                                         std::int64_t from) {
-  std::string body = EncodeTopicBatch(follower.RecordsSince(from));
+                                         std::int64_t from,
+                                         MonotonicTime now) {
   const MetricLabels labels{{"topic", ToString(topic)}};
   this->metrics->GetCounter("kumquatcart_peer_record_requests_total", labels)
       .Add();
+  if (!this->byte_budget.HasCredit(now)) {
+    this->metrics
+        ->GetCounter("kumquatcart_peer_record_rejections_total", labels)
+        .Add();
+    return SimpleHttpResponse{kHttpTooManyRequests, ""};
+  }
+  std::string body = EncodeTopicBatch(follower.RecordsSince(from));
+  this->byte_budget.Spend(static_cast<double>(body.size()), now);
   Counter& sent =
       this->metrics->GetCounter("kumquatcart_peer_record_bytes_total", labels);
   sent.Add(body.size());
--- a/src/entry/record_service.h
+++ b/src/entry/record_service.h
@@ -5,22 +5,28 @@
 #include "base/metrics.h"
 #include "control/topic_follower.h"
 #include "entry/simple_http_server.h"
+#include "routing/token_bucket.h"
 
 namespace kumquatcart {
 
-// Must be used on the event loop's thread.
+// Sends a limited number of bytes per second and rejects further requests
+// immediately: the link of a VM cannot carry a large record to all peers at
+// once, and requests that share it would all time out. Must be used on the
+// event loop's thread.
 class RecordService {
  public:
-  explicit RecordService(MetricRegistry* metrics) : metrics(metrics) {}
+  explicit RecordService(MetricRegistry* metrics);
 
   // Returns the records of `follower`, which follows `topic`, from offset
-  // `from` on.
+  // `from` on; status 429 if the limit is reached at `now`.
   SimpleHttpResponse Answer(StoreTopic topic,
                             const TopicFollower& follower,
-                            std::int64_t from);
+                            std::int64_t from,
+                            MonotonicTime now);
 
  private:
   MetricRegistry* const metrics;
+  TokenBucket byte_budget;
 };
 
 }  // namespace kumquatcart
--- a/src/peers/record_client.cc
+++ b/src/peers/record_client.cc
@@ -21,6 +21,9 @@
   const HttpResponse reply = this->http.Exchange(
       peer, OutgoingRequest{"GET", EncodeRecordQuery(query), {}, {}},
       this->loop->Now() + kPeerTimeout, kPeerIdleTimeout, yield);
+  if (reply.HasResponseStatus(kHttpTooManyRequests)) {
+    return MakeError(ErrorCode::kExhausted, "the peer is overloaded");
+  }
   if (!reply.HasResponseStatus(kHttpOk)) {
     return MakeError(
         ErrorCode::kUnavailable,
--- a/src/peers/record_client.h
+++ b/src/peers/record_client.h
@@ -12,8 +12,9 @@
  public:
   explicit RecordClient(EventLoop* loop) : loop(loop), http(loop) {}
 
-  // Requests records from `peer` once. Errors: kUnavailable if it did not
-  // return them in time, kInvalidArgument if the response is malformed.
+  // Requests records from `peer` once. Errors: kExhausted if the peer rejects
+  // the request because of its load, kUnavailable if it did not return the
+  // records in time, kInvalidArgument if the response is malformed.
   Result<TopicBatch> Fetch(const TcpEndpoint& peer,
                            const RecordQuery& query,
                            Coroutine yield);
--- a/tests/entry/record_fan_out_test.cc
+++ b/tests/entry/record_fan_out_test.cc
@@ -1,5 +1,12 @@
 // Guards against a configuration that takes effect late because all VMs request
 // it from the same peer at once and the peer's link cannot carry it.
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "entry/record_service.h"
@@ -17,8 +24,16 @@
 constexpr FollowerSettings kSettings{
     StoreTopic::kOperator, kReaders, std::chrono::milliseconds(500),
     std::chrono::milliseconds(1), std::chrono::milliseconds(1)};
+constexpr int kVms = 32;
+// Bandwidth of the smallest VMs.
+constexpr double kLinkBytesPerSecond = 20e6 / 8;
+constexpr std::size_t kLargeConfigurationBytes = 250'000;
+// The operators' bound on the time until a configuration is in force.
+constexpr Duration kPropagationBound = std::chrono::seconds(3);
+constexpr Duration kPollInterval = std::chrono::milliseconds(20);
 
-// A VM that follows the operator's topic.
+// A VM that follows the operator's topic and sends its records to peers over a
+// link of limited bandwidth.
 struct FollowingVm {
   FollowingVm(EventLoop* loop, const std::string& name, TcpEndpoint store)
       : peers(name, kZone),
@@ -38,7 +53,23 @@
             },
             [this](const TopicRecord& record) {
               this->value = record.value.value_or("");
-            }) {}
+            }),
+        service(&this->metrics),
+        server(loop,
+               [this, loop](const ParsedRequest& request, Coroutine) {
+                 return this->Answer(request, loop->Now());
+               }),
+        server_address(FreeAddress(loop)),
+        link(loop, this->server_address, kLinkBytesPerSecond) {
+    REQUIRE(this->server.Start(this->server_address).has_value());
+  }
+
+  SimpleHttpResponse Answer(const ParsedRequest& request, MonotonicTime now) {
+    const auto query = DecodeRecordQuery(request.target);
+    return query ? this->service.Answer(query->topic, this->follower,
+                                        query->from, now)
+                 : SimpleHttpResponse{404, ""};
+  }
 
   // Accepts digests of as many preceding VMs as read the topic from the store.
   void AcceptReaderDigests(MonotonicTime now) {
@@ -56,27 +87,19 @@
   PlannerRole role;
   RecordClient records;
   std::string value;
+  std::int64_t announced_end = 0;
   TopicFollower follower;
+  MetricRegistry metrics;
+  RecordService service;
+  SimpleHttpServer server;
+  TcpEndpoint server_address;
+  ThrottledLink link;
 };
 
-// One VM that reads the store and `count` others that receive its digests. Its
-// link has the bandwidth of the smallest VMs.
+// One VM that reads the store and `count` others that receive digests.
 struct FailureDomain {
   explicit FailureDomain(int count)
-      : store(&this->loop),
-        reader(&this->loop, "a0", this->store.Address()),
-        service(&this->metrics),
-        server(&this->loop,
-               [this](const ParsedRequest& request, Coroutine) {
-                 const auto query = DecodeRecordQuery(request.target);
-                 return query ? this->service.Answer(query->topic,
-                                                     this->reader.follower,
-                                                     query->from)
-                              : SimpleHttpResponse{404, ""};
-               }),
-        server_address(FreeAddress(&this->loop)),
-        link(&this->loop, this->server_address, kLinkBytesPerSecond) {
-    REQUIRE(this->server.Start(this->server_address).has_value());
+      : store(&this->loop), reader(&this->loop, "a0", this->store.Address()) {
     for (int i = 0; i < count; ++i) {
       this->others.push_back(std::make_unique<FollowingVm>(
           &this->loop, "b" + std::to_string(i), this->store.Address()));
@@ -92,11 +115,25 @@
       vm->AcceptReaderDigests(this->loop.Now());
       vm->follower.Start();
     }
-    const MonotonicTime deadline = TestDeadline(&this->loop);
-    while (this->CountWith("small") < this->others.size() &&
-           this->loop.Now() < deadline) {
-      this->loop.Sleep(kPollInterval, yield);
-    }
+    this->WaitUntil(TestDeadline(&this->loop), yield,
+                    [this] { return this->AllHave("small"); });
+    REQUIRE(this->AllHave("small"));
+  }
+
+  // Publishes `value` and waits until the reader has applied it.
+  void Publish(const std::string& value, Coroutine yield) {
+    this->store.Put(kTopic, "config", value);
+    this->WaitUntil(TestDeadline(&this->loop), yield,
+                    [&] { return this->reader.value == value; });
+  }
+
+  // Distributes digests until all VMs have applied `value` or the bound on the
+  // propagation is over.
+  void Distribute(const std::string& value, Coroutine yield) {
+    this->WaitUntil(this->loop.Now() + kPropagationBound, yield, [&] {
+      this->DeliverDigests();
+      return this->AllHave(value);
+    });
   }
 
   std::size_t CountWith(const std::string& value) const {
@@ -105,50 +142,106 @@
                       [&](const auto& vm) { return vm->value == value; }));
   }
 
-  // Distributes digests until all VMs have applied `value` or `bound` is over.
-  void DistributeUntil(const std::string& value,
-                       Duration bound,
-                       Coroutine yield) {
-    const MonotonicTime deadline = this->loop.Now() + bound;
-    while (this->CountWith(value) < this->others.size() &&
-           this->loop.Now() < deadline) {
-      for (const auto& vm : this->others) {
-        vm->AcceptReaderDigests(this->loop.Now());
-        vm->follower.HandlePeerEnd(this->link.Address(),
-                                   this->reader.follower.End());
-      }
+  EventLoop loop;
+  LoopStore store;
+  FollowingVm reader;
+  std::vector<std::unique_ptr<FollowingVm>> others;
+
+ private:
+  bool AllHave(const std::string& value) const {
+    return this->CountWith(value) == this->others.size();
+  }
+
+  void WaitUntil(MonotonicTime deadline,
+                 Coroutine yield,
+                 const std::function<bool()>& done) {
+    while (!done() && this->loop.Now() < deadline) {
       this->loop.Sleep(kPollInterval, yield);
     }
   }
 
-  static constexpr double kLinkBytesPerSecond = 20e6 / 8;
-  static constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+  // Every VM sends a digest to all others when its topic end changes, and
+  // periodically.
+  void DeliverDigests() {
+    this->Announce(&this->reader);
+    for (const auto& sender : this->others) {
+      this->Announce(sender.get());
+    }
+    for (const auto& receiver : this->others) {
+      receiver->AcceptReaderDigests(this->loop.Now());
+      Deliver(*this->others[this->random() % this->others.size()],
+              receiver.get());
+    }
+  }
+
+  void Announce(FollowingVm* sender) {
+    if (sender->announced_end == sender->follower.End()) {
+      return;
+    }
+    sender->announced_end = sender->follower.End();
+    for (const auto& receiver : this->others) {
+      Deliver(*sender, receiver.get());
+    }
+  }
 
-  EventLoop loop;
-  MetricRegistry metrics;
-  LoopStore store;
-  FollowingVm reader;
-  RecordService service;
-  SimpleHttpServer server;
-  TcpEndpoint server_address;
-  ThrottledLink link;
-  std::vector<std::unique_ptr<FollowingVm>> others;
+  static void Deliver(const FollowingVm& sender, FollowingVm* receiver) {
+    receiver->follower.HandlePeerEnd(sender.link.Address(),
+                                     sender.follower.End());
+  }
+
+  std::mt19937 random{17};
 };
 
 TEST_CASE("A large configuration reaches every VM in time over small links") {
-  // The operators' bound on the time until a configuration is in force.
-  constexpr Duration kPropagationBound = std::chrono::seconds(3);
-  constexpr std::size_t kLargeConfigurationBytes = 250'000;
-  FailureDomain domain(32);
+  FailureDomain domain(kVms);
+  RunCoroutine(&domain.loop, [&](Coroutine yield) {
+    domain.Start(yield);
+    const std::string large(kLargeConfigurationBytes, 'c');
+    domain.Publish(large, yield);
+    domain.Distribute(large, yield);
+    CHECK(domain.CountWith(large) == kVms);
+  });
+}
+
+TEST_CASE(
+    "A large configuration spreads through peers while the store is down") {
+  FailureDomain domain(kVms);
   RunCoroutine(&domain.loop, [&](Coroutine yield) {
     domain.Start(yield);
-    REQUIRE(domain.CountWith("small") == domain.others.size());
     const std::string large(kLargeConfigurationBytes, 'c');
-    domain.store.Put(kTopic, "config", large);
-    domain.DistributeUntil(large, kPropagationBound, yield);
-    CHECK(domain.CountWith(large) == domain.others.size());
+    domain.Publish(large, yield);
+    domain.store.refusal = 503;
+    domain.Distribute(large, yield);
+    CHECK(domain.CountWith(large) == kVms);
   });
 }
 
+TEST_CASE("A peer sends a bounded number of record bytes per second") {
+  FailureDomain domain(0);
+  RunCoroutine(&domain.loop, [&](Coroutine yield) {
+    domain.Start(yield);
+    domain.Publish(std::string(kLargeConfigurationBytes, 'c'), yield);
+  });
+  // The link carries ten of these records in a second.
+  constexpr int kRequests = 10;
+  const auto count_answered = [&](MonotonicTime now) {
+    int answered = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      const SimpleHttpResponse answer = domain.reader.service.Answer(
+          StoreTopic::kOperator, domain.reader.follower, 0, now);
+      answered += answer.status == 200 ? 1 : 0;
+    }
+    return answered;
+  };
+  const MonotonicTime start = domain.loop.Now();
+  const int burst = count_answered(start);
+  CHECK(burst >= 1);
+  CHECK(burst <= kRequests / 2);
+  CHECK(count_answered(start) == 0);
+  const int next = count_answered(start + std::chrono::seconds(1));
+  CHECK(next >= 1);
+  CHECK(next <= burst);
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -27,7 +27,8 @@
             [this](const TcpEndpoint&, std::int64_t from, Coroutine) {
               ++this->fetches;
               this->fetched_from = from;
-              return Result<TopicBatch>(this->peer_batch);
+              return this->peer_error ? Result<TopicBatch>(*this->peer_error)
+                                      : Result<TopicBatch>(this->peer_batch);
             },
             [this](const TopicRecord& record) {
               this->applied.push_back(record);
@@ -36,6 +37,26 @@
 
   ~FollowerFixture() { this->loop.UnwindCoroutines(); }
 
+  // Accepts digests of two preceding nodes, so that this one does not read the
+  // store.
+  void BecomeNonReader() {
+    for (const char* node : {"a", "a2"}) {
+      this->peers.PutPeer(node, "zone", Endpoint{"127.0.0.1", 1});
+      NodeDigest digest;
+      digest.node = node;
+      digest.interval_ms = 10'000;
+      this->peers.AcceptDigest(digest, this->loop.Now());
+    }
+  }
+
+  // Reports a peer that is ahead until the follower has reached `end`.
+  void ReportPeerUntilEnd(std::int64_t end) {
+    this->RunUntil([this, end] {
+      this->follower.HandlePeerEnd(TcpEndpoint(), end);
+      return this->follower.End() >= end;
+    });
+  }
+
   // Runs the loop until `done` returns true, for two seconds at most.
   void RunUntil(const std::function<bool()>& done) {
     RunCoroutine(&this->loop, [&](Coroutine yield) {
@@ -52,6 +73,7 @@
   PeerDirectory peers;
   PlannerRole role;
   TopicBatch peer_batch;
+  std::optional<Error> peer_error;
   int fetches = 0;
   std::int64_t fetched_from = -1;
   std::vector<TopicRecord> applied;
@@ -96,12 +118,7 @@
   f.store.Put(kTopic, "a", "1");
   f.follower.Start();
   f.RunUntil([&] { return f.follower.IsSynced(); });
-  for (const char* node : {"a", "a2"}) {
-    f.peers.PutPeer(node, "zone", Endpoint{"127.0.0.1", 1});
-    NodeDigest digest;
-    digest.node = node;
-    f.peers.AcceptDigest(digest, f.loop.Now());
-  }
+  f.BecomeNonReader();
   CHECK(!f.role.ReadsStore(2));
   const int calls = f.store.calls;
   f.peer_batch.end = 3;
@@ -117,6 +134,55 @@
   CHECK(f.fetches == 1);
 }
 
+// Guards against a peer with an overloaded link or processor that delays the
+// records.
+TEST_CASE("Records that a peer does not return are read from the store") {
+  for (const ErrorCode code :
+       {ErrorCode::kExhausted, ErrorCode::kUnavailable}) {
+    for (const bool expired : {false, true}) {
+      FollowerFixture f;
+      f.store.Put(kTopic, "a", "1");
+      f.follower.Start();
+      f.RunUntil([&] { return f.follower.IsSynced(); });
+      f.BecomeNonReader();
+      f.store.Put(kTopic, "b", "1");
+      if (expired) {
+        f.store.Expire(kTopic);
+        f.store.Put(kTopic, "c", "1");
+      }
+      f.peer_error = MakeError(code, "overloaded");
+      f.ReportPeerUntilEnd(2);
+      CHECK(f.values["b"] == "1");
+    }
+  }
+}
+
+// Guards against waiting for the store in an outage while peers have the
+// records.
+TEST_CASE(
+    "Peers are asked without a read of an unreachable store before each") {
+  FollowerFixture f;
+  f.store.Put(kTopic, "a", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.BecomeNonReader();
+  const int before = f.store.calls;
+  f.store.refusal = 503;
+  f.peer_error = MakeError(ErrorCode::kExhausted, "overloaded");
+  f.RunUntil([&] {
+    f.follower.HandlePeerEnd(TcpEndpoint(), 2);
+    return f.fetches >= 10;
+  });
+  CHECK(f.fetches >= 10);
+  CHECK(f.store.calls <= before + 2);  // A read may have been in progress.
+  const int calls = f.store.calls;
+  f.peer_error = std::nullopt;
+  f.peer_batch = TopicBatch{{{"b", "1", 1}}, 2};
+  f.ReportPeerUntilEnd(2);
+  CHECK(f.values["b"] == "1");
+  CHECK(f.store.calls == calls);
+}
+
 TEST_CASE("Records sent to peers include removals") {
   FollowerFixture f;
   f.store.Put(kTopic, "a", "1");
--- a/tests/fakes/throttled_link.h
+++ b/tests/fakes/throttled_link.h
@@ -17,8 +17,7 @@
   ThrottledLink(EventLoop* loop, TcpEndpoint server, double bytes_per_second)
       : loop(loop),
         server(std::move(server)),
-        bytes_per_tick(bytes_per_second *
-                       std::chrono::duration<double>(kTick).count()),
+        bytes_per_second(bytes_per_second),
         entrance(loop,
                  [this](const std::shared_ptr<TcpConnection>& client,
                         Waiter* waiter,
@@ -40,6 +39,13 @@
     }
   }
 
+  // Bytes that one of the current transfers may send in `elapsed`.
+  std::size_t Share(Duration elapsed) const {
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    return 1 + static_cast<std::size_t>(this->bytes_per_second * seconds /
+                                        static_cast<double>(this->transfers));
+  }
+
   void Forward(TcpConnection* client, Waiter* waiter, Coroutine yield) {
     const auto upstream = std::make_shared<TcpConnection>(this->loop);
     bool connected = upstream->Connect(this->server, TestDeadline(this->loop),
@@ -54,12 +60,12 @@
         continue;
       }
       ++this->transfers;
+      MonotonicTime passed_at = this->loop->Now();
       while (!upstream->Input().empty() && !client->HasEnded()) {
         this->loop->Sleep(kTick, yield);
-        Pass(upstream.get(), client,
-             std::max<std::size_t>(
-                 1, static_cast<std::size_t>(this->bytes_per_tick) /
-                        this->transfers));
+        const MonotonicTime now = this->loop->Now();
+        Pass(upstream.get(), client, this->Share(now - passed_at));
+        passed_at = now;
       }
       --this->transfers;
     }
@@ -69,7 +75,7 @@
 
   EventLoop* const loop;
   const TcpEndpoint server;
-  const double bytes_per_tick;
+  const double bytes_per_second;
   std::size_t transfers = 0;
   LoopServer entrance;
 };
