Start with a different relay on every VM

The same cause as the late configurations, found by looking for it: VMs that the store refuses pass their calls through peers in name order, all beginning with the first, so its link carries the large records of all of them. They now begin with the peer that follows in name order.

Test: 50 nodes begin with 50 different relays; in name order with 2.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -268,8 +268,8 @@
                       json.value().value("failure_domain", std::string()),
                       endpoint.value());
   std::vector<TcpEndpoint> relays;
-  for (const auto& entry : this->peers.Peers()) {
-    relays.push_back(ToTcpEndpoint(entry.second.endpoint));
+  for (const Endpoint& peer : this->peers.EndpointsFromSuccessor()) {
+    relays.push_back(ToTcpEndpoint(peer));
   }
   this->store.SetRelays(std::move(relays));
 }
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -82,6 +82,19 @@
       }));
 }
 
+std::vector<Endpoint> PeerDirectory::EndpointsFromSuccessor() const {
+  std::vector<Endpoint> endpoints;
+  endpoints.reserve(this->peers.size());
+  const auto successor = this->peers.upper_bound(this->own_node);
+  for (auto peer = successor; peer != this->peers.end(); ++peer) {
+    endpoints.push_back(peer->second.endpoint);
+  }
+  for (auto peer = this->peers.begin(); peer != successor; ++peer) {
+    endpoints.push_back(peer->second.endpoint);
+  }
+  return endpoints;
+}
+
 bool PeerDirectory::IsStoreDown(bool own_reaches_store,
                                 MonotonicTime now) const {
   std::map<std::string, std::map<std::string, bool>> by_domain;
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -49,6 +49,10 @@
 
   std::map<std::string, PeerState>& Peers() { return this->peers; }
 
+  // Endpoints of all peers in name order, starting after this node, so that
+  // every node starts with a different peer.
+  std::vector<Endpoint> EndpointsFromSuccessor() const;
+
   // Number of live peers, plus one for this process.
   int CountLiveNodes(MonotonicTime now) const;
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -51,7 +51,8 @@
   StoreClient(EventLoop* loop, TcpEndpoint store);
 
   // Entry VMs that pass calls on to the store, asked in turn after a direct
-  // call failed.
+  // call failed. Their order should differ from VM to VM, since the store may
+  // refuse many VMs at once.
   void SetRelays(std::vector<TcpEndpoint> relays);
 
   // The newest record of every key. The pages are no snapshot: continue with
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -1,5 +1,8 @@
 #include "peers/node_digest.h"
 
+#include <set>
+#include <vector>
+
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
@@ -160,6 +163,24 @@
   CHECK(directory.IsStoreDown(false, kStart));
 }
 
+// Guards against all VMs that the store refuses passing their calls through the
+// same peer, whose link cannot carry them.
+TEST_CASE("Every node passes store calls through a different peer first") {
+  constexpr int kNodes = 50;
+  std::set<int> first_ports;
+  for (int own = 0; own < kNodes; ++own) {
+    PeerDirectory directory("n" + std::to_string(own), "zone1");
+    for (int peer = 0; peer < kNodes; ++peer) {
+      directory.PutPeer("n" + std::to_string(peer), "zone1",
+                        Endpoint{"10.0.0.1", static_cast<std::uint16_t>(peer)});
+    }
+    const std::vector<Endpoint> relays = directory.EndpointsFromSuccessor();
+    REQUIRE(relays.size() == kNodes - 1);
+    first_ports.insert(relays.front().port);
+  }
+  CHECK(first_ports.size() == kNodes);
+}
+
 TEST_CASE("Digests of unknown nodes are rejected") {
   PeerDirectory directory = MakeDirectory();
   CHECK(!directory.AcceptDigest(DigestOf("x"), kStart));
