--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -37,6 +37,9 @@
       ->check(CLI::Range(1, 40));
   app.add_option("--callers", settings.callers, "Callers at once")
       ->check(CLI::Range(1, 400));
+  app.add_option("--unused-routes", settings.unused_routes,
+                 "Routes that enlarge every version of the configuration")
+      ->check(CLI::Range(0, 2000));
   app.add_flag("--verbose", verbose, "Prints each fault as it begins");
   CLI11_PARSE(app, argc, argv);
   kumquatcart::ConfigureLogging(
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -90,6 +90,10 @@
     routes.push_back(
         MakeRoute(VersionPath(added), "idempotent", kPlainService));
   }
+  for (int unused = 0; unused < this->settings.unused_routes; ++unused) {
+    routes.push_back(MakeRoute(fmt::format("/unused/{}/", unused), "idempotent",
+                               kPlainService));
+  }
   const Json engine{{"slots", 8},
                     {"step_ms", 4},
                     {"per_seq_ms", 0.1},
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -24,6 +24,7 @@
   int plain_servers = 3;
   int engines = 7;
   int callers = 10;
+  int unused_routes = 0;  // Routes that no caller uses, in every version.
 };
 
 // For the event loop's thread; holds until the loop has ended.
