--- a/tests/fakes/throttled_link.h
+++ b/tests/fakes/throttled_link.h
@@ -2,7 +2,6 @@
 #ifndef FAKES_THROTTLED_LINK_H_
 #define FAKES_THROTTLED_LINK_H_
 
-#include <algorithm>
 #include <memory>
 #include <string>
 
