--- a/tests/entry/record_fan_out_test.cc
+++ b/tests/entry/record_fan_out_test.cc
@@ -1,5 +1,4 @@
-// Guards against a configuration that takes effect late because all VMs request
-// it from the same peer at once and the peer's link cannot carry it.
+// Distribution of large records among entry VMs whose links are small.
 #include <algorithm>
 #include <functional>
 #include <memory>
@@ -192,6 +191,8 @@
   std::mt19937 random{17};
 };
 
+// Guards against a configuration that takes effect late because all VMs request
+// it from the same peer at once and the peer's link cannot carry it.
 TEST_CASE("A large configuration reaches every VM in time over small links") {
   FailureDomain domain(kVms);
   RunCoroutine(&domain.loop, [&](Coroutine yield) {
@@ -203,6 +204,7 @@
   });
 }
 
+// Guards against the same collapse where the store cannot help.
 TEST_CASE(
     "A large configuration spreads through peers while the store is down") {
   FailureDomain domain(kVms);
@@ -216,6 +218,7 @@
   });
 }
 
+// Guards against a peer that accepts more transfers than its link can carry.
 TEST_CASE("A peer sends a bounded number of record bytes per second") {
   FailureDomain domain(0);
   RunCoroutine(&domain.loop, [&](Coroutine yield) {
