Log the rate limits that servers name

Neither logs nor metrics tell whether a VM has received a limit, from which answer and with which value, so the hypotheses on the exceeded limits cannot be told apart. The field is decoded in the adapter; the request path logs each change. No decision uses it yet.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/logging.h"
 #include "base/scope_guard.h"
 #include "entry/entry_constants.h"
 #include "entry/group_stall_detector.h"
@@ -152,6 +153,29 @@
   return this->head.request_id != this->job->request->id;
 }
 
+void ServerAttempt::NoteRateLimit() {
+  // Another server has the address now, or the answer belongs to another
+  // request.
+  if (this->head.status == kHttpMisdirectedRequest ||
+      (!this->head.not_run && this->AnswersOtherRequest())) {
+    return;
+  }
+  const std::string& server = this->slot->ServerId();
+  if (this->head.has_invalid_rate_limit) {
+    LogWarning("server_limit_unreadable",
+               {{"id", this->job->request->id}, {"server", server}});
+    return;
+  }
+  ServerLimitTable& limits = this->job->context->server_limits;
+  if (limits.NoteAnswer(server, this->head.rate_limit, true,
+                        this->job->context->loop->Now())) {
+    LogInfo("server_limit", {{"id", this->job->request->id},
+                             {"server", server},
+                             {"limit", this->head.rate_limit.value_or(0)},
+                             {"ended", this->head.rate_limit ? 0 : 1}});
+  }
+}
+
 std::optional<AttemptOutcome> ServerAttempt::HandleInput() {
   for (;;) {
     const ResponseState state =
@@ -159,6 +183,7 @@
     if (this->response->HasHead() && !this->head_read) {
       this->head = DecodeAnswerHead(*this->response);
       this->head_read = true;
+      this->NoteRateLimit();
     }
     if (state == ResponseState::kParseFailed) {
       return this->SetOutcome(
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -91,6 +91,8 @@
   std::optional<AttemptOutcome> HandleStreamInput(ResponseState state);
   std::optional<AttemptOutcome> HandleWholeAnswer();
   bool AnswersOtherRequest() const;
+  // Records the rate limit that the answer's head names.
+  void NoteRateLimit();
   void ForwardEvents(const std::string& bytes);
   void FinishConnection();
   AttemptOutcome SetOutcome(AttemptOutcome outcome, std::string reason);
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <set>
 
 #include <fmt/format.h>
@@ -151,6 +152,18 @@
   return std::max(stated - kIdleMargin, Duration{0});
 }
 
+// A decimal number, zero or above.
+std::optional<double> ParseRate(std::string_view text) {
+  double rate = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(),
+                                      rate, std::chars_format::fixed);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
+      !std::isfinite(rate) || rate < 0) {
+    return std::nullopt;
+  }
+  return rate;
+}
+
 }  // namespace
 
 Result<CallerRequest> DecodeCallerRequest(std::string method,
@@ -212,6 +225,9 @@
   head.is_encoded = !response.Header("Content-Encoding").empty();
   head.suspected_server = std::string(response.Header(wire::kAtServer));
   head.idle_limit = DecodeIdleLimit(response.Header("Keep-Alive"));
+  const std::string_view limit = response.Header(wire::kServerLimit);
+  head.rate_limit = ParseRate(limit);
+  head.has_invalid_rate_limit = !limit.empty() && !head.rate_limit;
   return head;
 }
 
--- a/src/platform/caller_codec.h
+++ b/src/platform/caller_codec.h
@@ -48,11 +48,16 @@
   bool is_encoded = false;       // Not the server's own body.
   std::string suspected_server;  // Empty: none is named.
   Duration idle_limit{0};        // How long the connection may stay idle.
+  // Requests per second that the server accepts from all VMs together; none:
+  // it names no limit.
+  std::optional<double> rate_limit;
+  bool has_invalid_rate_limit = false;  // It names one that is not a rate.
 
   auto Tie() const {
     return std::tie(this->status, this->request_id, this->is_signed,
                     this->not_run, this->is_encoded, this->suspected_server,
-                    this->idle_limit);
+                    this->idle_limit, this->rate_limit,
+                    this->has_invalid_rate_limit);
   }
 };
 
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -24,6 +24,8 @@
 // The server to blame for a refusal by its group's head.
 inline constexpr char kAtServer[] = "At-Server";
 inline constexpr char kRetryAfter[] = "Retry-After";
+// Requests per second that the server accepts from all entry VMs together.
+inline constexpr char kServerLimit[] = "Server-Limit";
 
 // Calls.
 inline constexpr char kReportPath[] = "/api/report";
