--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -10,7 +10,6 @@
 #include "control/server_prober.h"
 #include "net/connection_pool.h"
 #include "routing/route_table.h"
-#include "routing/server_limit_table.h"
 #include "routing/shared_retry_budget.h"
 
 namespace kumquatcart {
@@ -18,6 +17,7 @@
 class GroupLoadBalancer;
 class GroupStallDetector;
 class PlainLoadBalancer;
+class ServerLimiter;
 
 // The referents outlive every request. Must be used on the event loop's thread.
 struct EntryContext {
@@ -30,7 +30,7 @@
   GroupStallDetector* stall_detector = nullptr;
   SharedRetryBudget* shared_retry_budget = nullptr;
   MetricRegistry* metrics = nullptr;
-  ServerLimitTable server_limits;
+  ServerLimiter* limiter = nullptr;
   // Routes of the current configuration; null until one has been read.
   std::shared_ptr<const RouteTable> routes;
   // Whether servers and groups have been read from the store.
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <random>
 
 #include "base/json.h"
 #include "base/logging.h"
@@ -90,14 +91,26 @@
           &this->role,
           [this](const PeerState& peer) { this->digests.SendDigestTo(peer); },
           [this] { this->OnFleetChanged(); }),
+      permits(&this->loop,
+              &this->peers,
+              &this->digests,
+              [this] { return this->context.is_stopping; }),
+      limiter(this->settings.node_name,
+              &this->permits,
+              &this->metrics,
+              std::random_device{}(),
+              {[this] { this->OnPermitsChanged(); },
+               [this] { this->digests.SendSoon(); }}),
       shared_retry_budget(BoundsOf(this->settings)),
       group_balancer(&this->loop,
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
+                     &this->limiter,
                      this->settings.failure_domain),
       plain_balancer(&this->loop,
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
+                     &this->limiter,
                      this->settings.failure_domain),
       stall_detector(&this->loop, &this->view, &this->prober),
       operator_topic(&this->loop,
@@ -154,6 +167,10 @@
   this->context.view = &this->view;
   this->context.prober = &this->prober;
   this->context.pool = &this->pool;
+  this->context.limiter = &this->limiter;
+  this->digests.SetMessageListener([this](const std::string& bytes) {
+    return PermitExchange::HandleDatagram(bytes, &this->limiter);
+  });
   this->context.group_balancer = &this->group_balancer;
   this->context.plain_balancer = &this->plain_balancer;
   this->context.stall_detector = &this->stall_detector;
@@ -228,7 +245,12 @@
                                         {"reason", server.error().message}});
     return;
   }
+  const BackendServer* known = this->view.FindServer(record.key);
+  const std::int64_t started_ms = known == nullptr ? 0 : known->started_ms;
   this->view.PutServer(server.value(), now);
+  if (started_ms != 0 && server.value().started_ms > started_ms) {
+    this->limiter.HandleRestart(record.key);
+  }
   this->group_balancer.AssignFreeSlots();
 }
 
@@ -291,7 +313,7 @@
   }
 }
 
-NodeDigest EntryProcess::ComposeDigest() const {
+NodeDigest EntryProcess::ComposeDigest() {
   NodeDigest digest;
   digest.node = this->settings.node_name;
   digest.failure_domain = this->settings.failure_domain;
@@ -309,6 +331,7 @@
   }
   digest.suspected_servers = this->prober.SuspectedServers();
   digest.groups = this->reconciler.GroupStates();
+  digest.limits = this->limiter.NextReport();
   return digest;
 }
 
@@ -329,6 +352,9 @@
     this->view.SetOpen(availability.group, availability.epoch,
                        availability.open);
   }
+  if (digest.limits) {
+    this->limiter.MergeReport(digest.node, *digest.limits);
+  }
   this->prober.HandlePeerDigest(digest);
   this->group_balancer.AssignFreeSlots();
 }
@@ -341,6 +367,11 @@
   }
 }
 
+void EntryProcess::OnPermitsChanged() {
+  this->group_balancer.AssignFreeSlots();
+  this->plain_balancer.HandlePermitsChanged();
+}
+
 void EntryProcess::UpdateStoreOutage() {
   const MonotonicTime now = this->loop.Now();
   this->store_outage.SetStoreDown(
@@ -359,6 +390,9 @@
     this->load.DropReportsBefore(
         now - std::max(kPeerCountsLifetime,
                        kMaxLostDigests * this->digests.RoundInterval()));
+    this->limiter.DropStale([this](const std::string& server) {
+      return this->view.FindServer(server) != nullptr;
+    });
     this->pool.CloseUnusable();
     this->engine_http.PruneIdle();
     this->record_client.PruneIdle();
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -15,8 +15,10 @@
 #include "entry/entry_context.h"
 #include "entry/group_load_balancer.h"
 #include "entry/group_stall_detector.h"
+#include "entry/permit_exchange.h"
 #include "entry/plain_load_balancer.h"
 #include "entry/record_service.h"
+#include "entry/server_limiter.h"
 #include "entry/simple_http_server.h"
 #include "peers/digest_exchange.h"
 #include "peers/record_client.h"
@@ -46,11 +48,12 @@
   void ApplyServer(const TopicRecord& record);
   void ApplyGroup(const TopicRecord& record);
   void ApplyNode(const TopicRecord& record);
-  NodeDigest ComposeDigest() const;
+  NodeDigest ComposeDigest();
   void HandleDigest(const NodeDigest& digest);
   void PublishNodeRecord(Coroutine yield);
   void RunMaintenance(Coroutine yield);
   void OnFleetChanged();
+  void OnPermitsChanged();
   void UpdateStoreOutage();
   void WaitForSignal();
   void ReloadSettings(const char* cause);
@@ -84,6 +87,8 @@
   StoreOutage store_outage;
   PlannerRole role;
   ServerProber prober;
+  PermitExchange permits;
+  ServerLimiter limiter;
   SharedRetryBudget shared_retry_budget;
   GroupLoadBalancer group_balancer;
   PlainLoadBalancer plain_balancer;
--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -20,6 +20,9 @@
 // second.
 constexpr Duration kNoGroupRetryAfter = std::chrono::milliseconds(800);
 
+// Interval at which a request that waits for a permit estimates its wait again.
+constexpr Duration kPermitRecheckInterval = std::chrono::milliseconds(50);
+
 }  // namespace
 
 SlotRequest::SlotRequest(GroupLoadBalancer* balancer,
@@ -75,35 +78,70 @@
   return demand;
 }
 
-ServerSlotPtr GroupLoadBalancer::TryTake(const SlotQuery& query) {
-  const EngineSpec* engine = this->FindEngine(query.service);
-  if (engine == nullptr) {
-    return nullptr;
-  }
-  this->counts.unread->DropReportsBefore(this->loop->Now() -
-                                         kPrefillReportLifetime);
-  const std::vector<const GroupStatus*> groups = this->CandidateGroups(query);
+GroupCandidate GroupLoadBalancer::MakeCandidate(
+    const GroupStatus& group,
+    const EngineSpec& engine) const {
+  const BackendServer* head =
+      this->view->FindServer(group.record.members.front());
+  return {this->counts.requests->Total(head->id), std::max(1, engine.slots),
+          head->failure_domain == this->failure_domain,
+          static_cast<double>(this->counts.unread->Total(head->id)),
+          static_cast<double>(this->counts.unread->LocalCount(head->id))};
+}
+
+const GroupStatus* GroupLoadBalancer::Select(
+    std::vector<const GroupStatus*> groups,
+    const SlotQuery& query,
+    const EngineSpec& engine,
+    bool is_first_try) {
+  const RequestDemand demand =
+      this->MakeDemand(query, engine, static_cast<int>(groups.size()));
   // Above zero because SelectGroup() takes the logarithm.
   std::uniform_real_distribution<double> uniform(1e-9, 1);
   std::vector<GroupCandidate> candidates;
   std::vector<double> draws;
   for (const GroupStatus* group : groups) {
-    const BackendServer* head =
-        this->view->FindServer(group->record.members.front());
-    candidates.push_back(
-        {this->counts.requests->Total(head->id), std::max(1, engine->slots),
-         head->failure_domain == this->failure_domain,
-         static_cast<double>(this->counts.unread->Total(head->id)),
-         static_cast<double>(this->counts.unread->LocalCount(head->id))});
+    candidates.push_back(this->MakeCandidate(*group, engine));
     draws.push_back(uniform(this->generator));
   }
-  const std::optional<std::size_t> chosen = SelectGroup(
-      candidates,
-      this->MakeDemand(query, *engine, static_cast<int>(groups.size())), draws);
-  if (!chosen) {
+  for (;;) {
+    const std::optional<std::size_t> chosen =
+        SelectGroup(candidates, demand, draws);
+    if (!chosen) {
+      return nullptr;
+    }
+    const std::string& head = groups[*chosen]->record.members.front();
+    if (!this->limiter->HasPermit(head)) {
+      if (is_first_try) {
+        this->limiter->NoteDemand(head);
+      } else {
+        this->limiter->Refill(head);
+      }
+    }
+    if (this->limiter->TryTake(head)) {
+      return groups[*chosen];
+    }
+    const auto index = static_cast<std::ptrdiff_t>(*chosen);
+    groups.erase(groups.begin() + index);
+    candidates.erase(candidates.begin() + index);
+    draws.erase(draws.begin() + index);
+  }
+}
+
+ServerSlotPtr GroupLoadBalancer::TryTake(const SlotQuery& query,
+                                         bool is_first_try) {
+  const EngineSpec* engine = this->FindEngine(query.service);
+  if (engine == nullptr) {
+    return nullptr;
+  }
+  this->counts.unread->DropReportsBefore(this->loop->Now() -
+                                         kPrefillReportLifetime);
+  const GroupStatus* group =
+      this->Select(this->CandidateGroups(query), query, *engine, is_first_try);
+  if (group == nullptr) {
     return nullptr;
   }
-  const GroupRecord& record = groups[*chosen]->record;
+  const GroupRecord& record = group->record;
   return std::make_unique<ServerSlot>(
       this->counts, *this->view->FindServer(record.members.front()),
       record.group, record.epoch, static_cast<int>(query.prompt_tokens),
@@ -122,7 +160,9 @@
   for (auto entry = this->queue.begin(); entry != this->queue.end();) {
     SlotRequest* slot_request = *entry;
     if (full_models.count(slot_request->query.model) == 0) {
-      slot_request->slot = this->TryTake(slot_request->query);
+      slot_request->slot =
+          this->TryTake(slot_request->query, !slot_request->was_tried);
+      slot_request->was_tried = true;
       if (slot_request->IsGranted()) {
         entry = this->queue.erase(entry);
         slot_request->waiter->Notify();
@@ -144,7 +184,8 @@
   return slot_request;
 }
 
-Duration GroupLoadBalancer::EstimateWait(const SlotRequest& slot_request) {
+GroupLoadBalancer::WaitEstimate GroupLoadBalancer::EstimateWait(
+    const SlotRequest& slot_request) {
   const SlotQuery& query = slot_request.query;
   const MonotonicTime now = this->loop->Now();
   const EngineSpec* engine = this->FindEngine(query.service);
@@ -159,10 +200,21 @@
     }
   }
   bool has_slot = false;
+  bool has_full_group = false;
+  WaitEstimate permit{Duration::max(), {}};
   for (const GroupStatus* group : groups) {
     const std::string& head = group->record.members.front();
-    has_slot = has_slot || this->counts.requests->Total(head) < engine->slots;
     pending_tokens += this->counts.unread->LocalCount(head);
+    if (this->counts.requests->Total(head) >= engine->slots) {
+      has_full_group = true;
+    } else if (this->limiter->HasPermit(head)) {
+      has_slot = true;
+    } else {
+      const Duration wait = this->limiter->EstimateWait(head, ahead);
+      if (wait < permit.wait) {
+        permit = {wait, head};
+      }
+    }
   }
   const ModelSpec* model = engine->FindModel(query.model);
   const Duration prefill_wait =
@@ -170,9 +222,43 @@
           ? Duration{0}
           : EstimatePrefillWait(*engine, *model, pending_tokens,
                                 static_cast<int>(groups.size()), this->nodes);
-  return has_slot ? prefill_wait
-                  : std::max(prefill_wait, this->wait_estimator.EstimateWait(
-                                               query.model, ahead, now));
+  if (has_slot) {
+    return {prefill_wait, {}};
+  }
+  const Duration slot_wait =
+      this->wait_estimator.EstimateWait(query.model, ahead, now);
+  const bool needs_permit = !permit.rate_limited_by.empty() &&
+                            (!has_full_group || permit.wait < slot_wait);
+  return needs_permit ? WaitEstimate{std::max(prefill_wait, permit.wait),
+                                     permit.rate_limited_by}
+                      : WaitEstimate{std::max(prefill_wait, slot_wait), {}};
+}
+
+std::optional<MonotonicTime> GroupLoadBalancer::DecideWait(
+    const SlotRequest& slot_request,
+    SlotResult* rejection) {
+  const SlotQuery& query = slot_request.query;
+  const MonotonicTime now = this->loop->Now();
+  const WaitEstimate expected = this->EstimateWait(slot_request);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  rejection->rate_limited_by = expected.rate_limited_by;
+  rejection->retry_after =
+      JitteredRetryAfter(expected.wait, uniform(this->generator));
+  const bool may_be_late =
+      now + kLateWaitFactor * expected.wait <= query.wait_until;
+  if (may_be_late) {
+    return query.wait_until;
+  }
+  if (now + expected.wait <= query.latest_start) {
+    return std::min(query.latest_start, query.wait_until);
+  }
+  rejection->reason = "expected wait exceeds the latency target";
+  if (!expected.rate_limited_by.empty()) {
+    rejection->retry_after =
+        this->limiter->NextRetryAfter(expected.rate_limited_by);
+    rejection->reason = "the rate limits of the groups are used up";
+  }
+  return std::nullopt;
 }
 
 SlotResult GroupLoadBalancer::Acquire(const SlotQuery& query,
@@ -190,20 +276,24 @@
   }
   const SlotRequestPtr slot_request = this->Enqueue(query, waiter);
   if (!slot_request->IsGranted()) {
-    const MonotonicTime now = this->loop->Now();
-    const Duration expected = this->EstimateWait(*slot_request);
-    result.retry_after = JitteredRetryAfter(expected, uniform(this->generator));
-    const bool may_be_late =
-        now + kLateWaitFactor * expected <= query.wait_until;
-    if (!may_be_late && now + expected > query.latest_start) {
-      result.reason = "expected wait exceeds the latency target";
+    const std::optional<MonotonicTime> deadline =
+        this->DecideWait(*slot_request, &result);
+    if (!deadline) {
       return result;
     }
-    const MonotonicTime deadline =
-        may_be_late ? query.wait_until
-                    : std::min(query.latest_start, query.wait_until);
     while (!slot_request->IsGranted() && !caller->HasEnded() &&
-           waiter->WaitUntil(deadline, yield)) {
+           this->loop->Now() < *deadline) {
+      const bool is_rate_limited = !result.rate_limited_by.empty();
+      waiter->WaitUntil(
+          is_rate_limited
+              ? std::min(*deadline, this->loop->Now() + kPermitRecheckInterval)
+              : *deadline,
+          yield);
+      // A reply of the coordinator may have shown that the wait is too long.
+      if (is_rate_limited && !slot_request->IsGranted() &&
+          !this->DecideWait(*slot_request, &result)) {
+        return result;
+      }
     }
   }
   result.slot = slot_request->Take();
--- a/src/entry/group_load_balancer.h
+++ b/src/entry/group_load_balancer.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "control/fleet_view.h"
+#include "entry/server_limiter.h"
 #include "entry/server_slot.h"
 #include "net/tcp_connection.h"
 #include "net/waiter.h"
@@ -37,6 +38,8 @@
   ServerSlotPtr slot;
   Duration retry_after{0};
   const char* reason = "";
+  // The server whose rate limit is the reason; empty if none is.
+  std::string rate_limited_by;
 };
 
 class GroupLoadBalancer;
@@ -62,6 +65,7 @@
   const SlotQuery query;
   Waiter* const waiter;
   const QueuedRequest request;
+  bool was_tried = false;
   ServerSlotPtr slot;
 };
 using SlotRequestPtr = std::unique_ptr<SlotRequest>;
@@ -74,10 +78,12 @@
   GroupLoadBalancer(EventLoop* loop,
                     FleetView* view,
                     ServerLoadCounters counts,
+                    ServerLimiter* limiter,
                     std::string failure_domain)
       : loop(loop),
         view(view),
         counts(counts),
+        limiter(limiter),
         failure_domain(std::move(failure_domain)) {}
 
   // Suspends until a slot is free, `query.wait_until` has passed or `caller`
@@ -99,21 +105,40 @@
  private:
   friend class SlotRequest;
 
-  ServerSlotPtr TryTake(const SlotQuery& query);
+  // `is_first_try`: the first call for this request.
+  ServerSlotPtr TryTake(const SlotQuery& query, bool is_first_try);
+  // The group to use of `groups`. Skips those whose head has a rate limit and
+  // no permit left, and asks for permits of these.
+  const GroupStatus* Select(std::vector<const GroupStatus*> groups,
+                            const SlotQuery& query,
+                            const EngineSpec& engine,
+                            bool is_first_try);
+  GroupCandidate MakeCandidate(const GroupStatus& group,
+                               const EngineSpec& engine) const;
   // Open groups that serve the query's model and are not excluded.
   std::vector<const GroupStatus*> CandidateGroups(const SlotQuery& query) const;
   const EngineSpec* FindEngine(const std::string& service) const;
   RequestDemand MakeDemand(const SlotQuery& query,
                            const EngineSpec& engine,
                            int groups) const;
-  // Estimated time until a queued request is granted a slot. Precondition: its
-  // service has an engine.
-  Duration EstimateWait(const SlotRequest& slot_request);
+  // Estimated time until a queued request is granted a slot.
+  struct WaitEstimate {
+    Duration wait{0};
+    // The server whose rate limit determines the wait; empty if none does.
+    std::string rate_limited_by;
+  };
+  // Precondition: the service of the request has an engine.
+  WaitEstimate EstimateWait(const SlotRequest& slot_request);
+  // Rejects the request if its expected wait is too long. Otherwise returns the
+  // time until which it may wait.
+  std::optional<MonotonicTime> DecideWait(const SlotRequest& slot_request,
+                                          SlotResult* rejection);
   void Dequeue(SlotRequest* slot_request) { this->queue.remove(slot_request); }
 
   EventLoop* const loop;
   FleetView* const view;
   const ServerLoadCounters counts;
+  ServerLimiter* const limiter;
   const std::string failure_domain;
   std::list<SlotRequest*> queue;  // Requests without a slot.
   SlotWaitEstimator wait_estimator;
--- a/src/entry/plain_load_balancer.cc
+++ b/src/entry/plain_load_balancer.cc
@@ -1,7 +1,9 @@
 #include "entry/plain_load_balancer.h"
 
 #include <algorithm>
+#include <utility>
 
+#include "base/scope_guard.h"
 #include "entry/entry_constants.h"
 
 namespace kumquatcart {
@@ -19,13 +21,12 @@
 
 }  // namespace
 
-SlotResult PlainLoadBalancer::Acquire(const SlotQuery& query) {
-  SlotResult result;
-  result.retry_after = kMinForwardRetryAfter;
-  result.reason = "the service has no available server";
+std::vector<const BackendServer*> PlainLoadBalancer::RankServers(
+    const SlotQuery& query,
+    SlotResult* result) const {
+  result->reason = "the service has no available server";
   const MonotonicTime now = this->loop->Now();
-  const BackendServer* best = nullptr;
-  double best_score = 0;
+  std::vector<std::pair<double, const BackendServer*>> scores;
   for (const auto& entry : this->view->Servers()) {
     const BackendServer& server = entry.second;
     if (server.service != query.service || server.draining ||
@@ -34,7 +35,7 @@
     }
     const int taken = this->counts.requests->Total(server.id);
     if (taken >= server.slots * kMaxRequestsPerSlot) {
-      result.reason = "all servers are at their request limit";
+      result->reason = "all servers are at their request limit";
       continue;
     }
     const double score =
@@ -42,18 +43,86 @@
         kFailureWeight * this->failures.Of(server.id, now) +
         (server.failure_domain == this->failure_domain ? 0
                                                        : kRemoteDomainPenalty);
-    if (best == nullptr || score < best_score) {
-      best = &server;
-      best_score = score;
-    }
+    scores.emplace_back(score, &server);
   }
-  if (best != nullptr) {
-    result.slot =
-        std::make_unique<ServerSlot>(this->counts, *best, "", 0, 0, nullptr);
+  std::stable_sort(scores.begin(), scores.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.first < right.first;
+                   });
+  std::vector<const BackendServer*> ranked;
+  ranked.reserve(scores.size());
+  for (const auto& entry : scores) {
+    ranked.push_back(entry.second);
+  }
+  return ranked;
+}
+
+SlotResult PlainLoadBalancer::TryAcquire(const SlotQuery& query,
+                                         bool is_first_try) {
+  SlotResult result;
+  result.retry_after = kMinForwardRetryAfter;
+  std::optional<MonotonicTime> earliest;
+  for (const BackendServer* server : this->RankServers(query, &result)) {
+    if (!this->limiter->HasPermit(server->id)) {
+      if (is_first_try) {
+        this->limiter->NoteDemand(server->id);
+      } else {
+        this->limiter->Refill(server->id);
+      }
+    }
+    if (this->limiter->TryTake(server->id)) {
+      result.slot = std::make_unique<ServerSlot>(this->counts, *server, "", 0,
+                                                 0, nullptr);
+      return result;
+    }
+    const MonotonicTime expected =
+        this->PermitExpectedAt(server->id).value_or(MonotonicTime::max());
+    if (!earliest || expected < *earliest) {
+      earliest = expected;
+      result.rate_limited_by = server->id;
+    }
   }
   return result;
 }
 
+std::optional<MonotonicTime> PlainLoadBalancer::PermitExpectedAt(
+    const std::string& server) {
+  return this->limiter->PermitExpectedAt(server, this->waiting.count(server));
+}
+
+SlotResult PlainLoadBalancer::Acquire(const SlotQuery& query,
+                                      TcpConnection* caller,
+                                      Waiter* waiter,
+                                      Coroutine yield) {
+  bool is_first_try = true;
+  for (;;) {
+    SlotResult result = this->TryAcquire(query, is_first_try);
+    is_first_try = false;
+    if (result.rate_limited_by.empty() || result.slot != nullptr ||
+        caller->HasEnded()) {
+      return result;
+    }
+    const std::optional<MonotonicTime> expected =
+        this->PermitExpectedAt(result.rate_limited_by);
+    if (!expected || *expected > query.latest_start ||
+        this->loop->Now() >= query.latest_start) {
+      result.retry_after =
+          this->limiter->NextRetryAfter(result.rate_limited_by);
+      result.reason = "the rate limits of the servers are used up";
+      return result;
+    }
+    const auto entry = this->waiting.emplace(result.rate_limited_by, waiter);
+    const ScopeGuard guard([this, entry] { this->waiting.erase(entry); });
+    waiter->WaitUntil(query.latest_start, yield);
+  }
+}
+
+void PlainLoadBalancer::HandlePermitsChanged() {
+  for (const auto& entry : this->waiting) {
+    entry.second->Notify();
+  }
+}
+
 void PlainLoadBalancer::NoteFailure(const std::string& server) {
   this->failures.NoteFailure(server, this->loop->Now());
 }
--- a/src/entry/plain_load_balancer.h
+++ b/src/entry/plain_load_balancer.h
@@ -2,7 +2,10 @@
 #ifndef ENTRY_PLAIN_LOAD_BALANCER_H_
 #define ENTRY_PLAIN_LOAD_BALANCER_H_
 
+#include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "entry/group_load_balancer.h"
 #include "routing/failure_score.h"
@@ -10,30 +13,55 @@
 namespace kumquatcart {
 
 // Assigns each request to the server with the lowest score of load, recent
-// failures and distance. Runs on the event loop's thread.
+// failures and distance that has no rate limit or a permit left. Runs on the
+// event loop's thread.
 class PlainLoadBalancer {
  public:
   PlainLoadBalancer(EventLoop* loop,
                     FleetView* view,
                     ServerLoadCounters counts,
+                    ServerLimiter* limiter,
                     std::string failure_domain)
       : loop(loop),
         view(view),
         counts(counts),
+        limiter(limiter),
         failure_domain(std::move(failure_domain)) {}
 
-  // Returns a slot at the best server of the service without queueing.
-  SlotResult Acquire(const SlotQuery& query);
+  // Returns a slot at the best server of the service. Suspends only if all
+  // servers that could take the request are out of permits and one is expected
+  // by `query.latest_start`. Precondition: `waiter` is attached to `caller`.
+  SlotResult Acquire(const SlotQuery& query,
+                     TcpConnection* caller,
+                     Waiter* waiter,
+                     Coroutine yield);
+
+  // Notifies the requests that wait for a permit.
+  void HandlePermitsChanged();
 
   void NoteFailure(const std::string& server);
   void NoteSuccess(const std::string& server);
 
  private:
+  // Servers that could take the request, the best one first. Sets the reason in
+  // `result` if there is none.
+  std::vector<const BackendServer*> RankServers(const SlotQuery& query,
+                                                SlotResult* result) const;
+  // A slot at the first server that needs no permit or has one. Without a slot,
+  // `result` names the server whose permit may come first, if any.
+  SlotResult TryAcquire(const SlotQuery& query, bool is_first_try);
+  // Time at which a request that begins to wait should have a permit of the
+  // server.
+  std::optional<MonotonicTime> PermitExpectedAt(const std::string& server);
+
   EventLoop* const loop;
   FleetView* const view;
   const ServerLoadCounters counts;
+  ServerLimiter* const limiter;
   const std::string failure_domain;
   FailureScore failures;
+  // Requests that wait for a permit, by the server that they wait for.
+  std::multimap<std::string, Waiter*> waiting;
 };
 
 }  // namespace kumquatcart
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -6,6 +6,7 @@
 #include "base/logging.h"
 #include "entry/entry_constants.h"
 #include "entry/plain_load_balancer.h"
+#include "entry/server_limiter.h"
 #include "net/http_status.h"
 
 namespace kumquatcart {
@@ -213,7 +214,8 @@
   }
   const SlotQuery query = this->MakeQuery();
   if (!this->uses_groups) {
-    return this->context->plain_balancer->Acquire(query);
+    return this->context->plain_balancer->Acquire(query, this->job.caller,
+                                                  this->job.waiter, yield);
   }
   return this->context->group_balancer->Acquire(query, this->job.caller,
                                                 this->job.waiter, yield);
@@ -227,6 +229,10 @@
       return false;
     }
     if (result.slot == nullptr) {
+      if (!result.rate_limited_by.empty()) {
+        this->context->limiter->LogRejection(
+            this->request.id, result.rate_limited_by, result.retry_after);
+      }
       return this->GiveUp(result.retry_after, result.reason);
     }
     this->last_server = result.slot->ServerId();
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -6,6 +6,7 @@
 #include "base/scope_guard.h"
 #include "entry/entry_constants.h"
 #include "entry/group_stall_detector.h"
+#include "entry/server_limiter.h"
 #include "model/socket_address.h"
 #include "net/http_status.h"
 
@@ -67,6 +68,8 @@
 }
 
 void ServerAttempt::SendRequest() {
+  this->sent_under_limit =
+      this->job->context->limiter->IsLimited(this->slot->ServerId());
   SendFacts facts;
   facts.server_id = this->slot->ServerId();
   facts.organisation = this->job->organisation;
@@ -166,13 +169,11 @@
                {{"id", this->job->request->id}, {"server", server}});
     return;
   }
-  ServerLimitTable& limits = this->job->context->server_limits;
-  if (limits.NoteAnswer(server, this->head.rate_limit, true,
-                        this->job->context->loop->Now())) {
-    LogInfo("server_limit", {{"id", this->job->request->id},
-                             {"server", server},
-                             {"limit", this->head.rate_limit.value_or(0)},
-                             {"ended", this->head.rate_limit ? 0 : 1}});
+  // Only a signed answer is certain to come from the server itself.
+  if (this->head.rate_limit || this->head.is_signed) {
+    this->job->context->limiter->NoteAnswer(server, this->head.rate_limit,
+                                            this->sent_under_limit,
+                                            this->job->request->id);
   }
 }
 
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -103,6 +103,7 @@
   std::optional<ResponseParser> response;
   ServerAnswerHead head;
   bool head_read = false;
+  bool sent_under_limit = false;  // The server's rate limit was known.
   EventSplitter splitter;
   BufferedAnswer failure;
   std::string reason;
--- /dev/null
+++ b/src/entry/server_limiter.cc
@@ -0,0 +1,428 @@
+#include "entry/server_limiter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/logging.h"
+#include "routing/expiring_times.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Requests meant for a server within this window determine how many permits a
+// node asks for: about as many as it sends until the next reply arrives.
+constexpr Duration kDemandWindow = std::chrono::milliseconds(300);
+constexpr int kMaxWanted = 32;
+// Time within which a coordinator replies: several round trips.
+constexpr Duration kReplyTimeout = std::chrono::milliseconds(250);
+// Replies missed in a row until a node uses its own part of the rate. A single
+// one is more often a lost datagram.
+constexpr int kMaxMissedReplies = 2;
+// Pause between requests while the coordinator has no permit.
+constexpr Duration kMinAskPause = std::chrono::milliseconds(50);
+constexpr Duration kMaxAskPause = std::chrono::seconds(1);
+// A node shares a server's rate for this time after it has asked for permits.
+constexpr Duration kAskerLifetime = std::chrono::seconds(2);
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(30);
+// Limits per digest, so that it fits into a datagram.
+constexpr std::size_t kMaxReportedLimits = 64;
+// Limits of servers that are gone, and ended limits, are kept for this time: a
+// peer that was cut off may still report them.
+constexpr Duration kStaleLifetime = std::chrono::seconds(60);
+// Change of a limit or share, relative to the former one, that is reported or
+// logged at once.
+constexpr double kSignificantChange = 0.2;
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+bool DiffersSignificantly(double left, double right) {
+  return std::abs(left - right) > kSignificantChange * std::max(left, right);
+}
+
+}  // namespace
+
+ServerLimiter::ServerLimiter(std::string node,
+                             PermitNetwork* network,
+                             MetricRegistry* metrics,
+                             std::uint32_t seed,
+                             Listeners listeners)
+    : node(std::move(node)),
+      network(network),
+      metrics(metrics),
+      listeners(std::move(listeners)),
+      generator(seed),
+      schedule([this] { return this->Draw(); }),
+      own_schedule([this] { return this->Draw(); }) {}
+
+double ServerLimiter::Draw() {
+  return std::uniform_real_distribution<double>(0, 1)(this->generator);
+}
+
+void ServerLimiter::CountPermits(const char* outcome, int count) {
+  this->metrics
+      ->GetCounter("kumquatcart_server_permits_total", {{"outcome", outcome}})
+      .Add(static_cast<std::uint64_t>(count));
+}
+
+bool ServerLimiter::HasPermit(const std::string& server) {
+  return !this->IsLimited(server) ||
+         this->uses[server].stock.HasUsable(this->network->Now());
+}
+
+bool ServerLimiter::TryTake(const std::string& server) {
+  if (!this->IsLimited(server)) {
+    return true;
+  }
+  ServerUse& use = this->uses[server];
+  if (!use.stock.TryTake(this->network->Now())) {
+    return false;
+  }
+  this->CountPermits("used");
+  this->Ask(server, &use);
+  return true;
+}
+
+void ServerLimiter::NoteDemand(const std::string& server) {
+  if (!this->IsLimited(server)) {
+    return;
+  }
+  ServerUse& use = this->uses[server];
+  use.demand.push_back(this->network->Now());
+  this->Ask(server, &use);
+}
+
+void ServerLimiter::Refill(const std::string& server) {
+  if (this->IsLimited(server)) {
+    this->Ask(server, &this->uses[server]);
+  }
+}
+
+int ServerLimiter::Shortage(ServerUse* use, MonotonicTime now) const {
+  DropBefore(&use->demand, now - kDemandWindow);
+  const int target =
+      std::clamp(static_cast<int>(use->demand.size()), 1, kMaxWanted);
+  const int count = use->stock.Count(now);
+  return 2 * count < target || count == 0 ? target - count : 0;
+}
+
+void ServerLimiter::Ask(const std::string& server, ServerUse* use) {
+  const MonotonicTime now = this->network->Now();
+  if (use->pending_request != 0 || now < use->ask_after) {
+    return;
+  }
+  const int wanted = this->Shortage(use, now);
+  if (wanted <= 0) {
+    return;
+  }
+  const std::string coordinator = this->network->FindCoordinator(server);
+  if (coordinator != use->coordinator) {
+    use->coordinator = coordinator;
+    use->share = 0;
+  }
+  use->pending_request = ++this->last_sequence;
+  use->requested_at = now;
+  const PermitRequest request{this->node, use->pending_request,
+                              this->limits.FindLimit(server)->limit, wanted};
+  if (coordinator == this->node) {
+    this->HandleReply(this->Allocate(request));
+    return;
+  }
+  this->network->Send(coordinator, request);
+  this->network->CallAfter(kReplyTimeout,
+                           [this, server, sequence = use->pending_request] {
+                             this->HandleMissedReply(server, sequence);
+                           });
+}
+
+void ServerLimiter::HandleMissedReply(const std::string& server,
+                                      std::int64_t sequence) {
+  const auto found = this->uses.find(server);
+  const KnownServerLimit* known = this->limits.FindLimit(server);
+  if (known == nullptr || found == this->uses.end() ||
+      found->second.pending_request != sequence) {
+    return;
+  }
+  ServerUse& use = found->second;
+  use.pending_request = 0;
+  ++use.missed_replies;
+  this->CountPermits("no_reply");
+  if (use.missed_replies < kMaxMissedReplies) {
+    this->listeners.permits_changed();
+    return;
+  }
+  const double rate =
+      known->limit.per_second.value_or(0) / this->network->CountNodes().recent;
+  this->SetShare(server, &use, rate);
+  this->Accept(
+      server, &use,
+      this->own_schedule.Reserve(server, rate, 1, this->network->Now()));
+}
+
+int ServerLimiter::CountAskers(const std::string& server,
+                               const std::string& asker,
+                               MonotonicTime now) {
+  std::map<std::string, MonotonicTime>& nodes = this->askers[server];
+  nodes[asker] = now;
+  for (auto entry = nodes.begin(); entry != nodes.end();) {
+    entry = entry->second < now - kAskerLifetime ? nodes.erase(entry)
+                                                 : std::next(entry);
+  }
+  return static_cast<int>(nodes.size());
+}
+
+PermitReply ServerLimiter::Allocate(const PermitRequest& request) {
+  const MonotonicTime now = this->network->Now();
+  const std::string& server = request.limit.server;
+  PermitReply reply;
+  reply.node = this->node;
+  reply.sequence = request.sequence;
+  reply.server = server;
+  reply.coordinates = this->network->FindCoordinator(server) == this->node;
+  if (!reply.coordinates) {
+    return reply;
+  }
+  const KnownServerLimit* known = this->limits.FindLimit(server);
+  if (known == nullptr) {  // Ended; the requester does not know it yet.
+    reply.count = request.wanted;
+    return reply;
+  }
+  reply.nodes = this->CountAskers(server, request.node, now);
+  // Nodes that are cut off use their own part of the rate.
+  const NodeCounts counts = this->network->CountNodes();
+  const double rate = known->limit.per_second.value_or(0) * counts.live /
+                      std::max(counts.live, counts.recent);
+  const PermitOffer offer =
+      this->schedule.Reserve(server, rate, request.wanted, now);
+  reply.count = offer.count;
+  reply.first_in_us =
+      std::chrono::duration_cast<std::chrono::microseconds>(offer.first_in)
+          .count();
+  reply.interval_us =
+      std::chrono::duration_cast<std::chrono::microseconds>(offer.interval)
+          .count();
+  return reply;
+}
+
+void ServerLimiter::HandleRequest(const PermitRequest& request) {
+  this->MergeReport(request.node, {request.limit});
+  this->network->Send(request.node, this->Allocate(request));
+}
+
+void ServerLimiter::HandleReply(const PermitReply& reply) {
+  const auto found = this->uses.find(reply.server);
+  if (found == this->uses.end() || !this->IsLimited(reply.server) ||
+      found->second.pending_request != reply.sequence) {
+    return;
+  }
+  if (!reply.coordinates) {
+    this->HandleMissedReply(reply.server, reply.sequence);
+    return;
+  }
+  ServerUse& use = found->second;
+  use.pending_request = 0;
+  use.missed_replies = 0;
+  const PermitOffer offer{reply.count,
+                          std::chrono::microseconds(reply.first_in_us),
+                          std::chrono::microseconds(reply.interval_us)};
+  this->SetShare(
+      reply.server, &use,
+      offer.interval > Duration{0}
+          ? 1 / (std::chrono::duration<double>(offer.interval).count() *
+                 reply.nodes)
+          : 0);
+  this->Accept(reply.server, &use, offer);
+}
+
+void ServerLimiter::Accept(const std::string& server,
+                           ServerUse* use,
+                           const PermitOffer& offer) {
+  const MonotonicTime now = this->network->Now();
+  use->next_permit_at = now + offer.first_in;
+  use->stock.Add(offer, now);
+  this->CountPermits(offer.count > 0 ? "granted" : "denied",
+                     std::max(offer.count, 1));
+  Duration delay = offer.first_in;
+  if (offer.count == 0) {
+    // A random part keeps nodes from asking at the same time.
+    delay = std::clamp(
+        offer.first_in / 2 +
+            FromSeconds(this->Draw() *
+                        std::chrono::duration<double>(offer.first_in).count() /
+                        2),
+        kMinAskPause, kMaxAskPause);
+    use->ask_after = now + delay;
+  }
+  for (int i = 0; i < std::max(offer.count, 1); ++i) {
+    this->network->CallAfter(delay, [this, server] {
+      if (this->IsLimited(server)) {
+        this->listeners.permits_changed();
+      }
+    });
+    delay += offer.interval;
+  }
+}
+
+void ServerLimiter::SetShare(const std::string& server,
+                             ServerUse* use,
+                             double share) {
+  if (DiffersSignificantly(share, use->share)) {
+    const KnownServerLimit* known = this->limits.FindLimit(server);
+    LogInfo(
+        "server_limit_share",
+        {{"server", server},
+         {"limit", known->limit.per_second.value_or(0)},
+         {"limit_age_ms", ToMillis(this->network->Now() - known->received_at)},
+         {"share", share},
+         {"coordinator", use->coordinator},
+         {"missed_replies", use->missed_replies}});
+    use->share = share;
+  }
+  use->share_at = this->network->Now();
+}
+
+std::optional<MonotonicTime> ServerLimiter::PermitExpectedAt(
+    const std::string& server,
+    std::size_t ahead) {
+  ServerUse& use = this->uses[server];
+  const std::optional<MonotonicTime> usable_at =
+      use.stock.UsableAt(ahead, this->network->Now());
+  if (usable_at) {
+    return usable_at;
+  }
+  return use.pending_request != 0 &&
+                 ahead < static_cast<std::size_t>(kMaxWanted)
+             ? std::optional(use.requested_at + kReplyTimeout)
+             : std::nullopt;
+}
+
+Duration ServerLimiter::EstimateWait(const std::string& server,
+                                     int ahead) const {
+  const auto found = this->uses.find(server);
+  if (found == this->uses.end()) {
+    return Duration{0};
+  }
+  const ServerUse& use = found->second;
+  const MonotonicTime now = this->network->Now();
+  const Duration first = std::max(use.next_permit_at - now, Duration{0});
+  return use.share > 0 ? first + FromSeconds(ahead / use.share) : first;
+}
+
+Duration ServerLimiter::NextRetryAfter(const std::string& server) {
+  ServerUse& use = this->uses[server];
+  const MonotonicTime now = this->network->Now();
+  const MonotonicTime earliest =
+      now + std::max(this->EstimateWait(server, 0), kMinRetryAfter);
+  const Duration step =
+      use.share > 0 ? FromSeconds(1 / use.share) : Duration{0};
+  use.promised_until = std::min(std::max(earliest, use.promised_until + step),
+                                now + kMaxRetryAfter);
+  return use.promised_until - now;
+}
+
+void ServerLimiter::NoteAnswer(const std::string& server,
+                               std::optional<double> per_second,
+                               bool sent_under_limit,
+                               const std::string& request_id) {
+  const KnownServerLimit* known = this->limits.FindLimit(server);
+  const bool is_significant =
+      known == nullptr || !per_second ||
+      DiffersSignificantly(*known->limit.per_second, *per_second);
+  if (!this->limits.NoteAnswer(server, per_second, sent_under_limit,
+                               this->network->Now())) {
+    return;
+  }
+  if (is_significant) {
+    this->HandleChange(server, "answer", request_id);
+    this->listeners.limits_changed();
+  }
+}
+
+void ServerLimiter::HandleRestart(const std::string& server) {
+  if (this->limits.End(server, this->network->Now())) {
+    this->HandleChange(server, "restart", "");
+  }
+}
+
+void ServerLimiter::HandleChange(const std::string& server,
+                                 const char* source,
+                                 const std::string& origin) {
+  const KnownServerLimit* known = this->limits.FindLimit(server);
+  LogInfo("server_limit",
+          {{"server", server},
+           {"limit", known == nullptr ? 0 : *known->limit.per_second},
+           {"ended", known == nullptr ? 1 : 0},
+           {"source", source},
+           {"origin", origin}});
+  if (known == nullptr) {
+    this->uses.erase(server);
+    this->listeners.permits_changed();
+  }
+}
+
+std::vector<ServerLimit> ServerLimiter::NextReport() {
+  return this->limits.NextReport(kMaxReportedLimits);
+}
+
+void ServerLimiter::MergeReport(const std::string& peer,
+                                const std::vector<ServerLimit>& report) {
+  for (const ServerLimit& limit : report) {
+    const bool was_limited = this->IsLimited(limit.server);
+    if (this->limits.Merge(limit, this->network->Now()) &&
+        (was_limited || limit.per_second)) {
+      this->HandleChange(limit.server, "peer", peer);
+    }
+  }
+}
+
+void ServerLimiter::HandleMessage(const PermitMessage& message) {
+  if (const auto* request = std::get_if<PermitRequest>(&message)) {
+    this->HandleRequest(*request);
+  } else {
+    this->HandleReply(std::get<PermitReply>(message));
+    this->listeners.permits_changed();
+  }
+}
+
+void ServerLimiter::DropStale(
+    const std::function<bool(const std::string&)>& exists) {
+  const MonotonicTime oldest = this->network->Now() - kStaleLifetime;
+  this->limits.DropStale(oldest, exists);
+  this->schedule.DropUnused(oldest);
+  this->own_schedule.DropUnused(oldest);
+  for (auto entry = this->uses.begin(); entry != this->uses.end();) {
+    entry = this->IsLimited(entry->first) ? std::next(entry)
+                                          : this->uses.erase(entry);
+  }
+  for (auto entry = this->askers.begin(); entry != this->askers.end();) {
+    entry = this->IsLimited(entry->first) ? std::next(entry)
+                                          : this->askers.erase(entry);
+  }
+}
+
+void ServerLimiter::LogRejection(const std::string& request_id,
+                                 const std::string& server,
+                                 Duration retry_after) const {
+  const KnownServerLimit* known = this->limits.FindLimit(server);
+  const auto use = this->uses.find(server);
+  if (known == nullptr || use == this->uses.end()) {
+    return;
+  }
+  const MonotonicTime now = this->network->Now();
+  LogInfo("rate_limited",
+          {{"id", request_id},
+           {"server", server},
+           {"limit", *known->limit.per_second},
+           {"limit_age_ms", ToMillis(now - known->received_at)},
+           {"share", use->second.share},
+           {"share_age_ms",
+            use->second.share > 0 ? ToMillis(now - use->second.share_at) : -1},
+           {"coordinator", use->second.coordinator},
+           {"retry_after_ms", ToMillis(retry_after)}});
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/server_limiter.h
@@ -0,0 +1,152 @@
+// Rate limits that backend servers set for all entry VMs together.
+#ifndef ENTRY_SERVER_LIMITER_H_
+#define ENTRY_SERVER_LIMITER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/metrics.h"
+#include "entry/permit_network.h"
+#include "routing/permit_schedule.h"
+#include "routing/permit_stock.h"
+#include "routing/server_limit_table.h"
+
+namespace kumquatcart {
+
+// Allows a request to be sent to a limited server only with a permit. For each
+// server one node, its coordinator, hands out permits at the server's rate; the
+// others ask it when they have requests for the server. A node that gets no
+// reply uses the part of the rate that it would have if it were divided
+// equally. Not thread safe: used on the event loop's thread.
+class ServerLimiter {
+ public:
+  struct Listeners {
+    // A permit has become usable, or a limit has ended.
+    std::function<void()> permits_changed;
+    // A limit has changed and peers should receive it soon.
+    std::function<void()> limits_changed;
+  };
+
+  // `network` and `metrics` must outlive this object.
+  ServerLimiter(std::string node,
+                PermitNetwork* network,
+                MetricRegistry* metrics,
+                std::uint32_t seed,
+                Listeners listeners);
+
+  bool IsLimited(const std::string& server) const {
+    return this->limits.FindLimit(server) != nullptr;
+  }
+
+  // Whether a request may be sent to the server now.
+  bool HasPermit(const std::string& server);
+
+  // Takes a permit for a request that is sent now. False if there is none;
+  // servers without a limit need none.
+  bool TryTake(const std::string& server);
+
+  // Notes that a request is meant for the server, and asks for permits if too
+  // few are left.
+  void NoteDemand(const std::string& server);
+
+  // Asks for permits if too few are left, for requests that were noted before.
+  void Refill(const std::string& server);
+
+  // Time at which a request behind `ahead` others that wait here should have a
+  // permit; none if none is expected soon.
+  std::optional<MonotonicTime> PermitExpectedAt(const std::string& server,
+                                                std::size_t ahead);
+
+  // Estimated time until a request behind `ahead` others has a permit.
+  Duration EstimateWait(const std::string& server, int ahead) const;
+
+  // Retry-After for a rejected request. Each call returns a later time, at the
+  // rate of this node's share, so that callers do not return together.
+  Duration NextRetryAfter(const std::string& server);
+
+  // Processes the limit that an answer names, or that it names none.
+  // `sent_under_limit`: the request was sent while the limit was known.
+  void NoteAnswer(const std::string& server,
+                  std::optional<double> per_second,
+                  bool sent_under_limit,
+                  const std::string& request_id);
+
+  // Ends the limit of a server that has restarted.
+  void HandleRestart(const std::string& server);
+
+  // Limits for the digest of this node.
+  std::vector<ServerLimit> NextReport();
+
+  // Processes limits and messages of the peer `node`.
+  void MergeReport(const std::string& node,
+                   const std::vector<ServerLimit>& limits);
+  void HandleMessage(const PermitMessage& message);
+
+  // Drops state that is no longer needed. `exists`: whether a server exists.
+  void DropStale(const std::function<bool(const std::string&)>& exists);
+
+  // Logs that a request was rejected because of the server's limit.
+  void LogRejection(const std::string& request_id,
+                    const std::string& server,
+                    Duration retry_after) const;
+
+ private:
+  // This node's use of one limited server.
+  struct ServerUse {
+    PermitStock stock;
+    std::deque<MonotonicTime> demand;  // Recent requests meant for it.
+    std::int64_t pending_request = 0;  // Sequence; 0: none.
+    MonotonicTime requested_at;
+    int missed_replies = 0;   // In a row.
+    MonotonicTime ask_after;  // The coordinator has no permit before.
+    MonotonicTime next_permit_at;
+    std::string coordinator;
+    double share = 0;  // Permits per second; 0: unknown.
+    MonotonicTime share_at;
+    MonotonicTime promised_until;  // Latest Retry-After.
+  };
+
+  double Draw();
+  int Shortage(ServerUse* use, MonotonicTime now) const;
+  void Ask(const std::string& server, ServerUse* use);
+  void HandleMissedReply(const std::string& server, std::int64_t sequence);
+  // Number of nodes that share the server's rate, including `asker`.
+  int CountAskers(const std::string& server,
+                  const std::string& asker,
+                  MonotonicTime now);
+  // Permits that this node hands out as the coordinator.
+  PermitReply Allocate(const PermitRequest& request);
+  void Accept(const std::string& server,
+              ServerUse* use,
+              const PermitOffer& offer);
+  void HandleRequest(const PermitRequest& request);
+  void HandleReply(const PermitReply& reply);
+  void SetShare(const std::string& server, ServerUse* use, double share);
+  void HandleChange(const std::string& server,
+                    const char* source,
+                    const std::string& origin);
+  void CountPermits(const char* outcome, int count = 1);
+
+  const std::string node;
+  PermitNetwork* const network;
+  MetricRegistry* const metrics;
+  const Listeners listeners;
+  std::minstd_rand generator;
+  ServerLimitTable limits;
+  std::map<std::string, ServerUse> uses;
+  PermitSchedule schedule;      // As the coordinator.
+  PermitSchedule own_schedule;  // For this node without a coordinator.
+  // As the coordinator: when each node last asked, by server.
+  std::map<std::string, std::map<std::string, MonotonicTime>> askers;
+  std::int64_t last_sequence = 0;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_SERVER_LIMITER_H_
--- a/src/peers/digest_exchange.cc
+++ b/src/peers/digest_exchange.cc
@@ -75,6 +75,21 @@
   }
 }
 
+void DigestExchange::SendSoon() {
+  const MonotonicTime next = this->round_sent_at + kMinSendInterval;
+  const MonotonicTime now = this->loop->Now();
+  if (next <= now) {
+    this->SendAll(now);
+  } else if (!this->round_scheduled) {
+    this->round_scheduled = true;
+    this->loop->Spawn([this, next](Coroutine yield) {
+      this->loop->Sleep(next - this->loop->Now(), yield);
+      this->round_scheduled = false;
+      this->SendNow();
+    });
+  }
+}
+
 void DigestExchange::SendAll(MonotonicTime now) {
   this->round_sent_at = now;
   std::string bytes;
@@ -117,8 +132,11 @@
 }
 
 void DigestExchange::HandleDatagram(std::size_t size) {
-  const Result<NodeDigest> digest =
-      DecodeDigest(std::string(this->buffer.data(), size));
+  const std::string bytes(this->buffer.data(), size);
+  if (this->message_listener && this->message_listener(bytes)) {
+    return;
+  }
+  const Result<NodeDigest> digest = DecodeDigest(bytes);
   if (digest.has_error()) {
     LogWarning("digest_ignored", {{"from", this->sender.address().to_string()},
                                   {"reason", digest.error().message}});
--- a/src/peers/digest_exchange.h
+++ b/src/peers/digest_exchange.h
@@ -21,6 +21,8 @@
  public:
   using Compose = std::function<NodeDigest()>;
   using Listener = std::function<void(const NodeDigest&)>;
+  // Returns whether the datagram was a message of another kind.
+  using MessageListener = std::function<bool(const std::string& bytes)>;
 
   DigestExchange(EventLoop* loop,
                  PeerDirectory* peers,
@@ -40,6 +42,20 @@
   // than 30 ms ago.
   void SendNow();
 
+  // As SendNow(), but sends as soon as that time has passed instead of leaving
+  // it to the next round.
+  void SendSoon();
+
+  // Passes datagrams to `listener` first. Precondition: called before Start().
+  void SetMessageListener(MessageListener listener) {
+    this->message_listener = std::move(listener);
+  }
+
+  // Sends a message of another kind to a peer, without retransmission.
+  void SendMessage(const std::string& bytes, const PeerState& peer) {
+    this->Send(bytes, peer);
+  }
+
   // Time between two rounds. It grows with the number of peers, but is bounded
   // for the first nodes of a failure domain, which plan and read for it.
   Duration RoundInterval() const;
@@ -58,10 +74,12 @@
   PeerDirectory* const peers;
   const Compose compose;
   const Listener listener;
+  MessageListener message_listener;
   boost::asio::ip::udp::socket socket;
   boost::asio::ip::udp::endpoint sender;
   std::array<char, 16 * 1024> buffer;
   MonotonicTime round_sent_at;
+  bool round_scheduled = false;  // By SendSoon().
 };
 
 }  // namespace kumquatcart
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -1,6 +1,7 @@
 #include "peers/node_digest.h"
 
 #include "base/json.h"
+#include "peers/server_limit_codec.h"
 
 namespace kumquatcart {
 
@@ -26,15 +27,33 @@
   return groups;
 }
 
+// Position of the limits, which nodes of earlier versions do not send.
+constexpr std::size_t kLimitsIndex = 14;
+
+std::vector<ServerLimit> DecodeLimits(const Json& json) {
+  std::vector<ServerLimit> limits;
+  for (const Json& row : json) {
+    limits.push_back(DecodeServerLimit(row));
+  }
+  return limits;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const NodeDigest& digest) {
-  const Json json =
+  Json json =
       Json::array({kDigestFormat, digest.node, digest.failure_domain,
                    digest.interval_ms, digest.is_stopping, digest.reaches_store,
                    digest.has_traffic, digest.config_version, digest.topic_ends,
                    digest.in_flight, digest.unread, digest.unreachable,
                    digest.suspected_servers, EncodeGroupStates(digest.groups)});
+  if (digest.limits) {
+    Json limits = Json::array();
+    for (const ServerLimit& limit : *digest.limits) {
+      limits.push_back(EncodeServerLimit(limit));
+    }
+    json.push_back(std::move(limits));
+  }
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -59,6 +78,9 @@
     digest.unreachable = json.at(11).get<std::vector<std::string>>();
     digest.suspected_servers = json.at(12).get<std::vector<std::string>>();
     digest.groups = DecodeGroupStates(json.at(13));
+    if (json.size() > kLimitsIndex) {
+      digest.limits = DecodeLimits(json.at(kLimitsIndex));
+    }
     return digest;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/peers/node_digest.h
+++ b/src/peers/node_digest.h
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
 
 #include "base/comparable.h"
 #include "base/outcome.h"
+#include "model/server_limit.h"
 
 namespace kumquatcart {
 
@@ -37,13 +39,16 @@
   std::vector<std::string> unreachable;  // Servers that did not respond.
   std::vector<std::string> suspected_servers;  // Servers to be probed.
   std::vector<GroupAvailability> groups;  // Of the failure domains it plans.
+  // Some of the limits that it knows. None: a node of a version that does not
+  // share limits.
+  std::optional<std::vector<ServerLimit>> limits;
 
   auto Tie() const {
     return std::tie(this->node, this->failure_domain, this->interval_ms,
                     this->is_stopping, this->reaches_store, this->has_traffic,
                     this->config_version, this->topic_ends, this->in_flight,
                     this->unread, this->unreachable, this->suspected_servers,
-                    this->groups);
+                    this->groups, this->limits);
   }
 };
 
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -1,6 +1,9 @@
 #include "peers/peer_directory.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "peers/rendezvous.h"
 
 namespace kumquatcart {
 
@@ -59,6 +62,37 @@
              [now](const auto& entry) { return entry.second.IsAlive(now); }));
 }
 
+int PeerDirectory::CountNodesSince(MonotonicTime oldest,
+                                   bool include_silent) const {
+  return 1 + static_cast<int>(std::count_if(
+                 this->peers.begin(), this->peers.end(),
+                 [oldest, include_silent](const auto& entry) {
+                   const PeerState& peer = entry.second;
+                   return peer.HasDigestSince(oldest) ||
+                          (include_silent &&
+                           peer.digest_received_at == MonotonicTime{});
+                 }));
+}
+
+std::string PeerDirectory::FindCoordinator(const std::string& subject,
+                                           bool own_is_stopping,
+                                           MonotonicTime now) const {
+  const std::uint64_t subject_hash = StableHash(subject);
+  const auto score = [subject_hash](const std::string& node) {
+    return std::pair(RendezvousScore(subject_hash, StableHash(node)), node);
+  };
+  std::pair<std::uint64_t, std::string> best;
+  if (!own_is_stopping) {
+    best = score(this->own_node);
+  }
+  for (const auto& [node, peer] : this->peers) {
+    if (peer.IsAlive(now) && !peer.digest.is_stopping && peer.digest.limits) {
+      best = std::max(best, score(node));
+    }
+  }
+  return best.second.empty() ? this->own_node : best.second;
+}
+
 const PeerState* PeerDirectory::FindPlanner(const std::string& failure_domain,
                                             MonotonicTime now) const {
   const PeerState* planner = nullptr;
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -56,6 +56,18 @@
   // Number of live peers, plus one for this process.
   int CountLiveNodes(MonotonicTime now) const;
 
+  // Number of peers with a digest received since `oldest`, plus one for this
+  // process. With `include_silent`, peers without any digest count too.
+  int CountNodesSince(MonotonicTime oldest, bool include_silent) const;
+
+  // The node that allocates shared limits of `subject`: the one with the
+  // highest rendezvous score of the live nodes that can and are not stopping,
+  // or this node if there is none. Nodes that see different peers alive may
+  // return different nodes.
+  std::string FindCoordinator(const std::string& subject,
+                              bool own_is_stopping,
+                              MonotonicTime now) const;
+
   // Returns whether this process plans the groups in `failure_domain`. The
   // planner is the first by name of the live nodes of that failure domain that
   // can write to the store, or of all such nodes if the failure domain has
--- /dev/null
+++ b/src/routing/permit_schedule.cc
@@ -0,0 +1,57 @@
+#include "routing/permit_schedule.h"
+
+#include <algorithm>
+
+namespace kumquatcart {
+
+namespace {
+
+// How far ahead permits are reserved: longer than an exchange between two VMs
+// takes, so that the rate is used fully.
+constexpr Duration kMaxReserveAhead = std::chrono::milliseconds(500);
+// A server that names a lower limit, or zero, still gets a request this often:
+// only an answer can tell that its limit has ended.
+constexpr double kMinRate = 1.0 / 30;
+
+Duration IntervalAt(double rate) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1 / std::max(rate, kMinRate)));
+}
+
+Duration Scale(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, Duration::period>(duration) * factor);
+}
+
+}  // namespace
+
+PermitOffer PermitSchedule::Reserve(const std::string& server,
+                                    double rate,
+                                    int wanted,
+                                    MonotonicTime now) {
+  PermitOffer offer;
+  offer.interval = IntervalAt(rate);
+  const auto inserted = this->servers.try_emplace(server);
+  ServerState& state = inserted.first->second;
+  if (inserted.second) {
+    state.last_permit = now - Scale(offer.interval, this->draw());
+  }
+  state.used_at = now;
+  MonotonicTime next = std::max(state.last_permit + offer.interval, now);
+  offer.first_in = next - now;
+  while (offer.count < wanted && next <= now + kMaxReserveAhead) {
+    ++offer.count;
+    state.last_permit = next;
+    next += offer.interval;
+  }
+  return offer;
+}
+
+void PermitSchedule::DropUnused(MonotonicTime oldest) {
+  for (auto entry = this->servers.begin(); entry != this->servers.end();) {
+    entry = entry->second.used_at < oldest ? this->servers.erase(entry)
+                                           : std::next(entry);
+  }
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/routing/permit_schedule.h
@@ -0,0 +1,62 @@
+// Allocation of a server's limited request rate to entry VMs.
+#ifndef ROUTING_PERMIT_SCHEDULE_H_
+#define ROUTING_PERMIT_SCHEDULE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "base/clock.h"
+#include "base/comparable.h"
+
+namespace kumquatcart {
+
+// Permits to send one request each. They become usable one after the other.
+struct PermitOffer {
+  int count = 0;
+  // Until the first one is usable. If `count` is 0: until one may be available.
+  Duration first_in{0};
+  Duration interval{0};  // Between two of them.
+
+  auto Tie() const {
+    return std::tie(this->count, this->first_in, this->interval);
+  }
+};
+
+// Spaces the permits of each server evenly at its rate, whoever asks for them.
+// Permits that nobody asks for are not saved up, so that any interval holds at
+// most one more than the rate allows. Not thread safe.
+class PermitSchedule {
+ public:
+  // `draw` returns uniform random numbers, 0 up to 1.
+  explicit PermitSchedule(std::function<double()> draw)
+      : draw(std::move(draw)) {}
+
+  // Reserves up to `wanted` permits of `server` that are usable soon, at `rate`
+  // permits per second.
+  //
+  // The first permit of a server comes after a random part of the interval. VMs
+  // that begin to allocate at the same moment, or one that takes over from
+  // another, so keep to the rate on average.
+  PermitOffer Reserve(const std::string& server,
+                      double rate,
+                      int wanted,
+                      MonotonicTime now);
+
+  // Forgets servers without a call of Reserve() since `oldest`.
+  void DropUnused(MonotonicTime oldest);
+
+ private:
+  struct ServerState {
+    MonotonicTime last_permit;
+    MonotonicTime used_at;
+  };
+
+  const std::function<double()> draw;
+  std::map<std::string, ServerState> servers;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ROUTING_PERMIT_SCHEDULE_H_
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -47,13 +47,25 @@
           &this->role,
           [](const PeerState&) {},
           [] {}),
+      permits(&this->loop),
+      limiter("node",
+              &this->permits,
+              &this->metrics,
+              /*seed=*/1,
+              {[this] {
+                 this->group_balancer.AssignFreeSlots();
+                 this->plain_balancer.HandlePermitsChanged();
+               },
+               [] {}}),
       group_balancer(&this->loop,
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
+                     &this->limiter,
                      "zone"),
       plain_balancer(&this->loop,
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
+                     &this->limiter,
                      "zone"),
       stall_detector(&this->loop, &this->view, &this->prober),
       shared_retry_budget(RetryLimits{0.2, 100, std::chrono::seconds(10)}) {
@@ -61,6 +73,7 @@
   this->context.view = &this->view;
   this->context.prober = &this->prober;
   this->context.pool = &this->pool;
+  this->context.limiter = &this->limiter;
   this->context.group_balancer = &this->group_balancer;
   this->context.plain_balancer = &this->plain_balancer;
   this->context.stall_detector = &this->stall_detector;
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -13,10 +13,34 @@
 #include "entry/group_load_balancer.h"
 #include "entry/group_stall_detector.h"
 #include "entry/plain_load_balancer.h"
+#include "entry/server_limiter.h"
 #include "fakes/loop_server.h"
 
 namespace kumquatcart {
 
+// A deployment of one entry VM, which allocates all permits itself.
+class LoopPermitNetwork : public PermitNetwork {
+ public:
+  explicit LoopPermitNetwork(EventLoop* loop) : loop(loop) {}
+
+  MonotonicTime Now() const override { return this->loop->Now(); }
+  void CallAfter(Duration delay, std::function<void()> callback) override {
+    this->loop->Spawn(
+        [this, delay, callback = std::move(callback)](Coroutine yield) {
+          this->loop->Sleep(delay, yield);
+          callback();
+        });
+  }
+  NodeCounts CountNodes() const override { return NodeCounts{}; }
+  std::string FindCoordinator(const std::string&) const override {
+    return "node";
+  }
+  void Send(const std::string&, const PermitMessage&) override {}
+
+ private:
+  EventLoop* const loop;
+};
+
 // Routes: /once/ is at-most-once, /again/ is idempotent, /stream/ is a
 // resumable stream of a model service with groups of one server. Each route
 // allows two attempts.
@@ -71,11 +95,13 @@
   PeerDirectory peers;
   PlannerRole role;
   ServerProber prober;
+  MetricRegistry metrics;
+  LoopPermitNetwork permits;
+  ServerLimiter limiter;
   GroupLoadBalancer group_balancer;
   PlainLoadBalancer plain_balancer;
   GroupStallDetector stall_detector;
   SharedRetryBudget shared_retry_budget;
-  MetricRegistry metrics;
   std::vector<std::unique_ptr<LoopServer>> servers;
   std::unique_ptr<LoopServer> entry_server;
   std::set<Waiter*> sessions;
--- a/tests/fuzz/platform_wire_fuzz.cc
+++ b/tests/fuzz/platform_wire_fuzz.cc
@@ -9,6 +9,7 @@
 #include "base/logging.h"
 #include "control/group_record_codec.h"
 #include "peers/node_digest.h"
+#include "peers/permit_message.h"
 #include "peers/record_exchange.h"
 #include "platform/caller_codec.h"
 #include "platform/config_decoder.h"
@@ -68,6 +69,12 @@
     Require(DecodeDigest(EncodeDigest(digest.value())).value() ==
             digest.value());
   }
+  const auto message = DecodePermitMessage(bytes);
+  if (message && message->has_value()) {
+    Require(
+        DecodePermitMessage(EncodePermitMessage(message->value()))->value() ==
+        message->value());
+  }
   static_cast<void>(DecodeRecordQuery(bytes).has_value());
 }
 
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -27,11 +27,21 @@
   digest.unreachable = {"t"};
   digest.suspected_servers = {"u", "v"};
   digest.groups = {{"g", 7, true}};
+  digest.limits = {{"s", 3, 2.75}, {"t", 4, std::nullopt}};
   const Result<NodeDigest> decoded = DecodeDigest(EncodeDigest(digest));
   REQUIRE(decoded.has_value());
   CHECK(decoded.value() == digest);
 }
 
+// Guards against VMs that ignore each other during an update of the version.
+TEST_CASE("A digest of a node that shares no limits is accepted") {
+  NodeDigest digest;
+  digest.node = "n1";
+  const Result<NodeDigest> decoded = DecodeDigest(EncodeDigest(digest));
+  REQUIRE(decoded.has_value());
+  CHECK_FALSE(decoded.value().limits.has_value());
+}
+
 TEST_CASE("Any datagram is decoded or rejected") {
   CHECK(rc::check([](const std::string& bytes) {
     const Result<NodeDigest> digest = DecodeDigest(bytes);
