Soak: servers name rate limits, and entry VMs keep them together

No run had a server with a limit. The check is the platform's: in any 4 s at most one and a half times the limit and 5 requests, of VMs that had received it and were not disturbed.

--- a/tools/soak/entry_child.cc
+++ b/tools/soak/entry_child.cc
@@ -36,11 +36,13 @@
 
 EntryChild::EntryChild(EventLoop* loop,
                        RunLedger* ledger,
+                       LimitLedger* limits,
                        ChildPlaces places,
                        int number,
                        const TcpEndpoint& store)
     : loop(loop),
       ledger(ledger),
+      limits(limits),
       places(std::move(places)),
       name(fmt::format("n{}", number + 1)),
       host(fmt::format("127.0.2.{}", number + 1)),
@@ -98,6 +100,7 @@
     _exit(127);
   }
   this->ending = false;
+  this->limits->NoteDisturbance(this->host, this->loop->Now());
 }
 
 void EntryChild::Signal(int number, bool expects_end) {
@@ -108,6 +111,9 @@
     this->ending = true;
     this->told_at = this->loop->Now();
   }
+  if (number != SIGHUP) {
+    this->limits->NoteDisturbance(this->host, this->loop->Now());
+  }
   kill(this->pid, number);
 }
 
--- a/tools/soak/entry_child.h
+++ b/tools/soak/entry_child.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "soak/limit_ledger.h"
 #include "soak/run_ledger.h"
 #include "soak/tcp_proxy.h"
 
@@ -25,6 +26,7 @@
   // `number`: from 0; gives the address on loopback.
   EntryChild(EventLoop* loop,
              RunLedger* ledger,
+             LimitLedger* limits,
              ChildPlaces places,
              int number,
              const TcpEndpoint& store);
@@ -52,6 +54,7 @@
  private:
   EventLoop* const loop;
   RunLedger* const ledger;
+  LimitLedger* const limits;
   const ChildPlaces places;
   const std::string name;
   const std::string host;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -40,6 +40,7 @@
   app.add_option("--unused-routes", settings.unused_routes,
                  "Routes that enlarge every version of the configuration")
       ->check(CLI::Range(0, 2000));
+  app.add_flag("--limits", settings.with_limits, "Servers name rate limits");
   app.add_flag("--verbose", verbose, "Prints each fault as it begins");
   CLI11_PARSE(app, argc, argv);
   kumquatcart::ConfigureLogging(
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -14,10 +14,18 @@
 
 }  // namespace
 
-void RunLedger::NoteSent(const std::string& id, RequestKind kind) {
+void RunLedger::NoteSent(const std::string& id,
+                         RequestKind kind,
+                         const std::string& entry_vm) {
   Entry& entry = this->entries[id];
   entry.sent = true;
   entry.kind = kind;
+  entry.entry = entry_vm;
+}
+
+std::string RunLedger::EntryOf(const std::string& id) const {
+  const auto found = this->entries.find(id);
+  return found == this->entries.end() ? std::string() : found->second.entry;
 }
 
 void RunLedger::NoteRun(const std::string& id, const std::string& server) {
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -21,7 +21,12 @@
 // The soak's one thread uses it.
 class RunLedger {
  public:
-  void NoteSent(const std::string& id, RequestKind kind);
+  // `entry_vm`: the entry VM that the caller sent it to.
+  void NoteSent(const std::string& id,
+                RequestKind kind,
+                const std::string& entry_vm = {});
+  // The entry VM of a request; empty if no caller sent it.
+  std::string EntryOf(const std::string& id) const;
   void NoteRun(const std::string& id, const std::string& server);
   void NoteEnd(const std::string& id, RequestEnd end);
   // A promise was broken, in words.
@@ -38,6 +43,7 @@
     bool sent = false;
     RequestKind kind = RequestKind::kIdempotent;
     RequestEnd end = RequestEnd::kOpen;
+    std::string entry;
     std::vector<std::string> runs;  // Servers, in order.
   };
 
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -65,6 +65,7 @@
   if (!this->alive) {
     return;
   }
+  this->SetLimit(std::nullopt);
   this->alive = false;
   this->parts.table->erase(this->id);
   this->listener->Stop();
@@ -76,6 +77,41 @@
   });
 }
 
+void ServerStandIn::SetLimit(std::optional<double> per_second) {
+  if (!this->alive) {
+    return;
+  }
+  this->limit = per_second;
+  const MonotonicTime now = this->parts.loop->Now();
+  if (per_second) {
+    this->parts.limits->NoteLimit(this->id, *per_second, now);
+  } else {
+    this->parts.limits->NoteEnd(this->id, now);
+  }
+}
+
+bool ServerStandIn::IsOpenHead() const {
+  return this->membership && this->membership->state == "open" &&
+         this->membership->members.front() == this->id;
+}
+
+void ServerStandIn::NoteRequest(const std::string& request_id) const {
+  this->parts.ledger->NoteRun(request_id, this->id);
+  this->parts.limits->NoteRequest(this->id,
+                                  this->parts.ledger->EntryOf(request_id),
+                                  this->parts.loop->Now());
+}
+
+void ServerStandIn::AddLimit(const std::string& request_id,
+                             HeaderList* headers) const {
+  if (this->limit) {
+    headers->push_back({"Server-Limit", fmt::format("{}", *this->limit)});
+    this->parts.limits->NoteAnswer(this->id,
+                                   this->parts.ledger->EntryOf(request_id),
+                                   this->parts.loop->Now());
+  }
+}
+
 void ServerStandIn::Drain() {
   this->draining = true;
   this->Register();
@@ -148,9 +184,9 @@
                                const std::string& body,
                                bool not_run,
                                TcpConnection* connection) const {
-  HeaderList headers{{"X-Request-Id",
-                      std::string(FindHeader(request.headers, "X-Request-Id"))},
-                     {"Keep-Alive", "timeout=5"}};
+  const std::string request_id(FindHeader(request.headers, "X-Request-Id"));
+  HeaderList headers{{"X-Request-Id", request_id}, {"Keep-Alive", "timeout=5"}};
+  this->AddLimit(request_id, &headers);
   if (not_run) {
     headers.push_back({"X-Not-Executed", "1"});
   } else {
@@ -184,7 +220,7 @@
     return this->Stream(request, connection, waiter, yield);
   }
   const std::string caller_id(FindHeader(request.headers, "X-Request-Id"));
-  this->parts.ledger->NoteRun(caller_id, this->id);
+  this->NoteRequest(caller_id);
   this->parts.loop->Sleep(kWork, yield);
   if (!this->alive) {
     return false;
@@ -314,7 +350,7 @@
   const Membership served = *this->membership;
   const std::string caller_id(FindHeader(request.headers, "X-Request-Id"));
   const std::string resume(FindHeader(request.headers, "Last-Event-Id"));
-  this->parts.ledger->NoteRun(caller_id, this->id);
+  this->NoteRequest(caller_id);
   for (const std::string& member : served.members) {
     const auto found = this->parts.table->find(member);
     if (found != this->parts.table->end() &&
@@ -341,9 +377,11 @@
     }
     whole_at = now;
     if (!sender.HasBegun()) {
-      sender.BeginStream(kHttpOk, {{"X-Request-Id", caller_id},
-                                   {"X-Response-Seal", this->id},
-                                   {"Content-Type", "text/event-stream"}});
+      HeaderList headers{{"X-Request-Id", caller_id},
+                         {"X-Response-Seal", this->id},
+                         {"Content-Type", "text/event-stream"}};
+      this->AddLimit(caller_id, &headers);
+      sender.BeginStream(kHttpOk, headers);
     }
     sender.SendPart(fmt::format("id: {}\ndata: {}\n\n", event,
                                 ExpectedEvent(caller_id, event)));
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -4,12 +4,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "base/json.h"
 #include "entry/simple_http_server.h"
+#include "soak/limit_ledger.h"
 #include "soak/run_ledger.h"
 #include "soak/store_stand_in.h"
 #include "soak/tcp_proxy.h"
@@ -27,6 +29,7 @@
   EventLoop* loop = nullptr;
   StoreStandIn* store = nullptr;
   RunLedger* ledger = nullptr;
+  LimitLedger* limits = nullptr;
   ServerTable* table = nullptr;
 };
 
@@ -53,6 +56,11 @@
   bool IsDraining() const { return this->draining; }
   bool FormsGroups() const { return this->forms_groups; }
 
+  // Names `per_second` as its rate limit in all answers; none ends it.
+  void SetLimit(std::optional<double> per_second);
+  // Whether it is the head of an open group.
+  bool IsOpenHead() const;
+
   TcpProxy& Link() { return *this->proxy; }
   const std::string& Id() const { return this->id; }
 
@@ -83,6 +91,9 @@
   bool IsServing(const Membership& served) const;
   // Whether every member is alive and in the group that this server heads.
   bool IsWhole(const Membership& served) const;
+  // Records a request and adds the limit to the header fields of its answer.
+  void NoteRequest(const std::string& request_id) const;
+  void AddLimit(const std::string& request_id, HeaderList* headers) const;
   void AnswerText(const ParsedRequest& request,
                   int status,
                   const std::string& body,
@@ -99,6 +110,7 @@
   TcpEndpoint proxy_address;
   bool alive = false;
   bool draining = false;
+  std::optional<double> limit;
   int orders = 0;
   std::string loaded_model;
   std::set<std::string> staged;
--- a/tools/soak/soak_caller.cc
+++ b/tools/soak/soak_caller.cc
@@ -62,8 +62,10 @@
   while (this->goes_on()) {
     if (this->connection == nullptr || this->connection->HasEnded()) {
       this->connection = std::make_shared<TcpConnection>(this->loop);
+      const TcpEndpoint address = this->pick();
+      this->entry_vm = address.address().to_string();
       if (!this->connection->Connect(
-              this->pick(), this->loop->Now() + std::chrono::seconds(1),
+              address, this->loop->Now() + std::chrono::seconds(1),
               &this->waiter, yield)) {
         this->connection = nullptr;
         this->loop->Sleep(kThinking, yield);
@@ -72,7 +74,7 @@
     }
     const RequestKind kind = this->PickKind();
     const std::string id = fmt::format("{}-{}", this->name, ++this->asked);
-    this->ledger->NoteSent(id, kind);
+    this->ledger->NoteSent(id, kind, this->entry_vm);
     const RequestEnd end = this->Ask(kind, id, yield);
     this->ledger->NoteEnd(id, end);
     this->served += end == RequestEnd::kServed ? 1 : 0;
--- a/tools/soak/soak_caller.h
+++ b/tools/soak/soak_caller.h
@@ -51,6 +51,7 @@
   const std::function<bool()> goes_on;
   std::shared_ptr<TcpConnection> connection;
   Waiter waiter;
+  std::string entry_vm;  // Address of the current connection.
   int asked = 0;
   int served = 0;
 };
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -6,6 +6,7 @@
 
 #include "net/http_status.h"
 #include "soak/fault_schedule.h"
+#include "soak/limit_schedule.h"
 
 namespace kumquatcart::soak {
 
@@ -106,6 +107,7 @@
     return report;
   }
   FaultSchedule schedule(&world, settings.seed);
+  LimitSchedule limits(&world, settings.seed);
   bool restarts = true;
   bool watches = true;
   world.loop.Spawn([&](Coroutine yield) {
@@ -123,6 +125,13 @@
             WatchConfig(&world, child, &watches, inner);
           });
     }
+    for (const bool forms_groups : {false, true}) {
+      world.loop.Spawn([&, forms_groups](Coroutine inner) {
+        if (settings.with_limits) {
+          limits.Run(forms_groups, &watches, inner);
+        }
+      });
+    }
     schedule.Run(world.loop.Now() + settings.length, yield);
     world.loop.Sleep(kRecovery, yield);
     CheckEnd(&world, yield);
@@ -135,6 +144,9 @@
   });
   world.loop.Run();
   report.broken = world.ledger.Judge();
+  const std::vector<std::string> exceeded =
+      world.limits.Judge(world.loop.Now());
+  report.broken.insert(report.broken.end(), exceeded.begin(), exceeded.end());
   report.faults = schedule.Faults();
   report.served = world.ledger.Count(RequestEnd::kServed);
   report.refused = world.ledger.Count(RequestEnd::kRefused);
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -55,7 +55,7 @@
   }
   for (int i = 0; i < this->settings.entries; ++i) {
     this->entries.push_back(std::make_unique<EntryChild>(
-        &this->loop, &this->ledger,
+        &this->loop, &this->ledger, &this->limits,
         ChildPlaces{this->settings.program, this->settings.directory}, i,
         this->store_address));
     BOOST_OUTCOME_TRY(this->entries.back()->Prepare());
@@ -129,7 +129,8 @@
 
 void SoakWorld::AddServer(bool forms_groups) {
   this->servers.push_back(std::make_unique<ServerStandIn>(
-      ServerParts{&this->loop, &this->store, &this->ledger, &this->table},
+      ServerParts{&this->loop, &this->store, &this->ledger, &this->limits,
+                  &this->table},
       fmt::format("i{}", ++this->servers_started),
       forms_groups ? kModelService : kPlainService, forms_groups));
   if (this->servers.back()->Start().has_error()) {
@@ -179,7 +180,8 @@
                         int asked_version,
                         Coroutine yield) {
   const std::string id = fmt::format("q{}", ++this->questions);
-  this->ledger.NoteSent(id, RequestKind::kIdempotent);
+  this->ledger.NoteSent(id, RequestKind::kIdempotent,
+                        entry.Callers().address().to_string());
   const HttpResponse reply = this->Exchange(
       entry.Callers(), VersionPath(asked_version) + "x", id, yield);
   return reply.result == ExchangeResult::kAnswered ? reply.status : 0;
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -24,7 +24,8 @@
   int plain_servers = 3;
   int engines = 7;
   int callers = 10;
-  int unused_routes = 0;  // Routes that no caller uses, in every version.
+  int unused_routes = 0;     // Routes that no caller uses, in every version.
+  bool with_limits = false;  // Servers name rate limits.
 };
 
 // For the event loop's thread; holds until the loop has ended.
@@ -54,6 +55,7 @@
 
   EventLoop loop;
   RunLedger ledger;
+  LimitLedger limits;
   StoreStandIn store;
   std::vector<std::unique_ptr<EntryChild>> entries;
   std::vector<std::unique_ptr<SoakCaller>> callers;
