Accept the connections of the backlog before a listener closes

During a stop, callers whose connection was established but not yet accepted had it reset, with a request already sent: closing the socket drops its backlog, and a connection that the loop had just accepted was closed because of the flag. Found while looking for requests that are cut off during a planned stop.

--- a/src/entry/simple_http_server.cc
+++ b/src/entry/simple_http_server.cc
@@ -48,18 +48,33 @@
 
 void TcpListener::Stop() {
   this->stopped = true;
+  this->AcceptBacklog();
   boost::system::error_code ignored;  // The descriptor is closed in any case.
   this->acceptor.close(ignored);
 }
 
+void TcpListener::AcceptBacklog() {
+  boost::system::error_code error;
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(this->loop->Context());
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->accept(std::move(socket));
+    }
+  }
+}
+
 void TcpListener::AcceptNext() {
   this->acceptor.async_accept(
       [this](const boost::system::error_code& error, tcp::socket socket) {
+        if (!error) {
+          this->accept(std::move(socket));
+        }
         if (this->stopped) {
           return;
         }
         if (!error) {
-          this->accept(std::move(socket));
           this->AcceptNext();
           return;
         }
--- a/src/entry/simple_http_server.h
+++ b/src/entry/simple_http_server.h
@@ -27,11 +27,13 @@
   // Errors: kUnavailable when the address cannot be bound.
   Status Start(const TcpEndpoint& listen);
 
-  // Closes the listening socket; accepted connections stay open.
+  // Accepts the connections that are established already, then closes the
+  // listening socket. Accepted connections stay open.
   void Stop();
 
  private:
   void AcceptNext();
+  void AcceptBacklog();
 
   EventLoop* const loop;
   const Accept accept;
