Count partly written requests as sent

A request that may run once was sent to a second server although the first had read part of it: whether bytes were written was noted only when the whole request was. A server that closes in the midst of a long request may have run it. Found while looking for work that runs again. In the test both servers got the request before; now one does, and the caller gets 502.

--- a/src/net/net_constants.h
+++ b/src/net/net_constants.h
@@ -16,6 +16,9 @@
 // Maximum number of bytes per read from a socket.
 inline constexpr std::size_t kReadChunkBytes = 32 * 1024;
 
+// Maximum number of bytes per write to a socket.
+inline constexpr std::size_t kWriteChunkBytes = 64 * 1024;
+
 // Amount of unconsumed input of one connection at which reading pauses, so that
 // a fast sender cannot exhaust the memory of the process.
 inline constexpr std::size_t kReadPauseThresholdBytes = 128 * 1024;
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -159,6 +159,12 @@
   this->write_in_progress = true;
   boost::asio::async_write(
       this->socket, boost::asio::buffer(this->writing),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t count) -> std::size_t {
+        // The handler below runs only once all bytes are written.
+        self->sent_any = self->sent_any || count > 0;
+        return error ? 0 : kWriteChunkBytes;
+      },
       [self = this->shared_from_this()](const boost::system::error_code& error,
                                         std::size_t count) {
         self->write_in_progress = false;
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -57,7 +57,7 @@
   // Number of queued bytes whose write operation has not completed.
   std::size_t UnsentBytes() const { return this->unsent; }
 
-  // Whether any finished write operation has written bytes to the socket.
+  // Whether any bytes have been written to the socket.
   bool HasSentBytes() const { return this->sent_any; }
 
   // Closes immediately and discards unsent bytes.
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -101,6 +101,7 @@
   models.engine.emplace();
   models.engine->slots = 4;
   config.services["models"] = models;
+  config.limits.body_bytes = 16 * 1024 * 1024;
   config.needs_keys = true;
   config.holders["key"] = KeyHolder{"org", std::nullopt};
   this->view.AdoptConfig(std::make_shared<const RoutingConfig>(config));
--- a/tests/entry/request_path_test.cc
+++ b/tests/entry/request_path_test.cc
@@ -123,6 +123,51 @@
   CHECK(BodyOf(answer) == "right");
 }
 
+// Guards against a late second copy of a rejection that is taken for the answer
+// to the next request on the connection, which then runs twice.
+TEST_CASE("A rejection of another request is skipped") {
+  EntryFixture fixture;
+  const auto repeat_rejection = AnswerWith([&](const std::string& head) {
+    fixture.received.push_back(head);
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: other\r\n"
+           "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" +
+           MakeAnswer(head, "200 OK", "right");
+  });
+  fixture.AddPlain("a", repeat_rejection);
+  fixture.AddPlain("b", repeat_rejection);
+  const std::string answer =
+      fixture.SendRequest(MakeRequest("GET", "/again/x"));
+  CHECK(HasStatus(answer, "200"));
+  CHECK(BodyOf(answer) == "right");
+  CHECK(fixture.received.size() == 1);
+}
+
+// Guards against a second run of a request of which a server has read a part
+// before it closed the connection.
+TEST_CASE("A partly sent request that may run once is not sent again") {
+  EntryFixture fixture;
+  int connections = 0;
+  const auto read_part = [&](const auto& connection, Waiter* waiter,
+                             Coroutine yield) {
+    ++connections;
+    while (connection->Input().empty() && !connection->HasEnded()) {
+      waiter->WaitUntil(MonotonicTime::max(), yield);
+    }
+    connection->FinishSending();
+    // Stays open, so that the rest of the request remains unsent.
+    fixture.loop.Sleep(std::chrono::milliseconds(300), yield);
+  };
+  fixture.AddPlain("a", read_part);
+  fixture.AddPlain("b", read_part);
+  const std::string body(6 * 1024 * 1024, 'b');
+  const std::string answer = fixture.SendRequest(
+      MakeRequest("POST", "/once/x",
+                  "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+      body);
+  CHECK(HasStatus(answer, "502"));
+  CHECK(connections == 1);
+}
+
 TEST_CASE("A success without the server's signature is rejected") {
   EntryFixture fixture;
   fixture.AddPlain("a", AnswerWith([](const std::string&) {
