Resume a stream without a length that ends within an event

Such a stream ends with its connection, and a crashed process closes it in the same orderly way. The part of an event was passed on and the answer ended as a complete success. Now the attempt counts as broken off: the stream resumes elsewhere or ends without its last chunk. Found while looking for answers that break off halfway. The test had one attempt and the torn event in the answer before.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -256,6 +256,12 @@
   if (state != ResponseState::kComplete) {
     return std::nullopt;
   }
+  if (this->response->IsDelimitedByClose() &&
+      !this->splitter.Partial().empty()) {
+    // The end of a connection alone does not tell a crash from an end.
+    return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                            "connection closed within an event");
+  }
   this->job->answer->SendPart(this->splitter.Partial());
   this->job->answer->EndStream();
   this->FinishConnection();
--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -45,6 +45,7 @@
   this->state = !connection->HasFailed() && !error && this->parser->is_done()
                     ? ResponseState::kComplete
                     : ResponseState::kParseFailed;
+  this->ended_by_close = this->state == ResponseState::kComplete;
   return this->state;
 }
 
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -40,6 +40,10 @@
   // Whether the connection may be reused after this response.
   bool IsKeepAlive() const;
 
+  // Whether the body has no length and ends with the connection. Precondition:
+  // the response is complete.
+  bool IsDelimitedByClose() const { return this->ended_by_close; }
+
   // Number of body bytes that TakeBody would return.
   std::size_t BufferedBodyBytes() const {
     return this->parser->get().body().size();
@@ -58,6 +62,7 @@
   const bool without_body;
   std::optional<Parser> parser;
   ResponseState state = ResponseState::kIncomplete;
+  bool ended_by_close = false;
 };
 
 }  // namespace kumquatcart
--- a/tests/entry/request_path_test.cc
+++ b/tests/entry/request_path_test.cc
@@ -365,6 +365,27 @@
   CHECK(answer.substr(answer.size() - 5) == "0\r\n\r\n");
 }
 
+// Guards against a broken stream that reaches the caller as complete: without a
+// length, the end of the connection alone does not tell a crash from an end.
+TEST_CASE("A stream without a length that ends within an event resumes") {
+  EntryFixture fixture;
+  int attempts = 0;
+  const auto break_first = [&](const auto& connection, Waiter* waiter,
+                               Coroutine yield) {
+    ReadHead(connection.get(), waiter, yield);
+    connection->Send(++attempts == 1 ? StreamHead("") + Event(1) + "id: 2\nda"
+                                     : StreamHead("") + Event(2) + Event(3));
+    connection->FinishSending();
+  };
+  fixture.AddGroup("a", break_first);
+  fixture.AddGroup("b", break_first);
+  const std::string answer = fixture.SendRequest(
+      MakeRequest("POST", "/stream/x", "Content-Length: 0\r\n"));
+  CHECK(attempts == 2);
+  CHECK(answer.find(Event(2)) != std::string::npos);
+  CHECK(answer.find("da\r\n") == std::string::npos);
+}
+
 TEST_CASE("A stream that cannot resume ends without its last chunk") {
   EntryFixture fixture;
   fixture.AddGroup(
