Skip late rejections of other requests on a connection in use again

A second copy of an answer that says "not run" was taken for the answer to the next request on the connection, which was then sent to another server while the first ran it. Other late answers were told apart by their id; rejections were not, since some bear none. Now only those without an id are taken as they come. At-most-once requests never use a connection again, so they were not affected. In the test the request reached both servers before, and the caller got 503.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -153,6 +153,10 @@
 }
 
 bool ServerAttempt::AnswersOtherRequest() const {
+  // Servers may reject a request before they have read its id.
+  if (this->head.not_run && this->head.request_id.empty()) {
+    return false;
+  }
   return this->head.request_id != this->job->request->id;
 }
 
@@ -160,7 +164,7 @@
   // Another server has the address now, or the answer belongs to another
   // request.
   if (this->head.status == kHttpMisdirectedRequest ||
-      (!this->head.not_run && this->AnswersOtherRequest())) {
+      this->AnswersOtherRequest()) {
     return;
   }
   const std::string& server = this->slot->ServerId();
@@ -196,7 +200,7 @@
     if (!this->head_read) {
       return std::nullopt;
     }
-    if (!this->head.not_run && this->AnswersOtherRequest()) {
+    if (this->AnswersOtherRequest()) {
       // A late or duplicate answer to another request; skips it. The answer to
       // this request follows it.
       this->response->TakeBody();
