explain shows the history of a server's limit

A rejected request named the limit, but not the answer or peer from which it was learnt. Further tests: the only group is limited, and values that are no rate.

--- a/tests/cli/request_story_test.cc
+++ b/tests/cli/request_story_test.cc
@@ -28,6 +28,20 @@
   CHECK(story.corrections == std::vector<std::string>{kLog[7]});
 }
 
+// Guards against a rejection whose limit cannot be traced to the answer that
+// named it.
+TEST_CASE("A story of a rate-limited request holds the limit's history") {
+  const std::vector<std::string> log = {
+      "time=1 event=server_limit server=a limit=2.8 source=answer origin=r0",
+      "time=2 event=server_limit server=b limit=1.0 source=answer origin=r0",
+      "time=3 event=server_limit_share server=a limit=2.8 share=0.35",
+      "time=4 event=rate_limited id=r1 server=a limit=2.8 share=0.35",
+      "time=5 event=request id=r1 server=\"\" status=503"};
+  const RequestStory story = TellRequestStory(log, "r1");
+  CHECK(story.decisions == std::vector<std::string>{log[3], log[4]});
+  CHECK(story.beliefs == std::vector<std::string>{log[0], log[2]});
+}
+
 TEST_CASE("explain prints the story, and says when there is none") {
   RuntimeClock clock;
   std::string text;
--- a/tests/entry/server_limit_test.cc
+++ b/tests/entry/server_limit_test.cc
@@ -117,5 +117,33 @@
   CHECK(CountWithStatus(answers, "200") == kRequests);
 }
 
+// Guards against requests that are held until their deadline although the rate
+// limit of the only group cannot serve them in time.
+TEST_CASE("Requests over the limit of the only group are rejected at once") {
+  constexpr int kFew = 20;
+  LimitedServers servers;
+  servers.limit = "0.1";
+  servers.fixture.AddGroup("a",
+                           servers.Count(&servers.limited, &servers.limit));
+  const auto answers = servers.SendMany("/stream/x", kFew);
+  CHECK(servers.limited <= 3);
+  CHECK(CountWithStatus(answers, "503") == kFew - servers.limited);
+  CHECK(CountWithRetryAfter(answers) == kFew - servers.limited);
+  CHECK(servers.elapsed < std::chrono::seconds(3));
+}
+
+// Guards against a limit that a wrong value or another server's answer sets.
+TEST_CASE("A limit that is not a rate is ignored") {
+  for (const std::string value : {"-1", "nan", "2,5", "1e9x", "many"}) {
+    CAPTURE(value);
+    LimitedServers servers;
+    servers.limit = value;
+    servers.fixture.AddPlain("a",
+                             servers.Count(&servers.limited, &servers.limit));
+    const auto answers = servers.SendMany("/again/x", 10);
+    CHECK(CountWithStatus(answers, "200") == 10);
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart
