--- a/src/entry/group_load_balancer.h
+++ b/src/entry/group_load_balancer.h
@@ -108,7 +108,7 @@
   // `is_first_try`: the first call for this request.
   ServerSlotPtr TryTake(const SlotQuery& query, bool is_first_try);
   // The group to use of `groups`. Skips those whose head has a rate limit and
-  // no permit left, and asks for permits of these.
+  // no permit left, and requests permits of these.
   const GroupStatus* Select(std::vector<const GroupStatus*> groups,
                             const SlotQuery& query,
                             const EngineSpec& engine,
--- a/src/entry/server_limiter.cc
+++ b/src/entry/server_limiter.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Requests meant for a server within this window determine how many permits a
-// node asks for: about as many as it sends until the next reply arrives.
+// node requests: about as many as it sends until the next reply arrives.
 constexpr Duration kDemandWindow = std::chrono::milliseconds(300);
 constexpr int kMaxWanted = 32;
 // Time within which a coordinator replies: several round trips.
@@ -22,10 +22,8 @@
 // one is more often a lost datagram.
 constexpr int kMaxMissedReplies = 2;
 // Pause between requests while the coordinator has no permit.
-constexpr Duration kMinAskPause = std::chrono::milliseconds(50);
-constexpr Duration kMaxAskPause = std::chrono::seconds(1);
-// A node shares a server's rate for this time after it has asked for permits.
-constexpr Duration kAskerLifetime = std::chrono::seconds(2);
+constexpr Duration kMinRequestPause = std::chrono::milliseconds(50);
+constexpr Duration kMaxRequestPause = std::chrono::seconds(1);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(30);
 // Limits per digest, so that it fits into a datagram.
@@ -42,6 +40,10 @@
       std::chrono::duration<double>(seconds));
 }
 
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 bool DiffersSignificantly(double left, double right) {
   return std::abs(left - right) > kSignificantChange * std::max(left, right);
 }
@@ -58,7 +60,7 @@
       metrics(metrics),
       listeners(std::move(listeners)),
       generator(seed),
-      schedule([this] { return this->Draw(); }),
+      coordinator(this->node, network, [this] { return this->Draw(); }),
       own_schedule([this] { return this->Draw(); }) {}
 
 double ServerLimiter::Draw() {
@@ -85,7 +87,7 @@
     return false;
   }
   this->CountPermits("used");
-  this->Ask(server, &use);
+  this->RequestPermits(server, &use);
   return true;
 }
 
@@ -95,12 +97,12 @@
   }
   ServerUse& use = this->uses[server];
   use.demand.push_back(this->network->Now());
-  this->Ask(server, &use);
+  this->RequestPermits(server, &use);
 }
 
 void ServerLimiter::Refill(const std::string& server) {
   if (this->IsLimited(server)) {
-    this->Ask(server, &this->uses[server]);
+    this->RequestPermits(server, &this->uses[server]);
   }
 }
 
@@ -112,29 +114,29 @@
   return 2 * count < target || count == 0 ? target - count : 0;
 }
 
-void ServerLimiter::Ask(const std::string& server, ServerUse* use) {
+void ServerLimiter::RequestPermits(const std::string& server, ServerUse* use) {
   const MonotonicTime now = this->network->Now();
-  if (use->pending_request != 0 || now < use->ask_after) {
+  if (use->pending_request != 0 || now < use->request_after) {
     return;
   }
   const int wanted = this->Shortage(use, now);
   if (wanted <= 0) {
     return;
   }
-  const std::string coordinator = this->network->FindCoordinator(server);
-  if (coordinator != use->coordinator) {
-    use->coordinator = coordinator;
+  const std::string target = this->network->FindCoordinator(server);
+  if (target != use->coordinator) {
+    use->coordinator = target;
     use->share = 0;
   }
   use->pending_request = ++this->last_sequence;
   use->requested_at = now;
   const PermitRequest request{this->node, use->pending_request,
                               this->limits.FindLimit(server)->limit, wanted};
-  if (coordinator == this->node) {
+  if (target == this->node) {
     this->HandleReply(this->Allocate(request));
     return;
   }
-  this->network->Send(coordinator, request);
+  this->network->Send(target, request);
   this->network->CallAfter(kReplyTimeout,
                            [this, server, sequence = use->pending_request] {
                              this->HandleMissedReply(server, sequence);
@@ -165,49 +167,10 @@
       this->own_schedule.Reserve(server, rate, 1, this->network->Now()));
 }
 
-int ServerLimiter::CountAskers(const std::string& server,
-                               const std::string& asker,
-                               MonotonicTime now) {
-  std::map<std::string, MonotonicTime>& nodes = this->askers[server];
-  nodes[asker] = now;
-  for (auto entry = nodes.begin(); entry != nodes.end();) {
-    entry = entry->second < now - kAskerLifetime ? nodes.erase(entry)
-                                                 : std::next(entry);
-  }
-  return static_cast<int>(nodes.size());
-}
-
 PermitReply ServerLimiter::Allocate(const PermitRequest& request) {
-  const MonotonicTime now = this->network->Now();
-  const std::string& server = request.limit.server;
-  PermitReply reply;
-  reply.node = this->node;
-  reply.sequence = request.sequence;
-  reply.server = server;
-  reply.coordinates = this->network->FindCoordinator(server) == this->node;
-  if (!reply.coordinates) {
-    return reply;
-  }
-  const KnownServerLimit* known = this->limits.FindLimit(server);
-  if (known == nullptr) {  // Ended; the requester does not know it yet.
-    reply.count = request.wanted;
-    return reply;
-  }
-  reply.nodes = this->CountAskers(server, request.node, now);
-  // Nodes that are cut off use their own part of the rate.
-  const NodeCounts counts = this->network->CountNodes();
-  const double rate = known->limit.per_second.value_or(0) * counts.live /
-                      std::max(counts.live, counts.recent);
-  const PermitOffer offer =
-      this->schedule.Reserve(server, rate, request.wanted, now);
-  reply.count = offer.count;
-  reply.first_in_us =
-      std::chrono::duration_cast<std::chrono::microseconds>(offer.first_in)
-          .count();
-  reply.interval_us =
-      std::chrono::duration_cast<std::chrono::microseconds>(offer.interval)
-          .count();
-  return reply;
+  const KnownServerLimit* known = this->limits.FindLimit(request.limit.server);
+  return this->coordinator.Allocate(request,
+                                    known == nullptr ? nullptr : &known->limit);
 }
 
 void ServerLimiter::HandleRequest(const PermitRequest& request) {
@@ -231,12 +194,10 @@
   const PermitOffer offer{reply.count,
                           std::chrono::microseconds(reply.first_in_us),
                           std::chrono::microseconds(reply.interval_us)};
-  this->SetShare(
-      reply.server, &use,
-      offer.interval > Duration{0}
-          ? 1 / (std::chrono::duration<double>(offer.interval).count() *
-                 reply.nodes)
-          : 0);
+  this->SetShare(reply.server, &use,
+                 offer.interval > Duration{0}
+                     ? 1 / (ToSeconds(offer.interval) * reply.nodes)
+                     : 0);
   this->Accept(reply.server, &use, offer);
 }
 
@@ -250,14 +211,11 @@
                      std::max(offer.count, 1));
   Duration delay = offer.first_in;
   if (offer.count == 0) {
-    // A random part keeps nodes from asking at the same time.
+    // A random part keeps nodes from sending their requests at the same time.
     delay = std::clamp(
-        offer.first_in / 2 +
-            FromSeconds(this->Draw() *
-                        std::chrono::duration<double>(offer.first_in).count() /
-                        2),
-        kMinAskPause, kMaxAskPause);
-    use->ask_after = now + delay;
+        FromSeconds(ToSeconds(offer.first_in) * (1 + this->Draw()) / 2),
+        kMinRequestPause, kMaxRequestPause);
+    use->request_after = now + delay;
   }
   for (int i = 0; i < std::max(offer.count, 1); ++i) {
     this->network->CallAfter(delay, [this, server] {
@@ -321,9 +279,9 @@
       now + std::max(this->EstimateWait(server, 0), kMinRetryAfter);
   const Duration step =
       use.share > 0 ? FromSeconds(1 / use.share) : Duration{0};
-  use.promised_until = std::min(std::max(earliest, use.promised_until + step),
-                                now + kMaxRetryAfter);
-  return use.promised_until - now;
+  use.latest_return = std::min(std::max(earliest, use.latest_return + step),
+                               now + kMaxRetryAfter);
+  return use.latest_return - now;
 }
 
 void ServerLimiter::NoteAnswer(const std::string& server,
@@ -394,16 +352,12 @@
     const std::function<bool(const std::string&)>& exists) {
   const MonotonicTime oldest = this->network->Now() - kStaleLifetime;
   this->limits.DropStale(oldest, exists);
-  this->schedule.DropUnused(oldest);
+  this->coordinator.DropUnused(oldest);
   this->own_schedule.DropUnused(oldest);
   for (auto entry = this->uses.begin(); entry != this->uses.end();) {
     entry = this->IsLimited(entry->first) ? std::next(entry)
                                           : this->uses.erase(entry);
   }
-  for (auto entry = this->askers.begin(); entry != this->askers.end();) {
-    entry = this->IsLimited(entry->first) ? std::next(entry)
-                                          : this->askers.erase(entry);
-  }
 }
 
 void ServerLimiter::LogRejection(const std::string& request_id,
--- a/src/entry/server_limiter.h
+++ b/src/entry/server_limiter.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/metrics.h"
+#include "entry/permit_coordinator.h"
 #include "entry/permit_network.h"
 #include "routing/permit_schedule.h"
 #include "routing/permit_stock.h"
@@ -21,9 +22,9 @@
 
 // Allows a request to be sent to a limited server only with a permit. For each
 // server one node, its coordinator, hands out permits at the server's rate; the
-// others ask it when they have requests for the server. A node that gets no
-// reply uses the part of the rate that it would have if it were divided
-// equally. Not thread safe: used on the event loop's thread.
+// others request them from it when they have requests for the server. A node
+// that gets no reply uses the part of the rate that it would have if it were
+// divided equally. Not thread safe: used on the event loop's thread.
 class ServerLimiter {
  public:
   struct Listeners {
@@ -51,11 +52,11 @@
   // servers without a limit need none.
   bool TryTake(const std::string& server);
 
-  // Notes that a request is meant for the server, and asks for permits if too
+  // Notes that a request is meant for the server, and requests permits if too
   // few are left.
   void NoteDemand(const std::string& server);
 
-  // Asks for permits if too few are left, for requests that were noted before.
+  // Requests permits if too few are left, for requests that were noted before.
   void Refill(const std::string& server);
 
   // Time at which a request behind `ahead` others that wait here should have a
@@ -103,23 +104,20 @@
     std::deque<MonotonicTime> demand;  // Recent requests meant for it.
     std::int64_t pending_request = 0;  // Sequence; 0: none.
     MonotonicTime requested_at;
-    int missed_replies = 0;   // In a row.
-    MonotonicTime ask_after;  // The coordinator has no permit before.
-    MonotonicTime next_permit_at;
+    int missed_replies = 0;        // In a row.
+    MonotonicTime request_after;   // The coordinator has no permit before.
+    MonotonicTime next_permit_at;  // Estimate.
     std::string coordinator;
     double share = 0;  // Permits per second; 0: unknown.
     MonotonicTime share_at;
-    MonotonicTime promised_until;  // Latest Retry-After.
+    MonotonicTime latest_return;  // End of the latest Retry-After.
   };
 
   double Draw();
+  // Number of permits to request; 0 or less if enough are left.
   int Shortage(ServerUse* use, MonotonicTime now) const;
-  void Ask(const std::string& server, ServerUse* use);
+  void RequestPermits(const std::string& server, ServerUse* use);
   void HandleMissedReply(const std::string& server, std::int64_t sequence);
-  // Number of nodes that share the server's rate, including `asker`.
-  int CountAskers(const std::string& server,
-                  const std::string& asker,
-                  MonotonicTime now);
   // Permits that this node hands out as the coordinator.
   PermitReply Allocate(const PermitRequest& request);
   void Accept(const std::string& server,
@@ -140,10 +138,8 @@
   std::minstd_rand generator;
   ServerLimitTable limits;
   std::map<std::string, ServerUse> uses;
-  PermitSchedule schedule;      // As the coordinator.
-  PermitSchedule own_schedule;  // For this node without a coordinator.
-  // As the coordinator: when each node last asked, by server.
-  std::map<std::string, std::map<std::string, MonotonicTime>> askers;
+  PermitCoordinator coordinator;  // For the servers that this node coordinates.
+  PermitSchedule own_schedule;    // For this node without a coordinator.
   std::int64_t last_sequence = 0;
 };
 
--- a/src/peers/permit_message.h
+++ b/src/peers/permit_message.h
@@ -14,7 +14,7 @@
 
 namespace kumquatcart {
 
-// Asks the VM that coordinates a server's limit for permits.
+// Requests permits from the VM that coordinates a server's limit.
 struct PermitRequest {
   std::string node;           // The sender.
   std::int64_t sequence = 0;  // Increases with each request of the sender.
@@ -35,7 +35,7 @@
   int count = 0;             // Permits granted.
   std::int64_t first_in_us = 0;  // As in PermitOffer.
   std::int64_t interval_us = 0;
-  int nodes = 1;  // VMs that have recently asked for permits of the server.
+  int nodes = 1;  // VMs that have recently requested permits of the server.
 
   auto Tie() const {
     return std::tie(this->node, this->sequence, this->server, this->coordinates,
--- a/src/routing/permit_schedule.h
+++ b/src/routing/permit_schedule.h
@@ -24,9 +24,9 @@
   }
 };
 
-// Spaces the permits of each server evenly at its rate, whoever asks for them.
-// Permits that nobody asks for are not saved up, so that any interval holds at
-// most one more than the rate allows. Not thread safe.
+// Spaces the permits of each server evenly at its rate. Permits that nobody
+// requests are not saved up, so that any interval holds at most one more than
+// the rate allows. Not thread safe.
 class PermitSchedule {
  public:
   // `draw` returns uniform random numbers, 0 up to 1.
--- a/tests/entry/server_limiter_test.cc
+++ b/tests/entry/server_limiter_test.cc
@@ -274,7 +274,7 @@
   return world->clock.Now();
 }
 
-// Name of the node that the others ask for permits.
+// Name of the node that allocates the permits.
 std::string CoordinatorOf(const World& world) {
   return world.nodes.back()->FindCoordinator(kServer);
 }
@@ -457,7 +457,7 @@
 
 // Guards against requests that are rejected because the coordinator has not
 // replied yet.
-TEST_CASE("A permit is expected soon while the coordinator is asked") {
+TEST_CASE("A permit is expected soon after it was requested") {
   World world(47);
   world.limit = 20;
   StartNodes(&world, 8, 8);
