Count the other VMs in the Retry-After of a limited server

With 8 VMs at a limit of 2.8 a second a rejected caller was told the time of the next permit of all VMs, 0.4 s, while its own VM gets one each 2.9 s: it came back to be rejected again. Half of the VM's interval is added. The test expects 1 to 4 s on average.

--- a/src/entry/server_limiter.cc
+++ b/src/entry/server_limiter.cc
@@ -216,6 +216,10 @@
         FromSeconds(ToSeconds(offer.first_in) * (1 + this->Draw()) / 2),
         kMinRequestPause, kMaxRequestPause);
     use->request_after = now + delay;
+    if (use->share > 0) {
+      // Other nodes may get the next permits.
+      use->next_permit_at += (FromSeconds(1 / use->share) - offer.interval) / 2;
+    }
   }
   for (int i = 0; i < std::max(offer.count, 1); ++i) {
     this->network->CallAfter(delay, [this, server] {
--- a/tests/entry/server_limiter_test.cc
+++ b/tests/entry/server_limiter_test.cc
@@ -477,6 +477,20 @@
   }
 }
 
+// Guards against a Retry-After that leaves out that other VMs get permits too.
+TEST_CASE("Retry-After of rejected requests follows the VM's share") {
+  World world(53);
+  StartNodes(&world, 8, 80);
+  Settle(&world);
+  Duration sum{0};
+  for (const auto& node : world.nodes) {
+    sum += node->limiter->NextRetryAfter(kServer);
+  }
+  // Each VM gets a permit each 2.9 s.
+  CHECK(sum / 8 >= seconds(1));
+  CHECK(sum / 8 <= seconds(4));
+}
+
 // Guards against rejected callers that all return at the same moment, long
 // before there is room for them.
 TEST_CASE("Retry-After of rejected requests follows the limit") {
