Look for the last chunk of a stream by its whole line in a test

"A stream that cannot be finished says so" failed once in a whole run of the tests. Its end of stream, 0 CR LF CR LF, also matches the end of the head where the random request id, the last field, ends in 0: in all 7 failures of 150 runs it did. The test then judged the head alone. Now the line end before the last chunk is part of what it waits for; the checks stay. 200 runs, 12 of them with such an id: none failed.

--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -102,7 +102,7 @@
   });
   fixture.AddGroup("g1", server.Address());
   const auto caller = fixture.Send(MakeCompletion(true));
-  const std::string stream = caller->ReadUntil("0\r\n\r\n");
+  const std::string stream = caller->ReadUntil("\r\n0\r\n\r\n");
   CHECK(stream.find("event: error") != std::string::npos);
   CHECK(stream.find("\"outcome\":\"unknown\"") != std::string::npos);
   CHECK(stream.find("[DONE]") == std::string::npos);
