Log closes of idle connections and what holds up the event loop

A connection that was closed while idle wrote nothing, so a request that crosses a close, one that loses a race with a timer and a VM that stood still could not be told apart.

- idle_connection_closed: closes that the process decides on, with their cause, the idle time and the limit; kumquatcart_idle_closes_total by cause.
- input_discarded: bytes that a lingering close reads and throws away.
- event_loop_held_up: timers that fire 100 ms late or more, and steps that run as long, with the longest step; at most one line a second.
Histograms of the lateness and of each step.
- config_adopted names the idle timeout.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -13,7 +13,8 @@
   LogInfo("config_adopted",
           {{"version", config->version},
            {"previous", this->config ? this->config->version : 0},
-           {"routes", config->routes.size()}});
+           {"routes", config->routes.size()},
+           {"idle_timeout_ms", ToMillis(config->limits.idle_timeout)}});
   this->config = std::move(config);
   return true;
 }
--- a/src/control/group_reconciler.cc
+++ b/src/control/group_reconciler.cc
@@ -48,6 +48,7 @@
 }
 
 void GroupReconciler::ReconcileDomain(const FabricDomain& domain) {
+  const LoopStep step(this->parts.loop->Monitor(), "reconcile_domain");
   DomainPlan plan = PlanDomain(MakePlanningInput(domain, *this->parts.view,
                                                  this->parts.failure_domain,
                                                  this->parts.loop->Now()));
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -78,6 +78,8 @@
 }
 
 void TopicFollower::ApplySnapshot(const TopicBatch& batch) {
+  const LoopStep step(this->loop->Monitor(), "apply_records",
+                      ToString(this->settings.topic));
   std::set<std::string> listed;
   for (const TopicRecord& record : batch.records) {
     listed.insert(record.key);
@@ -99,6 +101,8 @@
 }
 
 void TopicFollower::ApplyRecords(const TopicBatch& batch) {
+  const LoopStep step(this->loop->Monitor(), "apply_records",
+                      ToString(this->settings.topic));
   for (const TopicRecord& record : batch.records) {
     this->ApplyRecord(record);
   }
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -42,11 +42,33 @@
             Coroutine yield) {
   connection->FinishSending();
   const MonotonicTime deadline = context->loop->Now() + kLingerTimeout;
-  while (!connection->HasEnded()) {
+  std::size_t discarded = 0;
+  bool in_time = true;
+  while (in_time) {
+    discarded += connection->Input().size();
     connection->Consume(connection->Input().size());
-    if (!waiter->WaitUntil(deadline, yield)) {
-      return;
-    }
+    in_time = !connection->HasEnded() && waiter->WaitUntil(deadline, yield);
+  }
+  if (discarded > 0) {
+    context->metrics->GetCounter("kumquatcart_discarded_input_bytes_total")
+        .Add(discarded);
+    LogInfo("input_discarded", {{"bytes", discarded}});
+  }
+}
+
+// Logs a close that this process decides on.
+void LogIdleClose(const RequestReadResult& outcome,
+                  const CallerLimits& limits,
+                  MetricRegistry* metrics) {
+  metrics
+      ->GetCounter("kumquatcart_idle_closes_total",
+                   {{"cause", ToString(outcome.cause)}})
+      .Add();
+  if (outcome.cause != IdleCloseCause::kCaller) {
+    LogInfo("idle_connection_closed",
+            {{"cause", ToString(outcome.cause)},
+             {"idle_ms", ToMillis(outcome.idle_time)},
+             {"limit_ms", ToMillis(limits.idle_timeout)}});
   }
 }
 
@@ -85,6 +107,7 @@
     RequestReadResult outcome = reader.Read(
         LimitsOf(*context), &context->close_idle_connections, yield);
     if (outcome.result == RequestReadStatus::kClosed) {
+      LogIdleClose(outcome, LimitsOf(*context), context->metrics);
       break;
     }
     const bool is_request = outcome.result == RequestReadStatus::kRequest;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -163,6 +163,7 @@
                    [this](const ParsedRequest& request, Coroutine yield) {
                      return this->HandlePeerRequest(request, yield);
                    }) {
+  this->loop.Monitor()->SetMetrics(&this->metrics);
   this->context.loop = &this->loop;
   this->context.view = &this->view;
   this->context.prober = &this->prober;
@@ -314,6 +315,7 @@
 }
 
 NodeDigest EntryProcess::ComposeDigest() {
+  const LoopStep step(this->loop.Monitor(), "compose_digest");
   NodeDigest digest;
   digest.node = this->settings.node_name;
   digest.failure_domain = this->settings.failure_domain;
@@ -336,6 +338,7 @@
 }
 
 void EntryProcess::HandleDigest(const NodeDigest& digest) {
+  const LoopStep step(this->loop.Monitor(), "handle_digest");
   this->load.Report(digest.node, digest.in_flight, this->loop.Now());
   this->unread_tokens.Report(digest.node, digest.unread, this->loop.Now());
   const TcpEndpoint address =
@@ -360,6 +363,7 @@
 }
 
 void EntryProcess::OnFleetChanged() {
+  const LoopStep step(this->loop.Monitor(), "fleet_changed");
   this->digests.SendNow();
   this->group_balancer.AssignFreeSlots();
   for (Waiter* session : this->sessions) {
@@ -384,6 +388,7 @@
       std::filesystem::last_write_time(this->settings_path, error);
   for (;;) {
     this->loop.Sleep(kMaintenanceInterval, yield);
+    const LoopStep step(this->loop.Monitor(), "maintenance");
     const MonotonicTime now = this->loop.Now();
     this->UpdateStoreOutage();
     this->view.ExpireServers(now);
@@ -408,6 +413,7 @@
 }
 
 void EntryProcess::ReloadSettings(const char* cause) {
+  const LoopStep step(this->loop.Monitor(), "reload_settings");
   const Result<ProcessSettings> read = ReadProcessSettings(this->settings_path);
   if (read.has_error()) {
     LogError("settings_reload_failed",
@@ -496,6 +502,8 @@
   if (!query) {
     return this->RelayStoreCall(request, yield);
   }
+  const LoopStep step(this->loop.Monitor(), "send_records",
+                      ToString(query->topic));
   const TopicFollower* follower =
       this->Followers()[static_cast<std::size_t>(query->topic)];
   return this->record_service.Answer(query->topic, *follower, query->from,
--- a/src/entry/request_reader.cc
+++ b/src/entry/request_reader.cc
@@ -105,25 +105,41 @@
 
 }  // namespace
 
-bool RequestReader::WaitForFirstByte(const CallerLimits& limits,
-                                     const bool* should_close,
-                                     Coroutine yield) {
+const char* ToString(IdleCloseCause cause) {
+  constexpr const char* kNames[] = {"caller", "idle_timeout", "stop"};
+  return kNames[static_cast<int>(cause)];
+}
+
+std::optional<IdleCloseCause> RequestReader::WaitForFirstByte(
+    const CallerLimits& limits,
+    const bool* should_close,
+    Coroutine yield) {
   const MonotonicTime deadline = this->loop->Now() + limits.idle_timeout;
   while (this->connection->Input().empty()) {
-    if (this->connection->HasEnded() || *should_close ||
-        this->loop->Now() >= deadline) {
-      return false;
+    if (this->connection->HasEnded()) {
+      return IdleCloseCause::kCaller;
+    }
+    if (*should_close) {
+      return IdleCloseCause::kStop;
+    }
+    if (this->loop->Now() >= deadline) {
+      return IdleCloseCause::kIdleTimeout;
     }
     this->waiter->WaitUntil(deadline, yield);
   }
-  return true;
+  return std::nullopt;
 }
 
 RequestReadResult RequestReader::Read(const CallerLimits& limits,
                                       const bool* should_close,
                                       Coroutine yield) {
   RequestReadResult outcome;
-  if (!this->WaitForFirstByte(limits, should_close, yield)) {
+  const MonotonicTime idle_since = this->loop->Now();
+  const std::optional<IdleCloseCause> close_cause =
+      this->WaitForFirstByte(limits, should_close, yield);
+  if (close_cause) {
+    outcome.cause = *close_cause;
+    outcome.idle_time = this->loop->Now() - idle_since;
     return outcome;
   }
   outcome.received_at = std::max(this->connection->LastInput(),
--- a/src/entry/request_reader.h
+++ b/src/entry/request_reader.h
@@ -19,6 +19,12 @@
   bool keeps_connection = true;
 };
 
+// Why a connection without a request in progress is closed.
+enum class IdleCloseCause { kCaller, kIdleTimeout, kStop };
+
+// Lower-case name for logs. Thread safe.
+const char* ToString(IdleCloseCause cause);
+
 enum class RequestReadStatus {
   kRequest,
   kClosed,    // Closed by the caller, idle timeout or `should_close`.
@@ -32,6 +38,9 @@
   RequestReadStatus result = RequestReadStatus::kClosed;
   ParsedRequest request;      // For kRequest.
   MonotonicTime received_at;  // Arrival of the first byte of the request.
+  // For kClosed before the first byte.
+  IdleCloseCause cause = IdleCloseCause::kCaller;
+  Duration idle_time{0};
 };
 
 // Waits for the next request. `should_close` is checked while the connection is
@@ -47,9 +56,11 @@
                          Coroutine yield);
 
  private:
-  bool WaitForFirstByte(const CallerLimits& limits,
-                        const bool* should_close,
-                        Coroutine yield);
+  // Returns why the connection must be closed, or nothing once input is
+  // available.
+  std::optional<IdleCloseCause> WaitForFirstByte(const CallerLimits& limits,
+                                                 const bool* should_close,
+                                                 Coroutine yield);
 
   EventLoop* const loop;
   TcpConnection* const connection;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -17,6 +17,8 @@
   boost::asio::steady_timer timer(this->context, duration);
   boost::system::error_code ignored;  // The wait fails only if cancelled.
   timer.async_wait(yield[ignored]);
+  const MonotonicTime now = this->Now();
+  this->monitor.NoteLateness(now - timer.expiry(), now);
 }
 
 void EventLoop::Run() {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -9,6 +9,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "base/clock.h"
+#include "net/loop_monitor.h"
 
 namespace kumquatcart {
 
@@ -21,6 +22,8 @@
  public:
   boost::asio::io_context& Context() { return this->context; }
 
+  LoopMonitor* Monitor() { return &this->monitor; }
+
   // Monotonic time.
   MonotonicTime Now() const { return std::chrono::steady_clock::now(); }
 
@@ -51,6 +54,7 @@
   };
 
   ShutdownContext context{1};
+  LoopMonitor monitor;
 };
 
 }  // namespace kumquatcart
--- a/src/peers/record_client.cc
+++ b/src/peers/record_client.cc
@@ -31,6 +31,8 @@
             "request to peer failed: {}, status {}, {} body bytes received",
             ToString(reply.result), reply.status, reply.partial_body_bytes));
   }
+  const LoopStep step(this->loop->Monitor(), "decode_records",
+                      ToString(query.topic));
   return DecodeTopicBatch(reply.body);
 }
 
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -220,6 +220,8 @@
     if (!reply.HasResponseStatus(kHttpOk)) {
       return CallFailure(reply);
     }
+    const LoopStep step(this->loop->Monitor(), "decode_records",
+                        ToString(topic));
     BOOST_OUTCOME_TRY(page, DecodeNewestPage(reply.body));
     if (first) {
       batch.end = page.end;
@@ -253,6 +255,7 @@
   if (!reply.HasResponseStatus(kHttpOk)) {
     return CallFailure(reply);
   }
+  const LoopStep step(this->loop->Monitor(), "decode_records", ToString(topic));
   return DecodeRecords(reply.body, from);
 }
 
