--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -140,6 +140,16 @@
   this->view.SetOpen(record.group, 1, true);
 }
 
+void EntryFixture::SetIdleTimeout(Duration idle_timeout) {
+  RoutingConfig config = *this->view.Config();
+  ++config.version;
+  config.limits.idle_timeout = idle_timeout;
+  this->view.AdoptConfig(std::make_shared<const RoutingConfig>(config));
+  this->context.routes =
+      std::make_shared<const RouteTable>(this->view.Config());
+  this->WakeSessions();
+}
+
 void EntryFixture::WakeSessions() {
   for (Waiter* session : this->sessions) {
     session->Notify();
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -56,6 +56,12 @@
   void AddPlain(const std::string& id, LoopServer::Script script);
   void AddGroup(const std::string& id, LoopServer::Script script);
 
+  // Puts a new version of the configuration in force.
+  void SetIdleTimeout(Duration idle_timeout);
+
+  // Where the entry VM accepts callers.
+  TcpEndpoint EntryAddress() const { return this->entry_server->Address(); }
+
   // Notifies the waiter of every session, as a change of the fleet does.
   void WakeSessions();
 
