Read the socket before a kept connection is closed as idle

Callers saw a whole request end with a closed connection, with no answer and no refusal, beside a change of the configuration.

Cause: the reader of a connection decides by the bytes that it has copied. A connection whose idle timeout passed meanwhile, or that a stop has told to close, is closed although a request lies in its receive buffer.

Change: a connection reads its socket once more before it is closed as idle. The decision then depends on what has arrived, not on the order of handlers.

--- a/src/entry/request_reader.cc
+++ b/src/entry/request_reader.cc
@@ -116,14 +116,16 @@
     Coroutine yield) {
   const MonotonicTime deadline = this->loop->Now() + limits.idle_timeout;
   while (this->connection->Input().empty()) {
+    const bool must_close = *should_close || this->loop->Now() >= deadline;
+    if (must_close && this->connection->ReadPending()) {
+      break;
+    }
     if (this->connection->HasEnded()) {
       return IdleCloseCause::kCaller;
     }
-    if (*should_close) {
-      return IdleCloseCause::kStop;
-    }
-    if (this->loop->Now() >= deadline) {
-      return IdleCloseCause::kIdleTimeout;
+    if (must_close) {
+      return *should_close ? IdleCloseCause::kStop
+                           : IdleCloseCause::kIdleTimeout;
     }
     this->waiter->WaitUntil(deadline, yield);
   }
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -116,6 +116,13 @@
   this->NotifyWaiter();
 }
 
+bool TcpConnection::ReadPending() {
+  if (!this->ended && this->Input().empty()) {
+    this->ReadInput();
+  }
+  return !this->Input().empty();
+}
+
 void TcpConnection::Consume(std::size_t count) {
   this->consumed += count;
   if (this->consumed == this->input.size()) {
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -44,6 +44,12 @@
   }
   void Consume(std::size_t count);
 
+  // Reads bytes that the socket has received but that the event loop has not
+  // handled yet. Returns whether unconsumed input is available. To be called
+  // before a peer is considered silent: after a delay of the loop, handlers of
+  // other events may run before that of the input.
+  bool ReadPending();
+
   // Whether no further input will arrive: closed by either side, or failed.
   bool HasEnded() const { return this->ended; }
 
