Follow a longer idle timeout on connections that are idle already

Callers keep connections by the newest idle timeout. A connection that became idle under a shorter one was closed by that, so requests sent in between met a closed connection.

Cause: the reader took the limits once, when its wait began.

The reader asks for the limits at each notification, which every new version sends; the longest timeout seen during the wait holds, so a shorter one still spares connections that callers may use.

--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -103,10 +103,11 @@
                    TcpConnection* connection,
                    Waiter* waiter,
                    Coroutine yield) {
-  RequestReader reader(context->loop, connection, waiter);
+  RequestReader reader(context->loop, connection, waiter,
+                       [context] { return LimitsOf(*context); });
   for (;;) {
-    RequestReadResult outcome = reader.Read(
-        LimitsOf(*context), &context->close_idle_connections, yield);
+    RequestReadResult outcome =
+        reader.Read(&context->close_idle_connections, yield);
     if (outcome.result == RequestReadStatus::kClosed) {
       LogIdleClose(outcome, LimitsOf(*context), context->metrics);
       return connection->UnsentBytes() > 0;
--- a/src/entry/request_reader.cc
+++ b/src/entry/request_reader.cc
@@ -111,11 +111,12 @@
 }
 
 std::optional<IdleCloseCause> RequestReader::WaitForFirstByte(
-    const CallerLimits& limits,
     const bool* should_close,
     Coroutine yield) {
-  const MonotonicTime deadline = this->loop->Now() + limits.idle_timeout;
+  const MonotonicTime idle_since = this->loop->Now();
+  MonotonicTime deadline = idle_since;
   while (this->connection->Input().empty()) {
+    deadline = std::max(deadline, idle_since + this->limits().idle_timeout);
     const bool must_close = *should_close || this->loop->Now() >= deadline;
     if (must_close && this->connection->ReadPending()) {
       break;
@@ -132,18 +133,18 @@
   return std::nullopt;
 }
 
-RequestReadResult RequestReader::Read(const CallerLimits& limits,
-                                      const bool* should_close,
+RequestReadResult RequestReader::Read(const bool* should_close,
                                       Coroutine yield) {
   RequestReadResult outcome;
   const MonotonicTime idle_since = this->loop->Now();
   const std::optional<IdleCloseCause> close_cause =
-      this->WaitForFirstByte(limits, should_close, yield);
+      this->WaitForFirstByte(should_close, yield);
   if (close_cause) {
     outcome.cause = *close_cause;
     outcome.idle_time = this->loop->Now() - idle_since;
     return outcome;
   }
+  const CallerLimits limits = this->limits();
   outcome.received_at = std::max(this->connection->LastInput(),
                                  this->loop->Now() - limits.header_timeout);
   const MonotonicTime deadline = outcome.received_at + limits.header_timeout;
--- a/src/entry/request_reader.h
+++ b/src/entry/request_reader.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_REQUEST_READER_H_
 #define ENTRY_REQUEST_READER_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -43,28 +44,36 @@
   Duration idle_time{0};
 };
 
-// Waits for the next request. `should_close` is checked while the connection is
-// idle; true ends the wait with kClosed. Must be used on the event loop's
-// thread.
+// Waits for the next request. Must be used on the event loop's thread.
 class RequestReader {
  public:
-  RequestReader(EventLoop* loop, TcpConnection* connection, Waiter* waiter)
-      : loop(loop), connection(connection), waiter(waiter) {}
+  // Returns the limits in force.
+  using LimitsSource = std::function<CallerLimits()>;
 
-  RequestReadResult Read(const CallerLimits& limits,
-                         const bool* should_close,
-                         Coroutine yield);
+  RequestReader(EventLoop* loop,
+                TcpConnection* connection,
+                Waiter* waiter,
+                LimitsSource limits)
+      : loop(loop),
+        connection(connection),
+        waiter(waiter),
+        limits(std::move(limits)) {}
+
+  // `should_close` is checked while the connection is idle; true ends the wait
+  // with kClosed. A longer idle timeout holds from the next notification of the
+  // waiter on; a shorter one does not end a wait that has begun.
+  RequestReadResult Read(const bool* should_close, Coroutine yield);
 
  private:
   // Returns why the connection must be closed, or nothing once input is
   // available.
-  std::optional<IdleCloseCause> WaitForFirstByte(const CallerLimits& limits,
-                                                 const bool* should_close,
+  std::optional<IdleCloseCause> WaitForFirstByte(const bool* should_close,
                                                  Coroutine yield);
 
   EventLoop* const loop;
   TcpConnection* const connection;
   Waiter* const waiter;
+  const LimitsSource limits;
 };
 
 }  // namespace kumquatcart
--- a/src/entry/simple_http_server.cc
+++ b/src/entry/simple_http_server.cc
@@ -99,11 +99,10 @@
   this->loop->Spawn([this, connection](Coroutine yield) {
     Waiter waiter(this->loop);
     connection->SetWaiter(&waiter);
-    RequestReader reader(this->loop, connection.get(), &waiter);
+    RequestReader reader(this->loop, connection.get(), &waiter, ServiceLimits);
     const bool should_close = false;
     for (;;) {
-      const RequestReadResult outcome =
-          reader.Read(ServiceLimits(), &should_close, yield);
+      const RequestReadResult outcome = reader.Read(&should_close, yield);
       if (outcome.result != RequestReadStatus::kRequest) {
         break;
       }
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -164,11 +164,11 @@
   this->parts.loop->Spawn([this, connection](Coroutine yield) {
     Waiter waiter(this->parts.loop);
     connection->SetWaiter(&waiter);
-    RequestReader reader(this->parts.loop, connection.get(), &waiter);
+    RequestReader reader(this->parts.loop, connection.get(), &waiter,
+                         [] { return CallerLimits{}; });
     const bool never_closes = false;
     for (;;) {
-      const RequestReadResult outcome =
-          reader.Read(CallerLimits{}, &never_closes, yield);
+      const RequestReadResult outcome = reader.Read(&never_closes, yield);
       if (outcome.result != RequestReadStatus::kRequest || !this->alive ||
           !this->Answer(outcome.request, connection.get(), &waiter, yield)) {
         break;
