Decode large configurations in steps of 10 ms

A version with 4,450 routes (1 MB) was decoded in one step: 55 to 73 ms on a whole core, half a second on a VM with 0.12 cores, during which nothing else was handled: requests, answers, probes, readiness checks.

Each route is now decoded as it is parsed, and its JSON value is dropped; the decode runs in a coroutine that returns to the loop after 10 ms. Versions that arrive meanwhile replace each other. Ruled out: a thread (one runs at a time on these VMs, and the tables would need locks) and a patch against the previous version (the store holds whole versions).

"Other events are handled while a large version is decoded" needs the return to the loop: without it no event is handled between two routes.

--- /dev/null
+++ b/src/entry/config_loader.h
@@ -0,0 +1,51 @@
+// Decodes versions of the configuration without holding up the event loop.
+#ifndef ENTRY_CONFIG_LOADER_H_
+#define ENTRY_CONFIG_LOADER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include "model/routing_config.h"
+#include "net/event_loop.h"
+
+namespace kumquatcart {
+
+// A version of the configuration as the store holds it.
+struct ConfigRecord {
+  std::string text;
+  std::int64_t offset = 0;
+
+  auto Tie() const { return std::tie(this->text, this->offset); }
+};
+
+// Decodes one version at a time in a coroutine, which lets the loop handle
+// other events after each `max_step`. Versions that arrive during a decode
+// replace each other; the newest one is decoded next. Must be used on the event
+// loop's thread.
+class ConfigLoader {
+ public:
+  using Adopt = std::function<void(RoutingConfig)>;
+
+  ConfigLoader(EventLoop* loop, Duration max_step, Adopt adopt)
+      : loop(loop), max_step(max_step), adopt(std::move(adopt)) {}
+
+  // Calls `adopt` later, unless the version cannot be decoded, which is logged,
+  // or a newer one replaces it.
+  void Load(ConfigRecord record);
+
+ private:
+  void LoadPending(Coroutine yield);
+
+  EventLoop* const loop;
+  const Duration max_step;
+  const Adopt adopt;
+  std::optional<ConfigRecord> pending;
+  bool decoding = false;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_CONFIG_LOADER_H_
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -13,7 +13,6 @@
 #include "model/socket_address.h"
 #include "net/http_status.h"
 #include "platform/caller_codec.h"
-#include "platform/config_decoder.h"
 #include "platform/server_decoder.h"
 
 namespace kumquatcart {
@@ -60,6 +59,8 @@
                                        kReadWait, kBatchPause, kStandbyPause};
 // A relayed read waits up to 3.5 s at the store, like a direct one.
 constexpr Duration kRelayTimeout = std::chrono::seconds(5);
+// Longest time for which decoding the configuration holds up requests.
+constexpr Duration kMaxDecodeStep = std::chrono::milliseconds(10);
 // Delay between attempts to publish the node record of this process.
 constexpr Duration kNodeRecordRetryDelay = std::chrono::milliseconds(500);
 
@@ -113,6 +114,11 @@
                      &this->limiter,
                      this->settings.failure_domain),
       stall_detector(&this->loop, &this->view, &this->prober),
+      config_loader(&this->loop,
+                    kMaxDecodeStep,
+                    [this](RoutingConfig config) {
+                      this->AdoptConfig(std::move(config));
+                    }),
       operator_topic(&this->loop,
                      &this->store,
                      kOperatorTopic,
@@ -214,14 +220,13 @@
   if (record.key != ConfigurationKey() || !record.value) {
     return;
   }
-  const Result<RoutingConfig> config = DecodeRoutingConfig(*record.value);
-  if (config.has_error()) {
-    LogError("config_unreadable",
-             {{"offset", record.offset}, {"reason", config.error().message}});
-    return;
-  }
+  this->config_loader.Load({*record.value, record.offset});
+}
+
+void EntryProcess::AdoptConfig(RoutingConfig config) {
+  const LoopStep step(this->loop.Monitor(), "adopt_config");
   if (this->view.AdoptConfig(
-          std::make_shared<const RoutingConfig>(config.value()))) {
+          std::make_shared<const RoutingConfig>(std::move(config)))) {
     this->context.routes =
         std::make_shared<const RouteTable>(this->view.Config());
     this->digests.SendNow();
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -12,6 +12,7 @@
 #include "control/group_reconciler.h"
 #include "control/store_outage.h"
 #include "control/topic_follower.h"
+#include "entry/config_loader.h"
 #include "entry/entry_context.h"
 #include "entry/group_load_balancer.h"
 #include "entry/group_stall_detector.h"
@@ -45,6 +46,7 @@
 
  private:
   void ApplyConfig(const TopicRecord& record);
+  void AdoptConfig(RoutingConfig config);
   void ApplyServer(const TopicRecord& record);
   void ApplyGroup(const TopicRecord& record);
   void ApplyNode(const TopicRecord& record);
@@ -93,6 +95,7 @@
   GroupLoadBalancer group_balancer;
   PlainLoadBalancer plain_balancer;
   GroupStallDetector stall_detector;
+  ConfigLoader config_loader;
   TopicFollower operator_topic;
   TopicFollower servers_topic;
   TopicFollower groups_topic;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/coroutine/attributes.hpp>
 
@@ -21,6 +22,10 @@
   this->monitor.NoteLateness(now - timer.expiry(), now);
 }
 
+void EventLoop::Yield(Coroutine yield) {
+  boost::asio::post(this->context, yield);
+}
+
 void EventLoop::Run() {
   auto work_guard = boost::asio::make_work_guard(this->context);
   this->context.run();
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -33,6 +33,10 @@
   // Suspends the calling coroutine for `duration`.
   void Sleep(Duration duration, Coroutine yield);
 
+  // Lets the loop handle the pending events before the calling coroutine
+  // continues.
+  void Yield(Coroutine yield);
+
   // Processes events until Stop is called.
   void Run();
 
--- a/src/platform/config_decoder.cc
+++ b/src/platform/config_decoder.cc
@@ -127,11 +127,46 @@
   }
 }
 
-RoutingConfig Decode(const Json& json) {
+constexpr char kRoutesField[] = "routes";
+
+// Decodes each route as soon as it is parsed and drops its JSON value. Routes
+// are all that grows with a configuration.
+class RouteParser {
+ public:
+  RouteParser(std::vector<RouteRule>* routes,
+              const std::function<void()>& after_route)
+      : routes(routes), after_route(after_route) {}
+
+  // Callback of the JSON parser. Returns whether to keep the value.
+  bool operator()(int depth, Json::parse_event_t event, const Json& parsed) {
+    // Depths of the document's fields and of the elements of the list.
+    constexpr int kFieldDepth = 1;
+    constexpr int kElementDepth = 2;
+    if (event == Json::parse_event_t::key && depth == kFieldDepth) {
+      this->in_routes = parsed == kRoutesField;
+    }
+    if (!this->in_routes || event != Json::parse_event_t::object_end ||
+        depth != kElementDepth) {
+      return true;
+    }
+    this->routes->push_back(DecodeRoute(parsed));
+    this->after_route();
+    return false;
+  }
+
+ private:
+  std::vector<RouteRule>* const routes;
+  const std::function<void()>& after_route;
+  bool in_routes = false;
+};
+
+RoutingConfig Decode(const std::string& text,
+                     const std::function<void()>& after_route) {
   RoutingConfig config;
+  const Json json = Json::parse(text, RouteParser(&config.routes, after_route));
   config.version = json.at("version").get<std::int64_t>();
-  for (const Json& route : json.at("routes")) {
-    config.routes.push_back(DecodeRoute(route));
+  for (const Json& route : json.at(kRoutesField)) {
+    config.routes.push_back(DecodeRoute(route));  // Fails: not an object.
   }
   for (const Json& entry : json.at("services")) {
     ServiceSpec service = DecodeService(entry);
@@ -144,10 +179,11 @@
 
 }  // namespace
 
-Result<RoutingConfig> DecodeRoutingConfig(const std::string& text) {
-  BOOST_OUTCOME_TRY(json, ParseJson(text));
+Result<RoutingConfig> DecodeRoutingConfig(
+    const std::string& text,
+    const std::function<void()>& after_route) {
   try {
-    return Decode(json);
+    return Decode(text, after_route);
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
                      std::string("configuration: ") + error.what());
--- a/src/platform/config_decoder.h
+++ b/src/platform/config_decoder.h
@@ -2,6 +2,7 @@
 #ifndef PLATFORM_CONFIG_DECODER_H_
 #define PLATFORM_CONFIG_DECODER_H_
 
+#include <functional>
 #include <string>
 
 #include "base/outcome.h"
@@ -9,8 +10,11 @@
 
 namespace kumquatcart {
 
-// Errors: kInvalidArgument naming what cannot be read. Thread safe.
-Result<RoutingConfig> DecodeRoutingConfig(const std::string& text);
+// Calls `after_route` after each route. Errors: kInvalidArgument naming what
+// cannot be read. Thread safe.
+Result<RoutingConfig> DecodeRoutingConfig(
+    const std::string& text,
+    const std::function<void()>& after_route = [] {});
 
 }  // namespace kumquatcart
 
