Answer requests that outlast the grace period of a stop

Callers whose request was still at a server when the grace period ended saw the connection close without an answer.

Cause: the process ended its event loop with requests in progress; their deadlines knew nothing of the stop.

Evidence: "A request that outlasts the grace period of a stop is answered" failed on the code before (no answer) and passes (504). Half a second before the end, requests are no longer waited for and get 502, 503 or 504 by what is known of them; 200 ms remain to send these. Streams that have begun still end without their last chunk.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -38,6 +38,9 @@
   // Set once the process is shutting down: connections close after the request
   // in progress.
   bool is_stopping = false;
+  // Requests in progress end with an answer of this process then, since it
+  // stops soon after.
+  MonotonicTime answer_by = MonotonicTime::max();
   // Set when connections without a request in progress must close.
   bool close_idle_connections = false;
   int requests_in_progress = 0;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -30,9 +30,10 @@
 // platform's load balancer probes once a second and removes a VM after two
 // failed probes.
 constexpr Duration kStopAcceptingDelay = std::chrono::milliseconds(3200);
-// Part of the stop's grace period that is reserved for sending the last
-// answers.
+// Part of the stop's grace period in which no server is waited for, and part of
+// that in which the last answers are sent.
 constexpr Duration kStopGraceMargin = std::chrono::milliseconds(500);
+constexpr Duration kLastAnswerTime = std::chrono::milliseconds(200);
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(50);
 // Readers per failure domain of the store's topics. The configuration must take
 // effect on every VM within its bound even when a reader fails, or a peer that
@@ -457,13 +458,14 @@
 void EntryProcess::Stop(Coroutine yield) {
   const MonotonicTime started = this->loop.Now();
   this->reconciler.Stop();
-  this->digests.SendNow();
+  this->context.answer_by =
+      started + this->settings.stop_grace - kStopGraceMargin;
+  this->OnFleetChanged();
   this->loop.Sleep(kStopAcceptingDelay, yield);
   this->callers.Stop();
   this->context.close_idle_connections = true;
   this->OnFleetChanged();
-  const MonotonicTime deadline =
-      started + this->settings.stop_grace - kStopGraceMargin;
+  const MonotonicTime deadline = this->context.answer_by + kLastAnswerTime;
   while (!this->sessions.empty() && this->loop.Now() < deadline) {
     this->loop.Sleep(kStopPollInterval, yield);
   }
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -171,7 +171,7 @@
   query.gap_target = this->job.route->gap_target;
   query.latest_start = this->LatestStart();
   query.wait_until =
-      std::min(this->context->loop->Now() + kLateMaxWait, this->job.deadline);
+      std::min(this->context->loop->Now() + kLateMaxWait, this->job.AnswerBy());
   return query;
 }
 
@@ -181,7 +181,7 @@
     return true;
   }
   if (!this->HasAttemptLeft(AttemptOutcome::kMayHaveRun, this->runs + 1) ||
-      now >= this->job.deadline ||
+      now >= this->job.AnswerBy() ||
       !this->context->shared_retry_budget->HasRetryLeft(this->service, now)) {
     // Holds no slot for a retry that is not allowed: its server could be
     // draining by the time the retry is.
@@ -306,7 +306,7 @@
   }
   const MonotonicTime now = this->context->loop->Now();
   return this->HasAttemptLeft(outcome, this->runs) &&
-         now < this->job.deadline && !this->job.caller->HasEnded() &&
+         now < this->job.AnswerBy() && !this->job.caller->HasEnded() &&
          this->context->shared_retry_budget->TryTake(this->service, now);
 }
 
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -63,7 +63,7 @@
   this->connection = std::make_shared<TcpConnection>(context.loop);
   return this->connection->Connect(
       address,
-      std::min(context.loop->Now() + kConnectTimeout, this->job->deadline),
+      std::min(context.loop->Now() + kConnectTimeout, this->job->AnswerBy()),
       this->job->waiter, yield);
 }
 
@@ -114,8 +114,9 @@
     if (outcome) {
       return *outcome;
     }
-    const bool woken = this->job->waiter->WaitUntil(this->job->deadline, yield);
-    if (!woken && this->job->context->loop->Now() >= this->job->deadline) {
+    const bool woken =
+        this->job->waiter->WaitUntil(this->job->AnswerBy(), yield);
+    if (!woken && this->job->context->loop->Now() >= this->job->AnswerBy()) {
       // Handles input that arrived just before the deadline.
       const std::optional<AttemptOutcome> last = this->Step();
       return last ? *last
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_SERVER_ATTEMPT_H_
 #define ENTRY_SERVER_ATTEMPT_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -50,6 +51,11 @@
 
 // State shared by all attempts of one request.
 struct AttemptJob {
+  // When the request must be answered, whether a server has answered or not.
+  MonotonicTime AnswerBy() const {
+    return std::min(this->deadline, this->context->answer_by);
+  }
+
   EntryContext* context = nullptr;
   const CallerRequest* request = nullptr;
   const RouteRule* route = nullptr;
@@ -59,7 +65,8 @@
   Waiter* waiter = nullptr;
   AnswerSender* answer = nullptr;
   StreamProgress progress;
-  MonotonicTime deadline;  // An answer is of no use after this.
+  // An answer is of no use to the caller after this.
+  MonotonicTime deadline;
   // Reserves a slot in another group, to replace a group that lost a member.
   // Returns false when no slot is free or no further attempt is allowed.
   std::function<bool()> reserve_next;
--- a/tests/entry/entry_process_test.cc
+++ b/tests/entry/entry_process_test.cc
@@ -150,5 +150,21 @@
   CHECK(deployment.loop.Now() - signalled_at < kStopGrace);
 }
 
+// Guards against a request that a stop cuts off at the end of its grace period.
+TEST_CASE("A request that outlasts the grace period of a stop is answered") {
+  Deployment deployment(/*work=*/2 * kStopGrace);
+  HttpResponse reply;
+  RunCoroutine(&deployment.loop, [&](Coroutine yield) {
+    deployment.WaitUntilReady(yield);
+    std::raise(SIGTERM);
+    // Its deadline is after the end of the grace period.
+    deployment.loop.Sleep(std::chrono::milliseconds(1100), yield);
+    reply = deployment.SendRequest(deployment.settings.callers, "/x/1", yield);
+  });
+  CHECK(deployment.runs == 1);
+  CHECK(reply.HasResponseStatus(504));
+  deployment.runner.join();
+}
+
 }  // namespace
 }  // namespace kumquatcart
