Break off servers' bytes that never become an answer

Callers whose server sent bytes without end that are no answer waited for their deadline and got 504, even where another server would have answered; the answers to probes and orders grew in memory until the deadline.

Cause: heads and bodies had a limit, but not what precedes or surrounds them: interim responses, answers to other requests, the heads of chunks and trailers (at which reading stopped for good when the buffer was full). The limit of a body holds for each answer, not for all of them together.

"A response over the size limit is broken off" has no counterpart before, as HttpClient took no limit.

Change: at most 16 interim responses and 16 answers to other requests; a full buffer that the parser cannot use fails; 64 MB for all buffered answers, at which only small ones are accepted; 1 MB for probes and orders, 16 MB for the store and peers.

--- a/src/entry/entry_constants.h
+++ b/src/entry/entry_constants.h
@@ -49,6 +49,17 @@
 // a small part of the memory of an entry VM.
 inline constexpr std::size_t kMaxBufferedAnswerBytes = 8 * 1024 * 1024;
 
+// Largest sum of all such answers. At it, only small ones are accepted.
+inline constexpr std::size_t kMaxAllBufferedAnswerBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t kSmallAnswerBytes = 64 * 1024;
+
+// Answers to other requests that one attempt skips, and their body bytes.
+inline constexpr int kMaxSkippedAnswers = 16;
+inline constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
+
+// Largest answer to a probe or order.
+inline constexpr std::size_t kMaxEngineAnswerBytes = 1024 * 1024;
+
 // Largest request body that the process's own HTTP services accept from peers
 // and the platform.
 inline constexpr std::size_t kMaxServiceBodyBytes = 512 * 1024;
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -44,6 +44,7 @@
   // Set when connections without a request in progress must close.
   bool close_idle_connections = false;
   int requests_in_progress = 0;
+  std::size_t buffered_answer_bytes = 0;  // Of all attempts.
 };
 
 }  // namespace kumquatcart
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -78,7 +78,7 @@
       store(&this->loop, ToTcpEndpoint(this->settings.store)),
       record_client(&this->loop),
       record_service(&this->metrics),
-      engine_http(&this->loop),
+      engine_http(&this->loop, kMaxEngineAnswerBytes),
       engines(&this->loop, &this->engine_http),
       pool(&this->loop),
       peers(this->settings.node_name, this->settings.failure_domain),
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -40,7 +40,7 @@
 }
 
 ServerAttempt::ServerAttempt(AttemptJob* job, ServerSlot* slot)
-    : job(job), slot(slot) {
+    : job(job), slot(slot), buffer_use(&job->context->buffered_answer_bytes) {
   this->response.emplace(job->request->method == "HEAD");
 }
 
@@ -161,6 +161,17 @@
   return this->head.request_id != this->job->request->id;
 }
 
+bool ServerAttempt::SkipOtherAnswer(ResponseState state) {
+  this->skipped_bytes += this->response->TakeBody().size();
+  if (state == ResponseState::kComplete) {
+    ++this->skipped_answers;
+    this->response.emplace(this->job->request->method == "HEAD");
+    this->head_read = false;
+  }
+  return this->skipped_answers <= kMaxSkippedAnswers &&
+         this->skipped_bytes <= kMaxSkippedBytes;
+}
+
 void ServerAttempt::NoteRateLimit() {
   // Another server has the address now, or the answer belongs to another
   // request.
@@ -202,21 +213,21 @@
       return std::nullopt;
     }
     if (this->AnswersOtherRequest()) {
-      // A late or duplicate answer to another request; skips it. The answer to
-      // this request follows it.
-      this->response->TakeBody();
+      // A late or duplicate answer; the answer to this request follows it.
+      if (!this->SkipOtherAnswer(state)) {
+        return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                                "too many answers to other requests");
+      }
       if (state != ResponseState::kComplete) {
         return std::nullopt;
       }
-      this->response.emplace(this->job->request->method == "HEAD");
-      this->head_read = false;
       continue;
     }
     if (this->job->route->streaming && this->head.status == kHttpOk &&
         this->head.is_signed && !this->head.is_encoded) {
       return this->HandleStreamInput(state);
     }
-    if (this->response->BufferedBodyBytes() > kMaxBufferedAnswerBytes) {
+    if (!this->buffer_use.Set(this->response->BufferedBodyBytes())) {
       return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                               "the answer exceeds the size limit");
     }
@@ -254,7 +265,7 @@
                                    ForwardedAnswerFields(*this->response));
   }
   this->ForwardEvents(this->response->TakeBody());
-  if (this->splitter.Partial().size() > kMaxBufferedAnswerBytes) {
+  if (!this->buffer_use.Set(this->splitter.Partial().size())) {
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                             "an event exceeds the size limit");
   }
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "entry/answer_buffer_use.h"
 #include "entry/answer_sender.h"
 #include "entry/entry_context.h"
 #include "entry/event_splitter.h"
@@ -98,6 +99,9 @@
   std::optional<AttemptOutcome> HandleStreamInput(ResponseState state);
   std::optional<AttemptOutcome> HandleWholeAnswer();
   bool AnswersOtherRequest() const;
+  // Discards what has arrived of an answer to another request. Returns false
+  // when too much of them has arrived.
+  bool SkipOtherAnswer(ResponseState state);
   // Records the rate limit that the answer's head names.
   void NoteRateLimit();
   void ForwardEvents(const std::string& bytes);
@@ -110,6 +114,9 @@
   std::optional<ResponseParser> response;
   ServerAnswerHead head;
   bool head_read = false;
+  int skipped_answers = 0;
+  std::size_t skipped_bytes = 0;
+  AnswerBufferUse buffer_use;
   bool sent_under_limit = false;  // The server's rate limit was known.
   EventSplitter splitter;
   BufferedAnswer failure;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -63,6 +63,9 @@
   while (state == ResponseState::kIncomplete && in_time) {
     in_time = waiter.WaitUntil(deadline, yield);
     state = response.ParseAvailable(connection.get());
+    if (response.BufferedBodyBytes() > this->max_body_bytes) {
+      state = ResponseState::kParseFailed;
+    }
   }
   connection->SetWaiter(nullptr);
   if (state != ResponseState::kComplete) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -6,6 +6,7 @@
 
 #include "net/connection_pool.h"
 #include "net/http_head.h"
+#include "net/net_constants.h"
 
 namespace kumquatcart {
 
@@ -40,7 +41,10 @@
 // thread.
 class HttpClient {
  public:
-  explicit HttpClient(EventLoop* loop) : loop(loop), pool(loop) {}
+  // Responses with more than `max_body_bytes` of body count as invalid.
+  explicit HttpClient(EventLoop* loop,
+                      std::size_t max_body_bytes = kMaxResponseBodyBytes)
+      : loop(loop), max_body_bytes(max_body_bytes), pool(loop) {}
 
   // Sends one request and waits for the whole response until `deadline`. Reuses
   // a connection only if it has been idle for at most `max_idle`. Never
@@ -56,6 +60,7 @@
 
  private:
   EventLoop* const loop;
+  const std::size_t max_body_bytes;
   ConnectionPool pool;
 };
 
--- a/src/net/net_constants.h
+++ b/src/net/net_constants.h
@@ -23,6 +23,12 @@
 // a fast sender cannot exhaust the memory of the process.
 inline constexpr std::size_t kReadPauseThresholdBytes = 128 * 1024;
 
+// Interim responses (1xx) that may precede a response.
+inline constexpr int kMaxInterimResponses = 16;
+
+// Largest response body that an HttpClient accepts unless told otherwise.
+inline constexpr std::size_t kMaxResponseBodyBytes = 16 * 1024 * 1024;
+
 // TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged before the
 // kernel drops the connection. Longer than the retransmissions on a lossy link,
 // shorter than the shortest caller deadline.
--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "net/net_constants.h"
+
 namespace kumquatcart {
 
 namespace {
@@ -63,11 +65,17 @@
       if (this->Status() / 100 != 1) {
         return ResponseState::kComplete;
       }
+      if (++this->interim_responses > kMaxInterimResponses) {
+        return ResponseState::kParseFailed;
+      }
       this->ResetParser();  // A 1xx response precedes the final one.
       continue;
     }
     if (used == 0) {
-      return ResponseState::kIncomplete;
+      // With a full buffer no more is read, so the parser cannot proceed.
+      return connection->Input().size() < kReadPauseThresholdBytes
+                 ? ResponseState::kIncomplete
+                 : ResponseState::kParseFailed;
     }
   }
   return ResponseState::kIncomplete;
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -63,6 +63,7 @@
   std::optional<Parser> parser;
   ResponseState state = ResponseState::kIncomplete;
   bool ended_by_close = false;
+  int interim_responses = 0;
 };
 
 }  // namespace kumquatcart
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -87,5 +87,26 @@
   });
 }
 
+// Guards against a faulty server whose body grows until the deadline.
+TEST_CASE("A response over the size limit is broken off") {
+  constexpr std::size_t kLimit = 1024 * 1024;
+  EventLoop loop;
+  LoopServer server(
+      &loop, [](const auto& connection, Waiter* waiter, Coroutine yield) {
+        ReadHead(connection.get(), waiter, yield);
+        connection->Send("HTTP/1.1 200 OK\r\n\r\n");
+        while (!connection->HasEnded()) {
+          connection->Send(std::string(kLimit / 8, 'x'));
+          waiter->WaitUntil(MonotonicTime::max(), yield);
+        }
+      });
+  HttpClient client(&loop, kLimit);
+  RunCoroutine(&loop, [&](Coroutine yield) {
+    const HttpResponse reply = SendGet(&loop, &client, server.Address(), yield);
+    CHECK(reply.result == ExchangeResult::kNoAnswer);
+    CHECK(reply.partial_body_bytes < 2 * kLimit);
+  });
+}
+
 }  // namespace
 }  // namespace kumquatcart
