Read the socket before a pooled connection is used again

Evidence: "A pooled connection that the server has closed is not used" failed on the code before and passes.

--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -26,6 +26,8 @@
   while (!connections.empty()) {
     ConnectionPtr connection = std::move(connections.back());
     connections.pop_back();
+    // The server may have closed it or sent more since the loop last read it.
+    connection->ReadPending();
     if (!IsReusable(*connection, now)) {
       connection->Close();
       continue;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -1,8 +1,12 @@
 #include "net/http_client.h"
 
+#include <future>
+
 #include <catch2/catch.hpp>
 
 #include "fakes/loop_server.h"
+#include "fakes/raw_server.h"
+#include "model/socket_address.h"
 
 namespace kumquatcart {
 namespace {
@@ -108,5 +112,31 @@
   });
 }
 
+// Guards against a request on a pooled connection that the server has closed
+// while the event loop was held up and had not looked at the socket yet.
+TEST_CASE("A pooled connection that the server has closed is not used") {
+  std::promise<void> may_close;
+  std::promise<void> has_closed;
+  RawServer server([&](RawConnection* connection, int number) {
+    connection->ReadMessage();
+    connection->Write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+    if (number == 1) {
+      may_close.get_future().wait();
+      connection->Close();
+      has_closed.set_value();
+    }
+  });
+  const TcpEndpoint address = ToTcpEndpoint(server.Address());
+  EventLoop loop;
+  HttpClient client(&loop);
+  RunCoroutine(&loop, [&](Coroutine yield) {
+    CHECK(SendGet(&loop, &client, address, yield).HasResponseStatus(200));
+    may_close.set_value();
+    has_closed.get_future().wait();  // Holds up the loop.
+    CHECK(SendGet(&loop, &client, address, yield).HasResponseStatus(200));
+  });
+  CHECK(server.Connections() == 2);
+}
+
 }  // namespace
 }  // namespace kumquatcart
