Keep readable versions that wait behind one that cannot be adopted

Found in the review of the step-wise decode: of versions that arrived during a decode only the last was kept, so one that cannot be read, or has a lower number, replaced a good one for good.

The loader decodes the newest first and drops the others only when it has been adopted.

--- a/src/entry/config_loader.h
+++ b/src/entry/config_loader.h
@@ -4,9 +4,9 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "model/routing_config.h"
 #include "net/event_loop.h"
@@ -22,27 +22,29 @@
 };
 
 // Decodes one version at a time in a coroutine, which lets the loop handle
-// other events after each `max_step`. Versions that arrive during a decode
-// replace each other; the newest one is decoded next. Must be used on the event
-// loop's thread.
+// other events after each `max_step`. Of versions that arrive during a decode
+// the newest is decoded next; the others are dropped once it is adopted. Must
+// be used on the event loop's thread.
 class ConfigLoader {
  public:
-  using Adopt = std::function<void(RoutingConfig)>;
+  // Returns whether the version is in force now.
+  using Adopt = std::function<bool(RoutingConfig)>;
 
   ConfigLoader(EventLoop* loop, Duration max_step, Adopt adopt)
       : loop(loop), max_step(max_step), adopt(std::move(adopt)) {}
 
   // Calls `adopt` later, unless the version cannot be decoded, which is logged,
-  // or a newer one replaces it.
+  // or a newer one is adopted before.
   void Load(ConfigRecord record);
 
  private:
   void LoadPending(Coroutine yield);
+  bool DecodeAndAdopt(const ConfigRecord& record, Coroutine yield);
 
   EventLoop* const loop;
   const Duration max_step;
   const Adopt adopt;
-  std::optional<ConfigRecord> pending;
+  std::vector<ConfigRecord> pending;  // Newest last.
   bool decoding = false;
 };
 
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -118,7 +118,7 @@
       config_loader(&this->loop,
                     kMaxDecodeStep,
                     [this](RoutingConfig config) {
-                      this->AdoptConfig(std::move(config));
+                      return this->AdoptConfig(std::move(config));
                     }),
       operator_topic(&this->loop,
                      &this->store,
@@ -224,15 +224,17 @@
   this->config_loader.Load({*record.value, record.offset});
 }
 
-void EntryProcess::AdoptConfig(RoutingConfig config) {
+bool EntryProcess::AdoptConfig(RoutingConfig config) {
   const LoopStep step(this->loop.Monitor(), "adopt_config");
-  if (this->view.AdoptConfig(
+  if (!this->view.AdoptConfig(
           std::make_shared<const RoutingConfig>(std::move(config)))) {
-    this->context.routes =
-        std::make_shared<const RouteTable>(this->view.Config());
-    this->digests.SendNow();
-    this->OnFleetChanged();
+    return false;
   }
+  this->context.routes =
+      std::make_shared<const RouteTable>(this->view.Config());
+  this->digests.SendNow();
+  this->OnFleetChanged();
+  return true;
 }
 
 void EntryProcess::ApplyServer(const TopicRecord& record) {
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -46,7 +46,7 @@
 
  private:
   void ApplyConfig(const TopicRecord& record);
-  void AdoptConfig(RoutingConfig config);
+  bool AdoptConfig(RoutingConfig config);
   void ApplyServer(const TopicRecord& record);
   void ApplyGroup(const TopicRecord& record);
   void ApplyNode(const TopicRecord& record);
--- a/tests/entry/config_loader_test.cc
+++ b/tests/entry/config_loader_test.cc
@@ -21,68 +21,107 @@
          list + R"(], "services": [{"name": "s"}]})";
 }
 
+// Loads versions into a loader that returns to the loop after each route.
+struct LoaderFixture {
+  LoaderFixture()
+      : loader(&this->loop,
+               /*max_step=*/Duration{0},
+               [this](const RoutingConfig& config) {
+                 const bool is_newer =
+                     this->adopted.empty() ||
+                     config.version > this->adopted.back().version;
+                 if (is_newer) {
+                   this->adopted.push_back(config);
+                 }
+                 return is_newer;
+               }) {}
+  ~LoaderFixture() { this->loop.UnwindCoroutines(); }
+  LoaderFixture(const LoaderFixture&) = delete;
+  LoaderFixture& operator=(const LoaderFixture&) = delete;
+
+  // Lets the loader work until it has adopted `count` versions. Returns how
+  // often other events were handled meanwhile.
+  int WaitForAdopted(std::size_t count, Coroutine yield) {
+    const MonotonicTime deadline = TestDeadline(&this->loop);
+    int events = 0;
+    while (this->adopted.size() < count && this->loop.Now() < deadline) {
+      this->loop.Yield(yield);
+      ++events;
+    }
+    return events;
+  }
+
+  std::vector<std::int64_t> AdoptedVersions() const {
+    std::vector<std::int64_t> versions;
+    for (const RoutingConfig& config : this->adopted) {
+      versions.push_back(config.version);
+    }
+    return versions;
+  }
+
+  EventLoop loop;
+  std::vector<RoutingConfig> adopted;
+  ConfigLoader loader;
+};
+
 // Guards against a large version that is decoded in one step: requests wait for
 // the end of it.
 TEST_CASE("Other events are handled while a large version is decoded") {
-  EventLoop loop;
-  std::optional<RoutingConfig> adopted;
+  LoaderFixture fixture;
   int events = 0;
-  RunCoroutine(&loop, [&](Coroutine yield) {
-    ConfigLoader loader(&loop, /*max_step=*/Duration{0},
-                        [&](RoutingConfig config) { adopted = config; });
-    loader.Load({ConfigText(1, kRoutes), 0});
-    const MonotonicTime deadline = TestDeadline(&loop);
-    while (!adopted && loop.Now() < deadline) {
-      loop.Yield(yield);
-      ++events;
-    }
+  RunCoroutine(&fixture.loop, [&](Coroutine yield) {
+    fixture.loader.Load({ConfigText(1, kRoutes), 0});
+    events = fixture.WaitForAdopted(1, yield);
   });
-  REQUIRE(adopted);
-  CHECK(*adopted == DecodeRoutingConfig(ConfigText(1, kRoutes)).value());
-  CHECK(adopted->routes.size() == kRoutes);
+  REQUIRE(fixture.adopted.size() == 1);
+  CHECK(fixture.adopted[0] ==
+        DecodeRoutingConfig(ConfigText(1, kRoutes)).value());
+  CHECK(fixture.adopted[0].routes.size() == kRoutes);
   CHECK(events >= kRoutes);
 }
 
 TEST_CASE("Versions that arrive during a decode replace each other") {
-  EventLoop loop;
-  std::vector<std::int64_t> versions;
-  RunCoroutine(&loop, [&](Coroutine yield) {
-    ConfigLoader loader(&loop, Duration{0}, [&](const RoutingConfig& config) {
-      versions.push_back(config.version);
-    });
-    loader.Load({ConfigText(1, kRoutes), 0});
-    loop.Yield(yield);
-    loader.Load({ConfigText(2, 1), 1});
-    loader.Load({ConfigText(3, 1), 2});
-    const MonotonicTime deadline = TestDeadline(&loop);
-    while (versions.size() < 2 && loop.Now() < deadline) {
-      loop.Yield(yield);
-    }
+  LoaderFixture fixture;
+  RunCoroutine(&fixture.loop, [&](Coroutine yield) {
+    fixture.loader.Load({ConfigText(1, kRoutes), 0});
+    fixture.loop.Yield(yield);
+    fixture.loader.Load({ConfigText(2, 1), 1});
+    fixture.loader.Load({ConfigText(3, 1), 2});
+    fixture.WaitForAdopted(2, yield);
   });
-  CHECK(versions == std::vector<std::int64_t>{1, 3});
+  CHECK(fixture.AdoptedVersions() == std::vector<std::int64_t>{1, 3});
 }
 
-TEST_CASE("A version that cannot be decoded is left out") {
-  EventLoop loop;
-  std::vector<std::int64_t> versions;
-  RunCoroutine(&loop, [&](Coroutine yield) {
-    ConfigLoader loader(&loop, Duration{0}, [&](const RoutingConfig& config) {
-      versions.push_back(config.version);
+// Guards against a readable version that is lost because one arrives after it
+// that cannot be decoded or has a lower number.
+TEST_CASE("A version is not replaced by one that cannot be adopted") {
+  for (const std::string& last : {std::string("{"), ConfigText(1, 1)}) {
+    LoaderFixture fixture;
+    RunCoroutine(&fixture.loop, [&](Coroutine yield) {
+      fixture.loader.Load({ConfigText(1, kRoutes), 0});
+      fixture.loop.Yield(yield);
+      fixture.loader.Load({ConfigText(2, 1), 1});
+      fixture.loader.Load({last, 2});
+      fixture.WaitForAdopted(2, yield);
     });
+    CHECK(fixture.AdoptedVersions() == std::vector<std::int64_t>{1, 2});
+  }
+}
+
+TEST_CASE("A version that cannot be decoded is left out") {
+  LoaderFixture fixture;
+  RunCoroutine(&fixture.loop, [&](Coroutine yield) {
+    std::int64_t offset = 0;
     for (const char* text :
          {"", "{}", R"({"version": 1, "routes": [1], "services": []})",
           R"({"version": 1, "routes": [{}], "services": []})"}) {
-      loader.Load({text, 0});
-      loop.Yield(yield);
-      loop.Yield(yield);
-    }
-    loader.Load({ConfigText(2, 1), 1});
-    const MonotonicTime deadline = TestDeadline(&loop);
-    while (versions.empty() && loop.Now() < deadline) {
-      loop.Yield(yield);
+      fixture.loader.Load({text, offset++});
+      fixture.loop.Yield(yield);
     }
+    fixture.loader.Load({ConfigText(2, 1), offset});
+    fixture.WaitForAdopted(1, yield);
   });
-  CHECK(versions == std::vector<std::int64_t>{2});
+  CHECK(fixture.AdoptedVersions() == std::vector<std::int64_t>{2});
 }
 
 }  // namespace
