Count a connection as idle only when its last answer is sent

Callers that read an answer slowly lost the end of it, or sent their next request into a connection that read and threw it away.

Cause: the idle time ran from the queuing of the answer, and a close with unsent bytes still lingered for 2 s.

Evidence: "An answer that is being sent is not cut by the idle timeout" and "A request after a slowly read answer is answered or left unread" (both cases of it) failed on the code before and pass. The close of an idle connection never lingers now. Bytes in the kernel's send buffer count as sent.

--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -95,10 +95,10 @@
       .Run(yield);
 }
 
-// Serves requests until the connection must be closed. Returns whether answers
-// are in flight that the close must not destroy. Input after the last request
-// stays unread otherwise, since a caller may send it again only if it was not
-// read.
+// Serves requests until the connection must be closed. Returns whether an
+// answer is in flight that the close must not destroy. Input after the last
+// request stays unread otherwise, since a caller may send it again only if it
+// was not read.
 bool ServeRequests(EntryContext* context,
                    TcpConnection* connection,
                    Waiter* waiter,
@@ -110,7 +110,7 @@
         reader.Read(&context->close_idle_connections, yield);
     if (outcome.result == RequestReadStatus::kClosed) {
       LogIdleClose(outcome, LimitsOf(*context), context->metrics);
-      return connection->UnsentBytes() > 0;
+      return false;
     }
     const bool is_request = outcome.result == RequestReadStatus::kRequest;
     AnswerSender answer(connection,
--- a/src/entry/request_reader.cc
+++ b/src/entry/request_reader.cc
@@ -113,11 +113,19 @@
 std::optional<IdleCloseCause> RequestReader::WaitForFirstByte(
     const bool* should_close,
     Coroutine yield) {
-  const MonotonicTime idle_since = this->loop->Now();
+  MonotonicTime idle_since = this->loop->Now();
   MonotonicTime deadline = idle_since;
+  bool was_sending = false;
   while (this->connection->Input().empty()) {
+    // The caller becomes idle when it has the last answer.
+    const bool is_sending = this->connection->UnsentBytes() > 0;
+    if (is_sending || was_sending) {
+      idle_since = this->loop->Now();
+    }
+    was_sending = is_sending;
     deadline = std::max(deadline, idle_since + this->limits().idle_timeout);
-    const bool must_close = *should_close || this->loop->Now() >= deadline;
+    const bool must_close =
+        !is_sending && (*should_close || this->loop->Now() >= deadline);
     if (must_close && this->connection->ReadPending()) {
       break;
     }
--- a/tests/entry/idle_close_test.cc
+++ b/tests/entry/idle_close_test.cc
@@ -12,15 +12,22 @@
 namespace kumquatcart {
 namespace {
 
-constexpr Duration kIdleTimeout = std::chrono::milliseconds(200);
+constexpr Duration kIdleTimeout = std::chrono::milliseconds(600);
 // Time for exchanges on loopback, which take a few milliseconds.
 constexpr Duration kExchangeTime = std::chrono::milliseconds(100);
 
+constexpr int kReceiveBufferBytes = 64 * 1024;
+// More than the buffers of both sockets hold.
+constexpr std::size_t kLargeBodyBytes = 7 * 1024 * 1024;
+
 // A caller's connection whose bytes are in the receive buffer of the entry VM
 // when Send returns, whether its event loop runs or not.
 class KeptConnection {
  public:
   explicit KeptConnection(const TcpEndpoint& entry) : socket(this->context) {
+    this->socket.open(boost::asio::ip::tcp::v4());
+    this->socket.set_option(
+        boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
     this->socket.connect(entry);
     this->socket.non_blocking(true);
   }
@@ -33,12 +40,12 @@
     boost::asio::write(this->socket, boost::asio::buffer(request));
   }
 
-  // Returns the bytes received since the last call.
-  std::string Receive() {
+  // Returns the bytes received since the last call, about `limit` at most.
+  std::string Receive(std::size_t limit = kLargeBodyBytes) {
     std::string bytes;
     std::array<char, 4096> chunk{};
     boost::system::error_code error;
-    while (!error) {
+    while (!error && bytes.size() < limit) {
       bytes.append(chunk.data(),
                    this->socket.read_some(boost::asio::buffer(chunk), error));
     }
@@ -48,8 +55,9 @@
   // Whether the entry VM has reset the connection, as it does with a request
   // that reaches a closed socket.
   bool WasReset() {
-    pollfd state{this->socket.native_handle(), POLLIN, 0};
-    return ::poll(&state, 1, 0) > 0 && (state.revents & POLLERR) != 0;
+    constexpr int kMaxWaitMs = 1000;
+    pollfd state{this->socket.native_handle(), 0, 0};
+    return ::poll(&state, 1, kMaxWaitMs) > 0 && (state.revents & POLLERR) != 0;
   }
 
  private:
@@ -164,5 +172,61 @@
   CHECK(IsSuccess(caller.Receive()));
 }
 
+// Answers the first request with a large body.
+LoopServer::Script ServeLargeBody(EntryFixture* fixture) {
+  return AnswerWith([fixture](const std::string& head) {
+    const bool is_first = fixture->received.empty();
+    fixture->received.push_back(head);
+    return MakeAnswer(head, "200 OK",
+                      is_first ? std::string(kLargeBodyBytes, 'x') : "done");
+  });
+}
+
+// Guards against a connection that counts as idle while its caller still reads
+// the last answer.
+TEST_CASE("An answer that is being sent is not cut by the idle timeout") {
+  EntryFixture fixture;
+  fixture.AddPlain("a", ServeLargeBody(&fixture));
+  fixture.SetIdleTimeout(kIdleTimeout);
+  KeptConnection caller(fixture.EntryAddress());
+  caller.Send("/again/1");
+  // Reads little for longer than the idle timeout and the lingering close take
+  // together, then the rest.
+  std::size_t received = 0;
+  for (int i = 0; i < 1000 && received <= kLargeBodyBytes; ++i) {
+    const bool reads_little = i < 140;
+    fixture.RunFor(std::chrono::milliseconds(reads_little ? 20 : 1));
+    received += caller.Receive(reads_little ? 1 : kLargeBodyBytes).size();
+  }
+  CHECK(received > kLargeBodyBytes);
+}
+
+// Guards against a request that is read and thrown away because its connection
+// was about to be closed when the caller had read the answer before.
+TEST_CASE("A request after a slowly read answer is answered or left unread") {
+  for (const bool stops : {false, true}) {
+    EntryFixture fixture;
+    fixture.AddPlain("a", ServeLargeBody(&fixture));
+    fixture.SetIdleTimeout(kIdleTimeout);
+    KeptConnection caller(fixture.EntryAddress());
+    caller.Send("/again/1");
+    fixture.RunFor(2 * kIdleTimeout);
+    if (stops) {
+      fixture.context.is_stopping = true;
+      fixture.context.close_idle_connections = true;
+      fixture.WakeSessions();
+    }
+    std::size_t received = 0;
+    for (int i = 0; i < 1000 && received <= kLargeBodyBytes; ++i) {
+      fixture.RunFor(std::chrono::milliseconds(1));
+      received += caller.Receive().size();
+    }
+    REQUIRE(received > kLargeBodyBytes);
+    caller.Send("/again/2");
+    fixture.RunFor(kExchangeTime);
+    CHECK((IsSuccess(caller.Receive()) || caller.WasReset()));
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart
