Keep a short grace period of a stop, and test the sum of buffered answers

A grace period below about 3.7 s was over before the process had stopped accepting connections, so it outlasted the period and idle connections were not handled.

Evidence: "A short grace period of a stop is kept" failed on the code before (the process ended too late) and passes: connections are accepted for half of the period at most. The wake-up of all requests at the start of a stop is taken out again: no test needs it, as they are woken when the accepting ends.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -462,8 +462,9 @@
   this->reconciler.Stop();
   this->context.answer_by =
       started + this->settings.stop_grace - kStopGraceMargin;
-  this->OnFleetChanged();
-  this->loop.Sleep(kStopAcceptingDelay, yield);
+  this->digests.SendNow();
+  this->loop.Sleep(std::min(kStopAcceptingDelay, this->settings.stop_grace / 2),
+                   yield);
   this->callers.Stop();
   this->context.close_idle_connections = true;
   this->OnFleetChanged();
--- a/tests/entry/endless_answer_test.cc
+++ b/tests/entry/endless_answer_test.cc
@@ -37,6 +37,7 @@
     while (!connection->HasEnded()) {
       if (connection->UnsentBytes() == 0) {
         connection->Send(this->pieces);
+        this->sent_bytes += this->pieces.size();
       }
       waiter->WaitUntil(MonotonicTime::max(), yield);
     }
@@ -45,6 +46,7 @@
 
   const std::string begin;
   std::string pieces;
+  std::size_t sent_bytes = 0;
   bool began = false;
   bool closed = false;
 };
@@ -111,6 +113,16 @@
   CHECK(answer.rfind("HTTP/1.1 502", 0) == 0);
 }
 
+// Guards against a sum that is counted but not enforced.
+TEST_CASE("An answer beyond the sum of all buffered answers is broken off") {
+  EntryFixture fixture;
+  EndlessServer server(&fixture, std::string(kOwnHead) + "\r\n", "x");
+  fixture.context.buffered_answer_bytes = kMaxAllBufferedAnswerBytes;
+  fixture.SendRequest(MakeRequest("GET", "/again/x"));
+  CHECK(server.sent_bytes < kMaxBufferedAnswerBytes / 2);
+  CHECK(fixture.context.buffered_answer_bytes == kMaxAllBufferedAnswerBytes);
+}
+
 // Guards against endless answers of several servers that exceed the memory of
 // the process together though none exceeds its own limit.
 TEST_CASE("Buffered answers have a limit of their sum") {
--- a/tests/entry/entry_process_test.cc
+++ b/tests/entry/entry_process_test.cc
@@ -32,7 +32,7 @@
 // The store, backend server and callers run on this thread, the process under
 // test on another.
 struct Deployment {
-  explicit Deployment(Duration work)
+  explicit Deployment(Duration work, Duration stop_grace = kStopGrace)
       : store(&this->loop),
         server(&this->loop,
                [this,
@@ -59,7 +59,7 @@
       *endpoint = ToEndpoint(FreeAddress(&this->loop));
     }
     this->settings.store = ToEndpoint(this->store.Address());
-    this->settings.stop_grace = kStopGrace;
+    this->settings.stop_grace = stop_grace;
     this->settings.retry_ratio = 0.2;
     this->settings.retry_base = 10;
     this->settings.retry_window = std::chrono::seconds(10);
@@ -166,5 +166,27 @@
   deployment.runner.join();
 }
 
+// Guards against a grace period that ends before idle connections and those of
+// the backlog are handled, and before requests learn of the stop.
+TEST_CASE("A short grace period of a stop is kept") {
+  constexpr Duration kShortGrace = std::chrono::seconds(2);
+  Deployment deployment(/*work=*/2 * kStopGrace, kShortGrace);
+  HttpResponse reply;
+  MonotonicTime signalled_at;
+  RunCoroutine(&deployment.loop, [&](Coroutine yield) {
+    deployment.WaitUntilReady(yield);
+    deployment.loop.Spawn([&](Coroutine inner) {
+      deployment.loop.Sleep(std::chrono::milliseconds(200), inner);
+      signalled_at = deployment.loop.Now();
+      std::raise(SIGTERM);
+    });
+    reply = deployment.SendRequest(deployment.settings.callers, "/x/1", yield);
+  });
+  CHECK(deployment.runs == 1);
+  CHECK(reply.HasResponseStatus(504));
+  deployment.runner.join();
+  CHECK(deployment.loop.Now() - signalled_at < kShortGrace);
+}
+
 }  // namespace
 }  // namespace kumquatcart
