Accuse an entry VM that closes a whole request's connection unanswered (soak)

Cause: the soak counted a connection that ends without an answer as failed, so the request that the incident lost went unseen.

Change: RunLedger::NoteClosed(). A request may get nothing only if its process was started, killed, paused or continued from 3 s before it until the end, or if it was left unread: the connection was reset, within 500 ms of the request. A later reset is accused, since a running process reads an open connection within that time. A reload and a planned stop excuse nothing.

--- a/tools/soak/entry_child.cc
+++ b/tools/soak/entry_child.cc
@@ -100,6 +100,7 @@
     _exit(127);
   }
   this->ending = false;
+  this->ledger->NoteDisturbance(this->host, this->loop->Now());
   this->limits->NoteDisturbance(this->host, this->loop->Now());
 }
 
@@ -114,6 +115,10 @@
   if (number != SIGHUP) {
     this->limits->NoteDisturbance(this->host, this->loop->Now());
   }
+  // Neither a reload nor a planned stop may cost a request.
+  if (number != SIGHUP && number != SIGTERM) {
+    this->ledger->NoteDisturbance(this->host, this->loop->Now());
+  }
   kill(this->pid, number);
 }
 
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -11,6 +11,11 @@
 
 // Servers that may run one request, as the configuration says.
 constexpr std::size_t kAttempts = 2;
+// Undisturbed time of a process before a request that it must answer.
+constexpr Duration kSettling = std::chrono::seconds(3);
+// A running process reads what has arrived at an open connection within this
+// time, so a later reset is no request that crossed the close.
+constexpr Duration kCrossing = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -36,6 +41,29 @@
   this->entries[id].end = end;
 }
 
+void RunLedger::NoteDisturbance(const std::string& entry_vm,
+                                MonotonicTime now) {
+  this->disturbances[entry_vm].push_back(now);
+}
+
+void RunLedger::NoteClosed(const std::string& id,
+                           MonotonicTime sent_at,
+                           MonotonicTime ended_at,
+                           bool by_reset) {
+  const std::string entry_vm = this->EntryOf(id);
+  const std::vector<MonotonicTime>& times = this->disturbances[entry_vm];
+  const bool disturbed =
+      std::any_of(times.begin(), times.end(), [&](MonotonicTime at) {
+        return at >= sent_at - kSettling && at <= ended_at;
+      });
+  if (disturbed || (by_reset && ended_at - sent_at <= kCrossing)) {
+    return;
+  }
+  this->Accuse(fmt::format("{} closed {} without an answer after {} ms, {}",
+                           entry_vm, id, ToMillis(ended_at - sent_at),
+                           by_reset ? "by a reset" : "in order"));
+}
+
 void RunLedger::Accuse(std::string what) {
   this->accusations.push_back(std::move(what));
 }
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
+
 namespace kumquatcart::soak {
 
 enum class RequestKind { kAtMostOnce, kIdempotent, kStream };
@@ -29,6 +31,14 @@
   std::string EntryOf(const std::string& id) const;
   void NoteRun(const std::string& id, const std::string& server);
   void NoteEnd(const std::string& id, RequestEnd end);
+  // The process of `entry_vm` starts, is killed, paused or continued.
+  void NoteDisturbance(const std::string& entry_vm, MonotonicTime now);
+  // The entry VM ended the connection of a whole request before an answer
+  // began: in order, or by a reset, as a request that it leaves unread does.
+  void NoteClosed(const std::string& id,
+                  MonotonicTime sent_at,
+                  MonotonicTime ended_at,
+                  bool by_reset);
   // A promise was broken, in words.
   void Accuse(std::string what);
 
@@ -48,6 +58,7 @@
   };
 
   std::map<std::string, Entry> entries;
+  std::map<std::string, std::vector<MonotonicTime>> disturbances;
   std::vector<std::string> accusations;
 };
 
