Change the idle timeout and rest beside it in the soak (--idle-timeouts)

Cause: the soak's versions never changed the idle timeout, and its callers never rested near it, so closes of idle connections met no request.

Every second caller rests for up to four fifths of the newest timeout, half of the times until within 2 ms of the one before, where processes close that have not adopted the newest. Callers report connections that end without a head of an answer to the ledger. After an orderly end they find a reset by a write: a socket that has received the close reports it to writers only. They look for a close that has arrived before they send; this holds without the flag too and draws nothing.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -41,6 +41,8 @@
                  "Routes that enlarge every version of the configuration")
       ->check(CLI::Range(0, 2000));
   app.add_flag("--limits", settings.with_limits, "Servers name rate limits");
+  app.add_flag("--idle-timeouts", settings.with_idle_timeouts,
+               "Versions change the idle timeout, callers rest up to it");
   app.add_flag("--verbose", verbose, "Prints each fault as it begins");
   CLI11_PARSE(app, argc, argv);
   kumquatcart::ConfigureLogging(
--- a/tools/soak/soak_caller.cc
+++ b/tools/soak/soak_caller.cc
@@ -1,5 +1,7 @@
 #include "soak/soak_caller.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "net/http_status.h"
@@ -15,6 +17,10 @@
 constexpr Duration kThinking = std::chrono::milliseconds(40);
 // One request in so many is given up midway.
 constexpr int kLeavesOneIn = 25;
+// Share of the idle timeout; the rest of it is for the way of the request.
+constexpr double kLongestRest = 0.8;
+// Requests that meet the close of a shorter timeout come this close to it.
+constexpr int kOffByUs = 2000;
 constexpr Duration kLeavesAfter = std::chrono::milliseconds(60);
 
 const char* PathOf(RequestKind kind) {
@@ -42,15 +48,13 @@
                        RunLedger* ledger,
                        std::string name,
                        std::uint64_t seed,
-                       std::function<TcpEndpoint()> pick,
-                       std::function<bool()> goes_on)
+                       CallerRules rules)
     : loop(loop),
       ledger(ledger),
       name(std::move(name)),
       generator(
           static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
-      pick(std::move(pick)),
-      goes_on(std::move(goes_on)),
+      rules(std::move(rules)),
       waiter(loop) {}
 
 RequestKind SoakCaller::PickKind() {
@@ -59,10 +63,13 @@
 }
 
 void SoakCaller::Run(Coroutine yield) {
-  while (this->goes_on()) {
+  while (this->rules.goes_on()) {
+    if (this->connection != nullptr) {
+      this->connection->ReadPending();  // Its end may not be handled yet.
+    }
     if (this->connection == nullptr || this->connection->HasEnded()) {
       this->connection = std::make_shared<TcpConnection>(this->loop);
-      const TcpEndpoint address = this->pick();
+      const TcpEndpoint address = this->rules.pick();
       this->entry_vm = address.address().to_string();
       if (!this->connection->Connect(
               address, this->loop->Now() + std::chrono::seconds(1),
@@ -79,6 +86,9 @@
     this->ledger->NoteEnd(id, end);
     this->served += end == RequestEnd::kServed ? 1 : 0;
     this->loop->Sleep(kThinking, yield);
+    if (this->rules.rests && this->connection != nullptr) {
+      this->Rest(yield);
+    }
   }
   if (this->connection != nullptr) {
     this->connection->SetWaiter(nullptr);
@@ -86,6 +96,42 @@
   }
 }
 
+void SoakCaller::Rest(Coroutine yield) {
+  const MonotonicTime since = this->connection->LastInput();
+  const double share =
+      std::uniform_real_distribution<double>(0, kLongestRest)(this->generator);
+  const bool meets_close =
+      std::uniform_int_distribution<int>(0, 1)(this->generator) == 1;
+  const Duration off_by = std::chrono::microseconds(
+      std::uniform_int_distribution<int>(-kOffByUs, kOffByUs)(this->generator));
+  // A version that comes meanwhile changes the rest.
+  while (this->rules.goes_on()) {
+    const IdleTimeouts timeouts = this->rules.idle_timeouts();
+    const auto part = [&](double of_newest) {
+      return std::chrono::duration_cast<Duration>(of_newest * timeouts.newest);
+    };
+    const Duration rest =
+        meets_close ? std::min(timeouts.previous + off_by, part(kLongestRest))
+                    : part(share);
+    const Duration left = since + rest - this->loop->Now();
+    if (left <= Duration{0}) {
+      return;
+    }
+    this->loop->Sleep(std::min(left, kThinking), yield);
+  }
+}
+
+bool SoakCaller::WasReset(Coroutine yield) {
+  // After an orderly end a socket reports a reset to writers only: a first
+  // write fails if bytes sent before have met a closed socket.
+  if (!this->connection->HasFailed()) {
+    this->loop->Sleep(kThinking, yield);
+    this->connection->Send("\r\n");
+    this->loop->Sleep(kThinking, yield);
+  }
+  return this->connection->HasFailed();
+}
+
 RequestEnd SoakCaller::Ask(RequestKind kind,
                            const std::string& id,
                            Coroutine yield) {
@@ -103,8 +149,9 @@
       ""};
   this->connection->SetWaiter(&this->waiter);
   this->connection->Send(SerializeRequest(request));
+  const MonotonicTime sent_at = this->loop->Now();
   const MonotonicTime deadline =
-      this->loop->Now() + (leaves ? kLeavesAfter : kPatience + kSlack);
+      sent_at + (leaves ? kLeavesAfter : kPatience + kSlack);
   ResponseParser response(false);
   ResponseState state = ResponseState::kIncomplete;
   while (state == ResponseState::kIncomplete) {
@@ -118,6 +165,11 @@
   if (state == ResponseState::kComplete) {
     end = this->Check(kind, id, response, response.TakeBody());
   }
+  if (this->rules.notes_closes && this->connection->HasEnded() &&
+      !response.HasHead()) {
+    const MonotonicTime ended_at = this->loop->Now();
+    this->ledger->NoteClosed(id, sent_at, ended_at, this->WasReset(yield));
+  }
   const std::string_view field =
       response.HasHead() ? response.Header("Connection") : std::string_view();
   if (state != ResponseState::kComplete ||
--- a/tools/soak/soak_caller.h
+++ b/tools/soak/soak_caller.h
@@ -16,18 +16,33 @@
 constexpr char kRouteHost[] = "soak.example";
 constexpr char kCallerKey[] = "key-1";
 
+// Idle timeouts of the newest version and of the one before.
+struct IdleTimeouts {
+  Duration newest;
+  Duration previous;
+};
+
+struct CallerRules {
+  std::function<TcpEndpoint()> pick;  // Address for the next connection.
+  std::function<bool()> goes_on;
+  // Whether the ledger is given connections that end without an answer.
+  bool notes_closes = false;
+  // Whether to rest between requests for up to four fifths of the newest idle
+  // timeout, half of the times near the end of the one before.
+  bool rests = false;
+  std::function<IdleTimeouts()> idle_timeouts;
+};
+
 // Sends one request after the other over connections that it keeps until they
 // end. For the event loop's thread.
 class SoakCaller {
  public:
-  // `pick` names the address for the next connection, `went_on` tells whether
-  // to go on. `seed` makes its choices.
+  // `seed` makes its choices.
   SoakCaller(EventLoop* loop,
              RunLedger* ledger,
              std::string name,
              std::uint64_t seed,
-             std::function<TcpEndpoint()> pick,
-             std::function<bool()> goes_on);
+             CallerRules rules);
 
   void Run(Coroutine yield);
 
@@ -36,6 +51,9 @@
 
  private:
   RequestKind PickKind();
+  void Rest(Coroutine yield);
+  // Whether the other side has reset the ended connection before this call.
+  bool WasReset(Coroutine yield);
   // What became of one request on the open connection.
   RequestEnd Ask(RequestKind kind, const std::string& id, Coroutine yield);
   RequestEnd Check(RequestKind kind,
@@ -47,8 +65,7 @@
   RunLedger* const ledger;
   const std::string name;
   std::minstd_rand generator;
-  const std::function<TcpEndpoint()> pick;
-  const std::function<bool()> goes_on;
+  const CallerRules rules;
   std::shared_ptr<TcpConnection> connection;
   Waiter waiter;
   std::string entry_vm;  // Address of the current connection.
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -6,6 +6,7 @@
 
 #include "net/http_status.h"
 #include "soak/fault_schedule.h"
+#include "soak/idle_schedule.h"
 #include "soak/limit_schedule.h"
 
 namespace kumquatcart::soak {
@@ -108,6 +109,7 @@
   }
   FaultSchedule schedule(&world, settings.seed);
   LimitSchedule limits(&world, settings.seed);
+  IdleSchedule idle(&world, settings.seed);
   bool restarts = true;
   bool watches = true;
   world.loop.Spawn([&](Coroutine yield) {
@@ -132,7 +134,11 @@
         }
       });
     }
-    schedule.Run(world.loop.Now() + settings.length, yield);
+    const MonotonicTime end = world.loop.Now() + settings.length;
+    if (settings.with_idle_timeouts) {
+      world.loop.Spawn([&, end](Coroutine inner) { idle.Run(end, inner); });
+    }
+    schedule.Run(end, yield);
     world.loop.Sleep(kRecovery, yield);
     CheckEnd(&world, yield);
     watches = false;
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -69,12 +69,15 @@
     this->callers.push_back(std::make_unique<SoakCaller>(
         &this->loop, &this->ledger, fmt::format("c{}", i),
         this->settings.seed * 1000 + static_cast<std::uint64_t>(i),
-        [this] {
-          const std::size_t pick = std::uniform_int_distribution<std::size_t>(
-              0, this->entries.size() - 1)(this->generator);
-          return this->entries[pick]->Callers();
-        },
-        [this] { return this->calling; }));
+        CallerRules{[this] {
+                      const std::size_t pick =
+                          std::uniform_int_distribution<std::size_t>(
+                              0, this->entries.size() - 1)(this->generator);
+                      return this->entries[pick]->Callers();
+                    },
+                    [this] { return this->calling; },
+                    this->settings.with_idle_timeouts, i % 2 == 1,
+                    [this] { return this->idle; }}));
     this->loop.Spawn([caller = this->callers.back().get()](Coroutine yield) {
       caller->Run(yield);
     });
@@ -121,7 +124,7 @@
        {{"max_header_bytes", 16384},
         {"max_body_bytes", 65536},
         {"header_timeout_ms", 3000},
-        {"idle_timeout_ms", 15000}}},
+        {"idle_timeout_ms", ToMillis(this->idle.newest)}}},
       {"tenants", {{{"name", "org"}, {"api_keys", {kCallerKey}}}}}};
   this->store.Put("keyed.op", "config", config.dump());
   return this->version;
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -26,8 +26,13 @@
   int callers = 10;
   int unused_routes = 0;     // Routes that no caller uses, in every version.
   bool with_limits = false;  // Servers name rate limits.
+  // Versions change the idle timeout, and half of the callers rest up to it.
+  bool with_idle_timeouts = false;
 };
 
+// The idle timeout of the first version.
+constexpr Duration kFirstIdleTimeout = std::chrono::seconds(15);
+
 // For the event loop's thread; holds until the loop has ended.
 class SoakWorld {
  public:
@@ -41,6 +46,11 @@
   // Writes a new configuration, with one route more; returns its version.
   int ChangeConfig();
   int Version() const { return this->version; }
+  // The idle timeout of the next version.
+  void SetIdleTimeout(Duration timeout) {
+    this->idle = {timeout, this->idle.newest};
+  }
+  Duration IdleTimeout() const { return this->idle.newest; }
   // Starts one more server of the kind.
   void AddServer(bool forms_groups);
   // Servers that live and are not leaving.
@@ -72,6 +82,7 @@
   std::minstd_rand generator;
   TcpEndpoint store_address;
   int version = 0;
+  IdleTimeouts idle{kFirstIdleTimeout, kFirstIdleTimeout};
   int servers_started = 0;
   int questions = 0;
   bool calling = true;
