--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -76,7 +76,8 @@
                       return this->entries[pick]->Callers();
                     },
                     [this] { return this->calling; },
-                    this->settings.with_idle_timeouts, i % 2 == 1,
+                    this->settings.with_idle_timeouts,
+                    this->settings.with_idle_timeouts && i % 2 == 1,
                     [this] { return this->idle; }}));
     this->loop.Spawn([caller = this->callers.back().get()](Coroutine yield) {
       caller->Run(yield);
