Log how an answer was framed, how it ended and after which event

Nothing told the five hypotheses of the broken-off answers apart: "connection closed within an event" is written for answers without length and chunks only, and a stream that was taken for complete left no trace of its framing.

The lines `request` and `attempt` say what ends the body of the server's answer, what ended it, the last event that was passed on, and how the answer to the caller was framed and whether it was sent whole. The own interface says framing and last token in `request_end` and `attempt_failed`. No decision changes: the end of a response is kept as a value (ResponseEnd) where a flag said it before, and the test of a body without a length asks for the framing.

--- a/src/entry/answer_sender.cc
+++ b/src/entry/answer_sender.cc
@@ -5,7 +5,8 @@
 void AnswerSender::SendWhole(int status,
                              HeaderList headers,
                              std::string_view body) {
-  this->head_sent = true;
+  this->framing = ResponseFraming::kLength;
+  this->ended = true;
   headers.push_back({"Content-Length", std::to_string(body.size())});
   if (this->closes_connection) {
     headers.push_back({"Connection", "close"});
@@ -18,7 +19,7 @@
 }
 
 void AnswerSender::BeginStream(int status, HeaderList headers) {
-  this->head_sent = true;
+  this->framing = ResponseFraming::kChunked;
   headers.push_back({"Transfer-Encoding", "chunked"});
   if (this->closes_connection) {
     headers.push_back({"Connection", "close"});
@@ -33,6 +34,7 @@
 }
 
 void AnswerSender::EndStream() {
+  this->ended = true;
   this->connection->Send(SerializeChunk({}));
 }
 
--- a/src/entry/answer_sender.h
+++ b/src/entry/answer_sender.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_ANSWER_SENDER_H_
 #define ENTRY_ANSWER_SENDER_H_
 
+#include <optional>
 #include <string>
 
 #include "net/http_head.h"
@@ -28,13 +29,18 @@
   void SendPart(std::string_view bytes);
   void EndStream();
 
-  bool HasBegun() const { return this->head_sent; }
+  bool HasBegun() const { return this->framing.has_value(); }
+  // Whether all of the answer was passed to the connection.
+  bool HasEnded() const { return this->ended; }
+  // Precondition: HasBegun().
+  ResponseFraming Framing() const { return *this->framing; }
 
  private:
   TcpConnection* const connection;
   const bool is_head_request;
   bool closes_connection = false;
-  bool head_sent = false;
+  std::optional<ResponseFraming> framing;  // Set with the head.
+  bool ended = false;
 };
 
 }  // namespace kumquatcart
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -28,6 +28,14 @@
   return std::uniform_real_distribution<double>(0, 1)(generator);
 }
 
+// How much of an answer was sent, for logs.
+const char* SentPart(const AnswerSender& answer) {
+  if (!answer.HasBegun()) {
+    return "nothing";
+  }
+  return answer.HasEnded() ? "whole" : "part";
+}
+
 }  // namespace
 
 RequestForwarder::RequestForwarder(EntryContext* context,
@@ -49,9 +57,14 @@
   this->job.cancel_reservation = [this] { this->CancelReservation(); };
 }
 
+std::int64_t RequestForwarder::LastEvent() const {
+  return this->job.progress.last_event.value_or(-1);
+}
+
 void RequestForwarder::LogRequest(int status, const std::string& reason) {
   const MonotonicTime now = this->context->loop->Now();
   const bool has_events = this->job.progress.has_events;
+  const AnswerSender& answer = *this->job.answer;
   LogInfo(
       "request",
       {{"id", this->request.id},
@@ -61,6 +74,11 @@
        {"server", this->last_server},
        {"status", status},
        {"reason", reason},
+       {"answer_framing", this->answer_framing},
+       {"answer_end", this->answer_end},
+       {"last_event", this->LastEvent()},
+       {"sent_framing", answer.HasBegun() ? ToString(answer.Framing()) : ""},
+       {"sent", SentPart(answer)},
        {"runs", this->runs},
        {"declined", this->declined},
        {"prompt", this->request.prompt_tokens},
@@ -264,6 +282,8 @@
                                    AttemptOutcome outcome,
                                    const ServerAttempt& attempt) {
   this->excluded.insert(slot.ServerId());
+  this->answer_framing = attempt.AnswerFraming();
+  this->answer_end = attempt.AnswerEnd();
   if (outcome == AttemptOutcome::kFailure) {
     this->last_failure = attempt.Failure();
   }
@@ -288,7 +308,10 @@
                         {"group", slot.Group()},
                         {"epoch", slot.Epoch()},
                         {"end", ToString(outcome)},
-                        {"reason", attempt.Reason()}});
+                        {"reason", attempt.Reason()},
+                        {"answer_framing", this->answer_framing},
+                        {"answer_end", this->answer_end},
+                        {"last_event", this->LastEvent()}});
   }
 }
 
--- a/src/entry/request_forwarder.h
+++ b/src/entry/request_forwarder.h
@@ -52,6 +52,8 @@
                    const ServerAttempt& attempt);
   // Latest start time that still meets the route's latency target.
   MonotonicTime LatestStart() const;
+  // Highest event id that the caller was sent, -1 without any.
+  std::int64_t LastEvent() const;
   void LogRequest(int status, const std::string& reason);
 
   EntryContext* const context;
@@ -65,6 +67,9 @@
   int runs = 0;      // Attempts that executed or may have.
   int declined = 0;  // Attempts that did not execute.
   std::string last_server;
+  // Of the last attempt's answer, for logs.
+  std::string answer_framing;
+  std::string answer_end;
   // Latest error answer of a server; sent to the caller when no later attempt
   // succeeds.
   std::optional<BufferedAnswer> last_failure;
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -50,6 +50,10 @@
   return outcome;
 }
 
+std::string ServerAttempt::AnswerFraming() const {
+  return this->head_read ? ToString(this->response->Framing()) : "";
+}
+
 bool ServerAttempt::OpenConnection(Coroutine yield) {
   EntryContext& context = *this->job->context;
   const TcpEndpoint address = ToTcpEndpoint(this->slot->Address());
@@ -272,7 +276,7 @@
   if (state != ResponseState::kComplete) {
     return std::nullopt;
   }
-  if (this->response->IsDelimitedByClose() &&
+  if (this->response->Framing() == ResponseFraming::kConnection &&
       !this->splitter.Partial().empty()) {
     // The end of a connection alone does not tell a crash from an end.
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -86,6 +86,10 @@
   const BufferedAnswer& Failure() const { return this->failure; }
   // Reason of the outcome, for logs.
   const std::string& Reason() const { return this->reason; }
+  // Framing of the answer, for logs; empty without a head.
+  std::string AnswerFraming() const;
+  // What ended the input of the answer, for logs.
+  std::string AnswerEnd() const { return ToString(this->response->End()); }
   // After kNotRun: the server that the answer names as the cause; may be empty.
   const std::string& SuspectedServer() const { return this->suspected; }
 
--- a/src/gateway/engine_attempt.cc
+++ b/src/gateway/engine_attempt.cc
@@ -46,6 +46,7 @@
 
 void EngineAttempt::OnHead(const UpstreamAnswerHead& head) {
   this->status = head.status;
+  this->owner->OnAnswer(head.framing);
 }
 
 bool EngineAttempt::OnBody(std::string_view bytes) {
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -26,6 +26,9 @@
  public:
   virtual ~EngineAttemptOwner() = default;
 
+  // The answer begins. Called at most once, before any chunk.
+  virtual void OnAnswer(ResponseFraming framing) = 0;
+
   virtual ChunkReaction OnChunk(const GenerateChunk& chunk) = 0;
 
   // The attempt is over. Called once, after every chunk.
--- a/src/gateway/http_types.h
+++ b/src/gateway/http_types.h
@@ -8,6 +8,7 @@
 
 #include "base/comparable.h"
 #include "model/vm.h"
+#include "net/http_head.h"
 
 namespace kumquatcart {
 
@@ -51,8 +52,11 @@
 struct UpstreamAnswerHead {
   int status = 0;
   HttpHeaders headers;
+  ResponseFraming framing = ResponseFraming::kNone;
 
-  auto Tie() const { return std::tie(this->status, this->headers); }
+  auto Tie() const {
+    return std::tie(this->status, this->headers, this->framing);
+  }
 };
 
 }  // namespace kumquatcart
--- a/src/gateway/incoming_request.cc
+++ b/src/gateway/incoming_request.cc
@@ -186,6 +186,7 @@
                                   const GroupId& group) {
   this->last_attempt = attempt;
   this->last_group = group;
+  this->answer_framing = ResponseFraming::kNone;
   ++this->attempts;
 }
 
@@ -216,6 +217,8 @@
                           {"path", this->path},
                           {"outcome", outcome},
                           {"attempts", this->attempts},
+                          {"answer_framing", ToString(this->answer_framing)},
+                          {"last_token", this->last_token.load()},
                           {"elapsed_ms", ToMillis(this->Elapsed())},
                           {"detail", detail}});
 }
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -80,6 +80,10 @@
 
   // Names the latest attempt for the log line.
   void NoteAttempt(const AttemptId& attempt, const GroupId& group);
+  // Name the latest answer's framing and the last token received, for the log
+  // line.
+  void NoteAnswer(ResponseFraming framing) { this->answer_framing = framing; }
+  void NoteToken(int index) { this->last_token = index; }
 
  private:
   void LeaveActive();
@@ -100,6 +104,8 @@
   AttemptId last_attempt;
   GroupId last_group;
   int attempts = 0;
+  std::atomic<ResponseFraming> answer_framing{ResponseFraming::kNone};
+  std::atomic<int> last_token{-1};  // -1: none.
 };
 
 }  // namespace kumquatcart
--- a/src/gateway/model_call.cc
+++ b/src/gateway/model_call.cc
@@ -84,6 +84,7 @@
   this->attempt = MakeId<AttemptId>();
   this->attempt_started_at = this->context->parts.clock->Now();
   this->has_first_chunk = false;
+  this->answer_framing = ResponseFraming::kNone;
   this->sequencer.BeginAttempt(this->attempt);
   this->incoming->NoteAttempt(this->attempt, this->route.group);
   GenerateRequest generate;
@@ -113,6 +114,11 @@
   started->Start(EngineAttempt::BuildRequest(this->route.endpoint, generate));
 }
 
+void ModelCall::OnAnswer(ResponseFraming framing) {
+  this->answer_framing = framing;
+  this->incoming->NoteAnswer(framing);
+}
+
 ChunkReaction ModelCall::OnChunk(const GenerateChunk& chunk) {
   if (this->complete) {
     this->context->metrics.duplicate_answers.Add();
@@ -153,6 +159,7 @@
   if (first_of_call) {
     this->context->metrics.first_token.Record(now - this->incoming->arrived_at);
   }
+  this->incoming->NoteToken(this->sequencer.NextIndex() - 1);
   this->context->metrics.tokens_relayed.Add(tokens.size());
   if (this->request.stream) {
     return;
@@ -274,12 +281,15 @@
   if (end.timed_out) {
     this->context->metrics.silent_connections.Add();
   }
-  LogWarning("attempt_failed", {{"request", this->incoming->options.request},
-                                {"attempt", this->attempt},
-                                {"group", this->route.group},
-                                {"point", ToString(end.point)},
-                                {"timed_out", end.timed_out},
-                                {"detail", end.detail}});
+  LogWarning("attempt_failed",
+             {{"request", this->incoming->options.request},
+              {"attempt", this->attempt},
+              {"group", this->route.group},
+              {"point", ToString(end.point)},
+              {"answer_framing", ToString(this->answer_framing)},
+              {"last_token", this->sequencer.NextIndex() - 1},
+              {"timed_out", end.timed_out},
+              {"detail", end.detail}});
   // A transport that ended well without the announced last chunk broke off.
   const ExchangePoint point = end.point == ExchangePoint::kWholeAnswer
                                   ? ExchangePoint::kAnswering
--- a/src/gateway/model_call.h
+++ b/src/gateway/model_call.h
@@ -31,6 +31,7 @@
   // Begins. Called once.
   void Start();
 
+  void OnAnswer(ResponseFraming framing) override;
   ChunkReaction OnChunk(const GenerateChunk& chunk) override;
   void OnAttemptEnd(const ExchangeEnd& end) override;
 
@@ -72,6 +73,7 @@
   std::vector<BackendId> excluded;
   int attempts = 0;
   bool complete = false;
+  ResponseFraming answer_framing = ResponseFraming::kNone;
   MonotonicTime attempt_started_at;
   MonotonicTime first_chunk_at;
   bool has_first_chunk = false;
--- a/src/gateway/service_call.cc
+++ b/src/gateway/service_call.cc
@@ -253,6 +253,7 @@
 
 void ServiceCall::OnHead(const UpstreamAnswerHead& answer_head) {
   this->head = answer_head;
+  this->incoming->NoteAnswer(answer_head.framing);
   this->head_at = this->context->parts.clock->Now();
   const std::string answered_request =
       FindHeader(answer_head.headers, kRequestIdHeader);
@@ -294,12 +295,14 @@
     this->Complete();
     return;
   }
-  LogWarning("attempt_failed", {{"request", this->incoming->options.request},
-                                {"attempt", this->attempt},
-                                {"backend", this->route.backend},
-                                {"point", ToString(end.point)},
-                                {"timed_out", end.timed_out},
-                                {"detail", end.detail}});
+  LogWarning("attempt_failed",
+             {{"request", this->incoming->options.request},
+              {"attempt", this->attempt},
+              {"backend", this->route.backend},
+              {"point", ToString(end.point)},
+              {"answer_framing", ToString(this->head.framing)},
+              {"timed_out", end.timed_out},
+              {"detail", end.detail}});
   if (this->MayTryAgain(verdict, end)) {
     this->excluded.push_back(this->route.backend);
     this->context->metrics.retries.Add();
--- a/src/gateway/upstream_exchange.cc
+++ b/src/gateway/upstream_exchange.cc
@@ -51,8 +51,26 @@
   return http_request;
 }
 
-UpstreamAnswerHead ReadHead(const web::http::http_response& response) {
+// `method`: of the request.
+ResponseFraming FramingOf(const web::http::http_response& response,
+                          const std::string& method) {
+  const web::http::status_code status = response.status_code();
+  if (method == "HEAD" || status == kNoContentStatus ||
+      status == kNotModifiedStatus) {
+    return ResponseFraming::kNone;
+  }
+  if (response.headers().has("Content-Length")) {
+    return ResponseFraming::kLength;
+  }
+  return response.headers().has("Transfer-Encoding")
+             ? ResponseFraming::kChunked
+             : ResponseFraming::kConnection;
+}
+
+UpstreamAnswerHead ReadHead(const web::http::http_response& response,
+                            const std::string& method) {
   UpstreamAnswerHead head;
+  head.framing = FramingOf(response, method);
   head.status = response.status_code();
   for (const auto& [name, value] : response.headers()) {
     head.headers.push_back(HttpHeader{name, value});
@@ -181,9 +199,10 @@
 void UpstreamExchange::HandleHead(const web::http::http_response& response) {
   const std::shared_ptr<UpstreamExchange> self = this->shared_from_this();
   this->Touch();
-  this->delimited = this->AnswerIsDelimited(response);
+  const UpstreamAnswerHead head = ReadHead(response, this->method);
+  this->delimited = head.framing != ResponseFraming::kConnection;
   this->phase = Phase::kAnswering;
-  this->observer->OnHead(ReadHead(response));
+  this->observer->OnHead(head);
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->head_delivered = true;
@@ -337,15 +356,4 @@
   return this->settings.idle_timeout;
 }
 
-bool UpstreamExchange::AnswerIsDelimited(
-    const web::http::http_response& response) const {
-  const web::http::status_code status = response.status_code();
-  if (this->method == "HEAD" || status == kNoContentStatus ||
-      status == kNotModifiedStatus) {
-    return true;
-  }
-  return response.headers().has("Content-Length") ||
-         response.headers().has("Transfer-Encoding");
-}
-
 }  // namespace kumquatcart
--- a/src/gateway/upstream_exchange.h
+++ b/src/gateway/upstream_exchange.h
@@ -90,7 +90,6 @@
   void ArmTimer(Duration delay);
   void HandleTimer();
   Duration PhaseBound() const;
-  bool AnswerIsDelimited(const web::http::http_response& response) const;
 
   Clock* clock;
   UpstreamClients* clients;
--- a/src/net/http_head.cc
+++ b/src/net/http_head.cc
@@ -22,6 +22,11 @@
   return {};
 }
 
+const char* ToString(ResponseFraming framing) {
+  constexpr const char* kNames[] = {"none", "length", "chunked", "connection"};
+  return kNames[static_cast<int>(framing)];
+}
+
 std::string SerializeRequest(const OutgoingRequest& request) {
   std::string bytes =
       fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -39,6 +39,17 @@
   }
 };
 
+// What determines the end of a response's body.
+enum class ResponseFraming {
+  kNone,        // There is no body, as for a HEAD request.
+  kLength,      // Content-Length.
+  kChunked,     // The last chunk.
+  kConnection,  // The end of the connection.
+};
+
+// Lower-case name for logs. Thread safe.
+const char* ToString(ResponseFraming framing);
+
 // Serializes a request. Adds Content-Length unless it is a GET or HEAD request
 // without a body. Precondition: `headers` holds neither Content-Length nor
 // Transfer-Encoding. Thread safe.
--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -15,6 +15,12 @@
 
 }  // namespace
 
+const char* ToString(ResponseEnd end) {
+  constexpr const char* kNames[] = {"open", "framed", "closed", "reset",
+                                    "malformed"};
+  return kNames[static_cast<int>(end)];
+}
+
 ResponseParser::ResponseParser(bool without_body) : without_body(without_body) {
   this->ResetParser();
 }
@@ -32,23 +38,30 @@
     return this->state;
   }
   this->state = this->ParseInput(connection);
-  if (this->state != ResponseState::kIncomplete || !connection->HasEnded()) {
+  if (this->state != ResponseState::kIncomplete) {
+    this->end = this->state == ResponseState::kComplete
+                    ? ResponseEnd::kFramed
+                    : ResponseEnd::kMalformed;
     return this->state;
   }
-  if (!this->parser->got_some()) {
-    // At end of file, the parser reports empty input as a complete message.
-    this->state = ResponseState::kParseFailed;
+  if (!connection->HasEnded()) {
     return this->state;
   }
-  // A body without a length is delimited by an orderly close of the connection;
-  // after a reset it is incomplete.
+  this->end =
+      connection->HasFailed() ? ResponseEnd::kReset : ResponseEnd::kClosed;
+  this->state = this->IsCompleteAtEndOfInput() ? ResponseState::kComplete
+                                               : ResponseState::kParseFailed;
+  return this->state;
+}
+
+bool ResponseParser::IsCompleteAtEndOfInput() {
+  // For empty input the parser reports a complete message.
+  if (this->end != ResponseEnd::kClosed || !this->parser->got_some()) {
+    return false;
+  }
   boost::system::error_code error;
   this->parser->put_eof(error);
-  this->state = !connection->HasFailed() && !error && this->parser->is_done()
-                    ? ResponseState::kComplete
-                    : ResponseState::kParseFailed;
-  this->ended_by_close = this->state == ResponseState::kComplete;
-  return this->state;
+  return !error && this->parser->is_done();
 }
 
 ResponseState ResponseParser::ParseInput(TcpConnection* connection) {
@@ -107,6 +120,20 @@
   return this->parser->keep_alive();
 }
 
+ResponseFraming ResponseParser::Framing() const {
+  if (this->without_body) {
+    return ResponseFraming::kNone;
+  }
+  if (this->parser->need_eof()) {
+    return ResponseFraming::kConnection;
+  }
+  if (this->parser->chunked()) {
+    return ResponseFraming::kChunked;
+  }
+  return this->parser->content_length() ? ResponseFraming::kLength
+                                        : ResponseFraming::kNone;
+}
+
 std::string ResponseParser::TakeBody() {
   std::string body;
   body.swap(this->parser->get().body());
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -20,6 +20,18 @@
   kParseFailed,  // The connection ended early or the bytes are not valid HTTP.
 };
 
+// What ended the input of a response.
+enum class ResponseEnd {
+  kOpen,       // Nothing so far.
+  kFramed,     // Its framing: the length was reached or the last chunk read.
+  kClosed,     // An orderly close of the connection.
+  kReset,      // A failure of the connection.
+  kMalformed,  // Bytes that are not valid HTTP, or exceed a limit.
+};
+
+// Lower-case name for logs. Thread safe.
+const char* ToString(ResponseEnd end);
+
 // Parses a response from the input of a connection. Not thread safe.
 class ResponseParser {
  public:
@@ -33,16 +45,15 @@
   // Whether the head of the final (not interim) response has been parsed.
   bool HasHead() const;
 
-  // Precondition of the next four methods: HasHead().
+  // Precondition of the next five methods: HasHead().
   int Status() const;
   std::string_view Header(std::string_view name) const;
   HeaderList Headers() const;
   // Whether the connection may be reused after this response.
   bool IsKeepAlive() const;
+  ResponseFraming Framing() const;
 
-  // Whether the body has no length and ends with the connection. Precondition:
-  // the response is complete.
-  bool IsDelimitedByClose() const { return this->ended_by_close; }
+  ResponseEnd End() const { return this->end; }
 
   // Number of body bytes that TakeBody would return.
   std::size_t BufferedBodyBytes() const {
@@ -58,11 +69,14 @@
 
   void ResetParser();
   ResponseState ParseInput(TcpConnection* connection);
+  // Whether the response ends where the connection does. Precondition: `end` is
+  // kClosed or kReset.
+  bool IsCompleteAtEndOfInput();
 
   const bool without_body;
   std::optional<Parser> parser;
   ResponseState state = ResponseState::kIncomplete;
-  bool ended_by_close = false;
+  ResponseEnd end = ResponseEnd::kOpen;
   int interim_responses = 0;
 };
 
