--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -212,6 +212,15 @@
   this->socket.close(ignored);
 }
 
+void TcpConnection::Reset() {
+  if (this->closed) {
+    return;
+  }
+  boost::system::error_code ignored;  // The connection closes in any case.
+  this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  this->Close();
+}
+
 void TcpConnection::NotifyWaiter() {
   if (this->waiter != nullptr) {
     this->waiter->Notify();
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -69,6 +69,9 @@
   // Closes immediately and discards unsent bytes.
   void Close();
 
+  // Closes immediately so that the peer sees a failure and no orderly end.
+  void Reset();
+
   // Shuts down the sending side after all queued bytes; reading continues.
   void FinishSending();
 
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -14,7 +14,7 @@
   route.host = "h";
   route.path_prefix = prefix;
   route.repeatability = repeatability;
-  route.streaming = repeatability == Repeatability::kResumable;
+  route.streaming = service == "models";
   route.timeout = std::chrono::seconds(5);
   route.target_latency = std::chrono::milliseconds(300);
   route.attempts = 2;
@@ -92,9 +92,11 @@
 void EntryFixture::ApplyConfig() {
   RoutingConfig config;
   config.version = 1;
-  config.routes = {MakeRoute("/once/", "plain", Repeatability::kAtMostOnce),
-                   MakeRoute("/again/", "plain", Repeatability::kIdempotent),
-                   MakeRoute("/stream/", "models", Repeatability::kResumable)};
+  config.routes = {
+      MakeRoute("/once/", "plain", Repeatability::kAtMostOnce),
+      MakeRoute("/again/", "plain", Repeatability::kIdempotent),
+      MakeRoute("/stream/", "models", Repeatability::kResumable),
+      MakeRoute("/stream-once/", "models", Repeatability::kAtMostOnce)};
   config.services["plain"].name = "plain";
   ServiceSpec models;
   models.name = "models";
@@ -176,6 +178,34 @@
   return bytes;
 }
 
+CallerAnswer EntryFixture::Call(const std::string& request) {
+  CallerAnswer answer;
+  RunCoroutine(&this->loop, [&](Coroutine yield) {
+    Waiter waiter(&this->loop);
+    const auto connection = std::make_shared<TcpConnection>(&this->loop);
+    if (!connection->Connect(this->entry_server->Address(),
+                             TestDeadline(&this->loop), &waiter, yield)) {
+      return;
+    }
+    connection->Send(request);
+    ResponseParser response(request.rfind("HEAD ", 0) == 0);
+    answer.state = response.ParseAvailable(connection.get());
+    while (!connection->HasEnded() &&
+           waiter.WaitUntil(TestDeadline(&this->loop), yield)) {
+      answer.state = response.ParseAvailable(connection.get());
+    }
+    if (response.HasHead()) {
+      answer.status = response.Status();
+      answer.framing = response.Framing();
+    }
+    answer.body = response.TakeBody();
+    answer.extra = std::string(connection->Input());
+    connection->SetWaiter(nullptr);
+    connection->Close();
+  });
+  return answer;
+}
+
 void EntryFixture::SendAndDisconnect(const std::string& request,
                                      Duration stay) {
   this->loop.Spawn([this, request, stay](Coroutine yield) {
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -15,6 +15,7 @@
 #include "entry/plain_load_balancer.h"
 #include "entry/server_limiter.h"
 #include "fakes/loop_server.h"
+#include "net/response_parser.h"
 
 namespace kumquatcart {
 
@@ -41,9 +42,18 @@
   EventLoop* const loop;
 };
 
+// An answer as its caller reads it.
+struct CallerAnswer {
+  ResponseState state = ResponseState::kIncomplete;
+  int status = 0;
+  ResponseFraming framing = ResponseFraming::kNone;
+  std::string body;   // What arrived of it.
+  std::string extra;  // Bytes after the answer.
+};
+
 // Routes: /once/ is at-most-once, /again/ is idempotent, /stream/ is a
-// resumable stream of a model service with groups of one server. Each route
-// allows two attempts.
+// resumable stream of a model service with groups of one server, /stream-once/
+// one that is not resumable. Each route allows two attempts.
 class EntryFixture {
  public:
   EntryFixture();
@@ -69,6 +79,10 @@
   // the entry VM closes it. The request must contain `Connection: close`.
   std::string SendRequest(const std::string& request);
 
+  // Sends `request` on a new connection, reads the answer and waits for the end
+  // of the connection. The request must contain `Connection: close`.
+  CallerAnswer Call(const std::string& request);
+
   // Starts sending `request` on a new connection, which is closed after `stay`.
   void SendAndDisconnect(const std::string& request, Duration stay);
 
