Break off streams that end within an event in every framing

What callers saw: a part of an event in an answer that is framed as complete.

Cause: a finished framing was taken for a finished stream. The check for a part of an event was made only where the connection delimits the answer; with a length or chunks the part was passed on and the last chunk sent. A server, or what stands between, may finish its framing although what it frames has ended midway.

Change: what an event splitter holds back is never passed on; with any left at the end the attempt counts as broken off, and the request goes on elsewhere or ends without its last chunk. An answer of another media type on a streaming route, such as JSON, was passed on by the same lines as one long part; it is now sent whole, with a length.

"A stream whose framing ends within an event is broken off" still fails: events that are queued for the caller at that moment are lost. That is another fault.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -228,7 +228,8 @@
       continue;
     }
     if (this->job->route->streaming && this->head.status == kHttpOk &&
-        this->head.is_signed && !this->head.is_encoded) {
+        this->head.is_signed && !this->head.is_encoded &&
+        this->head.is_event_stream) {
       return this->HandleStreamInput(state);
     }
     if (!this->buffer_use.Set(this->response->BufferedBodyBytes())) {
@@ -276,13 +277,11 @@
   if (state != ResponseState::kComplete) {
     return std::nullopt;
   }
-  if (this->response->Framing() == ResponseFraming::kConnection &&
-      !this->splitter.Partial().empty()) {
-    // The end of a connection alone does not tell a crash from an end.
+  if (!this->splitter.Partial().empty()) {
+    // A server that fails may still finish the framing of its answer.
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
-                            "connection closed within an event");
+                            "the answer ended within an event");
   }
-  this->job->answer->SendPart(this->splitter.Partial());
   this->job->answer->EndStream();
   this->FinishConnection();
   return this->SetOutcome(AttemptOutcome::kDelivered, "complete stream");
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -152,6 +152,13 @@
   return std::max(stated - kIdleMargin, Duration{0});
 }
 
+// Parameters of the media type do not matter.
+bool IsEventStream(std::string_view content_type) {
+  content_type = content_type.substr(0, content_type.find_first_of("; \t"));
+  return content_type.empty() ||
+         EqualsIgnoringCase(content_type, "text/event-stream");
+}
+
 // A decimal number, zero or above.
 std::optional<double> ParseRate(std::string_view text) {
   double rate = 0;
@@ -222,6 +229,7 @@
   head.is_signed = !response.Header(wire::kSeal).empty();
   head.not_run = !response.Header(wire::kNotExecuted).empty() ||
                  head.status == kHttpMisdirectedRequest;
+  head.is_event_stream = IsEventStream(response.Header("Content-Type"));
   head.is_encoded = !response.Header("Content-Encoding").empty();
   head.suspected_server = std::string(response.Header(wire::kAtServer));
   head.idle_limit = DecodeIdleLimit(response.Header("Keep-Alive"));
--- a/src/platform/caller_codec.h
+++ b/src/platform/caller_codec.h
@@ -46,6 +46,7 @@
   bool is_signed = false;        // Bears the server's signature.
   bool not_run = false;          // The server states that it did not run it.
   bool is_encoded = false;       // Not the server's own body.
+  bool is_event_stream = false;  // A series of events, or of unknown type.
   std::string suspected_server;  // Empty: none is named.
   Duration idle_limit{0};        // How long the connection may stay idle.
   // Requests per second that the server accepts from all VMs together; none:
@@ -55,8 +56,8 @@
 
   auto Tie() const {
     return std::tie(this->status, this->request_id, this->is_signed,
-                    this->not_run, this->is_encoded, this->suspected_server,
-                    this->idle_limit, this->rate_limit,
+                    this->not_run, this->is_encoded, this->is_event_stream,
+                    this->suspected_server, this->idle_limit, this->rate_limit,
                     this->has_invalid_rate_limit);
   }
 };
--- a/tests/entry/answer_framing_test.cc
+++ b/tests/entry/answer_framing_test.cc
@@ -309,6 +309,23 @@
   }
 }
 
+// Guards against an answer of a streaming route that is no stream and that is
+// taken for a part of an event.
+TEST_CASE("An answer of another type on a streaming route stays whole") {
+  EntryFixture fixture;
+  const std::string body = R"({"text":"all"})";
+  fixture.AddGroup("a", AnswerWith([&](const std::string& head) {
+                     std::string answer = MakeAnswer(head, "200 OK", body);
+                     return answer.insert(answer.find("Content-Length"),
+                                          "Content-Type: application/json\r\n");
+                   }));
+  const CallerAnswer answer =
+      fixture.Call(MakeRequest("POST", "/stream/x", "Content-Length: 0\r\n"));
+  CHECK(answer.state == ResponseState::kComplete);
+  CHECK(answer.framing == ResponseFraming::kLength);
+  CHECK(answer.body == body);
+}
+
 // A whole answer that ends with its connection is complete after an orderly
 // close, wherever that is: nothing tells its length.
 TEST_CASE("An answer is complete or broken off in every framing") {
