Deliver the events that have arrived when a stream breaks off

What callers saw: a stream that breaks off ended some events earlier than its server had sent them, and earlier than last_event in the log.

Cause: the caller's connection was closed at once, with what was still queued for it; and the events that were parsed in the same step as the break were not looked at. Both depend on how bytes and the break arrive together, so that most runs did not show it. It is no answer framed as complete, but the caller (or the next attempt) asks again for what was there already.

Change: an answer that has begun and breaks off is closed like a last answer: the sending side is shut down after the queued bytes, without the last chunk. Parsed events are passed on before the attempt is given up. A caller that left is still closed at once. In the table, a failure in place of a stream that has not begun counts as told: a 502 is no success; that check had demanded a cut connection.

--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -72,7 +72,8 @@
   }
 }
 
-// Handles one request. Returns false if the connection must be closed at once.
+// Handles one request. Returns false if the connection must be closed because
+// the answer is incomplete.
 bool HandleRequest(EntryContext* context,
                    RequestReadResult* outcome,
                    TcpConnection* connection,
@@ -96,9 +97,9 @@
 }
 
 // Serves requests until the connection must be closed. Returns whether an
-// answer is in flight that the close must not destroy. Input after the last
-// request stays unread otherwise, since a caller may send it again only if it
-// was not read.
+// answer, or a part of one, is in flight that the close must not destroy. Input
+// after the last request stays unread otherwise, since a caller may send it
+// again only if it was not read.
 bool ServeRequests(EntryContext* context,
                    TcpConnection* connection,
                    Waiter* waiter,
@@ -124,7 +125,7 @@
       answer.SendWhole(StatusFor(outcome.result), {}, {});
     } else if (!HandleRequest(context, &outcome, connection, waiter, &answer,
                               yield)) {
-      return false;
+      return answer.HasBegun();
     }
     if (answer.ClosesConnection()) {
       return true;
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -207,6 +207,9 @@
       this->NoteRateLimit();
     }
     if (state == ResponseState::kParseFailed) {
+      if (this->head_read && this->IsStream()) {
+        this->ForwardEvents(this->response->TakeBody());
+      }
       return this->SetOutcome(
           this->connection->HasSentBytes() ? AttemptOutcome::kMayHaveRun
                                            : AttemptOutcome::kNotRun,
@@ -227,9 +230,7 @@
       }
       continue;
     }
-    if (this->job->route->streaming && this->head.status == kHttpOk &&
-        this->head.is_signed && !this->head.is_encoded &&
-        this->head.is_event_stream) {
+    if (this->IsStream()) {
       return this->HandleStreamInput(state);
     }
     if (!this->buffer_use.Set(this->response->BufferedBodyBytes())) {
@@ -243,6 +244,19 @@
   }
 }
 
+bool ServerAttempt::IsStream() const {
+  return this->job->route->streaming && this->head.status == kHttpOk &&
+         this->head.is_signed && !this->head.is_encoded &&
+         this->head.is_event_stream && !this->AnswersOtherRequest();
+}
+
+void ServerAttempt::BeginStreamOnce() {
+  if (!this->job->answer->HasBegun()) {
+    this->job->answer->BeginStream(this->head.status,
+                                   ForwardedAnswerFields(*this->response));
+  }
+}
+
 void ServerAttempt::ForwardEvents(const std::string& bytes) {
   StreamProgress& progress = this->job->progress;
   std::string passed;
@@ -256,6 +270,7 @@
     passed += event.text;
   }
   if (!passed.empty()) {
+    this->BeginStreamOnce();
     this->slot->NotePrefillDone();
     progress.NoteEvents(this->job->context->loop->Now());
     this->job->answer->SendPart(passed);
@@ -265,10 +280,7 @@
 
 std::optional<AttemptOutcome> ServerAttempt::HandleStreamInput(
     ResponseState state) {
-  if (!this->job->answer->HasBegun()) {
-    this->job->answer->BeginStream(this->head.status,
-                                   ForwardedAnswerFields(*this->response));
-  }
+  this->BeginStreamOnce();
   this->ForwardEvents(this->response->TakeBody());
   if (!this->buffer_use.Set(this->splitter.Partial().size())) {
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -108,6 +108,10 @@
   bool SkipOtherAnswer(ResponseState state);
   // Records the rate limit that the answer's head names.
   void NoteRateLimit();
+  // Whether the answer is passed on event by event. Precondition: its head has
+  // been read.
+  bool IsStream() const;
+  void BeginStreamOnce();
   void ForwardEvents(const std::string& bytes);
   void FinishConnection();
   AttemptOutcome SetOutcome(AttemptOutcome outcome, std::string reason);
--- a/tests/entry/answer_framing_test.cc
+++ b/tests/entry/answer_framing_test.cc
@@ -203,7 +203,8 @@
   TwoAnswers once(first, {});
   const CallerAnswer single = once.Call("/stream-once/x", version);
   CHECK(once.Attempts() == 1);
-  CHECK((single.state == ResponseState::kComplete) == is_complete);
+  CHECK((single.state == ResponseState::kComplete && single.status == 200) ==
+        is_complete);
   CHECK(single.body == EventTexts(1, last, line_end));
   CheckFramingFor(version, single);
 }
@@ -295,6 +296,26 @@
   }
 }
 
+// Guards against events that have arrived and are lost with the connection.
+TEST_CASE("Events before the place where a stream breaks off are delivered") {
+  EntryFixture fixture;
+  fixture.AddGroup(
+      "a", [](const auto& connection, Waiter* waiter, Coroutine yield) {
+        ReadHead(connection.get(), waiter, yield);
+        connection->Send(
+            Serialize({Framing::kChunked, End::kOrderly, EventText(1, "\n")},
+                      "id1") +
+            "no chunk\r\n");
+        while (!connection->HasEnded()) {
+          waiter->WaitUntil(MonotonicTime::max(), yield);
+        }
+      });
+  const CallerAnswer answer = fixture.Call(
+      MakeRequest("POST", "/stream-once/x", "Content-Length: 0\r\n"));
+  CHECK(answer.state == ResponseState::kParseFailed);
+  CHECK(answer.body == EventText(1, "\n"));
+}
+
 // Guards against the chunk framing of a body that a HEAD request does not have:
 // the caller takes it for the beginning of its next answer.
 TEST_CASE("A HEAD request of a stream gets no body") {
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -199,7 +199,9 @@
       answer.framing = response.Framing();
     }
     answer.body = response.TakeBody();
-    answer.extra = std::string(connection->Input());
+    if (answer.state == ResponseState::kComplete) {
+      answer.extra = std::string(connection->Input());
+    }
     connection->SetWaiter(nullptr);
     connection->Close();
   });
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -48,7 +48,7 @@
   int status = 0;
   ResponseFraming framing = ResponseFraming::kNone;
   std::string body;   // What arrived of it.
-  std::string extra;  // Bytes after the answer.
+  std::string extra;  // Bytes after a complete answer.
 };
 
 // Routes: /once/ is at-most-once, /again/ is idempotent, /stream/ is a
