Accept an answer with a length whose head arrives alone

What callers saw: 502, or an answer only from a second server, although the first one had answered in full; a request that may run twice ran twice.

Cause: the parser of Boost.Beast 1.74 compares the length with an empty optional where no body limit is set, and every length exceeds that. With body bytes in the same read the error is overwritten, so that only a head that comes alone meets it.

Evidence: "An answer whose head arrives alone is complete" failed (502, and two requests received on the repeatable route) and passes now.

Change: the limit is the largest number. Callers of the parser bound the body themselves, as before.

--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -1,5 +1,8 @@
 #include "net/response_parser.h"
 
+#include <cstdint>
+#include <limits>
+
 #include <boost/asio/buffer.hpp>
 
 #include "net/net_constants.h"
@@ -28,7 +31,9 @@
 void ResponseParser::ResetParser() {
   this->parser.emplace();
   this->parser->header_limit(kResponseHeadLimitBytes);
-  this->parser->body_limit(boost::none);
+  // Without any limit the parser of Boost 1.74 rejects a length whose head
+  // arrives alone.
+  this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   this->parser->eager(true);
   this->parser->skip(this->without_body);
 }
--- a/tests/entry/answer_framing_test.cc
+++ b/tests/entry/answer_framing_test.cc
@@ -316,6 +316,35 @@
   CHECK(answer.body == EventText(1, "\n"));
 }
 
+// Guards against an answer that is given up, and a request that is sent twice,
+// because the body comes later than the head.
+TEST_CASE("An answer whose head arrives alone is complete") {
+  EntryFixture fixture;
+  const auto send_head_first = [&](const auto& connection, Waiter* waiter,
+                                   Coroutine yield) {
+    const std::string head = ReadHead(connection.get(), waiter, yield);
+    fixture.received.push_back(head);
+    const std::string answer = MakeAnswer(head, "200 OK", "body");
+    const std::size_t body = answer.size() - std::string("body").size();
+    connection->Send(answer.substr(0, body));
+    fixture.loop.Sleep(std::chrono::milliseconds(20), yield);
+    connection->Send(answer.substr(body));
+    while (!connection->HasEnded()) {
+      waiter->WaitUntil(MonotonicTime::max(), yield);
+    }
+  };
+  fixture.AddPlain("a", send_head_first);
+  fixture.AddPlain("b", send_head_first);
+  for (const std::string path : {"/again/x", "/once/x"}) {
+    fixture.received.clear();
+    const CallerAnswer answer =
+        fixture.Call(MakeRequest("POST", path, "Content-Length: 0\r\n"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "body");
+    CHECK(fixture.received.size() == 1);
+  }
+}
+
 // Guards against the chunk framing of a body that a HEAD request does not have:
 // the caller takes it for the beginning of its next answer.
 TEST_CASE("A HEAD request of a stream gets no body") {
