Break off streams whose connection closes before any event

What callers saw: a complete answer without any event from a server that ended after its head.

Cause: the same as of parts of an event: the orderly close of a connection that delimits the answer was taken for its end. Without any event there is no part of one that would show the break.

Change: such an attempt counts as broken off. A resumed stream that has nothing left to send should say so with a length or a last chunk; without these it is attempted again or ends visibly incomplete, since nothing tells the two apart.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -261,6 +261,7 @@
   StreamProgress& progress = this->job->progress;
   std::string passed;
   for (const StreamEvent& event : this->splitter.Feed(bytes)) {
+    this->has_event = true;
     if (event.id && progress.last_event && *event.id <= *progress.last_event) {
       continue;  // Already forwarded by an earlier attempt.
     }
@@ -294,6 +295,12 @@
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                             "the answer ended within an event");
   }
+  if (this->response->Framing() == ResponseFraming::kConnection &&
+      !this->has_event) {
+    // Nothing tells an empty stream from a server that failed after the head.
+    return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                            "connection closed before the first event");
+  }
   this->job->answer->EndStream();
   this->FinishConnection();
   return this->SetOutcome(AttemptOutcome::kDelivered, "complete stream");
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -127,6 +127,7 @@
   AnswerBufferUse buffer_use;
   bool sent_under_limit = false;  // The server's rate limit was known.
   EventSplitter splitter;
+  bool has_event = false;  // A whole event of this answer has arrived.
   BufferedAnswer failure;
   std::string reason;
   std::string suspected;
