Split events whose lines end with CR

What callers saw: nothing before the end of a stream whose lines end with CR alone; a break gave such a stream no place to resume from, and its events were sent as one part, complete or not.

Cause: lines were split at LF only. Server-sent events allow LF, CR LF and CR.

Change: the splitter ends lines at all three and goes on where it stopped looking, in place of from the event's begin. A CR at the end of the input is a line end if the line before ended with CR alone; otherwise its LF is awaited, so that an event cut within CR LF is a part of an event. A property test compares all cuts with the whole text.

--- a/src/entry/event_splitter.cc
+++ b/src/entry/event_splitter.cc
@@ -8,32 +8,14 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
-
-// Returns the position after the empty line that ends the event at `begin`, or
-// npos if the event is incomplete. Lines end with LF or CR LF.
-std::size_t FindEventEnd(const std::string& text, std::size_t begin) {
-  std::size_t line = begin;
-  while (line < text.size()) {
-    const std::size_t newline = text.find('\n', line);
-    if (newline == std::string::npos) {
-      return std::string::npos;
-    }
-    const bool is_empty =
-        newline == line || (newline == line + 1 && text[line] == '\r');
-    if (is_empty) {
-      return newline + 1;
-    }
-    line = newline + 1;
-  }
-  return std::string::npos;
-}
+constexpr char kLineEndCharacters[] = "\r\n";
 
 std::optional<std::int64_t> ParseEventId(std::string_view text) {
   while (!text.empty()) {
-    const std::size_t newline = text.find('\n');
-    std::string_view line = text.substr(0, newline);
-    text.remove_prefix(newline == std::string_view::npos ? text.size()
-                                                         : newline + 1);
+    const std::size_t line_end = text.find_first_of(kLineEndCharacters);
+    std::string_view line = text.substr(0, line_end);
+    text.remove_prefix(line_end == std::string_view::npos ? text.size()
+                                                          : line_end + 1);
     if (line.substr(0, kIdField.size()) != kIdField) {
       continue;
     }
@@ -57,16 +39,47 @@
   this->partial += bytes;
   std::vector<StreamEvent> events;
   std::size_t begin = 0;
-  for (std::size_t end = FindEventEnd(this->partial, begin);
-       end != std::string::npos; end = FindEventEnd(this->partial, begin)) {
-    StreamEvent event;
-    event.text = this->partial.substr(begin, end - begin);
-    event.id = ParseEventId(event.text);
-    events.push_back(std::move(event));
-    begin = end;
+  while (this->FindLineEnd()) {
+    const std::size_t line_end = this->scanned;
+    const std::size_t next_line = this->PassLineEnd();
+    if (next_line == std::string::npos) {
+      break;
+    }
+    const bool is_empty_line = line_end == this->line_begin;
+    this->line_begin = next_line;
+    this->scanned = next_line;
+    if (is_empty_line) {
+      StreamEvent event;
+      event.text = this->partial.substr(begin, next_line - begin);
+      event.id = ParseEventId(event.text);
+      events.push_back(std::move(event));
+      begin = next_line;
+    }
   }
   this->partial.erase(0, begin);
+  this->line_begin -= begin;
+  this->scanned -= begin;
   return events;
 }
 
+bool EventSplitter::FindLineEnd() {
+  const std::size_t found =
+      this->partial.find_first_of(kLineEndCharacters, this->scanned);
+  this->scanned = found == std::string::npos ? this->partial.size() : found;
+  return found != std::string::npos;
+}
+
+std::size_t EventSplitter::PassLineEnd() {
+  const std::size_t next = this->scanned + 1;
+  if (this->partial[this->scanned] == '\n') {
+    this->ends_lines_with_cr = false;
+    return next;
+  }
+  if (next == this->partial.size()) {
+    return this->ends_lines_with_cr ? next : std::string::npos;
+  }
+  this->ends_lines_with_cr = this->partial[next] != '\n';
+  return this->ends_lines_with_cr ? next : next + 1;
+}
+
 }  // namespace kumquatcart
--- a/src/entry/event_splitter.h
+++ b/src/entry/event_splitter.h
@@ -20,7 +20,7 @@
   auto Tie() const { return std::tie(this->text, this->id); }
 };
 
-// Not thread safe.
+// Lines end with LF, CR LF or CR. Not thread safe.
 class EventSplitter {
  public:
   // Appends bytes of the stream and returns the events completed by them.
@@ -30,7 +30,18 @@
   const std::string& Partial() const { return this->partial; }
 
  private:
+  // Moves `scanned` to the next line end. Returns false if there is none.
+  bool FindLineEnd();
+  // Returns the position after the line end at `scanned`, or npos if it is a CR
+  // at the end of the input that an LF may follow.
+  std::size_t PassLineEnd();
+
   std::string partial;
+  std::size_t line_begin = 0;  // Of the first line not yet complete.
+  std::size_t scanned = 0;     // No line ends between `line_begin` and here.
+  // Whether the last line ended with a CR alone. Such a stream is not held up
+  // until the byte after its last CR arrives.
+  bool ends_lines_with_cr = false;
 };
 
 }  // namespace kumquatcart
--- a/tests/entry/event_splitter_test.cc
+++ b/tests/entry/event_splitter_test.cc
@@ -23,6 +23,56 @@
   CHECK(events[0].id == 8);
 }
 
+TEST_CASE("Lines may end with CR alone") {
+  EventSplitter splitter;
+  const auto events = splitter.Feed("x: 1\rid: 1\rdata: a\r\rid: 2\rdata: b\r");
+  REQUIRE(events.size() == 1);
+  CHECK(events[0] == StreamEvent{"x: 1\rid: 1\rdata: a\r\r", 1});
+  // The event is complete without the byte after it.
+  CHECK(splitter.Feed("\r").size() == 1);
+  CHECK(splitter.Partial().empty());
+}
+
+// Guards against a CR LF that is taken for two line ends, and so for the empty
+// line of an event, or for one that is complete without its LF.
+TEST_CASE("An event that ends with CR LF is complete with its LF") {
+  EventSplitter splitter;
+  CHECK(splitter.Feed("id: 1\r").empty());
+  CHECK(splitter.Feed("\ndata: a\r\n").empty());
+  CHECK(splitter.Feed("\r").empty());
+  CHECK(splitter.Partial() == "id: 1\r\ndata: a\r\n\r");
+  const auto events = splitter.Feed("\n");
+  REQUIRE(events.size() == 1);
+  CHECK(events[0] == StreamEvent{"id: 1\r\ndata: a\r\n\r\n", 1});
+}
+
+// The naive splitter sees the whole text at once.
+TEST_CASE("Events are the same wherever the input is split") {
+  CHECK(rc::check([] {
+    const auto line_end = *rc::gen::element<std::string>("\n", "\r\n", "\r");
+    const int count = *rc::gen::inRange(1, 5);
+    std::string text;
+    std::vector<StreamEvent> expected;
+    for (int id = 1; id <= count; ++id) {
+      const std::string event = "id: " + std::to_string(id) + line_end +
+                                "data: a" + line_end + line_end;
+      text += event;
+      expected.push_back({event, id});
+    }
+    EventSplitter splitter;
+    std::vector<StreamEvent> events;
+    while (!text.empty()) {
+      const auto size = *rc::gen::inRange<std::size_t>(1, text.size() + 1);
+      for (const StreamEvent& event : splitter.Feed(text.substr(0, size))) {
+        events.push_back(event);
+      }
+      text.erase(0, size);
+    }
+    RC_ASSERT(events == expected);
+    RC_ASSERT(splitter.Partial().empty());
+  }));
+}
+
 TEST_CASE("No byte is lost wherever the input is split") {
   CHECK(rc::check([](const std::string& text, std::size_t cut) {
     EventSplitter splitter;
