End streams to HTTP/1.0 callers with their connection

What callers saw: chunks, which HTTP/1.0 does not know, in the middle of the body. And were they left out, a broken stream would end like a complete one.

Cause: every stream was sent with chunked coding, whatever the version of the caller.

Evidence: "An HTTP/1.0 caller can tell a complete stream from a broken one" failed and passes now.

Change: for HTTP/1.0 the body ends with the connection. From the head on the connection is set to reset when it closes, so that a broken stream, and one whose process is killed, ends with a failure; the setting ends when all bytes were sent in order. The socket's own destructor takes such a setting back, so the connection closes itself (the test of that fails without it). TcpConnection::Reset of the tests is gone for it.

--- a/src/entry/answer_sender.cc
+++ b/src/entry/answer_sender.cc
@@ -19,8 +19,15 @@
 }
 
 void AnswerSender::BeginStream(int status, HeaderList headers) {
-  this->framing = ResponseFraming::kChunked;
-  headers.push_back({"Transfer-Encoding", "chunked"});
+  if (this->uses_chunks) {
+    this->framing = ResponseFraming::kChunked;
+    headers.push_back({"Transfer-Encoding", "chunked"});
+  } else {
+    this->framing = ResponseFraming::kConnection;
+    this->closes_connection = true;
+    // An orderly close would end the body as complete.
+    this->connection->SetResetOnClose(true);
+  }
   if (this->closes_connection) {
     headers.push_back({"Connection", "close"});
   }
@@ -29,13 +36,16 @@
 
 void AnswerSender::SendPart(std::string_view bytes) {
   if (!bytes.empty()) {
-    this->connection->Send(SerializeChunk(bytes));
+    this->connection->Send(this->uses_chunks ? SerializeChunk(bytes)
+                                             : std::string(bytes));
   }
 }
 
 void AnswerSender::EndStream() {
   this->ended = true;
-  this->connection->Send(SerializeChunk({}));
+  if (this->uses_chunks) {
+    this->connection->Send(SerializeChunk({}));
+  }
 }
 
 }  // namespace kumquatcart
--- a/src/entry/answer_sender.h
+++ b/src/entry/answer_sender.h
@@ -22,9 +22,12 @@
   void SetConnectionClose() { this->closes_connection = true; }
   bool ClosesConnection() const { return this->closes_connection; }
 
+  // For callers of HTTP/1.0: a body of unknown length ends with the connection.
+  void DisableChunks() { this->uses_chunks = false; }
+
   void SendWhole(int status, HeaderList headers, std::string_view body);
 
-  // A body of unknown length, with chunked transfer coding.
+  // A body of unknown length, with chunked transfer coding unless disabled.
   void BeginStream(int status, HeaderList headers);
   void SendPart(std::string_view bytes);
   void EndStream();
@@ -39,6 +42,7 @@
   TcpConnection* const connection;
   const bool is_head_request;
   bool closes_connection = false;
+  bool uses_chunks = true;
   std::optional<ResponseFraming> framing;  // Set with the head.
   bool ended = false;
 };
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -13,10 +13,17 @@
 
 namespace {
 
-// Limit of the lingering close: time for a caller to read the last answer
-// before its connection is closed.
+// Time for a caller to read the last answer before its connection is closed or
+// reset.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
 
+// How a session's connection is closed.
+enum class SessionEnd {
+  kClose,   // At once: no answer is in flight.
+  kLinger,  // The close must not destroy an answer, or a part of one.
+  kReset,   // An incomplete answer is in flight whose end the close would be.
+};
+
 CallerLimits LimitsOf(const EntryContext& context) {
   return context.routes ? context.routes->Config().limits : CallerLimits{};
 }
@@ -56,6 +63,24 @@
   }
 }
 
+void WaitUntilSent(EntryContext* context,
+                   TcpConnection* connection,
+                   Waiter* waiter,
+                   Coroutine yield) {
+  const MonotonicTime deadline = context->loop->Now() + kLingerTimeout;
+  while (connection->UnsentBytes() > 0 && !connection->HasEnded() &&
+         waiter->WaitUntil(deadline, yield)) {
+  }
+}
+
+SessionEnd EndForIncomplete(const AnswerSender& answer) {
+  if (!answer.HasBegun()) {
+    return SessionEnd::kClose;
+  }
+  return answer.Framing() == ResponseFraming::kConnection ? SessionEnd::kReset
+                                                          : SessionEnd::kLinger;
+}
+
 // Logs a close that this process decides on.
 void LogIdleClose(const RequestReadResult& outcome,
                   const CallerLimits& limits,
@@ -96,14 +121,13 @@
       .Run(yield);
 }
 
-// Serves requests until the connection must be closed. Returns whether an
-// answer, or a part of one, is in flight that the close must not destroy. Input
-// after the last request stays unread otherwise, since a caller may send it
-// again only if it was not read.
-bool ServeRequests(EntryContext* context,
-                   TcpConnection* connection,
-                   Waiter* waiter,
-                   Coroutine yield) {
+// Serves requests until the connection must be closed. With kClose, input after
+// the last request stays unread, since a caller may send it again only if it
+// was not read.
+SessionEnd ServeRequests(EntryContext* context,
+                         TcpConnection* connection,
+                         Waiter* waiter,
+                         Coroutine yield) {
   RequestReader reader(context->loop, connection, waiter,
                        [context] { return LimitsOf(*context); });
   for (;;) {
@@ -111,7 +135,7 @@
         reader.Read(&context->close_idle_connections, yield);
     if (outcome.result == RequestReadStatus::kClosed) {
       LogIdleClose(outcome, LimitsOf(*context), context->metrics);
-      return false;
+      return SessionEnd::kClose;
     }
     const bool is_request = outcome.result == RequestReadStatus::kRequest;
     AnswerSender answer(connection,
@@ -120,15 +144,18 @@
         context->is_stopping) {
       answer.SetConnectionClose();
     }
+    if (is_request && !outcome.request.accepts_chunks) {
+      answer.DisableChunks();
+    }
     if (!is_request) {
       LogInfo("request_rejected", {{"status", StatusFor(outcome.result)}});
       answer.SendWhole(StatusFor(outcome.result), {}, {});
     } else if (!HandleRequest(context, &outcome, connection, waiter, &answer,
                               yield)) {
-      return answer.HasBegun();
+      return EndForIncomplete(answer);
     }
     if (answer.ClosesConnection()) {
-      return true;
+      return SessionEnd::kLinger;
     }
   }
 }
@@ -140,8 +167,15 @@
                  Waiter* waiter,
                  Coroutine yield) {
   connection->SetWaiter(waiter);
-  if (ServeRequests(context, connection.get(), waiter, yield)) {
-    Linger(context, connection.get(), waiter, yield);
+  switch (ServeRequests(context, connection.get(), waiter, yield)) {
+    case SessionEnd::kClose:
+      break;
+    case SessionEnd::kLinger:
+      Linger(context, connection.get(), waiter, yield);
+      break;
+    case SessionEnd::kReset:
+      WaitUntilSent(context, connection.get(), waiter, yield);
+      break;
   }
   connection->SetWaiter(nullptr);
   connection->Close();
--- a/src/entry/request_reader.cc
+++ b/src/entry/request_reader.cc
@@ -14,6 +14,8 @@
 namespace http = boost::beast::http;
 using Parser = http::request_parser<http::string_body>;
 
+// Protocol version as the parser states it.
+constexpr unsigned kHttp11 = 11;
 constexpr char kContinueResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 RequestReadStatus ClassifyError(const boost::system::error_code& error) {
@@ -93,7 +95,8 @@
       request.headers.push_back(
           {std::string(field.name_string()), std::string(field.value())});
     }
-    request.keeps_connection = message.keep_alive() && message.version() == 11;
+    request.accepts_chunks = message.version() >= kHttp11;
+    request.keeps_connection = message.keep_alive() && request.accepts_chunks;
     request.body = std::move(message.body());
     return request;
   }
--- a/src/entry/request_reader.h
+++ b/src/entry/request_reader.h
@@ -18,6 +18,7 @@
   HeaderList headers;
   std::string body;
   bool keeps_connection = true;
+  bool accepts_chunks = true;  // False for HTTP/1.0.
 };
 
 // Why a connection without a request in progress is closed.
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -22,7 +22,10 @@
 TcpConnection::TcpConnection(EventLoop* loop)
     : loop(loop), socket(loop->Context()) {}
 
-TcpConnection::~TcpConnection() = default;
+TcpConnection::~TcpConnection() {
+  // The socket's own destructor does not reset.
+  this->Close();
+}
 
 std::shared_ptr<TcpConnection> TcpConnection::Adopt(EventLoop* loop,
                                                     tcp::socket socket) {
@@ -156,6 +159,7 @@
   }
   if (this->queued.empty()) {
     if (this->finish_after_writes) {
+      this->SetResetOnClose(false);
       boost::system::error_code ignored;  // The peer may have disconnected.
       this->socket.shutdown(tcp::socket::shutdown_send, ignored);
     }
@@ -212,13 +216,13 @@
   this->socket.close(ignored);
 }
 
-void TcpConnection::Reset() {
-  if (this->closed) {
+void TcpConnection::SetResetOnClose(bool resets) {
+  if (this->resets_on_close == resets) {
     return;
   }
-  boost::system::error_code ignored;  // The connection closes in any case.
-  this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-  this->Close();
+  this->resets_on_close = resets;
+  boost::system::error_code ignored;  // The connection may have failed.
+  this->socket.set_option(boost::asio::socket_base::linger(resets, 0), ignored);
 }
 
 void TcpConnection::NotifyWaiter() {
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -69,8 +69,9 @@
   // Closes immediately and discards unsent bytes.
   void Close();
 
-  // Closes immediately so that the peer sees a failure and no orderly end.
-  void Reset();
+  // Whether the connection is reset when it closes, the end of the process
+  // included. Ends when FinishSending has sent all bytes.
+  void SetResetOnClose(bool resets);
 
   // Shuts down the sending side after all queued bytes; reading continues.
   void FinishSending();
@@ -106,6 +107,7 @@
   bool failed = false;
   bool closed = false;
   bool sent_any = false;
+  bool resets_on_close = false;
   MonotonicTime last_input;
 };
 
--- a/tests/entry/answer_framing_test.cc
+++ b/tests/entry/answer_framing_test.cc
@@ -94,10 +94,9 @@
     waiter->WaitUntil(MonotonicTime::max(), yield);
   }
   if (answer.end == End::kReset) {
-    connection->Reset();
-  } else {
-    connection->Close();
+    connection->SetResetOnClose(true);
   }
+  connection->Close();
 }
 
 // Two servers; the request's first attempt gets `first`, the second one
