Send no body framing in answers without a body

What callers saw: a last chunk after the head of the answer to a HEAD request of a stream, which a caller on a kept connection takes for the beginning of its next answer; and a Content-Length of zero in answers to HEAD and with 204, which is not that of the answer to a GET and which 204 may not have.

Cause: the sender of streams did not know HEAD requests, that of whole answers always stated the length of the body that it was given.

--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -6,6 +6,8 @@
 
 inline constexpr int kHttpOk = 200;
 inline constexpr int kHttpAccepted = 202;
+inline constexpr int kHttpNoContent = 204;
+inline constexpr int kHttpNotModified = 304;
 inline constexpr int kHttpBadRequest = 400;
 inline constexpr int kHttpUnauthorized = 401;
 inline constexpr int kHttpNotFound = 404;
--- a/tests/entry/answer_framing_test.cc
+++ b/tests/entry/answer_framing_test.cc
@@ -358,6 +358,25 @@
   }
 }
 
+// Guards against a length of zero that is not that of the answer to a GET.
+TEST_CASE("Answers that have no body state no length") {
+  EntryFixture fixture;
+  const auto serve = AnswerWith([](const std::string& head) {
+    const bool is_head = head.rfind("HEAD", 0) == 0;
+    return "HTTP/1.1 " + std::string(is_head ? "200 OK" : "204 No Content") +
+           "\r\nX-Request-Id: id1\r\nX-Response-Seal: sealed\r\n\r\n";
+  });
+  fixture.AddPlain("a", serve);
+  for (const std::string method : {"HEAD", "GET"}) {
+    const std::string answer =
+        fixture.SendRequest(MakeRequest(method, "/again/x"));
+    CHECK(answer.rfind(method == "HEAD" ? "HTTP/1.1 200" : "HTTP/1.1 204", 0) ==
+          0);
+    CHECK(answer.find("Content-Length") == std::string::npos);
+    CHECK(answer.find("Transfer-Encoding") == std::string::npos);
+  }
+}
+
 // Guards against an answer of a streaming route that is no stream and that is
 // taken for a part of an event.
 TEST_CASE("An answer of another type on a streaming route stays whole") {
