Treat answers in another transfer coding as not the server's body

What callers saw: a body in a coding such as gzip, without the field that says so.

Cause: Transfer-Encoding concerns one connection and is taken off, but only chunks are taken apart. An unusable coding of the content was known (Content-Encoding), one of the transfer was not.

--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -152,6 +152,12 @@
   return std::max(stated - kIdleMargin, Duration{0});
 }
 
+// Whether a body is the server's own once its chunks are taken apart.
+bool IsPlainTransferCoding(std::string_view coding) {
+  return coding.empty() || EqualsIgnoringCase(coding, "chunked") ||
+         EqualsIgnoringCase(coding, "identity");
+}
+
 // Parameters of the media type do not matter.
 bool IsEventStream(std::string_view content_type) {
   content_type = content_type.substr(0, content_type.find_first_of("; \t"));
@@ -230,7 +236,9 @@
   head.not_run = !response.Header(wire::kNotExecuted).empty() ||
                  head.status == kHttpMisdirectedRequest;
   head.is_event_stream = IsEventStream(response.Header("Content-Type"));
-  head.is_encoded = !response.Header("Content-Encoding").empty();
+  head.is_encoded =
+      !response.Header("Content-Encoding").empty() ||
+      !IsPlainTransferCoding(response.Header("Transfer-Encoding"));
   head.suspected_server = std::string(response.Header(wire::kAtServer));
   head.idle_limit = DecodeIdleLimit(response.Header("Keep-Alive"));
   const std::string_view limit = response.Header(wire::kServerLimit);
