Send streams of the own interface to HTTP/1.0 callers whole

What callers saw: chunks, which HTTP/1.0 does not know, in the middle of the body.

Cause: the HTTP library chunks every body without a length, whatever the version.

Evidence: "An HTTP/1.0 caller of the own interface gets no chunks" failed on the code before and passes now.

Change: for such callers the events are kept and sent as one reply with a length, or a refusal says the outcome. Ending them with the connection, as on the other path, would need a connection that resets when it breaks off, which the library does not offer.

--- a/src/gateway/gateway_constants.h
+++ b/src/gateway/gateway_constants.h
@@ -8,6 +8,8 @@
 
 namespace kumquatcart {
 
+inline constexpr char kEventStreamType[] = "text/event-stream";
+
 // Attempts of one request, the first included.
 constexpr int kMaxAttempts = 4;
 
--- a/src/gateway/incoming_request.cc
+++ b/src/gateway/incoming_request.cc
@@ -74,6 +74,10 @@
       live_slot(&context->live),
       active_slot(std::make_unique<ActiveRequests::Slot>(&context->active)) {}
 
+bool IncomingRequest::AcceptsChunks() const {
+  return this->transport.http_version() >= web::http::http_versions::HTTP_1_1;
+}
+
 void IncomingRequest::Reply(RequestOutcome outcome, WholeReply reply) {
   if (this->answered.exchange(true)) {
     return;
@@ -122,7 +126,7 @@
   response.headers().add("Cache-Control", "no-cache");
   response.set_body(
       concurrency::streams::streambuf<std::uint8_t>(buffer).create_istream(),
-      "text/event-stream");
+      kEventStreamType);
   const std::shared_ptr<IncomingRequest> self = this->shared_from_this();
   this->WatchStall(buffer, 0, on_gone);
   this->transport.reply(response).then(
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -57,6 +57,9 @@
   HttpHeaders headers;
   std::string body;
 
+  // False for callers of HTTP/1.0: a body must state its length.
+  bool AcceptsChunks() const;
+
   // Sends a whole reply and ends the request.
   void Reply(RequestOutcome outcome, WholeReply reply);
 
--- a/src/gateway/model_call.cc
+++ b/src/gateway/model_call.cc
@@ -15,6 +15,7 @@
       context(this->incoming->context),
       request(std::move(request)),
       service(std::move(service)),
+      collects_events(this->request.stream && !this->incoming->AcceptsChunks()),
       format(this->request,
              this->incoming->options.request,
              ToUnixMillis(this->context->parts.clock->WallNow()) /
@@ -170,6 +171,10 @@
 }
 
 ChunkReaction ModelCall::PushToCaller(const std::string& events) {
+  if (this->collects_events) {
+    this->text += events;
+    return ChunkReaction::kContinue;
+  }
   this->BeginStreamOnce();
   const std::weak_ptr<ModelCall> weak = this->weak_from_this();
   const bool has_room = this->stream->Push(events, [weak] {
@@ -237,24 +242,36 @@
   this->complete = true;
   this->truth.Record(ExchangePoint::kWholeAnswer);
   this->context->parts.clock->Cancel(this->deadline_timer);
-  const int tokens = this->sequencer.NextIndex();
-  if (this->request.stream) {
+  if (this->request.stream && !this->collects_events) {
     this->BeginStreamOnce();
-    std::string ending =
-        this->format.FinishEvent(tokens, this->request.max_tokens);
-    ending += kStreamEndEvent;
     this->incoming->End(RequestOutcome::kCompleted, {});
-    this->stream->Push(ending, [] {});
+    this->stream->Push(this->EndingEvents(), [] {});
     this->stream->End();
   } else {
-    WholeReply reply;
-    reply.body =
-        this->format.WholeBody(this->text, tokens, this->request.max_tokens);
-    this->incoming->Reply(RequestOutcome::kCompleted, std::move(reply));
+    this->incoming->Reply(RequestOutcome::kCompleted, this->MakeWholeReply());
   }
   this->EndAdmission();
 }
 
+std::string ModelCall::EndingEvents() const {
+  std::string ending = this->format.FinishEvent(this->sequencer.NextIndex(),
+                                                this->request.max_tokens);
+  ending += kStreamEndEvent;
+  return ending;
+}
+
+WholeReply ModelCall::MakeWholeReply() {
+  WholeReply reply;
+  if (this->collects_events) {
+    reply.content_type = kEventStreamType;
+    reply.body = std::move(this->text) + this->EndingEvents();
+  } else {
+    reply.body = this->format.WholeBody(this->text, this->sequencer.NextIndex(),
+                                        this->request.max_tokens);
+  }
+  return reply;
+}
+
 void ModelCall::OnAttemptEnd(const ExchangeEnd& end) {
   const MonotonicTime now = this->context->parts.clock->Now();
   const MonotonicTime answered_at =
--- a/src/gateway/model_call.h
+++ b/src/gateway/model_call.h
@@ -49,6 +49,8 @@
   void BeginStreamOnce();
   void CountWrongChunk(ChunkVerdict verdict, const GenerateChunk& chunk);
   void Complete();
+  std::string EndingEvents() const;
+  WholeReply MakeWholeReply();
   bool MayTryAgain(const AttemptVerdict& verdict, const ExchangeEnd& end);
   void GiveUp(const Error& error);
   void StopForCause(StopCause cause);
@@ -61,6 +63,8 @@
   GatewayContext* const context;
   const CompletionRequest request;
   const Configured<ModelService> service;
+  // Events are kept for a whole reply, since the caller accepts no chunks.
+  const bool collects_events;
   const AnswerFormat format;
   AdmissionRequest admission;
   TimerId deadline_timer = 0;
--- a/tests/gateway/answer_framing_test.cc
+++ b/tests/gateway/answer_framing_test.cc
@@ -1,5 +1,5 @@
-// Answers of backend servers in every framing, broken off at every place, on the
-// product's own interface.
+// Answers of backend servers in every framing, broken off at every place, and
+// callers of HTTP/1.0, on the product's own interface.
 #include <atomic>
 #include <string>
 
@@ -143,5 +143,33 @@
   }
 }
 
+std::string ToHttp10(std::string request) {
+  constexpr char kVersion[] = "HTTP/1.1";
+  return request.replace(request.find(kVersion), sizeof(kVersion) - 1,
+                         "HTTP/1.0");
+}
+
+// Guards against chunks in the body of a caller that does not know them.
+TEST_CASE("An HTTP/1.0 caller of the own interface gets no chunks",
+          "[gateway]") {
+  GatewayFixture fixture;
+  RawServer server([&](RawConnection* connection, int) {
+    const std::string request = connection->ReadMessage();
+    connection->Write(Frame("HTTP/1.1 200 OK\r\n", Framing::kChunked,
+                            End::kFramed,
+                            LinesOf(request, 0, 2) + DoneLine(request, 2)));
+  });
+  fixture.AddGroup("g1", server.Address());
+  for (const bool streams : {false, true}) {
+    CAPTURE(streams);
+    const auto caller = fixture.Send(ToHttp10(MakeCompletion(streams)));
+    const std::string answer = caller->ReadToEnd();
+    CHECK(answer.find(" 200 ") != std::string::npos);
+    CHECK(answer.find("chunked") == std::string::npos);
+    CHECK((answer.find("[DONE]") != std::string::npos) == streams);
+  }
+  fixture.gateway->Stop();
+}
+
 }  // namespace
 }  // namespace kumquatcart
