--- a/tests/entry/event_splitter_test.cc
+++ b/tests/entry/event_splitter_test.cc
@@ -54,8 +54,9 @@
     std::string text;
     std::vector<StreamEvent> expected;
     for (int id = 1; id <= count; ++id) {
-      const std::string event = "id: " + std::to_string(id) + line_end +
-                                "data: a" + line_end + line_end;
+      std::string event = "id: " + std::to_string(id);
+      event += line_end + "data: a";
+      event += line_end + line_end;
       text += event;
       expected.push_back({event, id});
     }
