--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -302,6 +302,13 @@
       this->context->plain_balancer->NoteFailure(slot.ServerId());
     }
   }
+  if (outcome == AttemptOutcome::kMayHaveRun && !this->answer_framing.empty()) {
+    this->context->metrics
+        ->GetCounter(
+            "kumquatcart_broken_answers_total",
+            {{"framing", this->answer_framing}, {"end", this->answer_end}})
+        .Add();
+  }
   if (outcome != AttemptOutcome::kDelivered) {
     LogInfo("attempt", {{"id", this->request.id},
                         {"server", slot.ServerId()},
