Frame answers in all forms in the soak, and break some off (--framings)

The soak's servers sent every stream in chunks with lines that end with LF, and closed a broken one between two events; its callers spoke HTTP/1.1. So it could not meet any of the faults of the broken-off answers.

Every write but the last ends within an event, so that a cut by a fault is recognisable. One request in four is sent with HTTP/1.0. The proxies pass resets on.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -43,6 +43,9 @@
   app.add_flag("--limits", settings.with_limits, "Servers name rate limits");
   app.add_flag("--idle-timeouts", settings.with_idle_timeouts,
                "Versions change the idle timeout, callers rest up to it");
+  app.add_flag("--framings", settings.with_framings,
+               "Servers frame answers in all forms and break some off, some "
+               "callers speak HTTP/1.0");
   app.add_flag("--verbose", verbose, "Prints each fault as it begins");
   CLI11_PARSE(app, argc, argv);
   kumquatcart::ConfigureLogging(
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -4,7 +4,6 @@
 
 #include <fmt/format.h>
 
-#include "entry/answer_sender.h"
 #include "net/http_status.h"
 #include "soak/expected_answer.h"
 #include "soak/loopback.h"
@@ -27,6 +26,16 @@
 constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
 constexpr int kSlots = 8;
 
+// Sends what is queued and closes in order. Returns false, as a server's answer
+// after which its connection is closed.
+bool CloseInOrder(TcpConnection* connection, Waiter* waiter, Coroutine yield) {
+  connection->FinishSending();
+  while (connection->UnsentBytes() > 0 && !connection->HasEnded()) {
+    waiter->WaitUntil(MonotonicTime::max(), yield);
+  }
+  return false;
+}
+
 std::string ReadyKey(const std::string& group,
                      std::int64_t epoch,
                      const std::vector<std::string>& members) {
@@ -225,9 +234,37 @@
   if (!this->alive) {
     return false;
   }
-  this->AnswerText(request, kHttpOk, ExpectedBody(caller_id), false,
-                   connection);
-  return true;
+  const AnswerForm form = this->FormOf(caller_id);
+  if (!form.ends_with_connection) {
+    this->AnswerText(request, kHttpOk, ExpectedBody(caller_id), false,
+                     connection);
+    return true;
+  }
+  HeaderList headers{{"X-Request-Id", caller_id},
+                     {"X-Response-Seal", this->id}};
+  this->AddLimit(caller_id, &headers);
+  AnswerSender sender(connection, false);
+  sender.DisableChunks();
+  sender.BeginStream(kHttpOk, headers);
+  sender.SendPart(ExpectedBody(caller_id));
+  sender.EndStream();
+  return CloseInOrder(connection, waiter, yield);
+}
+
+AnswerForm ServerStandIn::FormOf(const std::string& request_id) const {
+  return this->parts.varies_framing ? DrawAnswerForm(this->id, request_id)
+                                    : AnswerForm{};
+}
+
+bool ServerStandIn::BreakOff(const AnswerForm& form,
+                             AnswerSender* sender,
+                             TcpConnection* connection) const {
+  if (form.break_end == BreakEnd::kFramed && sender->HasBegun() &&
+      sender->Framing() == ResponseFraming::kChunked) {
+    sender->EndStream();
+  }
+  connection->SetResetOnClose(form.break_end == BreakEnd::kReset);
+  return false;
 }
 
 SimpleHttpResponse ServerStandIn::TakeOrder(const Json& order) {
@@ -361,38 +398,60 @@
                       served.group, member));
     }
   }
+  const AnswerForm form = this->FormOf(caller_id);
+  const auto event_text = [&](int event) {
+    return event > kStreamEvents
+               ? std::string()
+               : fmt::format("id: {}{end}data: {}{end}{end}", event,
+                             ExpectedEvent(caller_id, event),
+                             fmt::arg("end", form.line_end));
+  };
+  const auto begin_stream = [&](AnswerSender* sender) {
+    HeaderList headers{{"X-Request-Id", caller_id},
+                       {"X-Response-Seal", this->id},
+                       {"Content-Type", "text/event-stream"}};
+    this->AddLimit(caller_id, &headers);
+    sender->BeginStream(kHttpOk, headers);
+  };
   AnswerSender sender(connection, false);
+  if (form.ends_with_connection) {
+    sender.DisableChunks();
+  }
+  int event = resume.empty() ? 1 : std::stoi(resume) + 1;
+  std::string unsent = event_text(event);  // Of that event.
   MonotonicTime whole_at = this->parts.loop->Now();
-  for (int event = resume.empty() ? 1 : std::stoi(resume) + 1;
-       event <= kStreamEvents;) {
+  while (event <= kStreamEvents) {
     waiter->WaitUntil(this->parts.loop->Now() + kEventInterval, yield);
     const MonotonicTime now = this->parts.loop->Now();
     if (!this->alive || connection->HasEnded() || !this->membership ||
         this->membership->epoch != served.epoch ||
         this->membership->state != "open" || now - whole_at > kStall) {
-      return false;
+      return this->BreakOff(form, &sender, connection);
     }
     if (!this->IsWhole(served)) {
       continue;
     }
     whole_at = now;
     if (!sender.HasBegun()) {
-      HeaderList headers{{"X-Request-Id", caller_id},
-                         {"X-Response-Seal", this->id},
-                         {"Content-Type", "text/event-stream"}};
-      this->AddLimit(caller_id, &headers);
-      sender.BeginStream(kHttpOk, headers);
+      begin_stream(&sender);
+    }
+    const std::string next = event_text(event + 1);
+    const std::size_t ahead = form.splits_events ? next.size() / 2 : 0;
+    sender.SendPart(unsent + next.substr(0, ahead));
+    unsent = next.substr(ahead);
+    if (event == form.breaks_after && event < kStreamEvents) {
+      while (connection->UnsentBytes() > 0 && !connection->HasEnded()) {
+        waiter->WaitUntil(MonotonicTime::max(), yield);
+      }
+      return this->BreakOff(form, &sender, connection);
     }
-    sender.SendPart(fmt::format("id: {}\ndata: {}\n\n", event,
-                                ExpectedEvent(caller_id, event)));
     ++event;
   }
   if (!sender.HasBegun()) {
-    sender.BeginStream(
-        kHttpOk, {{"X-Request-Id", caller_id}, {"X-Response-Seal", this->id}});
+    begin_stream(&sender);
   }
   sender.EndStream();
-  return true;
+  return !form.ends_with_connection || CloseInOrder(connection, waiter, yield);
 }
 
 }  // namespace kumquatcart::soak
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "base/json.h"
+#include "entry/answer_sender.h"
 #include "entry/simple_http_server.h"
+#include "soak/answer_form.h"
 #include "soak/limit_ledger.h"
 #include "soak/run_ledger.h"
 #include "soak/store_stand_in.h"
@@ -31,6 +33,7 @@
   RunLedger* ledger = nullptr;
   LimitLedger* limits = nullptr;
   ServerTable* table = nullptr;
+  bool varies_framing = false;  // Draws a form for each answer.
 };
 
 // Listens behind a proxy of its own, which the entry VMs know as its address.
@@ -87,6 +90,11 @@
               TcpConnection* connection,
               Waiter* waiter,
               Coroutine yield);
+  AnswerForm FormOf(const std::string& request_id) const;
+  // Ends a stream that is not whole as `form` says. Returns false.
+  bool BreakOff(const AnswerForm& form,
+                AnswerSender* sender,
+                TcpConnection* connection) const;
   // Whether the head of that group is alive and open.
   bool IsServing(const Membership& served) const;
   // Whether every member is alive and in the group that this server heads.
--- a/tools/soak/soak_caller.cc
+++ b/tools/soak/soak_caller.cc
@@ -21,6 +21,8 @@
 constexpr double kLongestRest = 0.8;
 // Requests that meet the close of a shorter timeout come this close to it.
 constexpr int kOffByUs = 2000;
+// One request in so many is sent with HTTP/1.0, where versions vary.
+constexpr int kOldVersionOneIn = 4;
 constexpr Duration kLeavesAfter = std::chrono::milliseconds(60);
 
 const char* PathOf(RequestKind kind) {
@@ -33,6 +35,24 @@
          status == kHttpRequestTimeout || status == kHttpMisdirectedRequest;
 }
 
+std::string ToHttp10(std::string request) {
+  constexpr std::string_view kVersion = "HTTP/1.1";
+  return request.replace(request.find(kVersion), kVersion.size(), "HTTP/1.0");
+}
+
+// The events of a stream with lines that end with LF, whatever they end with.
+std::string WithUniformLineEnds(const std::string& stream) {
+  std::string text;
+  for (std::size_t i = 0; i < stream.size(); ++i) {
+    if (stream[i] != '\r') {
+      text += stream[i];
+    } else if (i + 1 == stream.size() || stream[i + 1] != '\n') {
+      text += '\n';
+    }
+  }
+  return text;
+}
+
 std::string ExpectedStream(const std::string& id) {
   std::string text;
   for (int event = 1; event <= kStreamEvents; ++event) {
@@ -62,6 +82,12 @@
       std::uniform_int_distribution<int>(0, 2)(this->generator));
 }
 
+bool SoakCaller::PickOldVersion() {
+  return this->rules.varies_version &&
+         std::uniform_int_distribution<int>(
+             1, kOldVersionOneIn)(this->generator) == 1;
+}
+
 void SoakCaller::Run(Coroutine yield) {
   while (this->rules.goes_on()) {
     if (this->connection != nullptr) {
@@ -148,7 +174,9 @@
        {"Authorization", std::string("Bearer ") + kCallerKey}},
       ""};
   this->connection->SetWaiter(&this->waiter);
-  this->connection->Send(SerializeRequest(request));
+  const bool is_old_version = this->PickOldVersion();
+  const std::string text = SerializeRequest(request);
+  this->connection->Send(is_old_version ? ToHttp10(text) : text);
   const MonotonicTime sent_at = this->loop->Now();
   const MonotonicTime deadline =
       sent_at + (leaves ? kLeavesAfter : kPatience + kSlack);
@@ -162,6 +190,10 @@
     }
   }
   RequestEnd end = RequestEnd::kFailed;
+  if (is_old_version && response.HasHead() &&
+      response.Framing() == ResponseFraming::kChunked) {
+    this->ledger->Accuse(id + ": chunks to a caller of HTTP/1.0");
+  }
   if (state == ResponseState::kComplete) {
     end = this->Check(kind, id, response, response.TakeBody());
   }
@@ -190,10 +222,10 @@
   const int status = response.Status();
   const bool is_signed = !response.Header("X-Response-Seal").empty();
   if (status / 100 == 2) {
-    const std::string expected =
-        kind == RequestKind::kStream ? ExpectedStream(id) : ExpectedBody(id);
-    if (!is_signed || body != expected ||
-        response.Header("X-Request-Id") != id) {
+    const bool is_whole = kind == RequestKind::kStream
+                              ? WithUniformLineEnds(body) == ExpectedStream(id)
+                              : body == ExpectedBody(id);
+    if (!is_signed || !is_whole || response.Header("X-Request-Id") != id) {
       this->ledger->Accuse(
           fmt::format("{}: a success that is not its own: {}", id, body));
     }
--- a/tools/soak/soak_caller.h
+++ b/tools/soak/soak_caller.h
@@ -31,6 +31,7 @@
   // timeout, half of the times near the end of the one before.
   bool rests = false;
   std::function<IdleTimeouts()> idle_timeouts;
+  bool varies_version = false;  // Sends some requests with HTTP/1.0.
 };
 
 // Sends one request after the other over connections that it keeps until they
@@ -54,6 +55,8 @@
   void Rest(Coroutine yield);
   // Whether the other side has reset the ended connection before this call.
   bool WasReset(Coroutine yield);
+  // Whether the next request is sent with HTTP/1.0.
+  bool PickOldVersion();
   // What became of one request on the open connection.
   RequestEnd Ask(RequestKind kind, const std::string& id, Coroutine yield);
   RequestEnd Check(RequestKind kind,
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -69,16 +69,16 @@
     this->callers.push_back(std::make_unique<SoakCaller>(
         &this->loop, &this->ledger, fmt::format("c{}", i),
         this->settings.seed * 1000 + static_cast<std::uint64_t>(i),
-        CallerRules{[this] {
-                      const std::size_t pick =
-                          std::uniform_int_distribution<std::size_t>(
-                              0, this->entries.size() - 1)(this->generator);
-                      return this->entries[pick]->Callers();
-                    },
-                    [this] { return this->calling; },
-                    this->settings.with_idle_timeouts,
-                    this->settings.with_idle_timeouts && i % 2 == 1,
-                    [this] { return this->idle; }}));
+        CallerRules{
+            [this] {
+              const std::size_t pick =
+                  std::uniform_int_distribution<std::size_t>(
+                      0, this->entries.size() - 1)(this->generator);
+              return this->entries[pick]->Callers();
+            },
+            [this] { return this->calling; }, this->settings.with_idle_timeouts,
+            this->settings.with_idle_timeouts && i % 2 == 1,
+            [this] { return this->idle; }, this->settings.with_framings}));
     this->loop.Spawn([caller = this->callers.back().get()](Coroutine yield) {
       caller->Run(yield);
     });
@@ -134,7 +134,7 @@
 void SoakWorld::AddServer(bool forms_groups) {
   this->servers.push_back(std::make_unique<ServerStandIn>(
       ServerParts{&this->loop, &this->store, &this->ledger, &this->limits,
-                  &this->table},
+                  &this->table, this->settings.with_framings},
       fmt::format("i{}", ++this->servers_started),
       forms_groups ? kModelService : kPlainService, forms_groups));
   if (this->servers.back()->Start().has_error()) {
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -28,6 +28,9 @@
   bool with_limits = false;  // Servers name rate limits.
   // Versions change the idle timeout, and half of the callers rest up to it.
   bool with_idle_timeouts = false;
+  // Servers frame answers in all forms and break some off; some callers speak
+  // HTTP/1.0.
+  bool with_framings = false;
 };
 
 // The idle timeout of the first version.
--- a/tools/soak/tcp_proxy.cc
+++ b/tools/soak/tcp_proxy.cc
@@ -78,6 +78,8 @@
          this->loop->Now() < last) {
     this->loop->Sleep(kLook, yield);
   }
+  near->SetResetOnClose(far->HasFailed());
+  far->SetResetOnClose(near->HasFailed());
   for (TcpConnection* end : {near.get(), far.get()}) {
     end->SetWaiter(nullptr);
     end->Close();
