--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -21,7 +21,7 @@
 enum class SessionEnd {
   kClose,   // At once: no answer is in flight.
   kLinger,  // The close must not destroy an answer, or a part of one.
-  kReset,   // An incomplete answer is in flight whose end the close would be.
+  kReset,   // An incomplete answer ends with the connection.
 };
 
 CallerLimits LimitsOf(const EntryContext& context) {
@@ -63,6 +63,7 @@
   }
 }
 
+// Gives an incomplete answer time to leave before its connection is reset.
 void WaitUntilSent(EntryContext* context,
                    TcpConnection* connection,
                    Waiter* waiter,
--- a/src/gateway/upstream_exchange.cc
+++ b/src/gateway/upstream_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "gateway/gateway_constants.h"
 #include "gateway/one_way_streambuf.h"
+#include "net/http_status.h"
 
 namespace kumquatcart {
 
@@ -18,9 +19,6 @@
 constexpr char kConnectFailedText[] = "Failed to connect to any resolved";
 constexpr char kConnectCancelledText[] = "Request canceled by user";
 
-constexpr int kNoContentStatus = 204;
-constexpr int kNotModifiedStatus = 304;
-
 std::string DescribeError(const std::exception_ptr& error) {
   if (!error) {
     return {};
@@ -55,8 +53,8 @@
 ResponseFraming FramingOf(const web::http::http_response& response,
                           const std::string& method) {
   const web::http::status_code status = response.status_code();
-  if (method == "HEAD" || status == kNoContentStatus ||
-      status == kNotModifiedStatus) {
+  if (method == "HEAD" || status == kHttpNoContent ||
+      status == kHttpNotModified) {
     return ResponseFraming::kNone;
   }
   if (response.headers().has("Content-Length")) {
--- a/tests/entry/answer_framing_test.cc
+++ b/tests/entry/answer_framing_test.cc
@@ -1,6 +1,9 @@
 // Answers of servers in every framing, broken off at every place, as callers of
 // both protocol versions get them.
-#include <ostream>
+#include <unistd.h>
+
+#include <cstdio>
+#include <sstream>
 
 #include <catch2/catch.hpp>
 
@@ -344,6 +347,61 @@
   }
 }
 
+// Collects what is written to standard error, to which tests log.
+class CapturedLog {
+ public:
+  CapturedLog() : file(std::tmpfile()), stderr_copy(dup(STDERR_FILENO)) {
+    dup2(fileno(this->file), STDERR_FILENO);
+  }
+  ~CapturedLog() {
+    dup2(this->stderr_copy, STDERR_FILENO);
+    close(this->stderr_copy);
+    std::fclose(this->file);
+  }
+  CapturedLog(const CapturedLog&) = delete;
+  CapturedLog& operator=(const CapturedLog&) = delete;
+
+  // Whether a line of `event` holds all of `fields`.
+  bool HasLine(const std::string& event, const std::string& fields) const {
+    std::rewind(this->file);
+    std::string text;
+    for (int c = std::fgetc(this->file); c != EOF; c = std::fgetc(this->file)) {
+      text.push_back(static_cast<char>(c));
+    }
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+      if (line.find("event=" + event + " id=id1 ") != std::string::npos &&
+          line.find(fields) != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+ private:
+  std::FILE* const file;
+  const int stderr_copy;
+};
+
+// Guards against an incident whose log does not tell a whole stream from a
+// broken one.
+TEST_CASE("The log says how an answer was framed, how it ended and where") {
+  const CapturedLog log;
+  TwoAnswers resumed({Framing::kClose, End::kFramed, EventText(1, "\n") + "id"},
+                     {Framing::kChunked, End::kFramed, EventText(2, "\n")});
+  resumed.Call("/stream/x", kHttp11);
+  CHECK(log.HasLine(
+      "attempt", "answer_framing=connection answer_end=closed last_event=1"));
+  CHECK(log.HasLine("request",
+                    "answer_framing=chunked answer_end=framed last_event=2 "
+                    "sent_framing=chunked sent=whole"));
+  TwoAnswers broken({Framing::kLength, End::kReset, EventText(1, "\n")}, {});
+  broken.Call("/stream-once/x", kHttp10);
+  CHECK(log.HasLine("request",
+                    "answer_framing=length answer_end=reset last_event=1 "
+                    "sent_framing=connection sent=part"));
+}
+
 // Guards against the chunk framing of a body that a HEAD request does not have:
 // the caller takes it for the beginning of its next answer.
 TEST_CASE("A HEAD request of a stream gets no body") {
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -158,8 +158,9 @@
   }
 }
 
-std::string EntryFixture::SendRequest(const std::string& request) {
-  std::string bytes;
+void EntryFixture::Exchange(
+    const std::string& request,
+    const std::function<void(TcpConnection*)>& read_input) {
   RunCoroutine(&this->loop, [&](Coroutine yield) {
     Waiter waiter(&this->loop);
     const auto connection = std::make_shared<TcpConnection>(&this->loop);
@@ -170,41 +171,35 @@
     connection->Send(request);
     while (!connection->HasEnded() &&
            waiter.WaitUntil(TestDeadline(&this->loop), yield)) {
+      read_input(connection.get());
     }
-    bytes = std::string(connection->Input());
     connection->SetWaiter(nullptr);
     connection->Close();
   });
+}
+
+std::string EntryFixture::SendRequest(const std::string& request) {
+  std::string bytes;
+  this->Exchange(request, [&bytes](TcpConnection* connection) {
+    bytes = std::string(connection->Input());
+  });
   return bytes;
 }
 
 CallerAnswer EntryFixture::Call(const std::string& request) {
   CallerAnswer answer;
-  RunCoroutine(&this->loop, [&](Coroutine yield) {
-    Waiter waiter(&this->loop);
-    const auto connection = std::make_shared<TcpConnection>(&this->loop);
-    if (!connection->Connect(this->entry_server->Address(),
-                             TestDeadline(&this->loop), &waiter, yield)) {
-      return;
-    }
-    connection->Send(request);
-    ResponseParser response(request.rfind("HEAD ", 0) == 0);
-    answer.state = response.ParseAvailable(connection.get());
-    while (!connection->HasEnded() &&
-           waiter.WaitUntil(TestDeadline(&this->loop), yield)) {
-      answer.state = response.ParseAvailable(connection.get());
-    }
-    if (response.HasHead()) {
-      answer.status = response.Status();
-      answer.framing = response.Framing();
-    }
-    answer.body = response.TakeBody();
-    if (answer.state == ResponseState::kComplete) {
-      answer.extra = std::string(connection->Input());
-    }
-    connection->SetWaiter(nullptr);
-    connection->Close();
+  ResponseParser response(request.rfind("HEAD ", 0) == 0);
+  this->Exchange(request, [&](TcpConnection* connection) {
+    answer.state = response.ParseAvailable(connection);
+    answer.extra = answer.state == ResponseState::kComplete
+                       ? std::string(connection->Input())
+                       : std::string();
   });
+  if (response.HasHead()) {
+    answer.status = response.Status();
+    answer.framing = response.Framing();
+  }
+  answer.body = response.TakeBody();
   return answer;
 }
 
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -3,6 +3,7 @@
 #ifndef ENTRY_ENTRY_FIXTURE_H_
 #define ENTRY_ENTRY_FIXTURE_H_
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -105,6 +106,10 @@
            const std::string& service,
            LoopServer::Script script);
   void ApplyConfig();
+  // Sends `request` on a new connection and calls `read_input` whenever input
+  // may have arrived, until the connection ends.
+  void Exchange(const std::string& request,
+                const std::function<void(TcpConnection*)>& read_input);
 
   ClusterLoad load;
   ClusterLoad unread_tokens;
