Advance a test's clock exactly to the idle timeout

Cause: the test advances its clock by 6 s while the idle timeout is 5 s. The timer fires within the advance; the second attempt starts on another thread and arms its connect timeout of 1 s, which the remaining second of the same advance then passes, so that a third connection is opened. That fits the log of the failure (the second attempt timed out within 1 ms of the first). Ruled out: a second firing of the idle timer, which is disarmed with the exchange.

The advance now ends where the timer fires, which is also the stricter bound.

--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -65,7 +65,9 @@
                         EngineToken(request, 1, "1"));
       was_relayed.wait();
       if (how == Break::kSilent) {
-        fixture.clock.Advance(std::chrono::seconds(6));
+        // Not longer: the rest of an advance would run into the timeouts of the
+        // next attempt, which starts on another thread meanwhile.
+        fixture.clock.Advance(GatewaySettings{}.idle_timeout);
         connection->ReadToEnd();
       } else if (how == Break::kEndedEarly) {
         connection->Write("0\r\n\r\n");
