Give the duties of a failure domain to the VMs with the most processor time

Cause: planner, readers and the node that others ask for records were the first by name. On the large site most VMs have 0.12 cores and 20 Mbit/s, three of each failure domain 0.5 cores and 200 Mbit/s. A node's record now states its cores; ranks go by them, then by name, so that sites of equal VMs see no change. Records of an earlier version rank last; two planners that disagree during an update are kept apart by the store's condition, as before.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -81,7 +81,9 @@
       engine_http(&this->loop, kMaxEngineAnswerBytes),
       engines(&this->loop, &this->engine_http),
       pool(&this->loop),
-      peers(this->settings.node_name, this->settings.failure_domain),
+      peers(this->settings.node_name,
+            this->settings.failure_domain,
+            this->settings.cores),
       role(&this->loop,
            &this->peers,
            &this->store,
@@ -297,7 +299,7 @@
   }
   this->peers.PutPeer(record.key,
                       json.value().value("failure_domain", std::string()),
-                      endpoint.value());
+                      endpoint.value(), json.value().value("cores", 0.0));
   std::vector<TcpEndpoint> relays;
   for (const Endpoint& peer : this->peers.EndpointsFromSuccessor()) {
     relays.push_back(ToTcpEndpoint(peer));
@@ -306,10 +308,11 @@
 }
 
 void EntryProcess::PublishNodeRecord(Coroutine yield) {
-  const std::string value =
-      Json{{"endpoint", this->settings.peers},
-           {"failure_domain", this->settings.failure_domain}}
-          .dump();
+  const std::string value = Json{
+      {"endpoint", this->settings.peers},
+      {"failure_domain", this->settings.failure_domain},
+      {"cores",
+       this->settings.cores}}.dump();
   for (;;) {
     const Result<std::int64_t> offset =
         this->store.Append(StoreTopic::kNodes, this->settings.node_name, value,
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -30,6 +30,9 @@
 // Position of the limits, which nodes of earlier versions do not send.
 constexpr std::size_t kLimitsIndex = 14;
 
+// Position of the domain loads, which only collectors send.
+constexpr std::size_t kDomainLoadsIndex = 15;
+
 std::vector<ServerLimit> DecodeLimits(const Json& json) {
   std::vector<ServerLimit> limits;
   for (const Json& row : json) {
@@ -38,6 +41,16 @@
   return limits;
 }
 
+std::vector<DomainLoad> DecodeDomainLoads(const Json& json) {
+  std::vector<DomainLoad> loads;
+  for (const Json& row : json) {
+    loads.push_back({row.at(0).get<std::string>(), row.at(1).get<int>(),
+                     row.at(2).get<std::map<std::string, int>>(),
+                     row.at(3).get<std::map<std::string, int>>()});
+  }
+  return loads;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const NodeDigest& digest) {
@@ -53,6 +66,16 @@
       limits.push_back(EncodeServerLimit(limit));
     }
     json.push_back(std::move(limits));
+  } else if (!digest.domain_loads.empty()) {
+    json.push_back(nullptr);
+  }
+  if (!digest.domain_loads.empty()) {
+    Json loads = Json::array();
+    for (const DomainLoad& load : digest.domain_loads) {
+      loads.push_back(Json::array(
+          {load.failure_domain, load.age_ms, load.in_flight, load.unread}));
+    }
+    json.push_back(std::move(loads));
   }
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(bytes.begin(), bytes.end());
@@ -78,9 +101,12 @@
     digest.unreachable = json.at(11).get<std::vector<std::string>>();
     digest.suspected_servers = json.at(12).get<std::vector<std::string>>();
     digest.groups = DecodeGroupStates(json.at(13));
-    if (json.size() > kLimitsIndex) {
+    if (json.size() > kLimitsIndex && !json.at(kLimitsIndex).is_null()) {
       digest.limits = DecodeLimits(json.at(kLimitsIndex));
     }
+    if (json.size() > kDomainLoadsIndex) {
+      digest.domain_loads = DecodeDomainLoads(json.at(kDomainLoadsIndex));
+    }
     return digest;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/peers/node_digest.h
+++ b/src/peers/node_digest.h
@@ -24,6 +24,19 @@
   auto Tie() const { return std::tie(this->group, this->epoch, this->open); }
 };
 
+// Load of all nodes of a failure domain, summed by one of its collectors.
+struct DomainLoad {
+  std::string failure_domain;
+  int age_ms = 0;                        // Time since it was summed.
+  std::map<std::string, int> in_flight;  // Requests by server.
+  std::map<std::string, int> unread;     // Their unprocessed prompt tokens.
+
+  auto Tie() const {
+    return std::tie(this->failure_domain, this->age_ms, this->in_flight,
+                    this->unread);
+  }
+};
+
 // Immutable once sent.
 struct NodeDigest {
   std::string node;
@@ -42,13 +55,14 @@
   // Some of the limits that it knows. None: a node of a version that does not
   // share limits.
   std::optional<std::vector<ServerLimit>> limits;
+  std::vector<DomainLoad> domain_loads;  // Only from collectors.
 
   auto Tie() const {
     return std::tie(this->node, this->failure_domain, this->interval_ms,
                     this->is_stopping, this->reaches_store, this->has_traffic,
                     this->config_version, this->topic_ends, this->in_flight,
                     this->unread, this->unreachable, this->suspected_servers,
-                    this->groups, this->limits);
+                    this->groups, this->limits, this->domain_loads);
   }
 };
 
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -1,6 +1,7 @@
 #include "peers/peer_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "peers/rendezvous.h"
@@ -14,10 +15,14 @@
 constexpr int kMaxMissedDigests = 3;
 constexpr Duration kMinPeerTimeout = std::chrono::milliseconds(900);
 
-// Number of nodes per failure domain, in name order, that read every topic of
-// the store.
+// Number of nodes per failure domain, by rank, that read every topic of the
+// store.
 constexpr int kStoreReadersPerDomain = 2;
 
+// Time for which the duties found are used again; short against
+// kMinPeerTimeout.
+constexpr Duration kDutiesLifetime = std::chrono::milliseconds(50);
+
 bool CanPlan(const PeerState& peer, MonotonicTime now) {
   return peer.IsAlive(now) && peer.digest.reaches_store &&
          !peer.digest.is_stopping;
@@ -36,13 +41,25 @@
 
 void PeerDirectory::PutPeer(const std::string& node,
                             const std::string& failure_domain,
-                            const Endpoint& endpoint) {
+                            const Endpoint& endpoint,
+                            double cores) {
   if (node == this->own_node) {
     return;
   }
   PeerState& peer = this->peers[node];
   peer.endpoint = endpoint;
   peer.failure_domain = failure_domain;
+  peer.cores = cores;
+  this->duties = Duties{};
+}
+
+PeerDirectory::Duties& PeerDirectory::DutiesAt(MonotonicTime now) const {
+  if (now < this->duties.found_at ||
+      now - this->duties.found_at >= kDutiesLifetime) {
+    this->duties = Duties{};
+    this->duties.found_at = now;
+  }
+  return this->duties;
 }
 
 bool PeerDirectory::AcceptDigest(const NodeDigest& digest, MonotonicTime now) {
@@ -50,8 +67,13 @@
   if (found == this->peers.end()) {
     return false;
   }
-  found->second.digest = digest;
-  found->second.digest_received_at = now;
+  PeerState& peer = found->second;
+  const bool could_plan = CanPlan(peer, now);
+  peer.digest = digest;
+  peer.digest_received_at = now;
+  if (could_plan != CanPlan(peer, now)) {
+    this->duties = Duties{};
+  }
   return true;
 }
 
@@ -95,25 +117,78 @@
 
 const PeerState* PeerDirectory::FindPlanner(const std::string& failure_domain,
                                             MonotonicTime now) const {
-  const PeerState* planner = nullptr;
-  Rank best_rank;
-  for (const auto& [node, peer] : this->peers) {
-    const Rank rank{peer.failure_domain != failure_domain, node};
-    if (CanPlan(peer, now) && (planner == nullptr || rank < best_rank)) {
-      planner = &peer;
-      best_rank = rank;
+  Duties& known = this->DutiesAt(now);
+  const auto [result, is_new] = known.planners.try_emplace(failure_domain);
+  if (!is_new) {
+    return result->second;
+  }
+  auto planner = this->peers.end();
+  for (auto entry = this->peers.begin(); entry != this->peers.end(); ++entry) {
+    if (CanPlan(entry->second, now) &&
+        (planner == this->peers.end() ||
+         RankOf(entry->first, entry->second, failure_domain) <
+             RankOf(planner->first, planner->second, failure_domain))) {
+      planner = entry;
     }
   }
-  return planner;
+  if (planner != this->peers.end()) {
+    result->second = &planner->second;
+  }
+  return result->second;
 }
 
-int PeerDirectory::CountPrecedingNodes(MonotonicTime now) const {
-  return static_cast<int>(std::count_if(
-      this->peers.begin(), this->peers.end(), [this, now](const auto& entry) {
+int PeerDirectory::CountPrecedingNodes(MonotonicTime now,
+                                       bool include_silent) const {
+  Duties& known = this->DutiesAt(now);
+  if (!include_silent && known.preceding_nodes) {
+    return *known.preceding_nodes;
+  }
+  const Rank own = this->OwnRank(this->own_failure_domain);
+  const auto count = static_cast<int>(std::count_if(
+      this->peers.begin(), this->peers.end(), [&](const auto& entry) {
         const PeerState& peer = entry.second;
         return peer.failure_domain == this->own_failure_domain &&
-               entry.first < this->own_node && CanPlan(peer, now);
+               RankOf(entry.first, peer, this->own_failure_domain) < own &&
+               (CanPlan(peer, now) ||
+                (include_silent && peer.digest_received_at == MonotonicTime{}));
       }));
+  if (!include_silent) {
+    known.preceding_nodes = count;
+  }
+  return count;
+}
+
+bool PeerDirectory::PrecedesAll(MonotonicTime now) const {
+  const Rank own = this->OwnRank(this->own_failure_domain);
+  return std::none_of(
+      this->peers.begin(), this->peers.end(), [&](const auto& entry) {
+        const PeerState& peer = entry.second;
+        return RankOf(entry.first, peer, peer.failure_domain) < own &&
+               CanPlan(peer, now);
+      });
+}
+
+std::set<std::string> PeerDirectory::FindFirstPeers(int count,
+                                                    MonotonicTime now) const {
+  // By failure domain, in the order of their ranks.
+  std::map<std::string, std::set<std::pair<double, std::string>>> first;
+  for (const auto& [node, peer] : this->peers) {
+    if (!CanPlan(peer, now)) {
+      continue;
+    }
+    auto& chosen = first[peer.failure_domain];
+    chosen.emplace(-peer.cores, node);
+    if (chosen.size() > static_cast<std::size_t>(count)) {
+      chosen.erase(std::prev(chosen.end()));
+    }
+  }
+  std::set<std::string> nodes;
+  for (const auto& domain : first) {
+    for (const auto& ranked : domain.second) {
+      nodes.insert(ranked.second);
+    }
+  }
+  return nodes;
 }
 
 std::vector<Endpoint> PeerDirectory::EndpointsFromSuccessor() const {
@@ -131,11 +206,14 @@
 
 bool PeerDirectory::IsStoreDown(bool own_reaches_store,
                                 MonotonicTime now) const {
-  std::map<std::string, std::map<std::string, bool>> by_domain;
-  by_domain[this->own_failure_domain][this->own_node] = own_reaches_store;
+  std::map<std::string, std::map<std::pair<double, std::string>, bool>>
+      by_domain;
+  by_domain[this->own_failure_domain][{-this->own_cores, this->own_node}] =
+      own_reaches_store;
   for (const auto& [node, peer] : this->peers) {
     if (peer.IsAlive(now) && !peer.digest.is_stopping) {
-      by_domain[peer.failure_domain][node] = peer.digest.reaches_store;
+      by_domain[peer.failure_domain][{-peer.cores, node}] =
+          peer.digest.reaches_store;
     }
   }
   int readers = 0;
@@ -161,9 +239,9 @@
     return false;
   }
   const PeerState* other = this->FindPlanner(failure_domain, now);
-  const Rank own{this->own_failure_domain != failure_domain, this->own_node};
-  return other == nullptr || own < Rank{other->failure_domain != failure_domain,
-                                        other->digest.node};
+  return other == nullptr ||
+         this->OwnRank(failure_domain) <
+             RankOf(other->digest.node, *other, failure_domain);
 }
 
 }  // namespace kumquatcart
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -3,6 +3,8 @@
 #define PEERS_PEER_DIRECTORY_H_
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -16,9 +18,12 @@
 struct PeerState {
   Endpoint endpoint;
   std::string failure_domain;
+  double cores = 0;                  // Processor time per second; 0: unknown.
   NodeDigest digest;                 // Valid once one has been received.
   MonotonicTime digest_received_at;  // Zero: none yet.
   MonotonicTime digest_sent_at;
+  // Time until the next digest to it, as stated in the last one.
+  Duration stated_interval = Duration::max();
 
   bool HasDigestSince(MonotonicTime oldest) const {
     return this->digest_received_at >= oldest &&
@@ -30,19 +35,25 @@
   bool IsAlive(MonotonicTime now) const;
 };
 
-// Determines from the digests of peers which node plans which failure domain.
-// Not thread safe: used on the event loop's thread only.
+// Determines from the digests of peers which node has which duty in a failure
+// domain. Duties go to the nodes with the most processor time, and by name
+// among equal ones. Not thread safe: used on the event loop's thread only.
 class PeerDirectory {
  public:
-  PeerDirectory(std::string own_node, std::string own_failure_domain)
+  // `own_cores`: processor time per second of this node.
+  PeerDirectory(std::string own_node,
+                std::string own_failure_domain,
+                double own_cores = 0)
       : own_node(std::move(own_node)),
-        own_failure_domain(std::move(own_failure_domain)) {}
+        own_failure_domain(std::move(own_failure_domain)),
+        own_cores(own_cores) {}
 
   // Adds or updates a peer with its address from the store. Ignores the entry
   // of this node.
   void PutPeer(const std::string& node,
                const std::string& failure_domain,
-               const Endpoint& endpoint);
+               const Endpoint& endpoint,
+               double cores = 0);
 
   // Stores the digest of a known peer. Returns false if the peer is unknown.
   bool AcceptDigest(const NodeDigest& digest, MonotonicTime now);
@@ -69,7 +80,7 @@
                               MonotonicTime now) const;
 
   // Returns whether this process plans the groups in `failure_domain`. The
-  // planner is the first by name of the live nodes of that failure domain that
+  // planner is the first by rank of the live nodes of that failure domain that
   // can write to the store, or of all such nodes if the failure domain has
   // none. Two nodes may temporarily both be planner; the store accepts the
   // record of only one of them.
@@ -80,12 +91,25 @@
 
   // Returns whether the store is down, as opposed to refusing only some nodes:
   // true if it is unreachable from most of the nodes that read it, which are
-  // the first two by name of each failure domain.
+  // the first two by rank of each failure domain.
   bool IsStoreDown(bool own_reaches_store, MonotonicTime now) const;
 
   // Number of nodes in the failure domain of this process that precede it by
-  // name and can plan.
-  int CountPrecedingNodes(MonotonicTime now) const;
+  // rank and can plan. With `include_silent`, nodes without any digest count
+  // too.
+  int CountPrecedingNodes(MonotonicTime now, bool include_silent = false) const;
+
+  // Whether this process precedes all live nodes that can plan, regardless of
+  // their failure domains.
+  bool PrecedesAll(MonotonicTime now) const;
+
+  // Returns the first `count` peers by rank of each failure domain that can
+  // plan, leaving out this process.
+  std::set<std::string> FindFirstPeers(int count, MonotonicTime now) const;
+
+  const std::string& OwnFailureDomain() const {
+    return this->own_failure_domain;
+  }
 
   // Returns the peer that plans `failure_domain` by the rule of IsPlannerFor()
   // if this process is left out; null if no peer can plan.
@@ -93,11 +117,34 @@
                                MonotonicTime now) const;
 
  private:
-  // Orders nodes of the failure domain before others, then by name.
-  using Rank = std::pair<bool, std::string>;
+  // Order in which nodes take over the duties of a failure domain: its own
+  // nodes before others, then by processor time (negated), then by name.
+  using Rank = std::tuple<bool, double, const std::string&>;
+
+  static Rank RankOf(const std::string& node,
+                     const PeerState& peer,
+                     const std::string& failure_domain) {
+    return {peer.failure_domain != failure_domain, -peer.cores, node};
+  }
+  Rank OwnRank(const std::string& failure_domain) const {
+    return {this->own_failure_domain != failure_domain, -this->own_cores,
+            this->own_node};
+  }
+
+  // Results that are asked for with every digest, each of which would need a
+  // pass over all peers. Valid for a short time, within which no peer counts as
+  // dead that did not before, and until a peer's ability to plan changes.
+  struct Duties {
+    MonotonicTime found_at;
+    std::map<std::string, const PeerState*> planners;  // By failure domain.
+    std::optional<int> preceding_nodes;
+  };
+  Duties& DutiesAt(MonotonicTime now) const;
 
   const std::string own_node;
   const std::string own_failure_domain;
+  const double own_cores;
+  mutable Duties duties;
   std::map<std::string, PeerState> peers;
 };
 
--- a/src/platform/process_settings.cc
+++ b/src/platform/process_settings.cc
@@ -21,6 +21,10 @@
 constexpr double kDefaultRetryWindowSeconds = 10;
 constexpr std::uint64_t kDefaultCallBytes = 1024 * 1024;
 constexpr std::uint32_t kDefaultDescriptors = 1024;
+// Of the smallest VMs in use.
+constexpr double kDefaultCores = 0.12;
+constexpr double kDefaultLinkMbps = 20;
+constexpr double kBytesPerMegabit = 1e6 / 8;
 
 Duration FromMillis(double millis) {
   return std::chrono::duration_cast<Duration>(
@@ -64,6 +68,16 @@
       NumberAt(bounds, "budget_window_s", kDefaultRetryWindowSeconds) * 1000);
 }
 
+void DecodeLimits(const Json& json, ProcessSettings* settings) {
+  const Json& limits = TableAt(json, "limits");
+  settings->descriptors = static_cast<std::uint32_t>(
+      NumberAt(limits, "max_fds", kDefaultDescriptors));
+  settings->cores = NumberAt(limits, "cpu_share", kDefaultCores) *
+                    NumberAt(limits, "cores", 1);
+  settings->link_bytes_per_second =
+      NumberAt(limits, "link_mbps", kDefaultLinkMbps) * kBytesPerMegabit;
+}
+
 Status DecodeAddresses(const Json& json, ProcessSettings* settings) {
   const Json& listen = TableAt(json, "listen");
   BOOST_OUTCOME_TRY(callers, EndpointAt(listen, "front"));
@@ -100,8 +114,7 @@
   DecodeBounds(json, &settings);
   settings.call_bytes = static_cast<std::uint64_t>(
       NumberAt(TableAt(json, "platform"), "call_bytes", kDefaultCallBytes));
-  settings.descriptors = static_cast<std::uint32_t>(
-      NumberAt(TableAt(json, "limits"), "max_fds", kDefaultDescriptors));
+  DecodeLimits(json, &settings);
   return settings;
 }
 
--- a/src/platform/process_settings.h
+++ b/src/platform/process_settings.h
@@ -31,14 +31,16 @@
   double retry_base = 0;   // Retries allowed beside those, in one window.
   Duration retry_window{0};
   std::uint32_t descriptors = 0;  // Largest number of open descriptors.
+  double cores = 0;               // Processor time per second of this VM.
+  double link_bytes_per_second = 0;
 
   auto Tie() const {
-    return std::tie(this->node_name, this->failure_domain,
-                    this->failure_domains, this->callers, this->readiness,
-                    this->peers, this->metrics, this->store, this->call_bytes,
-                    this->drain_bound, this->stop_grace, this->stall_time,
-                    this->retry_ratio, this->retry_base, this->retry_window,
-                    this->descriptors);
+    return std::tie(
+        this->node_name, this->failure_domain, this->failure_domains,
+        this->callers, this->readiness, this->peers, this->metrics, this->store,
+        this->call_bytes, this->drain_bound, this->stop_grace, this->stall_time,
+        this->retry_ratio, this->retry_base, this->retry_window,
+        this->descriptors, this->cores, this->link_bytes_per_second);
   }
 };
 
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -28,6 +28,8 @@
   digest.suspected_servers = {"u", "v"};
   digest.groups = {{"g", 7, true}};
   digest.limits = {{"s", 3, 2.75}, {"t", 4, std::nullopt}};
+  digest.domain_loads = {{"a", 0, {{"s", 9}}, {{"s", 2840}}},
+                         {"b", 140, {{"t", 1}}, {}}};
   const Result<NodeDigest> decoded = DecodeDigest(EncodeDigest(digest));
   REQUIRE(decoded.has_value());
   CHECK(decoded.value() == digest);
@@ -40,6 +42,10 @@
   const Result<NodeDigest> decoded = DecodeDigest(EncodeDigest(digest));
   REQUIRE(decoded.has_value());
   CHECK_FALSE(decoded.value().limits.has_value());
+  CHECK(decoded.value().domain_loads.empty());
+  // The sums do not take the place of the limits.
+  digest.domain_loads = {{"a", 0, {{"s", 9}}, {}}};
+  CHECK(DecodeDigest(EncodeDigest(digest)).value() == digest);
 }
 
 TEST_CASE("Any datagram is decoded or rejected") {
@@ -103,6 +109,32 @@
   CHECK(directory.FindPlanner("zone2", kStart)->digest.node == "c");
 }
 
+// Guards against duties that use up the processor time of the smallest VMs.
+TEST_CASE("Duties go to the VMs with the most processor time") {
+  PeerDirectory directory("b", "zone1", 0.12);
+  directory.PutPeer("a", "zone1", Endpoint{"10.0.0.1", 1}, 0.12);
+  directory.PutPeer("x", "zone1", Endpoint{"10.0.0.1", 1}, 0.5);
+  directory.PutPeer("y", "zone1", Endpoint{"10.0.0.1", 1}, 0.5);
+  directory.PutPeer("c", "zone2", Endpoint{"10.0.0.2", 1}, 0.25);
+  CHECK(directory.CountPrecedingNodes(kStart) == 0);
+  CHECK(directory.CountPrecedingNodes(kStart, true) == 3);
+  CHECK(directory.PrecedesAll(kStart));
+  for (const char* node : {"a", "x", "y", "c"}) {
+    directory.AcceptDigest(DigestOf(node), kStart);
+  }
+  CHECK(directory.FindPlanner("zone1", kStart)->digest.node == "x");
+  CHECK(directory.FindPlanner("zone3", kStart)->digest.node == "x");
+  CHECK(directory.CountPrecedingNodes(kStart) == 3);
+  CHECK(!directory.PrecedesAll(kStart));
+  CHECK(directory.FindFirstPeers(2, kStart) ==
+        std::set<std::string>{"x", "y", "c"});
+  NodeDigest stopping = DigestOf("x");
+  stopping.is_stopping = true;
+  directory.AcceptDigest(stopping, kStart);
+  CHECK(directory.FindFirstPeers(2, kStart) ==
+        std::set<std::string>{"y", "a", "c"});
+}
+
 TEST_CASE("An encoded record batch decodes to the same batch") {
   TopicBatch batch;
   batch.end = 9;
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -14,7 +14,8 @@
 constexpr char kSettings[] = R"({
   "node_name": "n1", "zone": "a", "zones": {"a": "r", "b": "r"},
   "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
-  "inner_ports": [70, 75], "limits": {"max_fds": 4100},
+  "inner_ports": [70, 75], "limits": {"max_fds": 4100, "cpu_share": 0.25, "cores": 2,
+                                     "link_mbps": 200},
   "bounds": {"drain_ms": 2000, "grace_s": 8, "stall_ms": 6000,
              "retry_budget_ratio": 0.2, "retry_budget_base": 134,
              "budget_window_s": 10},
@@ -31,6 +32,9 @@
   CHECK(settings.value().store.ToString() == "10.9.0.1:90");
   CHECK(settings.value().stop_grace == std::chrono::seconds(8));
   CHECK(settings.value().retry_base == 134);
+  CHECK(settings.value().descriptors == 4100);
+  CHECK(settings.value().cores == 0.5);
+  CHECK(settings.value().link_bytes_per_second == 25e6);
 }
 
 TEST_CASE("Settings that lack an address are refused by name") {
