Pass loads through collectors, and announce changes from few nodes

Every choice of a group was blind. - Every node sent a digest to all others for each record of a group and each version of the configuration, though all receive the same record: 295 x 294 datagrams for each of hundreds of records at the start.

From 20 peers on, the first two nodes of a failure domain collect the digests of its nodes each 150 ms, send their sum to the other collectors, and all sums to the nodes of their domain. Changes are announced by these nodes only; the others tell their collectors. Other digests become half as frequent, since what is left in them changes rarely. Below 20 peers nothing changes.

Ruled out: shorter digests to all (1,960 datagrams a second to each of 295 VMs); a subset of groups for each VM (6 requests in flight against 13 slots say little).

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -22,10 +22,6 @@
 // Interval at which expired servers, stale reports and idle connections are
 // removed.
 constexpr Duration kMaintenanceInterval = std::chrono::milliseconds(250);
-// A peer's counts are dropped once no digest has arrived for this time and for
-// this number of digest intervals, since some digests may be lost in a row.
-constexpr Duration kPeerCountsLifetime = std::chrono::milliseconds(1500);
-constexpr int kMaxLostDigests = 3;
 // Time from the stop signal until new connections are no longer accepted: the
 // platform's load balancer probes once a second and removes a VM after two
 // failed probes.
@@ -84,6 +80,8 @@
       peers(this->settings.node_name,
             this->settings.failure_domain,
             this->settings.cores),
+      peer_loads(ServerLoadCounters{&this->load, &this->unread_tokens},
+                 this->settings.failure_domain),
       role(&this->loop,
            &this->peers,
            &this->store,
@@ -104,7 +102,7 @@
               &this->metrics,
               std::random_device{}(),
               {[this] { this->OnPermitsChanged(); },
-               [this] { this->digests.SendSoon(); }}),
+               [this] { this->digests.SendToAll(); }}),
       shared_retry_budget(BoundsOf(this->settings)),
       group_balancer(&this->loop,
                      &this->view,
@@ -234,7 +232,9 @@
   }
   this->context.routes =
       std::make_shared<const RouteTable>(this->view.Config());
-  this->digests.SendNow();
+  if (this->role.ReadsStore(kOperatorReaders)) {
+    this->digests.SendToAll();
+  }
   this->OnFleetChanged();
   return true;
 }
@@ -337,8 +337,9 @@
       this->view.Config() ? this->view.Config()->version : 0;
   digest.topic_ends = {this->operator_topic.End(), this->servers_topic.End(),
                        this->groups_topic.End(), this->nodes_topic.End()};
-  digest.in_flight = this->load.LocalCounts();
-  digest.unread = this->unread_tokens.LocalCounts();
+  const MonotonicTime now = this->loop.Now();
+  this->peer_loads.Report(this->digests.Schedule().IsCollector(now), now,
+                          &digest);
   for (const auto& entry : this->view.Unreachable()) {
     digest.unreachable.push_back(entry.first);
   }
@@ -350,10 +351,12 @@
 
 void EntryProcess::HandleDigest(const NodeDigest& digest) {
   const LoopStep step(this->loop.Monitor(), "handle_digest");
-  this->load.Report(digest.node, digest.in_flight, this->loop.Now());
-  this->unread_tokens.Report(digest.node, digest.unread, this->loop.Now());
-  const TcpEndpoint address =
-      ToTcpEndpoint(this->peers.Peers().at(digest.node).endpoint);
+  const MonotonicTime now = this->loop.Now();
+  this->peer_loads.Accept(digest, this->digests.Schedule().IsCollector(now),
+                          now);
+  const PeerState& peer = this->peers.Peers().at(digest.node);
+  const TcpEndpoint address = ToTcpEndpoint(peer.endpoint);
+  const bool is_near = peer.failure_domain == this->settings.failure_domain;
   const std::vector<TopicFollower*> followers = this->Followers();
   for (std::size_t i = 0;
        i < std::min(followers.size(), digest.topic_ends.size()); ++i) {
@@ -375,7 +378,7 @@
 
 void EntryProcess::OnFleetChanged() {
   const LoopStep step(this->loop.Monitor(), "fleet_changed");
-  this->digests.SendNow();
+  this->digests.SendChange();
   this->group_balancer.AssignFreeSlots();
   for (Waiter* session : this->sessions) {
     session->Notify();
@@ -403,9 +406,7 @@
     const MonotonicTime now = this->loop.Now();
     this->UpdateStoreOutage();
     this->view.ExpireServers(now);
-    this->load.DropReportsBefore(
-        now - std::max(kPeerCountsLifetime,
-                       kMaxLostDigests * this->digests.RoundInterval()));
+    this->load.DropExpired(now);
     this->limiter.DropStale([this](const std::string& server) {
       return this->view.FindServer(server) != nullptr;
     });
@@ -465,7 +466,7 @@
   this->reconciler.Stop();
   this->context.answer_by =
       started + this->settings.stop_grace - kStopGraceMargin;
-  this->digests.SendNow();
+  this->digests.SendToAll();
   this->loop.Sleep(std::min(kStopAcceptingDelay, this->settings.stop_grace / 2),
                    yield);
   this->callers.Stop();
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -16,6 +16,7 @@
 #include "entry/entry_context.h"
 #include "entry/group_load_balancer.h"
 #include "entry/group_stall_detector.h"
+#include "entry/peer_loads.h"
 #include "entry/permit_exchange.h"
 #include "entry/plain_load_balancer.h"
 #include "entry/record_service.h"
@@ -86,6 +87,7 @@
   ClusterLoad unread_tokens;
   ConnectionPool pool;
   PeerDirectory peers;
+  PeerLoads peer_loads;
   StoreOutage store_outage;
   PlannerRole role;
   ServerProber prober;
--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -9,9 +9,6 @@
 
 namespace {
 
-// Peers' reports of prompt tokens awaiting prefill expire after this: most are
-// processed by then.
-constexpr Duration kPrefillReportLifetime = std::chrono::milliseconds(400);
 // Factor on the expected wait of a late request: newer requests that can still
 // meet their target are served first, so it waits longer than the rate of
 // released slots suggests.
@@ -134,8 +131,7 @@
   if (engine == nullptr) {
     return nullptr;
   }
-  this->counts.unread->DropReportsBefore(this->loop->Now() -
-                                         kPrefillReportLifetime);
+  this->counts.unread->DropExpired(this->loop->Now());
   const GroupStatus* group =
       this->Select(this->CandidateGroups(query), query, *engine, is_first_try);
   if (group == nullptr) {
--- a/src/peers/digest_exchange.cc
+++ b/src/peers/digest_exchange.cc
@@ -1,6 +1,8 @@
 #include "peers/digest_exchange.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 
@@ -9,26 +11,6 @@
 
 namespace kumquatcart {
 
-namespace {
-
-// Time between two digests with fewer than kPeersPerInterval peers. It grows by
-// as much for each further kPeersPerInterval peers, which bounds the rate at
-// which a node receives digests.
-constexpr Duration kInterval = std::chrono::milliseconds(150);
-constexpr std::size_t kPeersPerInterval = 10;
-// Longest time between two digests of the planner candidates of a failure
-// domain: the planner and the node that takes over if it fails.
-constexpr Duration kPlannerMaxInterval = std::chrono::milliseconds(300);
-constexpr int kPlannerCandidates = 2;
-// Minimum time between two rounds, regardless of the number of SendNow calls.
-constexpr Duration kMinSendInterval = std::chrono::milliseconds(30);
-// A peer that has sent no digest for kSilentAfter receives digests only every
-// kSilentInterval.
-constexpr Duration kSilentAfter = std::chrono::seconds(3);
-constexpr Duration kSilentInterval = std::chrono::seconds(1);
-
-}  // namespace
-
 Status DigestExchange::Start(const Endpoint& listen) {
   using boost::asio::ip::udp;
   boost::system::error_code error;
@@ -46,64 +28,68 @@
   this->Receive();
   this->loop->Spawn([this](Coroutine yield) {
     for (;;) {
-      this->SendAll(this->loop->Now());
-      this->loop->Sleep(this->RoundInterval(), yield);
+      const MonotonicTime now = this->loop->Now();
+      this->SendRound(this->schedule.TakeDue(now), now);
+      this->loop->Sleep(
+          this->schedule.Interval(DigestAudience::kOwnDomain, now), yield);
     }
   });
   return Ok();
 }
 
-Duration DigestExchange::RoundInterval() const {
-  const auto scale =
-      static_cast<int>(1 + this->peers->Peers().size() / kPeersPerInterval);
-  const bool is_planner_candidate =
-      this->peers->CountPrecedingNodes(this->loop->Now()) < kPlannerCandidates;
-  return is_planner_candidate ? std::min(kInterval * scale, kPlannerMaxInterval)
-                              : kInterval * scale;
-}
-
-std::string DigestExchange::Encode() const {
-  NodeDigest digest = this->compose();
-  digest.interval_ms = static_cast<int>(ToMillis(this->RoundInterval()));
-  return EncodeDigest(digest);
-}
-
-void DigestExchange::SendNow() {
-  const MonotonicTime now = this->loop->Now();
-  if (now - this->round_sent_at >= kMinSendInterval) {
-    this->SendAll(now);
+std::string DigestExchange::Encode(NodeDigest digest,
+                                   DigestAudience audience,
+                                   MonotonicTime now) const {
+  digest.interval_ms =
+      static_cast<int>(ToMillis(this->schedule.Interval(audience, now)));
+  std::vector<DomainLoad>& loads = digest.domain_loads;
+  if (audience == DigestAudience::kOther) {
+    loads.clear();
+  } else if (audience == DigestAudience::kOtherCollector) {
+    loads.erase(std::remove_if(loads.begin(), loads.end(),
+                               [&digest](const DomainLoad& load) {
+                                 return load.failure_domain !=
+                                        digest.failure_domain;
+                               }),
+                loads.end());
   }
+  return EncodeDigest(digest);
 }
 
-void DigestExchange::SendSoon() {
-  const MonotonicTime next = this->round_sent_at + kMinSendInterval;
+void DigestExchange::SendSoon(bool to_all) {
+  const MonotonicTime next =
+      this->change_sent_at + this->schedule.MinChangeInterval();
   const MonotonicTime now = this->loop->Now();
   if (next <= now) {
-    this->SendAll(now);
-  } else if (!this->round_scheduled) {
-    this->round_scheduled = true;
-    this->loop->Spawn([this, next](Coroutine yield) {
-      this->loop->Sleep(next - this->loop->Now(), yield);
-      this->round_scheduled = false;
-      this->SendNow();
-    });
+    this->change_sent_at = now;
+    this->SendRound(this->schedule.TakeForChange(to_all, now), now);
+    return;
   }
+  this->scheduled_to_all = this->scheduled_to_all || to_all;
+  if (this->change_scheduled) {
+    return;
+  }
+  this->change_scheduled = true;
+  this->loop->Spawn([this, next](Coroutine yield) {
+    this->loop->Sleep(next - this->loop->Now(), yield);
+    this->change_scheduled = false;
+    this->SendSoon(std::exchange(this->scheduled_to_all, false));
+  });
 }
 
-void DigestExchange::SendAll(MonotonicTime now) {
-  this->round_sent_at = now;
-  std::string bytes;
-  for (auto& entry : this->peers->Peers()) {
-    PeerState& peer = entry.second;
-    if (!peer.HasDigestSince(now - kSilentAfter) &&
-        now - peer.digest_sent_at < kSilentInterval) {
-      continue;
-    }
-    peer.digest_sent_at = now;
+void DigestExchange::SendRound(const std::vector<DigestTarget>& targets,
+                               MonotonicTime now) {
+  if (targets.empty()) {
+    return;
+  }
+  const NodeDigest digest = this->compose();
+  std::map<DigestAudience, std::string> encoded;
+  for (const DigestTarget& target : targets) {
+    std::string& bytes = encoded[target.audience];
     if (bytes.empty()) {
-      bytes = this->Encode();
+      bytes = this->Encode(digest, target.audience, now);
     }
-    this->Send(bytes, peer);
+    this->Send(bytes, *target.peer);
   }
 }
 
@@ -114,7 +100,10 @@
 }
 
 void DigestExchange::SendDigestTo(const PeerState& peer) {
-  this->Send(this->Encode(), peer);
+  const MonotonicTime now = this->loop->Now();
+  const DigestAudience audience =
+      this->schedule.AudienceOf(peer.digest.node, peer, now);
+  this->Send(this->Encode(this->compose(), audience, now), peer);
 }
 
 void DigestExchange::Receive() {
--- a/src/peers/digest_exchange.h
+++ b/src/peers/digest_exchange.h
@@ -10,12 +10,13 @@
 
 #include "base/outcome.h"
 #include "net/event_loop.h"
+#include "peers/digest_schedule.h"
 #include "peers/peer_directory.h"
 
 namespace kumquatcart {
 
-// Sends the digest of this process to every peer periodically, and immediately
-// on SendNow(). Lost datagrams need no retransmission, since each digest holds
+// Sends the digest of this process to every peer periodically, and when its
+// state changes. Lost datagrams need no retransmission, since each digest holds
 // the complete state. Not thread safe: used on the event loop's thread only.
 class DigestExchange {
  public:
@@ -29,6 +30,7 @@
                  Compose compose,
                  Listener listener)
       : loop(loop),
+        schedule(peers),
         peers(peers),
         compose(std::move(compose)),
         listener(std::move(listener)),
@@ -38,13 +40,14 @@
   // kUnavailable.
   Status Start(const Endpoint& listen);
 
-  // Sends a digest to all peers immediately, unless the last round was less
-  // than 30 ms ago.
-  void SendNow();
+  // Sends a digest after a change of this node's state, immediately or as soon
+  // as the minimum time since the last such round has passed. It goes to all
+  // peers if this node announces changes for its failure domain, and otherwise
+  // only to the collectors.
+  void SendChange() { this->SendSoon(/*to_all=*/false); }
 
-  // As SendNow(), but sends as soon as that time has passed instead of leaving
-  // it to the next round.
-  void SendSoon();
+  // As SendChange(), but to all peers.
+  void SendToAll() { this->SendSoon(/*to_all=*/true); }
 
   // Passes datagrams to `listener` first. Precondition: called before Start().
   void SetMessageListener(MessageListener listener) {
@@ -56,30 +59,34 @@
     this->Send(bytes, peer);
   }
 
-  // Time between two rounds. It grows with the number of peers, but is bounded
-  // for the first nodes of a failure domain, which plan and read for it.
-  Duration RoundInterval() const;
-
   // Sends a digest to one peer immediately.
   void SendDigestTo(const PeerState& peer);
 
+  const DigestSchedule& Schedule() const { return this->schedule; }
+
  private:
   void Receive();
   void HandleDatagram(std::size_t size);
-  void SendAll(MonotonicTime now);
+  void SendSoon(bool to_all);
+  void SendRound(const std::vector<DigestTarget>& targets, MonotonicTime now);
   void Send(const std::string& bytes, const PeerState& peer);
-  std::string Encode() const;
+  // The part of `digest` that an audience needs.
+  std::string Encode(NodeDigest digest,
+                     DigestAudience audience,
+                     MonotonicTime now) const;
 
   EventLoop* const loop;
+  DigestSchedule schedule;
   PeerDirectory* const peers;
   const Compose compose;
   const Listener listener;
   MessageListener message_listener;
   boost::asio::ip::udp::socket socket;
   boost::asio::ip::udp::endpoint sender;
-  std::array<char, 16 * 1024> buffer;
-  MonotonicTime round_sent_at;
-  bool round_scheduled = false;  // By SendSoon().
+  std::array<char, 64 * 1024> buffer;  // The largest datagram.
+  MonotonicTime change_sent_at;
+  bool change_scheduled = false;
+  bool scheduled_to_all = false;  // Whether the scheduled round goes to all.
 };
 
 }  // namespace kumquatcart
--- a/src/routing/cluster_load.cc
+++ b/src/routing/cluster_load.cc
@@ -1,5 +1,7 @@
 #include "routing/cluster_load.h"
 
+#include <utility>
+
 namespace kumquatcart {
 
 namespace {
@@ -9,6 +11,12 @@
   return found == counts.end() ? 0 : found->second;
 }
 
+void Increase(InFlightCounts* counts, const InFlightCounts& by) {
+  for (const auto& [server, count] : by) {
+    (*counts)[server] += count;
+  }
+}
+
 void Decrease(InFlightCounts* counts, const std::string& server, int by) {
   const auto found = counts->find(server);
   if (found == counts->end()) {
@@ -26,6 +34,10 @@
   Decrease(&this->local_counts, server, amount);
 }
 
+void ClusterLoad::Add(const InFlightCounts& counts) {
+  Increase(&this->remote_counts, counts);
+}
+
 void ClusterLoad::Subtract(const InFlightCounts& counts) {
   for (const auto& [server, count] : counts) {
     Decrease(&this->remote_counts, server, count);
@@ -33,24 +45,75 @@
 }
 
 void ClusterLoad::Report(const std::string& node,
+                         const std::string& failure_domain,
                          InFlightCounts counts,
-                         MonotonicTime now) {
+                         MonotonicTime expires_at) {
   NodeReport& report = this->reports[node];
-  this->Subtract(report.counts);
-  for (const auto& [server, count] : counts) {
-    this->remote_counts[server] += count;
+  if (this->Counts(report)) {
+    this->Subtract(report.counts);
+  }
+  report = NodeReport{failure_domain, std::move(counts), expires_at};
+  if (this->Counts(report)) {
+    this->Add(report.counts);
   }
-  report = NodeReport{std::move(counts), now};
 }
 
-void ClusterLoad::DropReportsBefore(MonotonicTime oldest) {
+void ClusterLoad::ReportDomain(const std::string& failure_domain,
+                               InFlightCounts counts,
+                               bool includes_local,
+                               MonotonicTime summed_at,
+                               MonotonicTime expires_at,
+                               MonotonicTime now) {
+  if (expires_at < now) {
+    return;
+  }
+  const auto known = this->domain_reports.find(failure_domain);
+  if (known != this->domain_reports.end()) {
+    if (summed_at <= known->second.summed_at) {
+      return;
+    }
+    this->Subtract(known->second.counts);
+  } else {
+    for (const auto& entry : this->reports) {
+      if (entry.second.failure_domain == failure_domain) {
+        this->Subtract(entry.second.counts);
+      }
+    }
+  }
+  if (includes_local) {
+    for (const auto& [server, count] : this->reported_counts) {
+      Decrease(&counts, server, count);
+    }
+  }
+  this->Add(counts);
+  this->domain_reports[failure_domain] =
+      DomainReport{std::move(counts), summed_at, expires_at};
+}
+
+void ClusterLoad::DropExpired(MonotonicTime now) {
   for (auto entry = this->reports.begin(); entry != this->reports.end();) {
-    if (entry->second.at < oldest) {
-      this->Subtract(entry->second.counts);
-      entry = this->reports.erase(entry);
-    } else {
+    if (entry->second.expires_at >= now) {
       ++entry;
+      continue;
     }
+    if (this->Counts(entry->second)) {
+      this->Subtract(entry->second.counts);
+    }
+    entry = this->reports.erase(entry);
+  }
+  for (auto domain = this->domain_reports.begin();
+       domain != this->domain_reports.end();) {
+    if (domain->second.expires_at >= now) {
+      ++domain;
+      continue;
+    }
+    this->Subtract(domain->second.counts);
+    for (const auto& entry : this->reports) {
+      if (entry.second.failure_domain == domain->first) {
+        this->Add(entry.second.counts);
+      }
+    }
+    domain = this->domain_reports.erase(domain);
   }
 }
 
@@ -63,4 +126,15 @@
          CountOf(this->remote_counts, server);
 }
 
+InFlightCounts ClusterLoad::SumWithNodesOf(
+    const std::string& failure_domain) const {
+  InFlightCounts sum = this->local_counts;
+  for (const auto& entry : this->reports) {
+    if (entry.second.failure_domain == failure_domain) {
+      Increase(&sum, entry.second.counts);
+    }
+  }
+  return sum;
+}
+
 }  // namespace kumquatcart
--- a/src/routing/cluster_load.h
+++ b/src/routing/cluster_load.h
@@ -12,8 +12,9 @@
 // Work in flight by server id: requests, or prompt tokens awaiting prefill.
 using InFlightCounts = std::map<std::string, int>;
 
-// Sums the work of this process and the latest reports of other nodes. Not
-// thread safe.
+// Sums the work of this process and the latest reports of other nodes. A report
+// on a whole failure domain, which is newer than those of its nodes, replaces
+// them while it lasts. Not thread safe.
 class ClusterLoad {
  public:
   void Begin(const std::string& server, int amount = 1) {
@@ -21,14 +22,29 @@
   }
   void End(const std::string& server, int amount = 1);
 
-  // Replaces the previous report of `node`.
+  // Replaces the previous report of `node`. It counts until `expires_at`.
   void Report(const std::string& node,
+              const std::string& failure_domain,
               InFlightCounts counts,
-              MonotonicTime now);
+              MonotonicTime expires_at);
 
-  // Drops reports received before `oldest`, which no longer describe the work
-  // of their nodes.
-  void DropReportsBefore(MonotonicTime oldest);
+  // Remembers the work of this process as reported to other nodes.
+  void MarkReported() { this->reported_counts = this->local_counts; }
+
+  // Replaces the previous report on all nodes of `failure_domain`, unless that
+  // was summed later or this one has expired: peers forward reports, and might
+  // return an expired one for ever. It counts until `expires_at`.
+  // `includes_local`: whether the work of this process, as reported last, is
+  // part of it.
+  void ReportDomain(const std::string& failure_domain,
+                    InFlightCounts counts,
+                    bool includes_local,
+                    MonotonicTime summed_at,
+                    MonotonicTime expires_at,
+                    MonotonicTime now);
+
+  // Drops expired reports, which no longer describe the work of their nodes.
+  void DropExpired(MonotonicTime now);
 
   // Work of this process at `server`.
   int LocalCount(const std::string& server) const;
@@ -38,17 +54,38 @@
 
   const InFlightCounts& LocalCounts() const { return this->local_counts; }
 
+  // Work of this process and the reporting nodes of `failure_domain`.
+  InFlightCounts SumWithNodesOf(const std::string& failure_domain) const;
+
+  // Reports on whole failure domains, with the time at which each was summed.
+  struct DomainReport {
+    InFlightCounts counts;
+    MonotonicTime summed_at;
+    MonotonicTime expires_at;
+  };
+  const std::map<std::string, DomainReport>& DomainReports() const {
+    return this->domain_reports;
+  }
+
  private:
   struct NodeReport {
+    std::string failure_domain;
     InFlightCounts counts;
-    MonotonicTime at;
+    MonotonicTime expires_at;
   };
 
+  bool Counts(const NodeReport& report) const {
+    return this->domain_reports.count(report.failure_domain) == 0;
+  }
+  void Add(const InFlightCounts& counts);
   void Subtract(const InFlightCounts& counts);
 
   InFlightCounts local_counts;
-  InFlightCounts remote_counts;  // Sum over `reports`.
+  InFlightCounts reported_counts;  // By MarkReported().
+  // Sum over `domain_reports` and the reports of nodes of other domains.
+  InFlightCounts remote_counts;
   std::map<std::string, NodeReport> reports;
+  std::map<std::string, DomainReport> domain_reports;
 };
 
 }  // namespace kumquatcart
--- a/tests/routing/cluster_load_test.cc
+++ b/tests/routing/cluster_load_test.cc
@@ -6,13 +6,15 @@
 namespace {
 
 const MonotonicTime kStart{std::chrono::seconds(100)};
+const MonotonicTime kExpiry = kStart + std::chrono::seconds(1);
+const MonotonicTime kLaterExpiry = kStart + std::chrono::seconds(3);
 
 TEST_CASE("The total is the local load plus the latest report of each node") {
   ClusterLoad load;
   load.Begin("s");
-  load.Report("a", {{"s", 3}, {"t", 1}}, kStart);
-  load.Report("b", {{"s", 2}}, kStart);
-  load.Report("a", {{"s", 1}}, kStart);
+  load.Report("a", "zone", {{"s", 3}, {"t", 1}}, kExpiry);
+  load.Report("b", "zone", {{"s", 2}}, kExpiry);
+  load.Report("a", "zone", {{"s", 1}}, kExpiry);
   CHECK(load.Total("s") == 4);
   CHECK(load.Total("t") == 0);
   load.End("s");
@@ -22,11 +24,56 @@
 
 TEST_CASE("Outdated reports are dropped") {
   ClusterLoad load;
-  load.Report("a", {{"s", 3}}, kStart);
-  load.Report("b", {{"s", 2}}, kStart + std::chrono::seconds(2));
-  load.DropReportsBefore(kStart + std::chrono::seconds(1));
+  load.Report("a", "zone", {{"s", 3}}, kExpiry);
+  load.Report("b", "zone", {{"s", 2}}, kLaterExpiry);
+  load.DropExpired(kExpiry);
+  CHECK(load.Total("s") == 5);
+  load.DropExpired(kExpiry + std::chrono::milliseconds(1));
   CHECK(load.Total("s") == 2);
 }
 
+TEST_CASE("The sum of a failure domain replaces the reports of its nodes") {
+  ClusterLoad load;
+  load.Report("a", "near", {{"s", 1}}, kLaterExpiry);
+  load.Report("b", "near", {{"s", 1}}, kLaterExpiry);
+  load.Report("c", "far", {{"s", 10}}, kLaterExpiry);
+  load.ReportDomain("near", {{"s", 5}}, false, kStart, kExpiry, kStart);
+  CHECK(load.Total("s") == 15);
+  // Reports of its nodes are remembered, but do not count.
+  load.Report("a", "near", {{"s", 2}}, kLaterExpiry);
+  CHECK(load.Total("s") == 15);
+  // A sum that was made earlier arrives later.
+  load.ReportDomain("near", {{"s", 9}}, false,
+                    kStart - std::chrono::milliseconds(1), kExpiry, kStart);
+  CHECK(load.Total("s") == 15);
+  load.DropExpired(kLaterExpiry);
+  CHECK(load.Total("s") == 13);
+  // A peer returns the expired sum.
+  load.ReportDomain("near", {{"s", 5}}, false, kStart, kExpiry, kLaterExpiry);
+  CHECK(load.Total("s") == 13);
+}
+
+TEST_CASE("Own requests in the sum of the own failure domain count once") {
+  ClusterLoad load;
+  load.Begin("s");
+  load.Begin("s");
+  load.MarkReported();
+  load.Begin("s");
+  load.ReportDomain("near", {{"s", 6}}, true, kStart, kExpiry, kStart);
+  CHECK(load.Total("s") == 3 + 4);
+  load.End("s");
+  load.End("s");
+  load.End("s");
+  CHECK(load.Total("s") == 4);
+}
+
+TEST_CASE("A collector sums its own requests and those of its domain") {
+  ClusterLoad load;
+  load.Begin("s");
+  load.Report("a", "near", {{"s", 2}, {"t", 1}}, kExpiry);
+  load.Report("c", "far", {{"s", 10}}, kExpiry);
+  CHECK(load.SumWithNodesOf("near") == InFlightCounts{{"s", 3}, {"t", 1}});
+}
+
 }  // namespace
 }  // namespace kumquatcart
