Decode each digest once

Every datagram was first decoded whole as a permit message. The type of its first element, one byte, tells the two kinds apart. The tests of both decoders stay.

--- a/src/peers/permit_message.cc
+++ b/src/peers/permit_message.cc
@@ -17,6 +17,16 @@
 constexpr std::int64_t kMaxTimeUs = 60'000'000;
 constexpr int kMaxCount = 1'000;
 
+// Whether `bytes` may be a CBOR array whose first element is a text. The header
+// of an array as short as a message is one byte; the upper three bits of the
+// next one are the type of its first element.
+bool BeginsWithText(const std::string& bytes) {
+  constexpr unsigned kTypeShift = 5;
+  constexpr unsigned kTextType = 3;
+  return bytes.size() > 1 &&
+         static_cast<unsigned char>(bytes[1]) >> kTypeShift == kTextType;
+}
+
 Json ToJsonArray(const PermitRequest& request) {
   return Json::array({kRequestTag, request.node, request.sequence,
                       EncodeServerLimit(request.limit), request.wanted});
@@ -62,6 +72,9 @@
 
 std::optional<Result<PermitMessage>> DecodePermitMessage(
     const std::string& bytes) {
+  if (!BeginsWithText(bytes)) {
+    return std::nullopt;
+  }
   Json json;
   try {
     json = Json::from_cbor(bytes);
