Start many VMs without a herd at the store

- For the first 2 s, announced nodes without a digest count as live for the choice of readers; the nodes' topic is read first.
- A rejected fetch goes to the next peer that is ahead; the store is read after 0.6 s.
Peers of the own failure domain are asked first, the others after 0.3 s.
- A VM sends a fifth of its own link's bandwidth, not of the smallest one's.

--- a/src/control/planner_role.h
+++ b/src/control/planner_role.h
@@ -20,7 +20,8 @@
       : loop(loop),
         peers(peers),
         store(store),
-        own_failure_domain(std::move(own_failure_domain)) {}
+        own_failure_domain(std::move(own_failure_domain)),
+        started_at(loop->Now()) {}
 
   // Whether this process plans `failure_domain`.
   bool IsPlannerOf(const std::string& failure_domain) const;
@@ -31,9 +32,18 @@
 
   // Whether this process reads the store for its own failure domain: it is
   // among the first `readers` nodes there, or no peer plans the failure domain.
-  // Other processes receive the records from peers.
+  // Other processes receive the records from peers. Shortly after the start,
+  // nodes that are announced in the store count as live, since their first
+  // digests may not have arrived yet.
   bool ReadsStore(int readers) const;
 
+  // Whether a peer of this failure domain reads the store.
+  bool HasReaderNearby() const;
+
+  // Whether this process may plan any failure domain: its own, or one that has
+  // no live nodes.
+  bool MayPlan() const;
+
   // Gives up all planning because the process is shutting down.
   void Stop() { this->stopping = true; }
 
@@ -42,6 +52,7 @@
   const PeerDirectory* const peers;
   const StoreClient* const store;
   const std::string own_failure_domain;
+  const MonotonicTime started_at;
   bool stopping = false;
 };
 
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -21,6 +21,12 @@
 // Interval at which an unreachable store is tried for missing records; peers
 // are asked in the meantime.
 constexpr Duration kUnreachableReadInterval = std::chrono::seconds(3);
+// Time for the peers of the own failure domain to return records before others
+// are asked: traffic between failure domains is costly.
+constexpr Duration kFarPeerDelay = std::chrono::milliseconds(300);
+// Time for peers to return records before the store is asked. Peers reject
+// requests when many arrive at once, and all of these would meet at the store.
+constexpr Duration kStoreDelay = std::chrono::milliseconds(600);
 // Time for the pending read to return records that a peer has seen already.
 constexpr Duration kPendingReadGrace = std::chrono::milliseconds(150);
 
@@ -97,7 +103,14 @@
     this->newest[key] = TopicRecord{key, std::nullopt, batch.end - 1};
     this->apply(this->newest[key]);
   }
-  this->end = std::max(this->end, batch.end);
+  this->SetEnd(batch.end);
+}
+
+void TopicFollower::SetEnd(std::int64_t new_end) {
+  if (new_end > this->end) {
+    this->end = new_end;
+    this->behind_since = MonotonicTime{};
+  }
 }
 
 void TopicFollower::ApplyRecords(const TopicBatch& batch) {
@@ -106,7 +119,7 @@
   for (const TopicRecord& record : batch.records) {
     this->ApplyRecord(record);
   }
-  this->end = std::max(this->end, batch.end);
+  this->SetEnd(batch.end);
 }
 
 TopicBatch TopicFollower::RecordsSince(std::int64_t from) const {
@@ -151,11 +164,25 @@
   this->apply(record);
 }
 
+bool TopicFollower::MayFetch(bool is_near) const {
+  const MonotonicTime now = this->loop->Now();
+  return now >= this->next_fetch_at &&
+         (is_near || now - this->behind_since >= kFarPeerDelay ||
+          !this->role->HasReaderNearby());
+}
+
 void TopicFollower::HandlePeerEnd(const TcpEndpoint& peer,
-                                  std::int64_t peer_end) {
+                                  std::int64_t peer_end,
+                                  bool is_near) {
   if (peer_end <= this->end || this->catching_up || !this->synced) {
     return;
   }
+  if (this->behind_since == MonotonicTime{}) {
+    this->behind_since = this->loop->Now();
+  }
+  if (!this->ReadsStore() && !this->MayFetch(is_near)) {
+    return;
+  }
   this->catching_up = true;
   this->loop->Spawn([this, peer, peer_end](Coroutine yield) {
     if (this->ReadsStore()) {
@@ -176,6 +203,7 @@
   const Result<TopicBatch> batch = this->fetch(peer, from, yield);
   const auto elapsed_ms = ToMillis(this->loop->Now() - started);
   const std::string address = peer.address().to_string();
+  this->next_fetch_at = this->loop->Now() + this->settings.batch_pause;
   if (batch.has_error()) {
     LogWarning("topic_behind_peers", {{"topic", ToString(this->settings.topic)},
                                       {"end", from},
@@ -183,7 +211,10 @@
                                       {"peer", address},
                                       {"ms", elapsed_ms},
                                       {"reason", batch.error().message}});
-    return false;
+    // Another peer is asked first, unless this one is unreachable, which may be
+    // the fault of this VM's link.
+    return batch.error().code == ErrorCode::kExhausted &&
+           this->loop->Now() - this->behind_since < kStoreDelay;
   }
   this->ApplyRecords(batch.value());
   LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -64,10 +64,14 @@
 
   // Handles a peer's report that it has seen the topic up to `peer_end`. If
   // this process does not read the store, it requests the missing records from
-  // the peer, and from the store if the peer does not return them. A process
-  // that reads the store does so only if its pending read does not return them
-  // soon, for example because the connection is dead.
-  void HandlePeerEnd(const TcpEndpoint& peer, std::int64_t peer_end);
+  // the peer. Peers of other failure domains, and the store, are asked only if
+  // the peers of the own one do not return the records soon. A process that
+  // reads the store requests them only if its pending read does not return them
+  // soon, for example because the connection is dead. `is_near`: whether the
+  // peer is in the same failure domain.
+  void HandlePeerEnd(const TcpEndpoint& peer,
+                     std::int64_t peer_end,
+                     bool is_near);
 
   // Returns the newest record of each key from offset `from` on, for a peer.
   TopicBatch RecordsSince(std::int64_t from) const;
@@ -82,12 +86,17 @@
   bool ReadMore(Duration wait, Coroutine yield);
   bool CatchUp(Duration wait, Coroutine yield);
   // Requests the records from `end` on from a peer that has them up to
-  // `peer_end`. Returns false on failure.
+  // `peer_end`. Returns whether the store need not be asked: on success, and
+  // while other peers may still return them.
   bool FetchMore(const TcpEndpoint& peer,
                  std::int64_t peer_end,
                  Coroutine yield);
   // Reads records that are known to exist, unless the store has just failed.
   void ReadMissing(Coroutine yield);
+  // Whether this process, which does not read the store, may request records
+  // now.
+  bool MayFetch(bool is_near) const;
+  void SetEnd(std::int64_t new_end);
   void ApplySnapshot(const TopicBatch& batch);
   void ApplyRecords(const TopicBatch& batch);
   void ApplyRecord(const TopicRecord& record);
@@ -102,6 +111,8 @@
   bool records_expired = false;
   bool catching_up = false;
   std::int64_t end = 0;
+  MonotonicTime behind_since;  // Zero: as far as known, not.
+  MonotonicTime next_fetch_at;
   MonotonicTime missing_read_at;              // Last attempt of ReadMissing.
   std::map<std::string, TopicRecord> newest;  // By key, with removed keys.
 };
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -58,6 +58,10 @@
 constexpr Duration kRelayTimeout = std::chrono::seconds(5);
 // Longest time for which decoding the configuration holds up requests.
 constexpr Duration kMaxDecodeStep = std::chrono::milliseconds(10);
+// Longest time for which the other topics wait for the nodes' one, which tells
+// whether this VM reads them from the store.
+constexpr Duration kNodesTopicWait = std::chrono::milliseconds(200);
+constexpr Duration kNodesTopicPollInterval = std::chrono::milliseconds(5);
 // Delay between attempts to publish the node record of this process.
 constexpr Duration kNodeRecordRetryDelay = std::chrono::milliseconds(500);
 
@@ -73,15 +77,15 @@
       signals(this->loop.Context(), SIGTERM, SIGINT, SIGHUP),
       store(&this->loop, ToTcpEndpoint(this->settings.store)),
       record_client(&this->loop),
-      record_service(&this->metrics),
+      record_service(&this->metrics, this->settings.link_bytes_per_second),
       engine_http(&this->loop, kMaxEngineAnswerBytes),
       engines(&this->loop, &this->engine_http),
+      peer_loads(ServerLoadCounters{&this->load, &this->unread_tokens},
+                 this->settings.failure_domain),
       pool(&this->loop),
       peers(this->settings.node_name,
             this->settings.failure_domain,
             this->settings.cores),
-      peer_loads(ServerLoadCounters{&this->load, &this->unread_tokens},
-                 this->settings.failure_domain),
       role(&this->loop,
            &this->peers,
            &this->store,
@@ -196,9 +200,7 @@
   BOOST_OUTCOME_TRY(
       this->peer_service.Start(ToTcpEndpoint(this->settings.peers)));
   BOOST_OUTCOME_TRY(this->digests.Start(this->settings.peers));
-  for (TopicFollower* follower : this->Followers()) {
-    follower->Start();
-  }
+  this->loop.Spawn([this](Coroutine yield) { this->StartFollowers(yield); });
   this->prober.Start();
   this->stall_detector.Start();
   this->reconciler.Start();
@@ -217,6 +219,17 @@
           &this->nodes_topic};
 }
 
+void EntryProcess::StartFollowers(Coroutine yield) {
+  this->nodes_topic.Start();
+  const MonotonicTime deadline = this->loop.Now() + kNodesTopicWait;
+  while (!this->nodes_topic.IsSynced() && this->loop.Now() < deadline) {
+    this->loop.Sleep(kNodesTopicPollInterval, yield);
+  }
+  this->operator_topic.Start();
+  this->servers_topic.Start();
+  this->groups_topic.Start();
+}
+
 void EntryProcess::ApplyConfig(const TopicRecord& record) {
   if (record.key != ConfigurationKey() || !record.value) {
     return;
@@ -360,7 +373,7 @@
   const std::vector<TopicFollower*> followers = this->Followers();
   for (std::size_t i = 0;
        i < std::min(followers.size(), digest.topic_ends.size()); ++i) {
-    followers[i]->HandlePeerEnd(address, digest.topic_ends[i]);
+    followers[i]->HandlePeerEnd(address, digest.topic_ends[i], is_near);
   }
   if (digest.has_traffic) {
     this->view.MarkTrafficStarted();
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -46,6 +46,8 @@
   void Run() { this->loop.Run(); }
 
  private:
+  // Starts to follow the topics of the store.
+  void StartFollowers(Coroutine yield);
   void ApplyConfig(const TopicRecord& record);
   bool AdoptConfig(RoutingConfig config);
   void ApplyServer(const TopicRecord& record);
@@ -85,9 +87,9 @@
   FleetView view;
   ClusterLoad load;
   ClusterLoad unread_tokens;
+  PeerLoads peer_loads;
   ConnectionPool pool;
   PeerDirectory peers;
-  PeerLoads peer_loads;
   StoreOutage store_outage;
   PlannerRole role;
   ServerProber prober;
--- a/src/entry/record_service.cc
+++ b/src/entry/record_service.cc
@@ -8,16 +8,19 @@
 
 namespace {
 
-// A fifth of a 20 Mbit/s link, which leaves the rest to callers' requests.
-constexpr double kBytesPerSecond = 512 * 1024;
+// Share of the link for records, which leaves the rest to callers' requests.
+constexpr double kLinkShare = 0.2;
 constexpr Duration kBurst = std::chrono::seconds(1);
 // Smaller answers are counted, but not logged one by one.
 constexpr std::size_t kMinLoggedBytes = 64 * 1024;
 
 }  // namespace
 
-RecordService::RecordService(MetricRegistry* metrics)
-    : metrics(metrics), byte_budget(kBytesPerSecond, kBurst, MonotonicTime()) {}
+RecordService::RecordService(MetricRegistry* metrics,
+                             double link_bytes_per_second)
+    : metrics(metrics),
+      byte_budget(kLinkShare * link_bytes_per_second, kBurst, MonotonicTime()) {
+}
 
 SimpleHttpResponse RecordService::Answer(StoreTopic topic,
                                          const TopicFollower& follower,
--- a/src/entry/record_service.h
+++ b/src/entry/record_service.h
@@ -15,7 +15,8 @@
 // event loop's thread.
 class RecordService {
  public:
-  explicit RecordService(MetricRegistry* metrics);
+  // `link_bytes_per_second`: bandwidth of this VM's link.
+  RecordService(MetricRegistry* metrics, double link_bytes_per_second);
 
   // Returns the records of `follower`, which follows `topic`, from offset
   // `from` on; status 429 if the limit is reached at `now`.
--- a/tests/entry/record_fan_out_test.cc
+++ b/tests/entry/record_fan_out_test.cc
@@ -53,7 +53,7 @@
             [this](const TopicRecord& record) {
               this->value = record.value.value_or("");
             }),
-        service(&this->metrics),
+        service(&this->metrics, kLinkBytesPerSecond),
         server(loop,
                [this, loop](const ParsedRequest& request, Coroutine) {
                  return this->Answer(request, loop->Now());
@@ -185,7 +185,7 @@
 
   static void Deliver(const FollowingVm& sender, FollowingVm* receiver) {
     receiver->follower.HandlePeerEnd(sender.link.Address(),
-                                     sender.follower.End());
+                                     sender.follower.End(), true);
   }
 
   std::mt19937 random{17};
--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -52,7 +52,7 @@
   // Reports a peer that is ahead until the follower has reached `end`.
   void ReportPeerUntilEnd(std::int64_t end) {
     this->RunUntil([this, end] {
-      this->follower.HandlePeerEnd(TcpEndpoint(), end);
+      this->follower.HandlePeerEnd(TcpEndpoint(), end, this->is_near);
       return this->follower.End() >= end;
     });
   }
@@ -76,6 +76,7 @@
   std::optional<Error> peer_error;
   int fetches = 0;
   std::int64_t fetched_from = -1;
+  bool is_near = true;  // Whether the reported peer is in this failure domain.
   std::vector<TopicRecord> applied;
   std::map<std::string, std::string> values;
   TopicFollower follower;
@@ -123,14 +124,14 @@
   const int calls = f.store.calls;
   f.peer_batch.end = 3;
   f.peer_batch.records = {{"b", "1", 1}, {"a", std::nullopt, 2}};
-  f.follower.HandlePeerEnd(TcpEndpoint(), 3);
+  f.follower.HandlePeerEnd(TcpEndpoint(), 3, true);
   f.RunUntil([&] { return f.follower.End() == 3; });
   CHECK(f.fetched_from == 1);
   CHECK(f.values["a"] == "(dropped)");
   CHECK(f.values["b"] == "1");
   CHECK(f.store.calls <= calls + 1);  // A read may have been in progress.
   // Nothing is fetched from a peer that is not ahead.
-  f.follower.HandlePeerEnd(TcpEndpoint(), 3);
+  f.follower.HandlePeerEnd(TcpEndpoint(), 3, true);
   CHECK(f.fetches == 1);
 }
 
@@ -170,7 +171,7 @@
   f.store.refusal = 503;
   f.peer_error = MakeError(ErrorCode::kExhausted, "overloaded");
   f.RunUntil([&] {
-    f.follower.HandlePeerEnd(TcpEndpoint(), 2);
+    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
     return f.fetches >= 10;
   });
   CHECK(f.fetches >= 10);
@@ -183,6 +184,66 @@
   CHECK(f.store.calls == calls);
 }
 
+// Guards against a herd: all VMs that fall behind at once and are rejected by
+// the few peers that are ahead read the store at the same time.
+TEST_CASE("The store is not read as soon as a peer rejects a request") {
+  FollowerFixture f;
+  f.store.Put(kTopic, "a", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.BecomeNonReader();
+  f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(600)] {
+    return f.loop.Now() > stop;  // A read in progress ends.
+  });
+  f.store.Put(kTopic, "b", "1");
+  const int calls = f.store.calls;
+  f.peer_error = MakeError(ErrorCode::kExhausted, "overloaded");
+  f.RunUntil([&] {
+    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
+    return f.fetches >= 5;
+  });
+  CHECK(f.fetches >= 5);
+  CHECK(f.store.calls == calls);
+}
+
+// Guards against records that pass between failure domains once for each VM.
+TEST_CASE("Peers of other failure domains are asked after the near ones") {
+  FollowerFixture f;
+  f.store.Put(kTopic, "a", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.BecomeNonReader();
+  f.peer_batch = TopicBatch{{{"b", "1", 1}}, 2};
+  f.follower.HandlePeerEnd(TcpEndpoint(), 2, false);
+  f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(50)] {
+    return f.loop.Now() > stop;
+  });
+  CHECK(f.fetches == 0);
+  f.is_near = false;
+  f.ReportPeerUntilEnd(2);
+  CHECK(f.fetches == 1);
+  f.peer_batch = TopicBatch{{{"c", "1", 2}}, 3};
+  f.is_near = true;
+  f.ReportPeerUntilEnd(3);
+  CHECK(f.fetches == 2);
+}
+
+// Guards against a herd at the store when all VMs start: none has received a
+// digest, so each took itself for the only one.
+TEST_CASE("A started VM leaves the store to the announced nodes before it") {
+  FollowerFixture f;
+  CHECK(f.role.ReadsStore(2));
+  f.peers.PutPeer("a", "zone", Endpoint{"127.0.0.1", 1});
+  CHECK(f.role.ReadsStore(2));
+  f.peers.PutPeer("a2", "zone", Endpoint{"127.0.0.1", 1});
+  f.peers.PutPeer("c", "zone", Endpoint{"127.0.0.1", 1});
+  CHECK(!f.role.ReadsStore(2));
+  CHECK(f.role.ReadsStore(3));
+  // Announced nodes that send no digest are gone.
+  f.RunUntil([] { return false; });
+  CHECK(f.role.ReadsStore(2));
+}
+
 TEST_CASE("Records sent to peers include removals") {
   FollowerFixture f;
   f.store.Put(kTopic, "a", "1");
