Do the planner's and the balancer's work once for each change

Each VM listed all 875 servers by fabric domain ten times a second, and passed over all peers once for each fabric domain, to find that it plans none of them. It now asks first whether it may plan any. Each choice of a group checked every member of every group; the serving groups of a model are now kept until the view changes.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -39,6 +39,7 @@
                              {"draining", server.draining ? 1 : 0}});
   }
   this->servers[server.id] = server;
+  ++this->change_count;
   if (!server.membership || server.membership->rank != 0) {
     return;
   }
@@ -73,6 +74,7 @@
       this->unreachable.erase(entry->first);
     }
     entry = this->pending_removals.erase(entry);
+    ++this->change_count;
   }
   this->RemoveFormerMembers();
 }
@@ -85,6 +87,7 @@
     }
     this->servers.erase(*id);
     id = this->unregistered.erase(id);
+    ++this->change_count;
   }
 }
 
@@ -118,6 +121,7 @@
   }
   status.record = record;
   status.open = false;
+  ++this->change_count;
   LogInfo("group_recorded", {{"group", record.group},
                              {"epoch", record.epoch},
                              {"model", record.model},
@@ -145,6 +149,7 @@
     return;
   }
   found->second.open = open;
+  ++this->change_count;
   LogInfo(open ? "group_open" : "group_closed",
           {{"group", group}, {"epoch", epoch}});
 }
@@ -154,12 +159,15 @@
                              MonotonicTime now) {
   if (reachable) {
     if (this->unreachable.erase(id) > 0) {
+      ++this->change_count;
       LogInfo("server_reachable", {{"server", id}});
     }
   } else if (this->unregistered.erase(id) > 0) {
+    ++this->change_count;
     LogWarning("server_gone", {{"server", id}});
     this->servers.erase(id);
   } else if (this->unreachable.emplace(id, now).second) {
+    ++this->change_count;
     LogWarning("server_unreachable", {{"server", id}});
   }
 }
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -91,6 +91,10 @@
   // is unknown.
   bool CanFinishRequests(const std::string& group, std::int64_t epoch) const;
 
+  // Number of changes of the servers, groups and their reachability. While it
+  // stays the same, pointers and the results of the other methods stay valid.
+  std::uint64_t ChangeCount() const { return this->change_count; }
+
   // Whether the deployment has received a request from a caller.
   bool HasTraffic() const { return this->has_traffic; }
   void MarkTrafficStarted() { this->has_traffic = true; }
@@ -108,6 +112,7 @@
   std::map<std::string, GroupStatus> groups;
   std::map<std::string, MonotonicTime> unreachable;
   bool has_traffic = false;
+  std::uint64_t change_count = 0;
 };
 
 }  // namespace kumquatcart
--- a/src/control/group_reconciler.cc
+++ b/src/control/group_reconciler.cc
@@ -26,16 +26,29 @@
 
 void GroupReconciler::ReconcileDomains() {
   if (this->parts.view->Config() == nullptr ||
-      !this->parts.records->IsSynced()) {
+      !this->parts.records->IsSynced() || !this->parts.role->MayPlan()) {
     return;
   }
+  std::map<std::string, bool> planned_here;  // By failure domain.
   for (const FabricDomain& domain : ListFabricDomains(*this->parts.view)) {
-    if (this->parts.role->IsPlannerOf(domain.failure_domain)) {
+    if (this->IsPlannedHere(domain.failure_domain, &planned_here)) {
       this->ReconcileDomain(domain);
     }
   }
 }
 
+bool GroupReconciler::IsPlannedHere(
+    const std::string& failure_domain,
+    std::map<std::string, bool>* planned_here) const {
+  const auto known = planned_here->find(failure_domain);
+  if (known != planned_here->end()) {
+    return known->second;
+  }
+  const bool is_planner = this->parts.role->IsPlannerOf(failure_domain);
+  planned_here->emplace(failure_domain, is_planner);
+  return is_planner;
+}
+
 void GroupReconciler::StartOnce(const std::string& key,
                                 std::function<void(Coroutine)> task) {
   if (!this->running_tasks.insert(key).second) {
@@ -113,6 +126,9 @@
 
 std::vector<GroupAvailability> GroupReconciler::GroupStates() const {
   std::vector<GroupAvailability> states;
+  if (!this->parts.role->MayPlan()) {
+    return states;
+  }
   std::map<std::string, bool> planned_here;  // By failure domain.
   for (const auto& entry : this->parts.view->Groups()) {
     const GroupRecord& record = entry.second.record;
@@ -124,15 +140,7 @@
     if (head == nullptr) {
       continue;
     }
-    const auto known = planned_here.find(head->failure_domain);
-    const bool is_planned_here =
-        known != planned_here.end()
-            ? known->second
-            : planned_here
-                  .emplace(head->failure_domain,
-                           this->parts.role->IsPlannerOf(head->failure_domain))
-                  .first->second;
-    if (is_planned_here) {
+    if (this->IsPlannedHere(head->failure_domain, &planned_here)) {
       states.push_back({entry.first, record.epoch, entry.second.open});
     }
   }
--- a/src/control/group_reconciler.h
+++ b/src/control/group_reconciler.h
@@ -3,6 +3,7 @@
 #define CONTROL_GROUP_RECONCILER_H_
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -39,6 +40,10 @@
 
  private:
   void ReconcileDomains();
+  // Whether this process plans `failure_domain`; remembers it in
+  // `planned_here`.
+  bool IsPlannedHere(const std::string& failure_domain,
+                     std::map<std::string, bool>* planned_here) const;
   void ReconcileDomain(const FabricDomain& domain);
 
   // Starts `task` unless a task with the same key is running.
--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -35,17 +35,42 @@
   this->balancer->Dequeue(this);
 }
 
-std::vector<const GroupStatus*> GroupLoadBalancer::CandidateGroups(
-    const SlotQuery& query) const {
-  std::vector<const GroupStatus*> candidates;
+std::vector<const GroupStatus*> GroupLoadBalancer::ServingGroups(
+    const std::string& service,
+    const std::string& model) {
+  if (this->serving_groups_change != this->view->ChangeCount()) {
+    this->serving_groups.clear();
+    this->serving_groups_change = this->view->ChangeCount();
+  }
+  const auto known = this->serving_groups.find({service, model});
+  if (known != this->serving_groups.end()) {
+    return known->second;
+  }
+  std::vector<const GroupStatus*> groups;
   for (const auto& entry : this->view->Groups()) {
     const GroupStatus& status = entry.second;
-    if (status.record.model == query.model &&
-        status.record.service == query.service && this->view->Serves(status) &&
-        query.excluded.count(status.record.members.front()) == 0) {
-      candidates.push_back(&status);
+    if (status.record.model == model && status.record.service == service &&
+        this->view->Serves(status)) {
+      groups.push_back(&status);
     }
   }
+  if (!groups.empty()) {  // Callers may name any model.
+    this->serving_groups[{service, model}] = groups;
+  }
+  return groups;
+}
+
+std::vector<const GroupStatus*> GroupLoadBalancer::CandidateGroups(
+    const SlotQuery& query) {
+  std::vector<const GroupStatus*> candidates =
+      this->ServingGroups(query.service, query.model);
+  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                  [&query](const GroupStatus* status) {
+                                    return query.excluded.count(
+                                               status->record.members.front()) >
+                                           0;
+                                  }),
+                   candidates.end());
   return candidates;
 }
 
--- a/src/entry/group_load_balancer.h
+++ b/src/entry/group_load_balancer.h
@@ -116,7 +116,10 @@
   GroupCandidate MakeCandidate(const GroupStatus& group,
                                const EngineSpec& engine) const;
   // Open groups that serve the query's model and are not excluded.
-  std::vector<const GroupStatus*> CandidateGroups(const SlotQuery& query) const;
+  std::vector<const GroupStatus*> CandidateGroups(const SlotQuery& query);
+  // All open groups that serve a model, valid until the view changes.
+  std::vector<const GroupStatus*> ServingGroups(const std::string& service,
+                                                const std::string& model);
   const EngineSpec* FindEngine(const std::string& service) const;
   RequestDemand MakeDemand(const SlotQuery& query,
                            const EngineSpec& engine,
@@ -141,6 +144,11 @@
   ServerLimiter* const limiter;
   const std::string failure_domain;
   std::list<SlotRequest*> queue;  // Requests without a slot.
+  // Results of ServingGroups() by service and model, for the view's state after
+  // `serving_groups_change` changes.
+  std::map<std::pair<std::string, std::string>, std::vector<const GroupStatus*>>
+      serving_groups;
+  std::uint64_t serving_groups_change = 0;
   SlotWaitEstimator wait_estimator;
   int nodes = 1;
   std::minstd_rand generator{std::random_device{}()};
