Share models over failure domains that are too small for all; use half the reserve

- With 10 servers a failure domain and groups of 8 and 2, each planner formed one large group and one or none of the small model, which most requests ask for.
Where a failure domain cannot hold its share of every model, the shares now hold for all failure domains together, by a distribution that every planner computes alike.
- Of 35 servers with a reserve of 4, a group of 16 and three of 4 left 7 idle.
A last group may take half of the reserve, so that there are four.

Two faults in one commit, since both change DomainPlanner::FormGroup.

--- a/src/control/group_planner.cc
+++ b/src/control/group_planner.cc
@@ -172,35 +172,41 @@
         }));
   }
 
-  int ReserveSize() const {
-    return std::max(
-        1, static_cast<int>(std::lround(
-               kReserveFraction * static_cast<double>(this->UsableServers()))));
-  }
-
-  // Number of servers that `model` is short of its share of work after one more
-  // group of it is formed.
-  double ServerDeficit(const ModelSpec& model) const {
-    int total = model.group_size;
-    for (const auto& entry : this->assigned_servers) {
-      total += entry.second;
+  // Number of servers that `model` is short of.
+  double DeficitOf(const ModelSpec& model) const {
+    if (!this->input.wanted_servers) {
+      return ServerDeficit(model, this->assigned_servers);
     }
-    const auto own = this->assigned_servers.find(model.name);
-    return model.work_share * total -
-           (own == this->assigned_servers.end() ? 0 : own->second);
+    const auto count = [&model](const ServersByModel& servers) {
+      const auto found = servers.find(model.name);
+      return found == servers.end() ? 0 : found->second;
+    };
+    return count(*this->input.wanted_servers) - count(this->formed_servers);
   }
 
-  bool FormGroup() {
-    const int available =
-        static_cast<int>(this->free_servers.size()) - this->ReserveSize();
+  // The model with the largest deficit of those whose groups have at most
+  // `available` members, or null.
+  const ModelSpec* ChooseModel(int available) const {
     const ModelSpec* chosen = nullptr;
     for (const ModelSpec& model : this->input.models) {
       if (model.group_size <= available &&
           (chosen == nullptr ||
-           this->ServerDeficit(model) > this->ServerDeficit(*chosen))) {
+           this->DeficitOf(model) > this->DeficitOf(*chosen))) {
         chosen = &model;
       }
     }
+    return chosen;
+  }
+
+  // A last group may take half of the reserve: otherwise nearly a whole group's
+  // servers could stay idle beside it.
+  bool FormGroup() {
+    const int free = static_cast<int>(this->free_servers.size());
+    const int reserve = ReserveSize(this->UsableServers());
+    const ModelSpec* chosen = this->ChooseModel(free - reserve);
+    if (chosen == nullptr) {
+      chosen = this->ChooseModel(free - (reserve + 1) / 2);
+    }
     if (chosen == nullptr) {
       return false;
     }
@@ -213,6 +219,7 @@
       record.members.push_back(this->TakeFree(chosen->name));
     }
     this->assigned_servers[chosen->name] += chosen->group_size;
+    this->formed_servers[chosen->name] += chosen->group_size;
     this->plan.records.push_back(std::move(record));
     return true;
   }
@@ -296,7 +303,8 @@
   }
 
   const DomainInput& input;
-  std::map<std::string, int> assigned_servers;
+  ServersByModel assigned_servers;
+  ServersByModel formed_servers;  // In groups that the plan forms.
   std::set<std::string> group_names;
   std::map<std::string, ServerAvailability> availabilities;
   std::vector<const PlannedServer*> free_servers;
@@ -305,6 +313,11 @@
 
 }  // namespace
 
+int ReserveSize(std::size_t usable) {
+  return std::max(1, static_cast<int>(std::lround(
+                         kReserveFraction * static_cast<double>(usable))));
+}
+
 DomainPlan PlanDomain(const DomainInput& input) {
   return DomainPlanner(input).Plan();
 }
--- a/src/control/group_planner.h
+++ b/src/control/group_planner.h
@@ -3,12 +3,14 @@
 #define CONTROL_GROUP_PLANNER_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
 #include <vector>
 
 #include "base/comparable.h"
+#include "control/model_shares.h"
 #include "model/backend_server.h"
 #include "model/routing_config.h"
 
@@ -50,7 +52,10 @@
   std::vector<ModelSpec> models;
   // Number of servers in groups of each model in the other fabric domains of
   // the failure domain.
-  std::map<std::string, int> assigned_elsewhere;
+  ServersByModel assigned_elsewhere;
+  // Servers wanted for new groups of each model, where the failure domain is
+  // too small for its share of every model.
+  std::optional<ServersByModel> wanted_servers;
   // Servers registered recently and more may follow. No groups are formed, and
   // no standby models are loaded, since the groups formed later may need
   // others.
@@ -88,6 +93,10 @@
 // distributes standbys over the models. Deterministic. Thread safe.
 DomainPlan PlanDomain(const DomainInput& input);
 
+// Number of a fabric domain's `usable` servers that are kept free to replace
+// lost members. Thread safe.
+int ReserveSize(std::size_t usable);
+
 }  // namespace kumquatcart
 
 #endif  // CONTROL_GROUP_PLANNER_H_
--- a/src/control/planning_input.cc
+++ b/src/control/planning_input.cc
@@ -1,6 +1,8 @@
 #include "control/planning_input.h"
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "control/standby_name.h"
@@ -33,11 +35,27 @@
   return planned;
 }
 
+// Whether the failure domain has enough servers for its share of every model.
+bool HoldsEveryModel(const FabricDomain& domain, const FleetView& view) {
+  const auto servers = std::count_if(
+      view.Servers().begin(), view.Servers().end(),
+      [&domain](const auto& entry) {
+        return entry.second.service == domain.service &&
+               entry.second.failure_domain == domain.failure_domain;
+      });
+  const std::vector<ModelSpec>& models = domain.engine->models;
+  return std::all_of(models.begin(), models.end(),
+                     [servers](const ModelSpec& model) {
+                       return model.work_share * static_cast<double>(servers) >=
+                              model.group_size;
+                     });
+}
+
 // Number of group members by model in the other fabric domains of the failure
 // domain.
-std::map<std::string, int> AssignedElsewhere(const FabricDomain& domain,
-                                             const FleetView& view) {
-  std::map<std::string, int> assigned;
+ServersByModel AssignedElsewhere(const FabricDomain& domain,
+                                 const FleetView& view) {
+  ServersByModel assigned;
   for (const auto& entry : view.Groups()) {
     const GroupRecord& record = entry.second.record;
     if (record.members.empty() || record.fabric_domain == domain.name) {
@@ -51,6 +69,52 @@
   return assigned;
 }
 
+// Servers wanted for new groups in `domain` if the models' shares hold for all
+// failure domains together.
+ServersByModel WantedServers(const FabricDomain& domain,
+                             const FleetView& view) {
+  ServersByModel assigned;
+  std::set<std::string> members;
+  for (const auto& entry : view.Groups()) {
+    const GroupRecord& record = entry.second.record;
+    if (record.service == domain.service) {
+      assigned[record.model] += static_cast<int>(record.members.size());
+      members.insert(record.members.begin(), record.members.end());
+    }
+  }
+  std::vector<FreeServers> free_servers;
+  for (const FabricDomain& known : ListFabricDomains(view)) {
+    if (known.service != domain.service) {
+      continue;
+    }
+    int usable = 0;
+    int free = 0;
+    for (const BackendServer* server : known.servers) {
+      const bool is_usable = view.IsUsable(server->id);
+      usable += is_usable ? 1 : 0;
+      free += is_usable && members.count(server->id) == 0 ? 1 : 0;
+    }
+    free_servers.push_back(
+        {known.name, free - ReserveSize(static_cast<std::size_t>(usable))});
+  }
+  return ShareModels(domain.engine->models, std::move(assigned), free_servers,
+                     domain.name);
+}
+
+// Time at which the newest server was first seen that may change the plan.
+MonotonicTime NewestServerTime(const FabricDomain& domain,
+                               const FleetView& view,
+                               bool shares_models) {
+  MonotonicTime newest = view.NewestServerSeenAt(domain.name);
+  if (shares_models) {
+    for (const auto& entry : view.Servers()) {
+      newest =
+          std::max(newest, view.NewestServerSeenAt(entry.second.fabric_domain));
+    }
+  }
+  return newest;
+}
+
 }  // namespace
 
 std::vector<FabricDomain> ListFabricDomains(const FleetView& view) {
@@ -86,8 +150,13 @@
   input.fabric_domain = domain.name;
   input.models = domain.engine->models;
   input.assigned_elsewhere = AssignedElsewhere(domain, view);
+  const bool shares_models = !HoldsEveryModel(domain, view);
+  if (shares_models) {
+    input.wanted_servers = WantedServers(domain, view);
+  }
   input.is_growing =
-      now - view.NewestServerSeenAt(domain.name) <
+      now -
+          NewestServerTime(domain, view, shares_models && !view.HasTraffic()) <
       (view.HasTraffic() ? kDomainSettleTime : kInitialDomainSettleTime);
   input.is_remote = domain.failure_domain != own_failure_domain;
   for (const BackendServer* server : domain.servers) {
--- a/tests/control/group_planner_test.cc
+++ b/tests/control/group_planner_test.cc
@@ -83,6 +83,18 @@
   CHECK(plan.standbys.size() == 3);
 }
 
+// Guards against a quarter of a model's groups that are missing while their
+// servers wait as spares: 35 servers, of which 4 are to be spares, hold one
+// group of 16 and three of 4, with 7 left.
+TEST_CASE("A last group takes up to half of the reserve") {
+  const DomainPlan plan = PlanDomain(MakeDomain(35, 16, 4));
+  CHECK(GroupsByModel(plan) ==
+        std::map<std::string, int>{{"large", 1}, {"small", 4}});
+  CHECK(plan.standbys.size() == 3);
+  // Not more than half of it.
+  CHECK(PlanDomain(MakeDomain(33, 16, 4)).records.size() == 4);
+}
+
 TEST_CASE("No server is in two groups") {
   const DomainPlan plan = PlanDomain(MakeDomain(40, 6, 3));
   std::set<std::string> seen;
