Give servers of tests addresses that nothing else takes

Start() fails for no other reason. The test had taken ports of 127.0.0.1 from the kernel and closed them, four at a time; until they were bound again the kernel could give them to one of the other tests that run beside it, or give one of them out twice. Read from the code; the failure was not reproduced.

Servers of tests now have an address of loopback of their own process, and ports below those that the kernel assigns.

--- a/tests/entry/entry_process_test.cc
+++ b/tests/entry/entry_process_test.cc
@@ -56,7 +56,7 @@
     for (Endpoint* endpoint :
          {&this->settings.callers, &this->settings.readiness,
           &this->settings.peers, &this->settings.metrics}) {
-      *endpoint = ToEndpoint(FreeAddress(&this->loop));
+      *endpoint = ToEndpoint(FreeAddress());
     }
     this->settings.store = ToEndpoint(this->store.Address());
     this->settings.stop_grace = stop_grace;
--- a/tests/entry/group_reconciler_test.cc
+++ b/tests/entry/group_reconciler_test.cc
@@ -17,7 +17,7 @@
  public:
   FakeEngine(EventLoop* loop, std::string id)
       : id(std::move(id)),
-        address(FreeAddress(loop)),
+        address(FreeAddress()),
         service(loop, [this](const ParsedRequest& request, Coroutine) {
           return this->Answer(request);
         }) {
@@ -30,7 +30,8 @@
     server.service = "models";
     server.failure_domain = "zone";
     server.fabric_domain = "d";
-    server.endpoint = Endpoint{"127.0.0.1", this->address.port()};
+    server.endpoint =
+        Endpoint{this->address.address().to_string(), this->address.port()};
     return server;
   }
 
--- a/tests/entry/record_fan_out_test.cc
+++ b/tests/entry/record_fan_out_test.cc
@@ -58,7 +58,7 @@
                [this, loop](const ParsedRequest& request, Coroutine) {
                  return this->Answer(request, loop->Now());
                }),
-        server_address(FreeAddress(loop)),
+        server_address(FreeAddress()),
         link(loop, this->server_address, kLinkBytesPerSecond) {
     REQUIRE(this->server.Start(this->server_address).has_value());
   }
--- a/tests/fakes/loop_store.h
+++ b/tests/fakes/loop_store.h
@@ -10,23 +10,16 @@
 
 #include "base/json.h"
 #include "entry/simple_http_server.h"
+#include "fakes/free_address.h"
 #include "platform/store_client.h"
 
 namespace kumquatcart {
 
-// A free port of loopback.
-inline TcpEndpoint FreeAddress(EventLoop* loop) {
-  boost::asio::ip::tcp::acceptor acceptor(
-      loop->Context(),
-      TcpEndpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-  return acceptor.local_endpoint();
-}
-
 // Keeps topics in memory and speaks the store's calls.
 class LoopStore {
  public:
   explicit LoopStore(EventLoop* loop)
-      : address(FreeAddress(loop)),
+      : address(FreeAddress()),
         service(loop, [this](const ParsedRequest& request, Coroutine) {
           return this->Answer(request);
         }) {
