Send no request whose caller left while the connection was opened

The code looked for the caller's close only before it opened a connection to a server, and only at what the event loop had read by then. A VM that lacks processor time, or a slow connection, put seconds between that and the request. Now the caller's socket is read just before the request is sent.

The test, a caller that leaves at once, fails without the change on both routes.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -99,6 +99,12 @@
     }
     return this->SetOutcome(AttemptOutcome::kNotRun, "connection failed");
   }
+  // The caller may have left while the connection was opened, or while the
+  // event loop was held up.
+  if (this->job->caller->PollEnded()) {
+    return this->SetOutcome(AttemptOutcome::kCallerGone,
+                            "the caller disconnected");
+  }
   this->SendRequest();
   GroupStallDetector& watch = *this->job->context->stall_detector;
   const std::string& group = this->slot->Group();
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -97,7 +97,7 @@
       });
 }
 
-void TcpConnection::ReadInput() {
+bool TcpConnection::ReadInput() {
   static thread_local std::array<char, kReadChunkBytes> chunk;
   boost::system::error_code error;
   const std::size_t count =
@@ -105,11 +105,11 @@
   if (error == boost::asio::error::would_block ||
       error == boost::asio::error::interrupted) {
     this->WaitForInput();
-    return;
+    return false;
   }
   if (error) {
     this->MarkEnded(/*by_error=*/error != boost::asio::error::eof);
-    return;
+    return false;
   }
   this->input.append(chunk.data(), count);
   this->last_input = this->loop->Now();
@@ -117,6 +117,14 @@
     this->WaitForInput();
   }
   this->NotifyWaiter();
+  return true;
+}
+
+bool TcpConnection::PollEnded() {
+  while (!this->ended && this->Input().size() < kReadPauseThresholdBytes &&
+         this->ReadInput()) {
+  }
+  return this->ended;
 }
 
 bool TcpConnection::ReadPending() {
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -53,6 +53,10 @@
   // Whether no further input will arrive: closed by either side, or failed.
   bool HasEnded() const { return this->ended; }
 
+  // The same, after reading what the socket has received. To be called before
+  // an action that is of no use once the peer has closed.
+  bool PollEnded();
+
   // Whether the connection failed with an error. False after an orderly close.
   bool HasFailed() const { return this->failed; }
 
@@ -87,7 +91,8 @@
  private:
   void Start();
   void WaitForInput();
-  void ReadInput();
+  // Returns whether bytes were read.
+  bool ReadInput();
   void WriteNext();
   void MarkEnded(bool by_error);
   void NotifyWaiter();
--- a/tests/entry/request_path_test.cc
+++ b/tests/entry/request_path_test.cc
@@ -263,6 +263,23 @@
   CHECK(ends.size() == 4);
 }
 
+// Guards against requests that are sent on after their callers have left: a
+// connection to a server takes time, longer on a VM that lacks processor time.
+TEST_CASE("A request whose caller leaves before it is sent reaches no server") {
+  for (const char* path : {"/again/x", "/stream/x"}) {
+    CAPTURE(path);
+    EntryFixture fixture;
+    std::vector<MonotonicTime> ends;
+    fixture.AddPlain("a", StaySilent(&fixture, &ends));
+    fixture.AddGroup("b", StaySilent(&fixture, &ends));
+    fixture.SendAndDisconnect(MakeRequest("GET", path), Duration{0});
+    fixture.RunFor(std::chrono::milliseconds(100));
+    for (const std::string& head : fixture.received) {
+      CHECK(head.empty());
+    }
+  }
+}
+
 TEST_CASE("A missing route, key or configuration has its own status") {
   EntryFixture fixture;
   CHECK(HasStatus(fixture.SendRequest(MakeRequest("GET", "/none/x")), "404"));
