List the relays of a store call only when one is needed

Each record of a node made the list of all nodes' addresses anew, so that the start of 295 VMs made 295 x 295 x 294 addresses from text. Relays are needed only while the store refuses a VM. No behaviour changes; its cost was not measured alone.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -175,6 +175,13 @@
                      return this->HandlePeerRequest(request, yield);
                    }) {
   this->loop.Monitor()->SetMetrics(&this->metrics);
+  this->store.SetRelays([this] {
+    std::vector<TcpEndpoint> relays;
+    for (const Endpoint& peer : this->peers.EndpointsFromSuccessor()) {
+      relays.push_back(ToTcpEndpoint(peer));
+    }
+    return relays;
+  });
   this->context.loop = &this->loop;
   this->context.view = &this->view;
   this->context.prober = &this->prober;
@@ -313,11 +320,6 @@
   this->peers.PutPeer(record.key,
                       json.value().value("failure_domain", std::string()),
                       endpoint.value(), json.value().value("cores", 0.0));
-  std::vector<TcpEndpoint> relays;
-  for (const Endpoint& peer : this->peers.EndpointsFromSuccessor()) {
-    relays.push_back(ToTcpEndpoint(peer));
-  }
-  this->store.SetRelays(std::move(relays));
 }
 
 void EntryProcess::PublishNodeRecord(Coroutine yield) {
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -140,10 +140,6 @@
 StoreClient::StoreClient(EventLoop* loop, TcpEndpoint store)
     : loop(loop), store(std::move(store)), client(loop) {}
 
-void StoreClient::SetRelays(std::vector<TcpEndpoint> relays) {
-  this->relays = std::move(relays);
-}
-
 bool StoreClient::IsStoreCall(const std::string& target) {
   return target.rfind(wire::kLogReadPath, 0) == 0 ||
          target.rfind(wire::kLogNewestPath, 0) == 0 ||
@@ -177,28 +173,37 @@
                                Duration timeout,
                                Coroutine yield) {
   const MonotonicTime now = this->loop->Now();
-  const bool asks_relay_first = !this->reachable && !this->relays.empty() &&
-                                now - this->direct_at < kDirectInterval;
+  const bool asks_relay_first =
+      !this->reachable && now - this->direct_at < kDirectInterval;
+  bool relay_refused = false;
   if (asks_relay_first) {
-    HttpResponse relayed = this->CallRelay(request, timeout, yield);
-    if (!IsRefusal(relayed)) {
-      return relayed;
+    std::optional<HttpResponse> relayed =
+        this->CallRelay(request, timeout, yield);
+    if (relayed && !IsRefusal(*relayed)) {
+      return *std::move(relayed);
     }
+    relay_refused = relayed.has_value();
   }
   this->direct_at = now;
   HttpResponse reply = this->PassOn(request, timeout, yield);
-  if (!IsRefusal(reply) || asks_relay_first || this->relays.empty()) {
+  if (!IsRefusal(reply) || relay_refused) {
     return reply;
   }
-  HttpResponse relayed = this->CallRelay(request, timeout, yield);
-  return IsRefusal(relayed) ? reply : relayed;
+  std::optional<HttpResponse> relayed =
+      this->CallRelay(request, timeout, yield);
+  return !relayed || IsRefusal(*relayed) ? reply : *std::move(relayed);
 }
 
-HttpResponse StoreClient::CallRelay(const OutgoingRequest& request,
-                                    Duration timeout,
-                                    Coroutine yield) {
-  const TcpEndpoint relay =
-      this->relays[this->next_relay++ % this->relays.size()];
+std::optional<HttpResponse> StoreClient::CallRelay(
+    const OutgoingRequest& request,
+    Duration timeout,
+    Coroutine yield) {
+  const std::vector<TcpEndpoint> relays =
+      this->list_relays ? this->list_relays() : std::vector<TcpEndpoint>();
+  if (relays.empty()) {
+    return std::nullopt;
+  }
+  const TcpEndpoint relay = relays[this->next_relay++ % relays.size()];
   return this->client.Exchange(relay, request, this->loop->Now() + timeout,
                                kMaxIdle, yield);
 }
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -3,6 +3,7 @@
 #define PLATFORM_STORE_CLIENT_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -50,10 +51,13 @@
  public:
   StoreClient(EventLoop* loop, TcpEndpoint store);
 
-  // Entry VMs that pass calls on to the store, asked in turn after a direct
-  // call failed. Their order should differ from VM to VM, since the store may
-  // refuse many VMs at once.
-  void SetRelays(std::vector<TcpEndpoint> relays);
+  // Lists the entry VMs that pass calls on to the store, asked in turn after a
+  // direct call failed. Their order should differ from VM to VM, since the
+  // store may refuse many VMs at once.
+  using RelayList = std::function<std::vector<TcpEndpoint>()>;
+  void SetRelays(RelayList list_relays) {
+    this->list_relays = std::move(list_relays);
+  }
 
   // The newest record of every key. The pages are no snapshot: continue with
   // ReadSince from the result's end. Errors: kUnavailable, kTimeout,
@@ -92,15 +96,16 @@
   HttpResponse Call(const OutgoingRequest& request,
                     Duration timeout,
                     Coroutine yield);
-  HttpResponse CallRelay(const OutgoingRequest& request,
-                         Duration timeout,
-                         Coroutine yield);
+  // None: there is no relay.
+  std::optional<HttpResponse> CallRelay(const OutgoingRequest& request,
+                                        Duration timeout,
+                                        Coroutine yield);
   void NoteReachability(const HttpResponse& reply);
 
   EventLoop* const loop;
   const TcpEndpoint store;
   HttpClient client;
-  std::vector<TcpEndpoint> relays;
+  RelayList list_relays;
   std::size_t next_relay = 0;
   bool reachable = true;
   MonotonicTime direct_at;  // Last direct call.
--- a/tests/entry/store_relay_test.cc
+++ b/tests/entry/store_relay_test.cc
@@ -17,6 +17,11 @@
         client(&this->loop, this->direct.Address()) {}
   ~RelayFixture() { this->loop.UnwindCoroutines(); }
 
+  void UseRelay() {
+    this->client.SetRelays(
+        [this] { return std::vector<TcpEndpoint>{this->relay.Address()}; });
+  }
+
   EventLoop loop;
   LoopStore direct;
   LoopStore relay;
@@ -28,7 +33,7 @@
     RelayFixture fixture;
     fixture.direct.refusal = refusal;
     fixture.relay.Put("keyed.op", "config", "1");
-    fixture.client.SetRelays({fixture.relay.Address()});
+    fixture.UseRelay();
     RunCoroutine(&fixture.loop, [&](Coroutine yield) {
       const Result<TopicBatch> batch =
           fixture.client.ReadNewest(StoreTopic::kOperator, yield);
@@ -45,7 +50,7 @@
 TEST_CASE("While the store refuses, most calls go to the peer alone") {
   RelayFixture fixture;
   fixture.direct.refusal = 503;
-  fixture.client.SetRelays({fixture.relay.Address()});
+  fixture.UseRelay();
   RunCoroutine(&fixture.loop, [&](Coroutine yield) {
     for (int i = 0; i < 20; ++i) {
       CHECK(
@@ -59,7 +64,7 @@
   RelayFixture fixture;
   fixture.direct.refusal = 503;
   fixture.relay.refusal = 503;
-  fixture.client.SetRelays({fixture.relay.Address()});
+  fixture.UseRelay();
   RunCoroutine(&fixture.loop, [&](Coroutine yield) {
     CHECK(fixture.client.Append(StoreTopic::kGroups, "g", "1", 0, yield)
               .error()
@@ -70,7 +75,7 @@
 TEST_CASE("A conflict reported by the store is not retried through a peer") {
   RelayFixture fixture;
   fixture.direct.Put("keyed.groups", "g", "1");
-  fixture.client.SetRelays({fixture.relay.Address()});
+  fixture.UseRelay();
   RunCoroutine(&fixture.loop, [&](Coroutine yield) {
     CHECK(fixture.client.Append(StoreTopic::kGroups, "g", "2", 0, yield)
               .error()
