Keep duties with a few VMs while the store is down

Cause: duties went to the first VMs of a failure domain that reach the store. While it is down none does, and each VM took itself for the first: all read all four topics, directly and through relays, five times a second, and each collected the loads of its domain and sent to all others.

Ruled out: the restarts after all processes were killed (41 s): the calls are there before that. Calls of single VMs in a row: the log of one VM has no loop of its own.

- Collectors are the first live VMs, whether or not they reach the store.
- At the store, those that reach it come first, then the others by rank.
The first by rank go on trying, so that they are readers again when the store returns; after a failure that shows that it is unreachable they wait 0.5 s, not 0.2 s.
- The collectors found are kept for 50 ms like the other duties.

--- a/src/control/planner_role.cc
+++ b/src/control/planner_role.cc
@@ -28,8 +28,7 @@
           readers) {
     return false;
   }
-  return this->PeerPlannerOf(this->own_failure_domain) == nullptr ||
-         this->peers->CountPrecedingNodes(now) < readers;
+  return this->peers->IsStoreReader(readers, now);
 }
 
 bool PlannerRole::HasReaderNearby() const {
--- a/src/control/planner_role.h
+++ b/src/control/planner_role.h
@@ -31,10 +31,10 @@
   const PeerState* PeerPlannerOf(const std::string& failure_domain) const;
 
   // Whether this process reads the store for its own failure domain: it is
-  // among the first `readers` nodes there, or no peer plans the failure domain.
-  // Other processes receive the records from peers. Shortly after the start,
-  // nodes that are announced in the store count as live, since their first
-  // digests may not have arrived yet.
+  // among the first `readers` nodes there, by rank or among those that reach
+  // the store. Other processes receive the records from peers. Shortly after
+  // the start, nodes that are announced in the store count as live, since their
+  // first digests may not have arrived yet.
   bool ReadsStore(int readers) const;
 
   // Whether a peer of this failure domain reads the store.
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -13,8 +13,10 @@
 // Interval at which a process that does not read the store checks whether it
 // has to.
 constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(100);
-// Pause after a failed read.
+// Pause after a failed read, and after one that has shown that the store does
+// not accept calls of this VM.
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+constexpr Duration kUnreachableRetryPause = std::chrono::milliseconds(500);
 // Wait of a read of records that are known to exist. It only extends the
 // deadline of the transfer.
 constexpr Duration kMissingReadWait = std::chrono::seconds(1);
@@ -50,7 +52,9 @@
                             ? this->ReadMore(this->settings.read_wait, yield)
                             : this->ReadNewest(yield);
       if (!read) {
-        this->loop->Sleep(kRetryPause, yield);
+        this->loop->Sleep(
+            this->store->IsReachable() ? kRetryPause : kUnreachableRetryPause,
+            yield);
       } else if (this->end != before) {
         this->loop->Sleep(this->role->ReadsStore(1)
                               ? this->settings.batch_pause
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -347,6 +347,7 @@
   digest.failure_domain = this->settings.failure_domain;
   digest.is_stopping = this->context.is_stopping;
   digest.reaches_store = this->store.IsReachable();
+  this->peers.SetReachesStore(digest.reaches_store);
   digest.has_traffic = this->view.HasTraffic();
   digest.config_version =
       this->view.Config() ? this->view.Config()->version : 0;
--- a/src/peers/digest_schedule.cc
+++ b/src/peers/digest_schedule.cc
@@ -16,8 +16,9 @@
 // Number of peers from which on loads pass through collectors: direct digests
 // would arrive later than theirs.
 constexpr std::size_t kMinCollectedPeers = 2 * kPeersPerInterval;
-// Collectors per failure domain: the planner and the node that takes over if it
-// fails. They also read its groups and servers from the store.
+// Collectors per failure domain, and nodes that may plan it: the planner and
+// the node that takes over if it fails. While the store is reachable, both are
+// the same nodes.
 constexpr int kCollectors = 2;
 // Number of nodes of a failure domain that one collector sends to in kInterval.
 constexpr std::size_t kNodesPerInterval = 100;
@@ -57,12 +58,16 @@
 
 bool DigestSchedule::IsCollector(MonotonicTime now) const {
   return this->UsesCollectors() &&
-         this->peers->CountPrecedingNodes(now) < kCollectors;
+         this->peers->CountPrecedingCollectors(now) < kCollectors;
+}
+
+bool DigestSchedule::IsPlannerCandidate(MonotonicTime now) const {
+  return this->peers->CountPrecedingNodes(now) < kCollectors;
 }
 
 bool DigestSchedule::AnnouncesChanges(MonotonicTime now) const {
-  return !this->UsesCollectors() ||
-         this->peers->CountPrecedingNodes(now) < kCollectors;
+  return !this->UsesCollectors() || this->IsCollector(now) ||
+         this->IsPlannerCandidate(now);
 }
 
 Duration DigestSchedule::Interval(DigestAudience audience,
@@ -70,18 +75,14 @@
   const std::size_t count = this->peers->Peers().size();
   const auto scaled =
       kInterval * static_cast<int>(1 + count / kPeersPerInterval);
-  const bool is_candidate = this->peers->CountPrecedingNodes(now) < kCollectors;
+  const bool is_candidate = this->IsPlannerCandidate(now);
   if (!this->UsesCollectors()) {
     return is_candidate ? std::min(scaled, kPlannerMaxInterval) : scaled;
   }
   if (audience == DigestAudience::kOther) {
     return is_candidate ? kCollectorFarInterval : kFarFactor * scaled;
   }
-  const auto nearby = static_cast<std::size_t>(std::count_if(
-      this->peers->Peers().begin(), this->peers->Peers().end(),
-      [this](const auto& entry) {
-        return entry.second.failure_domain == this->peers->OwnFailureDomain();
-      }));
+  const auto nearby = static_cast<std::size_t>(this->peers->CountNeighbours());
   return kInterval * static_cast<int>(1 + nearby / kNodesPerInterval);
 }
 
--- a/src/peers/digest_schedule.h
+++ b/src/peers/digest_schedule.h
@@ -64,6 +64,8 @@
                             MonotonicTime now) const;
 
  private:
+  // Whether this node plans its failure domain or is the next to do so.
+  bool IsPlannerCandidate(MonotonicTime now) const;
   std::vector<DigestTarget> Take(bool only_due,
                                  bool only_own_domain,
                                  MonotonicTime now);
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -23,9 +23,12 @@
 // kMinPeerTimeout.
 constexpr Duration kDutiesLifetime = std::chrono::milliseconds(50);
 
+bool IsServing(const PeerState& peer, MonotonicTime now) {
+  return peer.IsAlive(now) && !peer.digest.is_stopping;
+}
+
 bool CanPlan(const PeerState& peer, MonotonicTime now) {
-  return peer.IsAlive(now) && peer.digest.reaches_store &&
-         !peer.digest.is_stopping;
+  return IsServing(peer, now) && peer.digest.reaches_store;
 }
 
 }  // namespace
@@ -53,6 +56,13 @@
   this->duties = Duties{};
 }
 
+void PeerDirectory::SetReachesStore(bool reaches_store) {
+  if (this->own_reaches_store != reaches_store) {
+    this->own_reaches_store = reaches_store;
+    this->duties = Duties{};
+  }
+}
+
 PeerDirectory::Duties& PeerDirectory::DutiesAt(MonotonicTime now) const {
   if (now < this->duties.found_at ||
       now - this->duties.found_at >= kDutiesLifetime) {
@@ -68,10 +78,13 @@
     return false;
   }
   PeerState& peer = found->second;
-  const bool could_plan = CanPlan(peer, now);
+  const auto abilities = [&peer, now] {
+    return std::pair(IsServing(peer, now), CanPlan(peer, now));
+  };
+  const auto before = abilities();
   peer.digest = digest;
   peer.digest_received_at = now;
-  if (could_plan != CanPlan(peer, now)) {
+  if (before != abilities()) {
     this->duties = Duties{};
   }
   return true;
@@ -137,27 +150,56 @@
   return result->second;
 }
 
+int PeerDirectory::CountNeighbours(
+    const std::function<bool(const std::string&, const PeerState&)>& matches)
+    const {
+  return static_cast<int>(std::count_if(
+      this->peers.begin(), this->peers.end(), [&](const auto& entry) {
+        return entry.second.failure_domain == this->own_failure_domain &&
+               matches(entry.first, entry.second);
+      }));
+}
+
 int PeerDirectory::CountPrecedingNodes(MonotonicTime now,
                                        bool include_silent) const {
   Duties& known = this->DutiesAt(now);
   if (!include_silent && known.preceding_nodes) {
     return *known.preceding_nodes;
   }
-  const Rank own = this->OwnRank(this->own_failure_domain);
-  const auto count = static_cast<int>(std::count_if(
-      this->peers.begin(), this->peers.end(), [&](const auto& entry) {
-        const PeerState& peer = entry.second;
-        return peer.failure_domain == this->own_failure_domain &&
-               RankOf(entry.first, peer, this->own_failure_domain) < own &&
-               (CanPlan(peer, now) ||
-                (include_silent && peer.digest_received_at == MonotonicTime{}));
-      }));
+  const std::pair own(!this->own_reaches_store,
+                      this->OwnRank(this->own_failure_domain));
+  const int count = this->CountNeighbours(
+      [&](const std::string& node, const PeerState& peer) {
+        const bool is_silent = peer.digest_received_at == MonotonicTime{};
+        const std::pair rank(!is_silent && !peer.digest.reaches_store,
+                             RankOf(node, peer, this->own_failure_domain));
+        return rank < own &&
+               (IsServing(peer, now) || (include_silent && is_silent));
+      });
   if (!include_silent) {
     known.preceding_nodes = count;
   }
   return count;
 }
 
+int PeerDirectory::CountPrecedingCollectors(MonotonicTime now) const {
+  Duties& known = this->DutiesAt(now);
+  if (!known.preceding_collectors) {
+    const Rank own = this->OwnRank(this->own_failure_domain);
+    known.preceding_collectors = this->CountNeighbours(
+        [&](const std::string& node, const PeerState& peer) {
+          return RankOf(node, peer, this->own_failure_domain) < own &&
+                 IsServing(peer, now);
+        });
+  }
+  return *known.preceding_collectors;
+}
+
+bool PeerDirectory::IsStoreReader(int readers, MonotonicTime now) const {
+  return this->CountPrecedingNodes(now) < readers ||
+         this->CountPrecedingCollectors(now) < readers;
+}
+
 bool PeerDirectory::PrecedesAll(MonotonicTime now) const {
   const Rank own = this->OwnRank(this->own_failure_domain);
   return std::none_of(
@@ -168,12 +210,18 @@
       });
 }
 
-std::set<std::string> PeerDirectory::FindFirstPeers(int count,
-                                                    MonotonicTime now) const {
+const std::set<std::string>& PeerDirectory::FindFirstPeers(
+    int count,
+    MonotonicTime now) const {
+  const auto [result, is_new] =
+      this->DutiesAt(now).first_peers.try_emplace(count);
+  if (!is_new) {
+    return result->second;
+  }
   // By failure domain, in the order of their ranks.
   std::map<std::string, std::set<std::pair<double, std::string>>> first;
   for (const auto& [node, peer] : this->peers) {
-    if (!CanPlan(peer, now)) {
+    if (!IsServing(peer, now)) {
       continue;
     }
     auto& chosen = first[peer.failure_domain];
@@ -182,13 +230,12 @@
       chosen.erase(std::prev(chosen.end()));
     }
   }
-  std::set<std::string> nodes;
   for (const auto& domain : first) {
     for (const auto& ranked : domain.second) {
-      nodes.insert(ranked.second);
+      result->second.insert(ranked.second);
     }
   }
-  return nodes;
+  return result->second;
 }
 
 std::vector<Endpoint> PeerDirectory::EndpointsFromSuccessor() const {
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -2,6 +2,7 @@
 #ifndef PEERS_PEER_DIRECTORY_H_
 #define PEERS_PEER_DIRECTORY_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -55,6 +56,9 @@
                const Endpoint& endpoint,
                double cores = 0);
 
+  // Whether this node reaches the store, initially true.
+  void SetReachesStore(bool reaches_store);
+
   // Stores the digest of a known peer. Returns false if the peer is unknown.
   bool AcceptDigest(const NodeDigest& digest, MonotonicTime now);
 
@@ -94,18 +98,34 @@
   // the first two by rank of each failure domain.
   bool IsStoreDown(bool own_reaches_store, MonotonicTime now) const;
 
-  // Number of nodes in the failure domain of this process that precede it by
-  // rank and can plan. With `include_silent`, nodes without any digest count
-  // too.
+  // Number of live nodes in the failure domain of this process that come before
+  // it for duties at the store: those that reach the store, then by rank. With
+  // `include_silent`, nodes without any digest count too.
   int CountPrecedingNodes(MonotonicTime now, bool include_silent = false) const;
 
+  // Number of live nodes in the failure domain of this process that precede it
+  // by rank, whether or not they reach the store.
+  int CountPrecedingCollectors(MonotonicTime now) const;
+
+  // Whether this process is among the first `readers` live nodes of its failure
+  // domain, by rank or among those that reach the store. The first by rank go
+  // on trying while they do not reach it; the others learn that from them.
+  bool IsStoreReader(int readers, MonotonicTime now) const;
+
+  // Number of peers in the failure domain of this process.
+  int CountNeighbours() const {
+    return this->CountNeighbours([](const auto&, const auto&) { return true; });
+  }
+
   // Whether this process precedes all live nodes that can plan, regardless of
   // their failure domains.
   bool PrecedesAll(MonotonicTime now) const;
 
-  // Returns the first `count` peers by rank of each failure domain that can
-  // plan, leaving out this process.
-  std::set<std::string> FindFirstPeers(int count, MonotonicTime now) const;
+  // Returns the first `count` live peers by rank of each failure domain,
+  // leaving out this process. Valid until the next call of a method that is not
+  // const.
+  const std::set<std::string>& FindFirstPeers(int count,
+                                              MonotonicTime now) const;
 
   const std::string& OwnFailureDomain() const {
     return this->own_failure_domain;
@@ -132,18 +152,26 @@
   }
 
   // Results that are asked for with every digest, each of which would need a
-  // pass over all peers. Valid for a short time, within which no peer counts as
-  // dead that did not before, and until a peer's ability to plan changes.
+  // pass over all peers. Kept for a short time, by which the death of a peer is
+  // noticed later, and until the abilities of a node change.
   struct Duties {
     MonotonicTime found_at;
     std::map<std::string, const PeerState*> planners;  // By failure domain.
     std::optional<int> preceding_nodes;
+    std::optional<int> preceding_collectors;
+    std::map<int, std::set<std::string>> first_peers;  // By their number.
   };
   Duties& DutiesAt(MonotonicTime now) const;
 
+  // Number of peers in the failure domain of this process that match.
+  int CountNeighbours(
+      const std::function<bool(const std::string&, const PeerState&)>& matches)
+      const;
+
   const std::string own_node;
   const std::string own_failure_domain;
   const double own_cores;
+  bool own_reaches_store = true;
   mutable Duties duties;
   std::map<std::string, PeerState> peers;
 };
--- a/tests/entry/peer_loads_test.cc
+++ b/tests/entry/peer_loads_test.cc
@@ -24,6 +24,8 @@
 constexpr Duration kTick = milliseconds(10);
 constexpr char kServer[] = "server";
 // VMs of a deployment have between 0.12 and 0.5 cores.
+constexpr int kReaders = 2;
+constexpr Duration kReadInterval = milliseconds(500);
 constexpr double kLargeCores = 0.5;
 constexpr double kSmallCores = 0.12;
 
@@ -59,6 +61,7 @@
     NodeDigest digest;
     digest.node = this->name;
     digest.failure_domain = this->domain;
+    digest.reaches_store = this->reaches_store;
     this->loads.Report(this->schedule.IsCollector(now), now, &digest);
     return digest;
   }
@@ -69,6 +72,17 @@
     this->loads.Accept(digest, this->schedule.IsCollector(now), now);
   }
 
+  // Reads the store if it is this node's turn; `is_up`: whether that succeeds.
+  void ReadStore(bool is_up, MonotonicTime now) {
+    if (now < this->next_read || !this->peers.IsStoreReader(kReaders, now)) {
+      return;
+    }
+    ++this->reads;
+    this->next_read = now + kReadInterval;
+    this->reaches_store = is_up;
+    this->peers.SetReachesStore(is_up);
+  }
+
   const std::string name;
   const std::string domain;
   PeerDirectory peers;
@@ -78,7 +92,10 @@
   PeerLoads loads;
   const int phase;  // Nodes start at different times.
   MonotonicTime next_round;
+  MonotonicTime next_read;
   bool is_up = true;
+  bool reaches_store = true;
+  int reads = 0;
   int sent = 0;
   int received = 0;
 };
@@ -126,8 +143,11 @@
     const MonotonicTime end = this->now + duration;
     for (; this->now < end; this->now += kTick) {
       for (const auto& node : this->nodes) {
-        if (!node->is_up || this->now < node->next_round ||
-            this->now < kStart + node->phase * kTick) {
+        if (!node->is_up || this->now < kStart + node->phase * kTick) {
+          continue;
+        }
+        node->ReadStore(this->store_is_up, this->now);
+        if (this->now < node->next_round) {
           continue;
         }
         this->Send(node.get(), node->schedule.TakeDue(this->now));
@@ -143,6 +163,7 @@
     for (const auto& node : this->nodes) {
       node->sent = 0;
       node->received = 0;
+      node->reads = 0;
     }
   }
 
@@ -162,6 +183,14 @@
     return most;
   }
 
+  int CountReads() const {
+    int reads = 0;
+    for (const auto& node : this->nodes) {
+      reads += node->reads;
+    }
+    return reads;
+  }
+
   // Number of live nodes that see another total load than there is.
   int CountWrongTotals() const {
     int total = 0;
@@ -178,6 +207,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::map<std::string, int> index;
   MonotonicTime now = kStart;
+  bool store_is_up = true;
   const double loss;
   std::minstd_rand random{7};
   std::uniform_real_distribution<double> uniform{0, 1};
@@ -293,6 +323,44 @@
   }
 }
 
+// Guards against a storm while the store is down: no node reaches it, so that
+// each took all duties of its domain, read the store and sent to all others.
+TEST_CASE("A store that is down changes neither readers nor collectors") {
+  for (const int count : {89, 295, 370}) {
+    CAPTURE(count);
+    Deployment deployment(count);
+    deployment.Run(std::chrono::seconds(8));
+    for (const auto& node : deployment.nodes) {
+      node->load.Begin(kServer);
+    }
+    deployment.ResetCounts();
+    deployment.store_is_up = false;
+    constexpr int kSeconds = 8;
+    deployment.Run(std::chrono::seconds(kSeconds));
+    // Each node may have to find out by itself that the store is down.
+    constexpr int kReadsPerReader =
+        kSeconds * std::chrono::seconds(1) / kReadInterval;
+    CHECK(deployment.CountReads() <=
+          count + 2 * kReaders * kDomains * kReadsPerReader);
+    CHECK(deployment.CountWrongTotals() == 0);
+    constexpr int kMaxReceivedPerSecond = 100;
+    int collectors = 0;
+    for (const auto& node : deployment.nodes) {
+      if (node->schedule.IsCollector(deployment.now)) {
+        ++collectors;
+      } else {
+        CHECK(node->received <= kSeconds * kMaxReceivedPerSecond);
+      }
+    }
+    CHECK(collectors == 2 * kDomains);
+    deployment.store_is_up = true;
+    deployment.Run(2 * kReadInterval);
+    deployment.ResetCounts();
+    deployment.Run(std::chrono::seconds(kSeconds));
+    CHECK(deployment.CountReads() <= 2 * kReaders * kDomains * kReadsPerReader);
+  }
+}
+
 // Guards against a cut-off domain whose last counts are used for ever: the
 // collectors of a domain send each other all sums that they know.
 TEST_CASE("The load of a failure domain that falls silent is dropped") {
