Send plain nodes one sum of all loads

Cause: collectors sent the nodes of their domain the sum of each failure domain, so that most servers were named up to five times, in 13 digests a second.

- Collectors send one another sums by failure domain, as before, and their nodes the sum of all (an element of the digest that earlier versions ignore).
- A node that has just become a collector sends no such sum while the one that it received lasts, since it does not know all domains yet.
- Duties are kept for 100 ms.

Ruled out: fewer digests to nodes, which would age the counts.

--- a/src/entry/peer_loads.cc
+++ b/src/entry/peer_loads.cc
@@ -14,8 +14,8 @@
 // Reports of prompt tokens awaiting prefill expire after this: most are
 // processed by then.
 constexpr Duration kPrefillReportLifetime = std::chrono::milliseconds(400);
-// The same for sums of a failure domain, since they were added up. They have
-// passed through up to two collectors.
+// The same for sums, since they were added up. They have passed through up to
+// two collectors.
 constexpr Duration kDomainLoadLifetime = std::chrono::milliseconds(1200);
 constexpr Duration kDomainPrefillLifetime = std::chrono::milliseconds(600);
 
@@ -33,6 +33,11 @@
   if (!is_collector) {
     return;
   }
+  // A node that has just become a collector does not know all sums yet.
+  if (!requests.HasClusterReport()) {
+    digest->cluster_load =
+        ClusterLoadReport{requests.SumWithReports(), unread.SumWithReports()};
+  }
   digest->domain_loads.push_back(
       {this->own_failure_domain, 0,
        requests.SumWithNodesOf(this->own_failure_domain),
@@ -62,6 +67,12 @@
       now + std::max(kReportLifetime, kMaxLostDigests * interval));
   this->counts.unread->Report(digest.node, digest.failure_domain, digest.unread,
                               now + kPrefillReportLifetime);
+  if (digest.cluster_load && !is_collector) {
+    this->counts.requests->ReportCluster(digest.cluster_load->in_flight, now,
+                                         now + kDomainLoadLifetime);
+    this->counts.unread->ReportCluster(digest.cluster_load->unread, now,
+                                       now + kDomainPrefillLifetime);
+  }
   for (const DomainLoad& sum : digest.domain_loads) {
     const bool is_own = sum.failure_domain == this->own_failure_domain;
     if (!is_own || !is_collector) {
--- a/src/entry/peer_loads.h
+++ b/src/entry/peer_loads.h
@@ -17,12 +17,13 @@
   PeerLoads(ServerLoadCounters counts, std::string own_failure_domain)
       : counts(counts), own_failure_domain(std::move(own_failure_domain)) {}
 
-  // Sets the counts of `digest`, with the sums of all failure domains if this
-  // VM is a collector.
+  // Sets the counts of `digest`, with the sums of each and of all failure
+  // domains if this VM is a collector.
   void Report(bool is_collector, MonotonicTime now, NodeDigest* digest);
 
-  // Accepts the counts of a peer's digest. A collector ignores sums of its own
-  // failure domain, since the digests of the domain's nodes are newer.
+  // Accepts the counts of a peer's digest. A collector ignores sums that
+  // include its own failure domain, since the digests of the domain's nodes are
+  // newer.
   void Accept(const NodeDigest& digest, bool is_collector, MonotonicTime now);
 
  private:
--- a/src/peers/digest_exchange.cc
+++ b/src/peers/digest_exchange.cc
@@ -42,17 +42,7 @@
                                    MonotonicTime now) const {
   digest.interval_ms =
       static_cast<int>(ToMillis(this->schedule.Interval(audience, now)));
-  std::vector<DomainLoad>& loads = digest.domain_loads;
-  if (audience == DigestAudience::kOther) {
-    loads.clear();
-  } else if (audience == DigestAudience::kOtherCollector) {
-    loads.erase(std::remove_if(loads.begin(), loads.end(),
-                               [&digest](const DomainLoad& load) {
-                                 return load.failure_domain !=
-                                        digest.failure_domain;
-                               }),
-                loads.end());
-  }
+  KeepLoadsFor(audience, &digest);
   return EncodeDigest(digest);
 }
 
--- a/src/peers/digest_schedule.cc
+++ b/src/peers/digest_schedule.cc
@@ -43,7 +43,10 @@
 DigestAudience ChooseAudience(bool is_own_domain,
                               bool peer_collects,
                               bool own_collects) {
-  if (is_own_domain && (peer_collects || own_collects)) {
+  if (is_own_domain && peer_collects) {
+    return DigestAudience::kOwnCollector;
+  }
+  if (is_own_domain && own_collects) {
     return DigestAudience::kOwnDomain;
   }
   return peer_collects && own_collects ? DigestAudience::kOtherCollector
@@ -52,6 +55,23 @@
 
 }  // namespace
 
+void KeepLoadsFor(DigestAudience audience, NodeDigest* digest) {
+  std::vector<DomainLoad>& sums = digest->domain_loads;
+  if (audience != DigestAudience::kOwnDomain) {
+    digest->cluster_load.reset();
+  }
+  if (audience == DigestAudience::kOtherCollector) {
+    sums.erase(std::remove_if(sums.begin(), sums.end(),
+                              [digest](const DomainLoad& sum) {
+                                return sum.failure_domain !=
+                                       digest->failure_domain;
+                              }),
+               sums.end());
+  } else if (audience != DigestAudience::kOwnCollector) {
+    sums.clear();
+  }
+}
+
 bool DigestSchedule::UsesCollectors() const {
   return this->peers->Peers().size() >= kMinCollectedPeers;
 }
@@ -127,7 +147,8 @@
     const DigestAudience audience =
         ChooseAudience(peer.failure_domain == this->peers->OwnFailureDomain(),
                        collectors.count(node) > 0, is_collector);
-    if (only_own_domain && audience != DigestAudience::kOwnDomain) {
+    if (only_own_domain && audience != DigestAudience::kOwnDomain &&
+        audience != DigestAudience::kOwnCollector) {
       continue;
     }
     const Duration interval =
--- a/src/peers/digest_schedule.h
+++ b/src/peers/digest_schedule.h
@@ -12,12 +12,17 @@
 
 // Which part of a node's state a peer needs, and how soon.
 enum class DigestAudience {
-  // The own failure domain: its collectors or, from a collector, all its nodes.
+  // The own failure domain: its collectors, and from a collector its other
+  // nodes.
+  kOwnCollector,
   kOwnDomain,
   kOtherCollector,  // From a collector: the collectors of other domains.
   kOther,
 };
 
+// Removes from `digest` the loads that an audience does not need.
+void KeepLoadsFor(DigestAudience audience, NodeDigest* digest);
+
 struct DigestTarget {
   const PeerState* peer = nullptr;  // Never null.
   DigestAudience audience = DigestAudience::kOther;
@@ -25,11 +30,11 @@
 
 // With few peers, each node sends to every other one often. With many, the
 // first nodes of each failure domain collect the digests of their domain, and
-// send the sum of its load to the collectors of the other domains and all known
-// sums to the nodes of their own. Every node so knows the load of all others
-// after two or three short intervals and receives few datagrams, whatever the
-// number of nodes. Other digests become rarer as the number of peers grows. Not
-// thread safe.
+// send the sum of its load to the collectors of the other domains and the sum
+// of all domains to the nodes of their own. Every node so knows the load of all
+// others after two or three short intervals and receives few datagrams,
+// whatever the number of nodes. Other digests become rarer as the number of
+// peers grows. Not thread safe.
 class DigestSchedule {
  public:
   // `peers` must outlive this object.
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -30,8 +30,9 @@
 // Position of the limits, which nodes of earlier versions do not send.
 constexpr std::size_t kLimitsIndex = 14;
 
-// Position of the domain loads, which only collectors send.
+// Positions of the loads of others, which only collectors send.
 constexpr std::size_t kDomainLoadsIndex = 15;
+constexpr std::size_t kClusterLoadIndex = 16;
 
 std::vector<ServerLimit> DecodeLimits(const Json& json) {
   std::vector<ServerLimit> limits;
@@ -60,16 +61,18 @@
                    digest.has_traffic, digest.config_version, digest.topic_ends,
                    digest.in_flight, digest.unread, digest.unreachable,
                    digest.suspected_servers, EncodeGroupStates(digest.groups)});
+  const bool has_loads =
+      !digest.domain_loads.empty() || digest.cluster_load.has_value();
   if (digest.limits) {
     Json limits = Json::array();
     for (const ServerLimit& limit : *digest.limits) {
       limits.push_back(EncodeServerLimit(limit));
     }
     json.push_back(std::move(limits));
-  } else if (!digest.domain_loads.empty()) {
+  } else if (has_loads) {
     json.push_back(nullptr);
   }
-  if (!digest.domain_loads.empty()) {
+  if (has_loads) {
     Json loads = Json::array();
     for (const DomainLoad& load : digest.domain_loads) {
       loads.push_back(Json::array(
@@ -77,6 +80,10 @@
     }
     json.push_back(std::move(loads));
   }
+  if (digest.cluster_load) {
+    json.push_back(Json::array(
+        {digest.cluster_load->in_flight, digest.cluster_load->unread}));
+  }
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -107,6 +114,12 @@
     if (json.size() > kDomainLoadsIndex) {
       digest.domain_loads = DecodeDomainLoads(json.at(kDomainLoadsIndex));
     }
+    if (json.size() > kClusterLoadIndex) {
+      const Json& load = json.at(kClusterLoadIndex);
+      digest.cluster_load =
+          ClusterLoadReport{load.at(0).get<std::map<std::string, int>>(),
+                            load.at(1).get<std::map<std::string, int>>()};
+    }
     return digest;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/peers/node_digest.h
+++ b/src/peers/node_digest.h
@@ -37,6 +37,14 @@
   }
 };
 
+// Load of all nodes, added up by a collector for those of its failure domain.
+struct ClusterLoadReport {
+  std::map<std::string, int> in_flight;  // Requests by server.
+  std::map<std::string, int> unread;     // Their unprocessed prompt tokens.
+
+  auto Tie() const { return std::tie(this->in_flight, this->unread); }
+};
+
 // Immutable once sent.
 struct NodeDigest {
   std::string node;
@@ -55,14 +63,17 @@
   // Some of the limits that it knows. None: a node of a version that does not
   // share limits.
   std::optional<std::vector<ServerLimit>> limits;
-  std::vector<DomainLoad> domain_loads;  // Only from collectors.
+  // Only from collectors, to other collectors and to other nodes.
+  std::vector<DomainLoad> domain_loads;
+  std::optional<ClusterLoadReport> cluster_load;
 
   auto Tie() const {
     return std::tie(this->node, this->failure_domain, this->interval_ms,
                     this->is_stopping, this->reaches_store, this->has_traffic,
                     this->config_version, this->topic_ends, this->in_flight,
                     this->unread, this->unreachable, this->suspected_servers,
-                    this->groups, this->limits, this->domain_loads);
+                    this->groups, this->limits, this->domain_loads,
+                    this->cluster_load);
   }
 };
 
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -21,7 +21,7 @@
 
 // Time for which the duties found are used again; short against
 // kMinPeerTimeout.
-constexpr Duration kDutiesLifetime = std::chrono::milliseconds(50);
+constexpr Duration kDutiesLifetime = std::chrono::milliseconds(100);
 
 bool IsServing(const PeerState& peer, MonotonicTime now) {
   return peer.IsAlive(now) && !peer.digest.is_stopping;
--- a/src/routing/cluster_load.cc
+++ b/src/routing/cluster_load.cc
@@ -90,7 +90,22 @@
       DomainReport{std::move(counts), summed_at, expires_at};
 }
 
+void ClusterLoad::ReportCluster(InFlightCounts counts,
+                                MonotonicTime summed_at,
+                                MonotonicTime expires_at) {
+  if (this->cluster_report && summed_at <= this->cluster_report->summed_at) {
+    return;
+  }
+  for (const auto& [server, count] : this->reported_counts) {
+    Decrease(&counts, server, count);
+  }
+  this->cluster_report = DomainReport{std::move(counts), summed_at, expires_at};
+}
+
 void ClusterLoad::DropExpired(MonotonicTime now) {
+  if (this->cluster_report && this->cluster_report->expires_at < now) {
+    this->cluster_report.reset();
+  }
   for (auto entry = this->reports.begin(); entry != this->reports.end();) {
     if (entry->second.expires_at >= now) {
       ++entry;
@@ -123,7 +138,15 @@
 
 int ClusterLoad::Total(const std::string& server) const {
   return CountOf(this->local_counts, server) +
-         CountOf(this->remote_counts, server);
+         CountOf(this->cluster_report ? this->cluster_report->counts
+                                      : this->remote_counts,
+                 server);
+}
+
+InFlightCounts ClusterLoad::SumWithReports() const {
+  InFlightCounts sum = this->local_counts;
+  Increase(&sum, this->remote_counts);
+  return sum;
 }
 
 InFlightCounts ClusterLoad::SumWithNodesOf(
--- a/src/routing/cluster_load.h
+++ b/src/routing/cluster_load.h
@@ -3,6 +3,7 @@
 #define ROUTING_CLUSTER_LOAD_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -43,6 +44,16 @@
                     MonotonicTime expires_at,
                     MonotonicTime now);
 
+  // Replaces the previous report on all nodes, this process included with its
+  // work as reported last, unless that was summed later. While it lasts, no
+  // other report counts.
+  void ReportCluster(InFlightCounts counts,
+                     MonotonicTime summed_at,
+                     MonotonicTime expires_at);
+
+  // Whether a report on all nodes is in use.
+  bool HasClusterReport() const { return this->cluster_report.has_value(); }
+
   // Drops expired reports, which no longer describe the work of their nodes.
   void DropExpired(MonotonicTime now);
 
@@ -54,10 +65,13 @@
 
   const InFlightCounts& LocalCounts() const { return this->local_counts; }
 
+  // Work of this process and of all reporting nodes and failure domains.
+  InFlightCounts SumWithReports() const;
+
   // Work of this process and the reporting nodes of `failure_domain`.
   InFlightCounts SumWithNodesOf(const std::string& failure_domain) const;
 
-  // Reports on whole failure domains, with the time at which each was summed.
+  // Reports on many nodes, with the time at which each was summed.
   struct DomainReport {
     InFlightCounts counts;
     MonotonicTime summed_at;
@@ -86,6 +100,7 @@
   InFlightCounts remote_counts;
   std::map<std::string, NodeReport> reports;
   std::map<std::string, DomainReport> domain_reports;
+  std::optional<DomainReport> cluster_report;
 };
 
 }  // namespace kumquatcart
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -30,6 +30,7 @@
   digest.limits = {{"s", 3, 2.75}, {"t", 4, std::nullopt}};
   digest.domain_loads = {{"a", 0, {{"s", 9}}, {{"s", 2840}}},
                          {"b", 140, {{"t", 1}}, {}}};
+  digest.cluster_load = ClusterLoadReport{{{"s", 9}, {"t", 1}}, {{"s", 2840}}};
   const Result<NodeDigest> decoded = DecodeDigest(EncodeDigest(digest));
   REQUIRE(decoded.has_value());
   CHECK(decoded.value() == digest);
@@ -46,6 +47,9 @@
   // The sums do not take the place of the limits.
   digest.domain_loads = {{"a", 0, {{"s", 9}}, {}}};
   CHECK(DecodeDigest(EncodeDigest(digest)).value() == digest);
+  digest.domain_loads.clear();
+  digest.cluster_load = ClusterLoadReport{{{"s", 9}}, {}};
+  CHECK(DecodeDigest(EncodeDigest(digest)).value() == digest);
 }
 
 TEST_CASE("Any datagram is decoded or rejected") {
--- a/tests/routing/cluster_load_test.cc
+++ b/tests/routing/cluster_load_test.cc
@@ -67,6 +67,26 @@
   CHECK(load.Total("s") == 4);
 }
 
+TEST_CASE("The sum of all nodes replaces every other report while it lasts") {
+  ClusterLoad load;
+  load.Begin("s");
+  load.MarkReported();
+  load.Report("a", "near", {{"s", 2}}, kLaterExpiry);
+  load.ReportDomain("far", {{"s", 10}}, false, kStart, kLaterExpiry, kStart);
+  CHECK(load.SumWithReports() == InFlightCounts{{"s", 13}});
+  load.ReportCluster({{"s", 6}, {"t", 1}}, kStart, kExpiry);
+  CHECK(load.Total("s") == 6);
+  CHECK(load.Total("t") == 1);
+  load.Begin("s");
+  CHECK(load.Total("s") == 7);
+  // Of two collectors, the later sum counts.
+  load.ReportCluster({{"s", 20}}, kStart, kExpiry);
+  CHECK(load.Total("s") == 7);
+  load.DropExpired(kExpiry + std::chrono::milliseconds(1));
+  CHECK_FALSE(load.HasClusterReport());
+  CHECK(load.Total("s") == 14);
+}
+
 TEST_CASE("A collector sums its own requests and those of its domain") {
   ClusterLoad load;
   load.Begin("s");
