--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -11,8 +11,8 @@
 namespace {
 
 // Interval at which a process that does not read the store checks whether it
-// has to.
-constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(100);
+// has to. Each process does so for four topics.
+constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(250);
 // Pause after a failed read, and after one that has shown that the store does
 // not accept calls of this VM.
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
