Revert "Let a read of the store go on while its bytes arrive"

The log of a VM shows why: no byte of the answers arrives within 1 s, since the store serves the reads one after the other. The cure has to be fewer reads, not longer ones.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,7 +1,5 @@
 #include "net/http_client.h"
 
-#include <algorithm>
-
 #include "net/response_parser.h"
 
 namespace kumquatcart {
@@ -47,8 +45,7 @@
                                   const OutgoingRequest& request,
                                   MonotonicTime deadline,
                                   Duration max_idle,
-                                  Coroutine yield,
-                                  Duration max_stall) {
+                                  Coroutine yield) {
   Waiter waiter(this->loop);
   ConnectionPtr connection = this->pool.TakeIdle(endpoint, max_idle);
   if (connection == nullptr) {
@@ -64,8 +61,7 @@
   ResponseState state = response.ParseAvailable(connection.get());
   bool in_time = true;
   while (state == ResponseState::kIncomplete && in_time) {
-    in_time = waiter.WaitUntil(
-        std::max(deadline, connection->LastInput() + max_stall), yield);
+    in_time = waiter.WaitUntil(deadline, yield);
     state = response.ParseAvailable(connection.get());
     if (response.BufferedBodyBytes() > this->max_body_bytes) {
       state = ResponseState::kParseFailed;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -46,16 +46,14 @@
                       std::size_t max_body_bytes = kMaxResponseBodyBytes)
       : loop(loop), max_body_bytes(max_body_bytes), pool(loop) {}
 
-  // Sends one request and waits for the whole response until `deadline`, and
-  // beyond it while no pause between its bytes is longer than `max_stall`.
-  // Reuses a connection only if it has been idle for at most `max_idle`. Never
+  // Sends one request and waits for the whole response until `deadline`. Reuses
+  // a connection only if it has been idle for at most `max_idle`. Never
   // retries.
   HttpResponse Exchange(const TcpEndpoint& endpoint,
                         const OutgoingRequest& request,
                         MonotonicTime deadline,
                         Duration max_idle,
-                        Coroutine yield,
-                        Duration max_stall = Duration{0});
+                        Coroutine yield);
 
   // Closes pooled connections that can no longer be reused.
   void PruneIdle() { this->pool.CloseUnusable(); }
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -18,9 +18,6 @@
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
 // Time beyond the wait that a waiting read may take.
 constexpr Duration kReadSlack = std::chrono::milliseconds(500);
-// Longest pause within the answer to a read. After a loss of many VMs all read
-// at the same time, and their answers share the store's bandwidth for seconds.
-constexpr Duration kMaxReadStall = std::chrono::milliseconds(1000);
 // Largest body asked of one read.
 constexpr int kReadKilobytes = 1024;
 // While the store refuses this VM, calls go to a relay first, and to the store
@@ -150,11 +147,10 @@
 }
 
 HttpResponse StoreClient::PassOn(const OutgoingRequest& request,
-                                 CallPatience patience,
+                                 Duration timeout,
                                  Coroutine yield) {
   HttpResponse reply = this->client.Exchange(
-      this->store, request, this->loop->Now() + patience.timeout, kMaxIdle,
-      yield, patience.max_stall);
+      this->store, request, this->loop->Now() + timeout, kMaxIdle, yield);
   this->NoteReachability(reply);
   return reply;
 }
@@ -174,7 +170,7 @@
 }
 
 HttpResponse StoreClient::Call(const OutgoingRequest& request,
-                               CallPatience patience,
+                               Duration timeout,
                                Coroutine yield) {
   const MonotonicTime now = this->loop->Now();
   const bool asks_relay_first =
@@ -182,25 +178,25 @@
   bool relay_refused = false;
   if (asks_relay_first) {
     std::optional<HttpResponse> relayed =
-        this->CallRelay(request, patience, yield);
+        this->CallRelay(request, timeout, yield);
     if (relayed && !IsRefusal(*relayed)) {
       return *std::move(relayed);
     }
     relay_refused = relayed.has_value();
   }
   this->direct_at = now;
-  HttpResponse reply = this->PassOn(request, patience, yield);
+  HttpResponse reply = this->PassOn(request, timeout, yield);
   if (!IsRefusal(reply) || relay_refused) {
     return reply;
   }
   std::optional<HttpResponse> relayed =
-      this->CallRelay(request, patience, yield);
+      this->CallRelay(request, timeout, yield);
   return !relayed || IsRefusal(*relayed) ? reply : *std::move(relayed);
 }
 
 std::optional<HttpResponse> StoreClient::CallRelay(
     const OutgoingRequest& request,
-    CallPatience patience,
+    Duration timeout,
     Coroutine yield) {
   const std::vector<TcpEndpoint> relays =
       this->list_relays ? this->list_relays() : std::vector<TcpEndpoint>();
@@ -208,9 +204,8 @@
     return std::nullopt;
   }
   const TcpEndpoint relay = relays[this->next_relay++ % relays.size()];
-  return this->client.Exchange(relay, request,
-                               this->loop->Now() + patience.timeout, kMaxIdle,
-                               yield, patience.max_stall);
+  return this->client.Exchange(relay, request, this->loop->Now() + timeout,
+                               kMaxIdle, yield);
 }
 
 Result<TopicBatch> StoreClient::ReadNewest(StoreTopic topic, Coroutine yield) {
@@ -222,8 +217,8 @@
     if (!first) {
       target += "&after=" + after;
     }
-    const HttpResponse reply = this->Call(Get(std::move(target)),
-                                          {kCallTimeout, kMaxReadStall}, yield);
+    const HttpResponse reply =
+        this->Call(Get(std::move(target)), kCallTimeout, yield);
     if (reply.HasResponseStatus(kHttpNotFound)) {
       return batch;  // Nobody has written to the topic yet.
     }
@@ -255,7 +250,7 @@
       Get(fmt::format("{}?topic={}&part=0&from={}&max_kb={}&wait_ms={}",
                       wire::kLogReadPath, TopicName(topic), from,
                       kReadKilobytes, ToMillis(wait))),
-      {wait + kReadSlack, kMaxReadStall}, yield);
+      wait + kReadSlack, yield);
   if (reply.HasResponseStatus(kHttpGone)) {
     return MakeError(ErrorCode::kExpired, "the records were dropped");
   }
@@ -282,8 +277,7 @@
     request.target += fmt::format("&at={}", *at);
   }
   request.body = EncodeRecord(key, value);
-  const HttpResponse reply =
-      this->Call(request, {kCallTimeout, Duration{0}}, yield);
+  const HttpResponse reply = this->Call(request, kCallTimeout, yield);
   if (reply.HasResponseStatus(kHttpPreconditionFailed)) {
     return MakeError(ErrorCode::kConflict, "the topic ends elsewhere");
   }
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -84,9 +84,7 @@
   // Passes a peer's call on to the store unchanged. For the relay service.
   HttpResponse PassOn(const OutgoingRequest& request,
                       Duration timeout,
-                      Coroutine yield) {
-    return this->PassOn(request, {timeout, Duration{0}}, yield);
-  }
+                      Coroutine yield);
 
   // Whether `target` is a call that PassOn takes.
   static bool IsStoreCall(const std::string& target);
@@ -95,21 +93,12 @@
   bool IsReachable() const { return this->reachable; }
 
  private:
-  // Time until the answer is due, and how long its bytes may pause after that.
-  struct CallPatience {
-    Duration timeout;
-    Duration max_stall;
-  };
-
-  HttpResponse PassOn(const OutgoingRequest& request,
-                      CallPatience patience,
-                      Coroutine yield);
   HttpResponse Call(const OutgoingRequest& request,
-                    CallPatience patience,
+                    Duration timeout,
                     Coroutine yield);
   // None: there is no relay.
   std::optional<HttpResponse> CallRelay(const OutgoingRequest& request,
-                                        CallPatience patience,
+                                        Duration timeout,
                                         Coroutine yield);
   void NoteReachability(const HttpResponse& reply);
 
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -138,55 +138,5 @@
   CHECK(server.Connections() == 2);
 }
 
-// Guards against a server whose bandwidth many clients share: each gives up its
-// answer when the deadline passes, asks again, and none gets one.
-TEST_CASE("An answer that goes on arriving may pass its deadline") {
-  constexpr int kPieces = 5;
-  constexpr Duration kPause = std::chrono::milliseconds(60);
-  for (const bool may_stall : {false, true}) {
-    CAPTURE(may_stall);
-    EventLoop loop;
-    LoopServer server(
-        &loop, [&](const auto& connection, Waiter* waiter, Coroutine yield) {
-          ReadHead(connection.get(), waiter, yield);
-          connection->Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
-          for (int i = 0; i < kPieces; ++i) {
-            loop.Sleep(kPause, yield);
-            connection->Send("a");
-          }
-          loop.Sleep(std::chrono::seconds(1), yield);
-        });
-    HttpClient client(&loop);
-    RunCoroutine(&loop, [&](Coroutine yield) {
-      const HttpResponse reply = client.Exchange(
-          server.Address(), OutgoingRequest{"GET", "/x", {}, {}},
-          loop.Now() + 2 * kPause, kMaxIdle, yield,
-          may_stall ? std::chrono::milliseconds(500) : Duration{0});
-      CHECK(reply.HasResponseStatus(200) == may_stall);
-    });
-    loop.UnwindCoroutines();
-  }
-}
-
-TEST_CASE("An answer that stops arriving is given up after the longest pause") {
-  EventLoop loop;
-  LoopServer server(
-      &loop, [&](const auto& connection, Waiter* waiter, Coroutine yield) {
-        ReadHead(connection.get(), waiter, yield);
-        connection->Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\na");
-        waiter->WaitUntil(TestDeadline(&loop), yield);
-      });
-  HttpClient client(&loop);
-  RunCoroutine(&loop, [&](Coroutine yield) {
-    const HttpResponse reply =
-        client.Exchange(server.Address(), OutgoingRequest{"GET", "/x", {}, {}},
-                        loop.Now() + std::chrono::milliseconds(20), kMaxIdle,
-                        yield, std::chrono::milliseconds(80));
-    CHECK(reply.result == ExchangeResult::kTimedOut);
-    CHECK(reply.partial_body_bytes == 1);
-  });
-  loop.UnwindCoroutines();
-}
-
 }  // namespace
 }  // namespace kumquatcart
