Get the first records of a started VM from its peers

A VM that is no reader by the announced nodes now waits for a peer's report and gets the records from it: up to 1 s if no peer reports any, 2.5 s if peers reject its requests; then it reads the store, as before. The other topics wait 1 s for the nodes' one (0.2 s before, in which it was not read when all started at once, so that all took themselves for readers).

Ruled out: half of the link for records in place of a fifth (a trial: "A large configuration spreads through peers while the store is down" fails with it). Tests: without the change the store is read at once in each of the three.

--- a/.ci/lint.py
+++ b/.ci/lint.py
@@ -54,10 +54,14 @@
     return digest.hexdigest()
 
 
-def lint(path, mark):
+def lint(path, command, shared, folder):
+    key = file_key(path, command, shared)
+    if (folder / key).exists():
+        return True
     result = subprocess.run(["clang-tidy", "-p", str(BUILD), "--quiet", str(path)], capture_output=True, text=True)
     if result.returncode == 0 and not result.stdout.strip():
-        mark.touch()
+        if key == file_key(path, command, shared):  # Not edited meanwhile.
+            (folder / key).touch()
         return True
     print(f"{path.relative_to(ROOT)}:\n{result.stdout}", flush=True)
     if result.returncode != 0 and not result.stdout.strip():
@@ -73,15 +77,9 @@
     folder = cache_folder()
     folder.mkdir(parents=True, exist_ok=True)
     shared = shared_key()
-    todo = []
     files = [pathlib.Path(name).resolve() for name in sys.argv[1:]]
-    for path in files:
-        mark = folder / file_key(path, commands.get(path, ""), shared)
-        if not mark.exists():
-            todo.append((path, mark))
-    print(f"linter: {len(todo)} of {len(files)} files changed since they were found clean", flush=True)
     with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
-        clean = list(pool.map(lambda job: lint(*job), todo))
+        clean = list(pool.map(lambda path: lint(path, commands.get(path, ""), shared, folder), files))
     if not all(clean):
         return 1
     print("linter: clean")
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -29,12 +29,21 @@
 // Time for peers to return records before the store is asked. Peers reject
 // requests when many arrive at once, and all of these would meet at the store.
 constexpr Duration kStoreDelay = std::chrono::milliseconds(600);
+// Time after the start in which a process that does not read the store expects
+// its first records from peers, and the same once a peer has reported records.
+// After a loss of many VMs all start at the same time, and the store serves
+// their reads one after the other.
+constexpr Duration kFirstPeerDelay = std::chrono::milliseconds(1000);
+constexpr Duration kFirstFetchDelay = std::chrono::milliseconds(2500);
+// Interval at which such a process checks whether it has received them.
+constexpr Duration kFirstRecordsPollInterval = std::chrono::milliseconds(50);
 // Time for the pending read to return records that a peer has seen already.
 constexpr Duration kPendingReadGrace = std::chrono::milliseconds(150);
 
 }  // namespace
 
 void TopicFollower::Start() {
+  this->started_at = this->loop->Now();
   this->loop->Spawn([this](Coroutine yield) {
     for (bool was_reader = false;;) {
       const bool is_reader = this->ReadsStore();
@@ -47,6 +56,10 @@
         this->loop->Sleep(kRoleCheckInterval, yield);
         continue;
       }
+      if (this->ExpectsFirstRecords(is_reader)) {
+        this->loop->Sleep(kFirstRecordsPollInterval, yield);
+        continue;
+      }
       const std::int64_t before = this->end;
       const bool read = this->synced && !this->records_expired
                             ? this->ReadMore(this->settings.read_wait, yield)
@@ -69,6 +82,23 @@
   return this->role->ReadsStore(this->settings.readers);
 }
 
+bool TopicFollower::ExpectsFirstRecords(bool is_reader) const {
+  const MonotonicTime now = this->loop->Now();
+  return !this->synced && !is_reader &&
+         (this->behind_since == MonotonicTime{}
+              ? now - this->started_at < kFirstPeerDelay
+              : now - this->behind_since < kFirstFetchDelay);
+}
+
+void TopicFollower::SetSynced(const char* source) {
+  if (!this->synced) {
+    this->synced = true;
+    LogInfo("topic_synced", {{"topic", ToString(this->settings.topic)},
+                             {"end", this->end},
+                             {"source", source}});
+  }
+}
+
 bool TopicFollower::ReadNewest(Coroutine yield) {
   const Result<TopicBatch> batch =
       this->store->ReadNewest(this->settings.topic, yield);
@@ -79,11 +109,7 @@
   }
   this->ApplySnapshot(batch.value());
   this->records_expired = false;
-  if (!this->synced) {
-    this->synced = true;
-    LogInfo("topic_synced",
-            {{"topic", ToString(this->settings.topic)}, {"end", this->end}});
-  }
+  this->SetSynced("store");
   return true;
 }
 
@@ -178,7 +204,9 @@
 void TopicFollower::HandlePeerEnd(const TcpEndpoint& peer,
                                   std::int64_t peer_end,
                                   bool is_near) {
-  if (peer_end <= this->end || this->catching_up || !this->synced) {
+  if (peer_end <= this->end || this->catching_up ||
+      this->started_at == MonotonicTime{} ||
+      (!this->synced && this->ReadsStore())) {
     return;
   }
   if (this->behind_since == MonotonicTime{}) {
@@ -192,7 +220,8 @@
     if (this->ReadsStore()) {
       this->loop->Sleep(kPendingReadGrace, yield);
     }
-    if (this->end < peer_end && !this->FetchMore(peer, peer_end, yield)) {
+    if (this->end < peer_end && !this->FetchMore(peer, peer_end, yield) &&
+        this->synced) {
       this->ReadMissing(yield);
     }
     this->catching_up = false;
@@ -221,6 +250,7 @@
            this->loop->Now() - this->behind_since < kStoreDelay;
   }
   this->ApplyRecords(batch.value());
+  this->SetSynced("peer");
   LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
                             {"from", from},
                             {"end", this->end},
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -82,6 +82,9 @@
 
  private:
   bool ReadsStore() const;
+  // Whether the first records should come from a peer rather than the store.
+  bool ExpectsFirstRecords(bool is_reader) const;
+  void SetSynced(const char* source);
   bool ReadNewest(Coroutine yield);
   bool ReadMore(Duration wait, Coroutine yield);
   bool CatchUp(Duration wait, Coroutine yield);
@@ -108,6 +111,7 @@
   const FetchFromPeer fetch;
   const Apply apply;
   bool synced = false;
+  MonotonicTime started_at;  // Zero: not started.
   bool records_expired = false;
   bool catching_up = false;
   std::int64_t end = 0;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -60,7 +60,7 @@
 constexpr Duration kMaxDecodeStep = std::chrono::milliseconds(10);
 // Longest time for which the other topics wait for the nodes' one, which tells
 // whether this VM reads them from the store.
-constexpr Duration kNodesTopicWait = std::chrono::milliseconds(200);
+constexpr Duration kNodesTopicWait = std::chrono::milliseconds(1000);
 constexpr Duration kNodesTopicPollInterval = std::chrono::milliseconds(5);
 // Delay between attempts to publish the node record of this process.
 constexpr Duration kNodeRecordRetryDelay = std::chrono::milliseconds(500);
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -203,7 +203,7 @@
   if (relays.empty()) {
     return std::nullopt;
   }
-  const TcpEndpoint relay = relays[this->next_relay++ % relays.size()];
+  const TcpEndpoint& relay = relays[this->next_relay++ % relays.size()];
   return this->client.Exchange(relay, request, this->loop->Now() + timeout,
                                kMaxIdle, yield);
 }
--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -244,6 +244,51 @@
   CHECK(f.role.ReadsStore(2));
 }
 
+// Guards against a store that serves the first reads of hundreds of VMs one
+// after the other once all of them were lost: none is answered before it is
+// given up.
+TEST_CASE("A started VM gets its first records from a peer") {
+  FollowerFixture f;
+  f.store.Put(kTopic, "a", "1");
+  f.BecomeNonReader();
+  f.peer_batch = TopicBatch{{{"a", "1", 0}}, 1};
+  f.follower.Start();
+  f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(500)] {
+    return f.loop.Now() > stop;
+  });
+  CHECK(!f.follower.IsSynced());
+  f.ReportPeerUntilEnd(1);
+  CHECK(f.follower.IsSynced());
+  CHECK(f.fetched_from == 0);
+  CHECK(f.values["a"] == "1");
+  CHECK(f.store.calls == 0);
+}
+
+TEST_CASE("A started VM reads the store if peers report no records") {
+  FollowerFixture f;
+  f.store.Put(kTopic, "a", "1");
+  f.BecomeNonReader();
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  CHECK(f.values["a"] == "1");
+  CHECK(f.fetches == 0);
+}
+
+TEST_CASE(
+    "A started VM reads the store if peers go on rejecting its requests") {
+  FollowerFixture f;
+  f.store.Put(kTopic, "a", "1");
+  f.BecomeNonReader();
+  f.peer_error = MakeError(ErrorCode::kExhausted, "overloaded");
+  f.follower.Start();
+  f.ReportPeerUntilEnd(1);
+  CHECK(!f.follower.IsSynced());
+  CHECK(f.store.calls == 0);
+  f.ReportPeerUntilEnd(1);
+  CHECK(f.follower.IsSynced());
+  CHECK(f.values["a"] == "1");
+}
+
 TEST_CASE("Records sent to peers include removals") {
   FollowerFixture f;
   f.store.Put(kTopic, "a", "1");
