Assign slots of groups by one VM of each failure domain

Cause: with many VMs, each selects a group by counts of the others that are 0.2 to 0.3 s old, in which time several of them select. The queue for slots is divided over all VMs as well: a slot that becomes free is offered to the callers of one VM only, or to none until a digest says so.

Ruled out: other weights of the free slots (no change in the model). Counts by faster digests: a third of the age costs three times the datagrams, and the queue stays divided. Fixed subsets of groups for each VM: own counts are then a third of the truth at 295 VMs, and callers are divided unevenly over the VMs.

Change: the first live VM by rank of a failure domain assigns the slots for all VMs of the domain, in one queue. It counts a slot from its grant on; reports of what each VM holds restore what it missed within a report interval. It takes the emptiest group of its own domain, by exact counts, and one of another domain where the own ones have much less room. A request waits 25 ms for it at most, then its VM selects a group as before.

Tests: slot_coordination_test on a paused clock with the real balancer (8 to 370 VMs, loss, delay, repetition, restarts, two coordinators; property over random faults), nearly_full_groups_test (the load, against the selection by old counts), slot_ledger_test with a naive ledger, slot_message_test.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -65,6 +65,12 @@
 // Delay between attempts to publish the node record of this process.
 constexpr Duration kNodeRecordRetryDelay = std::chrono::milliseconds(500);
 
+// Far from those of earlier processes of the node.
+std::int64_t DrawFirstSlotId() {
+  constexpr unsigned kIdsPerProcessBits = 24;
+  return (std::int64_t{std::random_device{}()} + 1) << kIdsPerProcessBits;
+}
+
 RetryLimits BoundsOf(const ProcessSettings& settings) {
   return {settings.retry_ratio, settings.retry_base, settings.retry_window};
 }
@@ -108,11 +114,26 @@
               {[this] { this->OnPermitsChanged(); },
                [this] { this->digests.SendToAll(); }}),
       shared_retry_budget(BoundsOf(this->settings)),
-      group_balancer(&this->loop,
+      slot_exchange(&this->loop,
+                    &this->peers,
+                    &this->digests,
+                    [this] { return this->context.is_stopping; }),
+      slots(this->settings.node_name,
+            &this->slot_exchange,
+            &this->metrics,
+            DrawFirstSlotId()),
+      group_balancer([this] { return this->loop.Now(); },
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
                      &this->limiter,
+                     &this->slots,
                      this->settings.failure_domain),
+      slot_coordinator(this->settings.node_name,
+                       this->settings.failure_domain,
+                       &this->slot_exchange,
+                       &this->group_balancer,
+                       ServerLoadCounters{&this->load, &this->unread_tokens},
+                       [this] { return this->HasFleetState(); }),
       plain_balancer(&this->loop,
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
@@ -188,7 +209,9 @@
   this->context.pool = &this->pool;
   this->context.limiter = &this->limiter;
   this->digests.SetMessageListener([this](const std::string& bytes) {
-    return PermitExchange::HandleDatagram(bytes, &this->limiter);
+    return SlotExchange::HandleDatagram(bytes, &this->slots,
+                                        &this->slot_coordinator) ||
+           PermitExchange::HandleDatagram(bytes, &this->limiter);
   });
   this->context.group_balancer = &this->group_balancer;
   this->context.plain_balancer = &this->plain_balancer;
@@ -210,6 +233,7 @@
   this->loop.Spawn([this](Coroutine yield) { this->StartFollowers(yield); });
   this->prober.Start();
   this->stall_detector.Start();
+  this->slot_exchange.StartReports(&this->slots);
   this->reconciler.Start();
   this->loop.Spawn([this](Coroutine yield) { this->PublishNodeRecord(yield); });
   this->loop.Spawn([this](Coroutine yield) { this->RunMaintenance(yield); });
@@ -422,6 +446,7 @@
     const MonotonicTime now = this->loop.Now();
     this->UpdateStoreOutage();
     this->view.ExpireServers(now);
+    this->slot_coordinator.DropStale();
     this->load.DropExpired(now);
     this->limiter.DropStale([this](const std::string& server) {
       return this->view.FindServer(server) != nullptr;
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -22,6 +22,9 @@
 #include "entry/record_service.h"
 #include "entry/server_limiter.h"
 #include "entry/simple_http_server.h"
+#include "entry/slot_client.h"
+#include "entry/slot_coordinator.h"
+#include "entry/slot_exchange.h"
 #include "peers/digest_exchange.h"
 #include "peers/record_client.h"
 #include "platform/process_settings.h"
@@ -96,7 +99,10 @@
   PermitExchange permits;
   ServerLimiter limiter;
   SharedRetryBudget shared_retry_budget;
+  SlotExchange slot_exchange;
+  SlotClient slots;
   GroupLoadBalancer group_balancer;
+  SlotCoordinator slot_coordinator;
   PlainLoadBalancer plain_balancer;
   GroupStallDetector stall_detector;
   ConfigLoader config_loader;
--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/logging.h"
+#include "base/scope_guard.h"
 #include "entry/entry_constants.h"
 #include "routing/prefill_budget.h"
 
@@ -24,12 +26,11 @@
 
 SlotRequest::SlotRequest(GroupLoadBalancer* balancer,
                          SlotQuery query,
-                         Waiter* waiter)
+                         bool is_for_peer)
     : balancer(balancer),
       query(std::move(query)),
-      waiter(waiter),
-      request{this->query.model, this->query.latest_start,
-              balancer->loop->Now()} {}
+      is_for_peer(is_for_peer),
+      request{this->query.model, this->query.latest_start, balancer->now()} {}
 
 SlotRequest::~SlotRequest() {
   this->balancer->Dequeue(this);
@@ -76,6 +77,9 @@
 
 const EngineSpec* GroupLoadBalancer::FindEngine(
     const std::string& service) const {
+  if (this->view->Config() == nullptr) {
+    return nullptr;
+  }
   const auto& services = this->view->Config()->services;
   const auto found = services.find(service);
   return found == services.end() || !found->second.engine
@@ -85,17 +89,18 @@
 
 RequestDemand GroupLoadBalancer::MakeDemand(const SlotQuery& query,
                                             const EngineSpec& engine,
-                                            int groups) const {
+                                            int groups,
+                                            bool is_coordinator) const {
   RequestDemand demand;
   demand.prompt_tokens = static_cast<double>(query.prompt_tokens);
-  demand.is_late = this->loop->Now() > query.latest_start;
+  demand.is_late = this->now() > query.latest_start;
   const ModelSpec* model = engine.FindModel(query.model);
   if (model != nullptr) {
     demand.prefill_budget = PrefillBudget(engine, *model, query.gap_target);
-    demand.local_prefill_budget =
-        demand.prefill_budget
-            ? LocalPrefillBudget(*demand.prefill_budget, groups, this->nodes)
-            : demand.prefill_budget;
+    if (demand.prefill_budget && !is_coordinator) {
+      demand.local_prefill_budget =
+          LocalPrefillBudget(*demand.prefill_budget, groups, this->nodes);
+    }
   }
   return demand;
 }
@@ -113,11 +118,12 @@
 
 const GroupStatus* GroupLoadBalancer::Select(
     std::vector<const GroupStatus*> groups,
-    const SlotQuery& query,
-    const EngineSpec& engine,
-    bool is_first_try) {
+    const SlotRequest& slot_request,
+    const EngineSpec& engine) {
+  const bool is_coordinator = this->slots->IsCoordinator();
   const RequestDemand demand =
-      this->MakeDemand(query, engine, static_cast<int>(groups.size()));
+      this->MakeDemand(slot_request.query, engine,
+                       static_cast<int>(groups.size()), is_coordinator);
   // Above zero because SelectGroup() takes the logarithm.
   std::uniform_real_distribution<double> uniform(1e-9, 1);
   std::vector<GroupCandidate> candidates;
@@ -128,19 +134,13 @@
   }
   for (;;) {
     const std::optional<std::size_t> chosen =
-        SelectGroup(candidates, demand, draws);
+        is_coordinator ? SelectGroupForDomain(candidates, demand, draws)
+                       : SelectGroup(candidates, demand, draws);
     if (!chosen) {
       return nullptr;
     }
-    const std::string& head = groups[*chosen]->record.members.front();
-    if (!this->limiter->HasPermit(head)) {
-      if (is_first_try) {
-        this->limiter->NoteDemand(head);
-      } else {
-        this->limiter->Refill(head);
-      }
-    }
-    if (this->limiter->TryTake(head)) {
+    if (this->TakePermit(slot_request,
+                         groups[*chosen]->record.members.front())) {
       return groups[*chosen];
     }
     const auto index = static_cast<std::ptrdiff_t>(*chosen);
@@ -150,30 +150,66 @@
   }
 }
 
-ServerSlotPtr GroupLoadBalancer::TryTake(const SlotQuery& query,
-                                         bool is_first_try) {
-  const EngineSpec* engine = this->FindEngine(query.service);
-  if (engine == nullptr) {
-    return nullptr;
+bool GroupLoadBalancer::TakePermit(const SlotRequest& slot_request,
+                                   const std::string& server) {
+  if (slot_request.is_for_peer) {
+    return !this->limiter->IsLimited(server);
+  }
+  if (!this->limiter->HasPermit(server)) {
+    if (slot_request.was_tried) {
+      this->limiter->Refill(server);
+    } else {
+      this->limiter->NoteDemand(server);
+    }
   }
-  this->counts.unread->DropExpired(this->loop->Now());
-  const GroupStatus* group =
-      this->Select(this->CandidateGroups(query), query, *engine, is_first_try);
-  if (group == nullptr) {
+  return this->limiter->TryTake(server);
+}
+
+const GroupStatus* GroupLoadBalancer::TrySelect(
+    const SlotRequest& slot_request) {
+  const EngineSpec* engine = this->FindEngine(slot_request.query.service);
+  if (engine == nullptr) {
     return nullptr;
   }
-  const GroupRecord& record = group->record;
+  this->counts.unread->DropExpired(this->now());
+  return this->Select(this->CandidateGroups(slot_request.query), slot_request,
+                      *engine);
+}
+
+ServerSlotPtr GroupLoadBalancer::MakeSlot(const SlotQuery& query,
+                                          const GroupRecord& record,
+                                          std::int64_t id) {
   return std::make_unique<ServerSlot>(
       this->counts, *this->view->FindServer(record.members.front()),
       record.group, record.epoch, static_cast<int>(query.prompt_tokens),
-      [this, model = query.model] {
-        this->wait_estimator.RecordRelease(model, this->loop->Now());
+      [this, model = query.model, id] {
+        this->slots->Return(id);
+        this->wait_estimator.RecordRelease(model, this->now());
         this->AssignFreeSlots();
       });
 }
 
+bool GroupLoadBalancer::CanAssign(const std::string& service,
+                                  const std::string& model) {
+  const std::vector<const GroupStatus*> groups =
+      this->ServingGroups(service, model);
+  return !groups.empty() && this->FindEngine(service) != nullptr &&
+         std::none_of(
+             groups.begin(), groups.end(), [this](const GroupStatus* group) {
+               return this->limiter->IsLimited(group->record.members.front());
+             });
+}
+
+void GroupLoadBalancer::HandleRelease(const std::string& group) {
+  const GroupStatus* status = this->view->FindGroup(group);
+  if (status != nullptr) {
+    this->wait_estimator.RecordRelease(status->record.model, this->now());
+  }
+  this->AssignFreeSlots();
+}
+
 void GroupLoadBalancer::AssignFreeSlots() {
-  const MonotonicTime now = this->loop->Now();
+  const MonotonicTime now = this->now();
   this->queue.sort([now](const SlotRequest* left, const SlotRequest* right) {
     return IsServedBefore(left->request, right->request, now);
   });
@@ -181,12 +217,13 @@
   for (auto entry = this->queue.begin(); entry != this->queue.end();) {
     SlotRequest* slot_request = *entry;
     if (full_models.count(slot_request->query.model) == 0) {
-      slot_request->slot =
-          this->TryTake(slot_request->query, !slot_request->was_tried);
+      const GroupStatus* group = this->TrySelect(*slot_request);
       slot_request->was_tried = true;
-      if (slot_request->IsGranted()) {
+      if (group != nullptr) {
         entry = this->queue.erase(entry);
-        slot_request->waiter->Notify();
+        slot_request->is_granted = true;
+        const SlotRequest::Grant grant = std::move(slot_request->grant);
+        grant(group->record);
         continue;
       }
       if (slot_request->query.excluded.empty()) {
@@ -197,20 +234,40 @@
   }
 }
 
-SlotRequestPtr GroupLoadBalancer::Enqueue(const SlotQuery& query,
-                                          Waiter* waiter) {
-  auto slot_request = std::make_unique<SlotRequest>(this, query, waiter);
+SlotRequestPtr GroupLoadBalancer::AddToQueue(SlotRequestPtr slot_request) {
   this->queue.push_back(slot_request.get());
   this->AssignFreeSlots();
   return slot_request;
 }
 
+SlotRequestPtr GroupLoadBalancer::Enqueue(const SlotQuery& query,
+                                          Waiter* waiter) {
+  auto slot_request =
+      std::make_unique<SlotRequest>(this, query, /*is_for_peer=*/false);
+  slot_request->grant =
+      [this, waiter, request = slot_request.get()](const GroupRecord& group) {
+        request->slot = this->MakeSlot(
+            request->query, group, this->slots->Hold(group.members.front()));
+        waiter->Notify();
+      };
+  return this->AddToQueue(std::move(slot_request));
+}
+
+SlotRequestPtr GroupLoadBalancer::EnqueueForPeer(const SlotQuery& query,
+                                                 SlotRequest::Grant grant) {
+  auto slot_request =
+      std::make_unique<SlotRequest>(this, query, /*is_for_peer=*/true);
+  slot_request->grant = std::move(grant);
+  return this->AddToQueue(std::move(slot_request));
+}
+
 GroupLoadBalancer::WaitEstimate GroupLoadBalancer::EstimateWait(
     const SlotRequest& slot_request) {
   const SlotQuery& query = slot_request.query;
-  const MonotonicTime now = this->loop->Now();
+  const MonotonicTime now = this->now();
   const EngineSpec* engine = this->FindEngine(query.service);
   const std::vector<const GroupStatus*> groups = this->CandidateGroups(query);
+  const bool is_coordinator = this->slots->IsCoordinator();
   int ahead = 0;
   double pending_tokens = 0;
   for (const SlotRequest* other : this->queue) {
@@ -225,7 +282,8 @@
   WaitEstimate permit{Duration::max(), {}};
   for (const GroupStatus* group : groups) {
     const std::string& head = group->record.members.front();
-    pending_tokens += this->counts.unread->LocalCount(head);
+    pending_tokens += is_coordinator ? this->counts.unread->Total(head)
+                                     : this->counts.unread->LocalCount(head);
     if (this->counts.requests->Total(head) >= engine->slots) {
       has_full_group = true;
     } else if (this->limiter->HasPermit(head)) {
@@ -239,10 +297,10 @@
   }
   const ModelSpec* model = engine->FindModel(query.model);
   const Duration prefill_wait =
-      model == nullptr
-          ? Duration{0}
-          : EstimatePrefillWait(*engine, *model, pending_tokens,
-                                static_cast<int>(groups.size()), this->nodes);
+      model == nullptr ? Duration{0}
+                       : EstimatePrefillWait(*engine, *model, pending_tokens,
+                                             static_cast<int>(groups.size()),
+                                             is_coordinator ? 1 : this->nodes);
   if (has_slot) {
     return {prefill_wait, {}};
   }
@@ -259,7 +317,7 @@
     const SlotRequest& slot_request,
     SlotResult* rejection) {
   const SlotQuery& query = slot_request.query;
-  const MonotonicTime now = this->loop->Now();
+  const MonotonicTime now = this->now();
   const WaitEstimate expected = this->EstimateWait(slot_request);
   std::uniform_real_distribution<double> uniform(0, 1);
   rejection->rate_limited_by = expected.rate_limited_by;
@@ -282,6 +340,59 @@
   return std::nullopt;
 }
 
+bool GroupLoadBalancer::AcquireFromCoordinator(const SlotQuery& query,
+                                               TcpConnection* caller,
+                                               Waiter* waiter,
+                                               Coroutine yield,
+                                               SlotResult* result) {
+  using State = SlotRequestStatus::State;
+  const std::int64_t id =
+      this->slots->Begin(query, [waiter] { waiter->Notify(); });
+  if (id == 0) {
+    return false;
+  }
+  const ScopeGuard guard([this, id] { this->slots->Cancel(id); });
+  SlotRequestStatus status = this->slots->Check(id);
+  while (status.state == State::kPending && !caller->HasEnded()) {
+    waiter->WaitUntil(status.check_at, yield);
+    status = this->slots->Check(id);
+  }
+  result->by_coordinator = true;
+  if (status.state == State::kRejected) {
+    std::uniform_real_distribution<double> uniform(0, 1);
+    result->retry_after =
+        status.retry_after > Duration{0}
+            ? status.retry_after
+            : JitteredRetryAfter(Duration{0}, uniform(this->generator));
+    result->reason = status.retry_after > Duration{0}
+                         ? "expected wait exceeds the latency target"
+                         : "no slot became free in time";
+    return true;
+  }
+  if (status.state == State::kGranted) {
+    result->slot = this->TakeGranted(query, id, status);
+  }
+  result->by_coordinator = result->slot != nullptr;
+  return result->by_coordinator;
+}
+
+ServerSlotPtr GroupLoadBalancer::TakeGranted(const SlotQuery& query,
+                                             std::int64_t id,
+                                             const SlotRequestStatus& grant) {
+  const GroupStatus* group = this->view->FindGroup(grant.group);
+  if (group == nullptr || group->record.epoch != grant.epoch ||
+      group->record.members.empty() ||
+      group->record.members.front() != grant.server ||
+      !this->view->Serves(*group) || !this->limiter->TryTake(grant.server)) {
+    LogInfo("slot_grant_unusable", {{"group", grant.group},
+                                    {"epoch", grant.epoch},
+                                    {"server", grant.server}});
+    this->slots->Return(id);
+    return nullptr;
+  }
+  return this->MakeSlot(query, group->record, id);
+}
+
 SlotResult GroupLoadBalancer::Acquire(const SlotQuery& query,
                                       TcpConnection* caller,
                                       Waiter* waiter,
@@ -295,6 +406,10 @@
     result.reason = "no group serves the model";
     return result;
   }
+  if (this->AcquireFromCoordinator(query, caller, waiter, yield, &result) ||
+      caller->HasEnded()) {
+    return result;
+  }
   const SlotRequestPtr slot_request = this->Enqueue(query, waiter);
   if (!slot_request->IsGranted()) {
     const std::optional<MonotonicTime> deadline =
@@ -303,11 +418,11 @@
       return result;
     }
     while (!slot_request->IsGranted() && !caller->HasEnded() &&
-           this->loop->Now() < *deadline) {
+           this->now() < *deadline) {
       const bool is_rate_limited = !result.rate_limited_by.empty();
       waiter->WaitUntil(
           is_rate_limited
-              ? std::min(*deadline, this->loop->Now() + kPermitRecheckInterval)
+              ? std::min(*deadline, this->now() + kPermitRecheckInterval)
               : *deadline,
           yield);
       // A reply of the coordinator may have shown that the wait is too long.
--- a/src/entry/group_load_balancer.h
+++ b/src/entry/group_load_balancer.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_GROUP_LOAD_BALANCER_H_
 #define ENTRY_GROUP_LOAD_BALANCER_H_
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -14,6 +15,8 @@
 #include "control/fleet_view.h"
 #include "entry/server_limiter.h"
 #include "entry/server_slot.h"
+#include "entry/slot_client.h"
+#include "entry/slot_query.h"
 #include "net/tcp_connection.h"
 #include "net/waiter.h"
 #include "routing/group_selector.h"
@@ -22,17 +25,6 @@
 
 namespace kumquatcart {
 
-// A request's requirements for a slot at a server.
-struct SlotQuery {
-  std::string service;
-  std::string model;               // Empty for plain services.
-  std::set<std::string> excluded;  // Ids of servers not to use.
-  std::int64_t prompt_tokens = 0;
-  Duration gap_target{0};      // Target for the longest pause between events.
-  MonotonicTime latest_start;  // Latest start that meets the latency target.
-  MonotonicTime wait_until;    // Latest time at which a slot is useful.
-};
-
 // A slot, or the reason why there is none and the Retry-After to send.
 struct SlotResult {
   ServerSlotPtr slot;
@@ -40,22 +32,27 @@
   const char* reason = "";
   // The server whose rate limit is the reason; empty if none is.
   std::string rate_limited_by;
+  // Whether the slot coordinator assigned the slot or rejected the request.
+  bool by_coordinator = false;
 };
 
 class GroupLoadBalancer;
 
-// A queued request for a slot. Its destructor removes it from the queue. Runs
-// on the event loop's thread.
+// A queued request for a slot, of this VM or of a peer. Its destructor removes
+// it from the queue. Runs on the event loop's thread.
 class SlotRequest {
  public:
-  // `balancer` and `waiter` must outlive this object.
-  SlotRequest(GroupLoadBalancer* balancer, SlotQuery query, Waiter* waiter);
+  // Called once, with the group that was selected. It may destroy this object.
+  using Grant = std::function<void(const GroupRecord& group)>;
+
+  // `balancer` must outlive this object.
+  SlotRequest(GroupLoadBalancer* balancer, SlotQuery query, bool is_for_peer);
   ~SlotRequest();
   SlotRequest(const SlotRequest&) = delete;
   SlotRequest& operator=(const SlotRequest&) = delete;
 
-  bool IsGranted() const { return this->slot != nullptr; }
-  // Null unless granted.
+  bool IsGranted() const { return this->is_granted; }
+  // Null unless granted, and for a peer.
   ServerSlotPtr Take() { return std::move(this->slot); }
 
  private:
@@ -63,27 +60,34 @@
 
   GroupLoadBalancer* const balancer;
   const SlotQuery query;
-  Waiter* const waiter;
+  const bool is_for_peer;
   const QueuedRequest request;
+  Grant grant;
   bool was_tried = false;
+  bool is_granted = false;
   ServerSlotPtr slot;
 };
 using SlotRequestPtr = std::unique_ptr<SlotRequest>;
 
-// Assigns each request to a lightly loaded group of its model. Queues it when
-// no group has a free slot, and refuses it at once when the expected wait
-// exceeds its deadline. Runs on the event loop's thread.
+// Assigns each request to a lightly loaded group of its model: as the slot
+// coordinator of the failure domain says, or by the own counts where none
+// answers. Queues it when no group has a free slot, and refuses it at once when
+// the expected wait exceeds its deadline. Runs on the event loop's thread.
 class GroupLoadBalancer {
  public:
-  GroupLoadBalancer(EventLoop* loop,
+  using Clock = std::function<MonotonicTime()>;
+
+  GroupLoadBalancer(Clock now,
                     FleetView* view,
                     ServerLoadCounters counts,
                     ServerLimiter* limiter,
+                    SlotClient* slots,
                     std::string failure_domain)
-      : loop(loop),
+      : now(std::move(now)),
         view(view),
         counts(counts),
         limiter(limiter),
+        slots(slots),
         failure_domain(std::move(failure_domain)) {}
 
   // Suspends until a slot is free, `query.wait_until` has passed or `caller`
@@ -93,9 +97,26 @@
                      Waiter* waiter,
                      Coroutine yield);
 
-  // Queues a request for a slot and notifies `waiter` when one is granted.
+  // Queues a request for a slot that this VM selects and notifies `waiter` when
+  // one is granted.
   SlotRequestPtr Enqueue(const SlotQuery& query, Waiter* waiter);
 
+  // The same for a peer. `grant` may be called within this call.
+  SlotRequestPtr EnqueueForPeer(const SlotQuery& query,
+                                SlotRequest::Grant grant);
+
+  // Rejects the request if its expected wait is too long. Otherwise returns the
+  // time until which it may wait.
+  std::optional<MonotonicTime> DecideWait(const SlotRequest& slot_request,
+                                          SlotResult* rejection);
+
+  // Whether this VM can select a group of the model for peers: none of them has
+  // a rate limit, whose permits are not shared.
+  bool CanAssign(const std::string& service, const std::string& model);
+
+  // Notes that a peer has returned a slot of `group`, which may be unknown.
+  void HandleRelease(const std::string& group);
+
   // Assigns free slots to queued requests after groups or loads have changed.
   void AssignFreeSlots();
 
@@ -105,14 +126,31 @@
  private:
   friend class SlotRequest;
 
-  // `is_first_try`: the first call for this request.
-  ServerSlotPtr TryTake(const SlotQuery& query, bool is_first_try);
+  // Asks the slot coordinator. Returns false if it does not decide.
+  bool AcquireFromCoordinator(const SlotQuery& query,
+                              TcpConnection* caller,
+                              Waiter* waiter,
+                              Coroutine yield,
+                              SlotResult* result);
+  // The slot that the coordinator has granted; null if this VM knows that the
+  // group cannot be used.
+  ServerSlotPtr TakeGranted(const SlotQuery& query,
+                            std::int64_t id,
+                            const SlotRequestStatus& grant);
+  SlotRequestPtr AddToQueue(SlotRequestPtr slot_request);
+  // `id`: by which the slot client knows the slot.
+  ServerSlotPtr MakeSlot(const SlotQuery& query,
+                         const GroupRecord& record,
+                         std::int64_t id);
+  // The group to use; null if none has a free slot.
+  const GroupStatus* TrySelect(const SlotRequest& slot_request);
   // The group to use of `groups`. Skips those whose head has a rate limit and
   // no permit left, and requests permits of these.
   const GroupStatus* Select(std::vector<const GroupStatus*> groups,
-                            const SlotQuery& query,
-                            const EngineSpec& engine,
-                            bool is_first_try);
+                            const SlotRequest& slot_request,
+                            const EngineSpec& engine);
+  // Takes a permit of a limited server. Returns false if there is none.
+  bool TakePermit(const SlotRequest& slot_request, const std::string& server);
   GroupCandidate MakeCandidate(const GroupStatus& group,
                                const EngineSpec& engine) const;
   // Open groups that serve the query's model and are not excluded.
@@ -120,10 +158,12 @@
   // All open groups that serve a model, valid until the view changes.
   std::vector<const GroupStatus*> ServingGroups(const std::string& service,
                                                 const std::string& model);
+  // Null if the service has none, or before a configuration has been read.
   const EngineSpec* FindEngine(const std::string& service) const;
   RequestDemand MakeDemand(const SlotQuery& query,
                            const EngineSpec& engine,
-                           int groups) const;
+                           int groups,
+                           bool is_coordinator) const;
   // Estimated time until a queued request is granted a slot.
   struct WaitEstimate {
     Duration wait{0};
@@ -132,16 +172,13 @@
   };
   // Precondition: the service of the request has an engine.
   WaitEstimate EstimateWait(const SlotRequest& slot_request);
-  // Rejects the request if its expected wait is too long. Otherwise returns the
-  // time until which it may wait.
-  std::optional<MonotonicTime> DecideWait(const SlotRequest& slot_request,
-                                          SlotResult* rejection);
   void Dequeue(SlotRequest* slot_request) { this->queue.remove(slot_request); }
 
-  EventLoop* const loop;
+  const Clock now;
   FleetView* const view;
   const ServerLoadCounters counts;
   ServerLimiter* const limiter;
+  SlotClient* const slots;
   const std::string failure_domain;
   std::list<SlotRequest*> queue;  // Requests without a slot.
   // Results of ServingGroups() by service and model, for the view's state after
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -79,6 +79,7 @@
        {"last_event", this->LastEvent()},
        {"sent_framing", answer.HasBegun() ? ToString(answer.Framing()) : ""},
        {"sent", SentPart(answer)},
+       {"slot_by", this->slot_by},
        {"runs", this->runs},
        {"declined", this->declined},
        {"prompt", this->request.prompt_tokens},
@@ -254,6 +255,7 @@
       return this->GiveUp(result.retry_after, result.reason);
     }
     this->last_server = result.slot->ServerId();
+    this->slot_by = result.by_coordinator ? "coordinator" : "own";
     this->job.is_late = this->context->loop->Now() > this->LatestStart();
     ServerAttempt attempt(&this->job, result.slot.get());
     const AttemptOutcome outcome = attempt.Run(yield);
--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -195,6 +195,46 @@
   return *known.preceding_collectors;
 }
 
+const std::string* PeerDirectory::FindFirstNeighbour(MonotonicTime now) const {
+  Duties& known = this->DutiesAt(now);
+  if (!known.first_neighbour) {
+    auto first = this->peers.end();
+    for (auto entry = this->peers.begin(); entry != this->peers.end();
+         ++entry) {
+      const PeerState& peer = entry->second;
+      if (peer.failure_domain == this->own_failure_domain &&
+          IsServing(peer, now) &&
+          (first == this->peers.end() ||
+           RankOf(entry->first, peer, this->own_failure_domain) <
+               RankOf(first->first, first->second, this->own_failure_domain))) {
+        first = entry;
+      }
+    }
+    known.first_neighbour =
+        first == this->peers.end() ? nullptr : &first->first;
+  }
+  return *known.first_neighbour;
+}
+
+std::string PeerDirectory::FindSlotCoordinator(bool own_is_stopping,
+                                               bool include_silent,
+                                               MonotonicTime now) const {
+  const Rank own = this->OwnRank(this->own_failure_domain);
+  const std::string* first = this->FindFirstNeighbour(now);
+  if (first != nullptr &&
+      (own_is_stopping || RankOf(*first, this->peers.at(*first),
+                                 this->own_failure_domain) < own)) {
+    return *first;
+  }
+  const bool is_preceded =
+      include_silent && this->CountNeighbours([&](const std::string& node,
+                                                  const PeerState& peer) {
+        return peer.digest_received_at == MonotonicTime{} &&
+               RankOf(node, peer, this->own_failure_domain) < own;
+      }) > 0;
+  return is_preceded ? std::string() : this->own_node;
+}
+
 bool PeerDirectory::IsStoreReader(int readers, MonotonicTime now) const {
   return this->CountPrecedingNodes(now) < readers ||
          this->CountPrecedingCollectors(now) < readers;
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -107,6 +107,14 @@
   // by rank, whether or not they reach the store.
   int CountPrecedingCollectors(MonotonicTime now) const;
 
+  // The first live node by rank of the failure domain of this process, which
+  // assigns the slots of its requests. A node that is stopping has no duties
+  // unless it is the only one. With `include_silent`, nodes without any digest
+  // may precede this one; empty while only they do.
+  std::string FindSlotCoordinator(bool own_is_stopping,
+                                  bool include_silent,
+                                  MonotonicTime now) const;
+
   // Whether this process is among the first `readers` live nodes of its failure
   // domain, by rank or among those that reach the store. The first by rank go
   // on trying while they do not reach it; the others learn that from them.
@@ -159,10 +167,15 @@
     std::map<std::string, const PeerState*> planners;  // By failure domain.
     std::optional<int> preceding_nodes;
     std::optional<int> preceding_collectors;
-    std::map<int, std::set<std::string>> first_peers;  // By their number.
+    std::map<int, std::set<std::string>> first_peers;   // By their number.
+    std::optional<const std::string*> first_neighbour;  // May hold null.
   };
   Duties& DutiesAt(MonotonicTime now) const;
 
+  // The first live peer by rank of the own failure domain; null if there is
+  // none.
+  const std::string* FindFirstNeighbour(MonotonicTime now) const;
+
   // Number of peers in the failure domain of this process that match.
   int CountNeighbours(
       const std::function<bool(const std::string&, const PeerState&)>& matches)
--- a/src/peers/permit_message.cc
+++ b/src/peers/permit_message.cc
@@ -1,32 +1,21 @@
 #include "peers/permit_message.h"
 
 #include <algorithm>
-#include <vector>
 
-#include "base/json.h"
 #include "peers/server_limit_codec.h"
+#include "peers/tagged_message.h"
 
 namespace kumquatcart {
 
 namespace {
 
-// First elements of the messages. Digests begin with a number.
+// First elements of the messages.
 constexpr char kRequestTag[] = "permit-request";
 constexpr char kReplyTag[] = "permit-reply";
 // Bounds on received numbers; no schedule reaches as far ahead.
 constexpr std::int64_t kMaxTimeUs = 60'000'000;
 constexpr int kMaxCount = 1'000;
 
-// Whether `bytes` may be a CBOR array whose first element is a text. The header
-// of an array as short as a message is one byte; the upper three bits of the
-// next one are the type of its first element.
-bool BeginsWithText(const std::string& bytes) {
-  constexpr unsigned kTypeShift = 5;
-  constexpr unsigned kTextType = 3;
-  return bytes.size() > 1 &&
-         static_cast<unsigned char>(bytes[1]) >> kTypeShift == kTextType;
-}
-
 Json ToJsonArray(const PermitRequest& request) {
   return Json::array({kRequestTag, request.node, request.sequence,
                       EncodeServerLimit(request.limit), request.wanted});
@@ -65,32 +54,23 @@
 }  // namespace
 
 std::string EncodePermitMessage(const PermitMessage& message) {
-  const std::vector<std::uint8_t> bytes = Json::to_cbor(
+  return EncodeTaggedMessage(
       std::visit([](const auto& body) { return ToJsonArray(body); }, message));
-  return std::string(bytes.begin(), bytes.end());
 }
 
 std::optional<Result<PermitMessage>> DecodePermitMessage(
     const std::string& bytes) {
-  if (!BeginsWithText(bytes)) {
-    return std::nullopt;
-  }
-  Json json;
-  try {
-    json = Json::from_cbor(bytes);
-  } catch (const Json::exception&) {
-    return std::nullopt;  // The decoder of digests reports it.
-  }
-  if (!json.is_array() || json.empty() || !json.front().is_string()) {
+  const std::optional<Json> json = DecodeTaggedMessage(bytes);
+  if (!json) {
     return std::nullopt;
   }
   try {
-    const std::string& tag = json.front().get_ref<const std::string&>();
+    const std::string& tag = TagOf(*json);
     if (tag == kRequestTag) {
-      return DecodeRequest(json);
+      return DecodeRequest(*json);
     }
     if (tag == kReplyTag) {
-      return DecodeReply(json);
+      return DecodeReply(*json);
     }
     return MakeError(ErrorCode::kInvalidArgument, "unknown message " + tag);
   } catch (const Json::exception& error) {
--- a/src/routing/cluster_load.cc
+++ b/src/routing/cluster_load.cc
@@ -1,5 +1,6 @@
 #include "routing/cluster_load.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatcart {
@@ -17,6 +18,7 @@
   }
 }
 
+// Removes counts of zero and below.
 void Decrease(InFlightCounts* counts, const std::string& server, int by) {
   const auto found = counts->find(server);
   if (found == counts->end()) {
@@ -28,6 +30,11 @@
   }
 }
 
+void Change(InFlightCounts* counts, const std::string& server, int by) {
+  counts->emplace(server, 0);
+  Decrease(counts, server, -by);
+}
+
 }  // namespace
 
 void ClusterLoad::End(const std::string& server, int amount) {
@@ -48,13 +55,44 @@
                          const std::string& failure_domain,
                          InFlightCounts counts,
                          MonotonicTime expires_at) {
-  NodeReport& report = this->reports[node];
-  if (this->Counts(report)) {
-    this->Subtract(report.counts);
+  const auto known = this->reports.find(node);
+  if (known == this->reports.end() || !known->second.is_exact) {
+    this->Replace(node, {failure_domain, std::move(counts), expires_at});
+  }
+}
+
+void ClusterLoad::ReportExactly(const std::string& node,
+                                const std::string& failure_domain,
+                                InFlightCounts counts,
+                                MonotonicTime expires_at) {
+  this->Replace(node, {failure_domain, std::move(counts), expires_at,
+                       /*is_exact=*/true});
+}
+
+void ClusterLoad::Replace(const std::string& node, NodeReport report) {
+  NodeReport& known = this->reports[node];
+  if (this->Counts(known)) {
+    this->Subtract(known.counts);
   }
-  report = NodeReport{failure_domain, std::move(counts), expires_at};
+  known = std::move(report);
+  if (this->Counts(known)) {
+    this->Add(known.counts);
+  }
+}
+
+void ClusterLoad::Adjust(const std::string& node,
+                         const std::string& failure_domain,
+                         const std::string& server,
+                         int amount,
+                         MonotonicTime expires_at) {
+  NodeReport& report = this->reports[node];
+  report.failure_domain = failure_domain;
+  report.expires_at = std::max(report.expires_at, expires_at);
+  const int before = CountOf(report.counts, server);
+  Change(&report.counts, server, amount);
   if (this->Counts(report)) {
-    this->Add(report.counts);
+    Change(&this->remote_counts, server,
+           CountOf(report.counts, server) - before);
   }
 }
 
--- a/src/routing/cluster_load.h
+++ b/src/routing/cluster_load.h
@@ -29,6 +29,21 @@
               InFlightCounts counts,
               MonotonicTime expires_at);
 
+  // As Report(), from a node whose changes arrive one by one: until
+  // `expires_at`, Report() does not replace it.
+  void ReportExactly(const std::string& node,
+                     const std::string& failure_domain,
+                     InFlightCounts counts,
+                     MonotonicTime expires_at);
+
+  // Adds `amount`, which may be negative, to the report of `node`, which then
+  // counts until `expires_at` at least.
+  void Adjust(const std::string& node,
+              const std::string& failure_domain,
+              const std::string& server,
+              int amount,
+              MonotonicTime expires_at);
+
   // Remembers the work of this process as reported to other nodes.
   void MarkReported() { this->reported_counts = this->local_counts; }
 
@@ -86,8 +101,10 @@
     std::string failure_domain;
     InFlightCounts counts;
     MonotonicTime expires_at;
+    bool is_exact = false;
   };
 
+  void Replace(const std::string& node, NodeReport report);
   bool Counts(const NodeReport& report) const {
     return this->domain_reports.count(report.failure_domain) == 0;
   }
--- a/src/routing/group_selector.cc
+++ b/src/routing/group_selector.cc
@@ -18,18 +18,25 @@
 constexpr double kReservedSlotFraction = 0.15;
 constexpr double kReservedBudgetFraction = 0.5;
 
-bool CanTake(const GroupCandidate& candidate, const RequestDemand& demand) {
-  const double slots =
-      candidate.slots * (demand.is_late ? 1 - kReservedSlotFraction : 1.0);
-  if (candidate.active_requests + 1 > slots) {
-    return false;
-  }
+// The same fraction of the slots of all groups of a failure domain, where one
+// node selects for the domain: the next slot is free within some milliseconds.
+constexpr double kReservedDomainFraction = 0.04;
+
+bool HasPrefillBudget(const GroupCandidate& candidate,
+                      const RequestDemand& demand) {
   const double budget = demand.prefill_budget.value_or(0) *
                         (demand.is_late ? 1 - kReservedBudgetFraction : 1.0);
   return !demand.prefill_budget || candidate.pending_tokens <= 0 ||
          candidate.pending_tokens + demand.prompt_tokens <= budget;
 }
 
+bool CanTake(const GroupCandidate& candidate, const RequestDemand& demand) {
+  const double slots =
+      candidate.slots * (demand.is_late ? 1 - kReservedSlotFraction : 1.0);
+  return candidate.active_requests + 1 <= slots &&
+         HasPrefillBudget(candidate, demand);
+}
+
 double WeightOf(const GroupCandidate& candidate, const RequestDemand& demand) {
   const double free =
       1 - static_cast<double>(candidate.active_requests) / candidate.slots;
@@ -55,19 +62,17 @@
              *demand.local_prefill_budget;
 }
 
-}  // namespace
-
-std::optional<std::size_t> SelectGroup(
+// Selects among all candidates, or among those of other failure domains only.
+std::optional<std::size_t> SelectAtRandom(
     const std::vector<GroupCandidate>& candidates,
     const RequestDemand& demand,
-    const std::vector<double>& draws) {
+    const std::vector<double>& draws,
+    bool only_other_domains) {
   std::optional<std::size_t> best;
-  if (!HasLocalBudget(candidates, demand)) {
-    return best;
-  }
   double best_score = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    if (!CanTake(candidates[i], demand)) {
+    if ((only_other_domains && candidates[i].same_failure_domain) ||
+        !CanTake(candidates[i], demand)) {
       continue;
     }
     // Exponential variates with the weights as rates: each candidate has the
@@ -81,4 +86,80 @@
   return best;
 }
 
+// Slots of the candidates inside or outside the own failure domain.
+struct SlotTotals {
+  int all = 0;
+  int free = 0;
+
+  double FreeFraction() const {
+    return this->all == 0 ? 0 : static_cast<double>(this->free) / this->all;
+  }
+};
+
+SlotTotals SumSlots(const std::vector<GroupCandidate>& candidates,
+                    bool same_failure_domain) {
+  SlotTotals totals;
+  for (const GroupCandidate& candidate : candidates) {
+    if (candidate.same_failure_domain == same_failure_domain) {
+      totals.all += candidate.slots;
+      totals.free += std::max(0, candidate.slots - candidate.active_requests);
+    }
+  }
+  return totals;
+}
+
+std::optional<std::size_t> SelectNear(
+    const std::vector<GroupCandidate>& candidates,
+    const RequestDemand& demand,
+    const SlotTotals& totals) {
+  std::optional<std::size_t> best;
+  if (demand.is_late &&
+      totals.free - 1 < totals.all * kReservedDomainFraction) {
+    return best;
+  }
+  double best_weight = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const GroupCandidate& candidate = candidates[i];
+    if (!candidate.same_failure_domain ||
+        candidate.active_requests >= candidate.slots ||
+        !HasPrefillBudget(candidate, demand)) {
+      continue;
+    }
+    const double weight = WeightOf(candidate, demand);
+    if (!best || weight > best_weight) {
+      best = i;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+std::optional<std::size_t> SelectGroup(
+    const std::vector<GroupCandidate>& candidates,
+    const RequestDemand& demand,
+    const std::vector<double>& draws) {
+  return HasLocalBudget(candidates, demand)
+             ? SelectAtRandom(candidates, demand, draws,
+                              /*only_other_domains=*/false)
+             : std::nullopt;
+}
+
+std::optional<std::size_t> SelectGroupForDomain(
+    const std::vector<GroupCandidate>& candidates,
+    const RequestDemand& demand,
+    const std::vector<double>& draws) {
+  const SlotTotals near_slots = SumSlots(candidates, true);
+  const std::optional<std::size_t> near =
+      SelectNear(candidates, demand, near_slots);
+  const double far_free = SumSlots(candidates, false).FreeFraction();
+  if (near && near_slots.FreeFraction() >= kRemoteDomainWeight * far_free) {
+    return near;
+  }
+  const std::optional<std::size_t> far =
+      SelectAtRandom(candidates, demand, draws, /*only_other_domains=*/true);
+  return far ? far : near;
+}
+
 }  // namespace kumquatcart
--- a/src/routing/group_selector.h
+++ b/src/routing/group_selector.h
@@ -62,6 +62,17 @@
     const RequestDemand& demand,
     const std::vector<double>& draws);
 
+// As SelectGroup(), for the node that selects for all entry VMs of its failure
+// domain. Its counts of the groups in the domain are exact, so that it takes
+// the one with the highest weight. The counts of other groups are as old as in
+// SelectGroup(), and such a group is selected where the own ones are full, or
+// have much less room. Late requests leave some slots of the domain free, in
+// whichever group they are. Thread safe.
+std::optional<std::size_t> SelectGroupForDomain(
+    const std::vector<GroupCandidate>& candidates,
+    const RequestDemand& demand,
+    const std::vector<double>& draws);
+
 }  // namespace kumquatcart
 
 #endif  // ROUTING_GROUP_SELECTOR_H_
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -43,6 +43,19 @@
   EventLoop* const loop;
 };
 
+// The network of a deployment with one node.
+class LoopSlotNetwork : public SlotNetwork {
+ public:
+  explicit LoopSlotNetwork(EventLoop* loop) : loop(loop) {}
+
+  MonotonicTime Now() const override { return this->loop->Now(); }
+  std::string FindCoordinator() const override { return "node"; }
+  void Send(const std::string&, const SlotMessage&) override {}
+
+ private:
+  EventLoop* const loop;
+};
+
 // An answer as its caller reads it.
 struct CallerAnswer {
   ResponseState state = ResponseState::kIncomplete;
@@ -123,6 +136,8 @@
   MetricRegistry metrics;
   LoopPermitNetwork permits;
   ServerLimiter limiter;
+  LoopSlotNetwork slot_network;
+  SlotClient slots;
   GroupLoadBalancer group_balancer;
   PlainLoadBalancer plain_balancer;
   GroupStallDetector stall_detector;
