Take the neighbours and the readers of the store without a pass over all peers

Ruled out: a longer life of the cached duties, by which the death of a peer would be noticed later.

Change: the neighbours are counted as peers are added; IsStoreDown looks at the first peers by rank of each domain, which are cached already. Behaviour as before but for the age of these, 0.1 s at most; the tests of both are those of before.

--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -49,7 +49,14 @@
   if (node == this->own_node) {
     return;
   }
-  PeerState& peer = this->peers[node];
+  const auto [known, is_new] = this->peers.try_emplace(node);
+  PeerState& peer = known->second;
+  if (!is_new && peer.failure_domain == this->own_failure_domain) {
+    --this->neighbours;
+  }
+  if (failure_domain == this->own_failure_domain) {
+    ++this->neighbours;
+  }
   peer.endpoint = endpoint;
   peer.failure_domain = failure_domain;
   peer.cores = cores;
@@ -297,11 +304,11 @@
       by_domain;
   by_domain[this->own_failure_domain][{-this->own_cores, this->own_node}] =
       own_reaches_store;
-  for (const auto& [node, peer] : this->peers) {
-    if (peer.IsAlive(now) && !peer.digest.is_stopping) {
-      by_domain[peer.failure_domain][{-peer.cores, node}] =
-          peer.digest.reaches_store;
-    }
+  for (const std::string& node :
+       this->FindFirstPeers(kStoreReadersPerDomain, now)) {
+    const PeerState& peer = this->peers.at(node);
+    by_domain[peer.failure_domain][{-peer.cores, node}] =
+        peer.digest.reaches_store;
   }
   int readers = 0;
   int disconnected = 0;
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -121,9 +121,7 @@
   bool IsStoreReader(int readers, MonotonicTime now) const;
 
   // Number of peers in the failure domain of this process.
-  int CountNeighbours() const {
-    return this->CountNeighbours([](const auto&, const auto&) { return true; });
-  }
+  int CountNeighbours() const { return this->neighbours; }
 
   // Whether this process precedes all live nodes that can plan, regardless of
   // their failure domains.
@@ -187,6 +185,7 @@
   bool own_reaches_store = true;
   mutable Duties duties;
   std::map<std::string, PeerState> peers;
+  int neighbours = 0;  // Peers in the own failure domain.
 };
 
 }  // namespace kumquatcart
--- a/src/peers/slot_message.cc
+++ b/src/peers/slot_message.cc
@@ -94,12 +94,12 @@
 using Decoder = SlotMessage (*)(const Json&);
 
 const std::map<std::string, Decoder>& Decoders() {
-  static const auto* const kDecoders =
+  static const auto* const k_decoders =
       new std::map<std::string, Decoder>{{kAskTag, &DecodeAsk},
                                          {kReplyTag, &DecodeReply},
                                          {kReturnTag, &DecodeReturn},
                                          {kReportTag, &DecodeReport}};
-  return *kDecoders;
+  return *k_decoders;
 }
 
 }  // namespace
