Spread the prompts of a failure domain over its groups

Cause: the slot coordinator takes the group with the most free slots. A group that has just opened, or from which some requests ended at once, then gets all prompts until it is as full as the others; it reads them one after the other while its streams pause.

Ruled out: the reserve for late requests (4 % of a domain's slots in place of 15 % of a group's): their refusals would fall. Other domains' groups: the rule for them is as before.

Change: all unread prompts of the domain count like the node's own ones do, of which one halves the weight of a group. The new test fails on the code before (2, 1, 1, 0).

--- a/src/routing/group_selector.cc
+++ b/src/routing/group_selector.cc
@@ -119,12 +119,14 @@
   }
   double best_weight = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const GroupCandidate& candidate = candidates[i];
+    GroupCandidate candidate = candidates[i];
     if (!candidate.same_failure_domain ||
         candidate.active_requests >= candidate.slots ||
         !HasPrefillBudget(candidate, demand)) {
       continue;
     }
+    // The prompts of the whole domain are this node's.
+    candidate.local_pending_tokens = candidate.pending_tokens;
     const double weight = WeightOf(candidate, demand);
     if (!best || weight > best_weight) {
       best = i;
--- a/tests/routing/nearly_full_groups_test.cc
+++ b/tests/routing/nearly_full_groups_test.cc
@@ -148,6 +148,29 @@
   CHECK(SelectGroupForDomain(candidates, demand, draws) == std::size_t{2});
 }
 
+// Guards against a group that has just opened, or lost some requests at once,
+// to which all prompts go until it is as full as the others: they are read one
+// after the other, and its streams pause meanwhile.
+TEST_CASE("Prompts that arrive together go to different groups") {
+  constexpr double kPrompt = 1500;
+  std::vector<GroupCandidate> candidates(4, GroupCandidate{9, 13, true});
+  candidates[0].active_requests = 6;
+  RequestDemand demand;
+  demand.prompt_tokens = kPrompt;
+  demand.prefill_budget = 12'000;
+  const std::vector<double> draws(4, 0.5);
+  std::vector<int> chosen(4, 0);
+  for (int i = 0; i < 4; ++i) {
+    const std::optional<std::size_t> choice =
+        SelectGroupForDomain(candidates, demand, draws);
+    REQUIRE(choice);
+    ++chosen[*choice];
+    ++candidates[*choice].active_requests;
+    candidates[*choice].pending_tokens += kPrompt;
+  }
+  CHECK(chosen == std::vector<int>{1, 1, 1, 1});
+}
+
 TEST_CASE("A group of another domain is used where the own ones are full") {
   const std::vector<double> draws(2, 0.5);
   const auto select = [&draws](int near, int far) {
