Queue requests no longer than leaves time for their first event

Cause: a request is queued for 0.4 of its latency target at most while it can be on time. With a queue for each VM the waits were spread.

Ruled out: slower servers.

Change: the longest time in the queue is the target less the time to the first event that four of five recent requests of the model did not exceed, measured by each VM, between 0.15 and 0.4 of the target.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -9,6 +9,7 @@
 #include "control/fleet_view.h"
 #include "control/server_prober.h"
 #include "net/connection_pool.h"
+#include "routing/first_event_times.h"
 #include "routing/route_table.h"
 #include "routing/shared_retry_budget.h"
 
@@ -43,6 +44,7 @@
   MonotonicTime answer_by = MonotonicTime::max();
   // Set when connections without a request in progress must close.
   bool close_idle_connections = false;
+  FirstEventTimes first_event_times;
   int requests_in_progress = 0;
   std::size_t buffered_answer_bytes = 0;  // Of all attempts.
 };
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -13,9 +13,6 @@
 
 namespace {
 
-// Fraction of the first-event latency target that a stream may spend queued:
-// prefill and the first decode step take the rest.
-constexpr double kMaxQueueFraction = 0.4;
 // Longest queueing time of a request that already misses its target: callers of
 // a stream disconnect after two seconds without an event, and prefill takes
 // part of these.
@@ -177,7 +174,8 @@
   const Duration target = this->job.route->target_latency;
   return this->received_at +
          (target > Duration{0}
-              ? std::chrono::duration_cast<Duration>(target * kMaxQueueFraction)
+              ? MaxQueueTime(target, this->context->first_event_times.Typical(
+                                         this->request.model))
               : kDefaultMaxWait);
 }
 
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -82,6 +82,7 @@
   facts.resume_after = this->job->progress.has_events
                            ? this->job->progress.last_event
                            : this->job->request->resume_after;
+  this->sent_at = this->job->context->loop->Now();
   this->connection->Send(
       SerializeRequest(EncodeForServer(*this->job->request, facts)));
 }
@@ -263,6 +264,15 @@
   }
 }
 
+void ServerAttempt::NoteFirstEvent() {
+  if (!this->has_forwarded_events && !this->slot->Group().empty()) {
+    this->job->context->first_event_times.Record(
+        this->job->request->model,
+        this->job->context->loop->Now() - this->sent_at);
+  }
+  this->has_forwarded_events = true;
+}
+
 void ServerAttempt::ForwardEvents(const std::string& bytes) {
   StreamProgress& progress = this->job->progress;
   std::string passed;
@@ -279,6 +289,7 @@
   if (!passed.empty()) {
     this->BeginStreamOnce();
     this->slot->NotePrefillDone();
+    this->NoteFirstEvent();
     progress.NoteEvents(this->job->context->loop->Now());
     this->job->answer->SendPart(passed);
     this->job->context->stall_detector->NoteProgress(this->slot->Group());
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -113,6 +113,8 @@
   bool IsStream() const;
   void BeginStreamOnce();
   void ForwardEvents(const std::string& bytes);
+  // Records the time that the server took to begin, with the first event.
+  void NoteFirstEvent();
   void FinishConnection();
   AttemptOutcome SetOutcome(AttemptOutcome outcome, std::string reason);
 
@@ -126,6 +128,8 @@
   std::size_t skipped_bytes = 0;
   AnswerBufferUse buffer_use;
   bool sent_under_limit = false;  // The server's rate limit was known.
+  MonotonicTime sent_at;
+  bool has_forwarded_events = false;  // Of this attempt.
   EventSplitter splitter;
   bool has_event = false;  // A whole event of this answer has arrived.
   BufferedAnswer failure;
