Give requests that expire in the coordinator's queue a true Retry-After

Cause: a queued request that gets no slot in time was rejected with the least Retry-After, 0.1 s, since the reply that says "queued" had no estimate. Callers came back into the same burst.

Change: the coordinator sends its estimate of the wait with that reply as well, and the rejection passes it on, with its jitter. Found when the change was read again; the new test was not run on the code before.

--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -359,14 +359,10 @@
   }
   result->by_coordinator = true;
   if (status.state == State::kRejected) {
-    std::uniform_real_distribution<double> uniform(0, 1);
-    result->retry_after =
-        status.retry_after > Duration{0}
-            ? status.retry_after
-            : JitteredRetryAfter(Duration{0}, uniform(this->generator));
-    result->reason = status.retry_after > Duration{0}
-                         ? "expected wait exceeds the latency target"
-                         : "no slot became free in time";
+    result->retry_after = status.retry_after;
+    result->reason = status.has_expired
+                         ? "no slot became free in time"
+                         : "expected wait exceeds the latency target";
     return true;
   }
   if (status.state == State::kGranted) {
--- a/src/entry/group_load_balancer.h
+++ b/src/entry/group_load_balancer.h
@@ -75,9 +75,9 @@
 // the expected wait exceeds its deadline. Runs on the event loop's thread.
 class GroupLoadBalancer {
  public:
-  using Clock = std::function<MonotonicTime()>;
+  using NowFunction = std::function<MonotonicTime()>;
 
-  GroupLoadBalancer(Clock now,
+  GroupLoadBalancer(NowFunction now,
                     FleetView* view,
                     ServerLoadCounters counts,
                     ServerLimiter* limiter,
@@ -174,7 +174,7 @@
   WaitEstimate EstimateWait(const SlotRequest& slot_request);
   void Dequeue(SlotRequest* slot_request) { this->queue.remove(slot_request); }
 
-  const Clock now;
+  const NowFunction now;
   FleetView* const view;
   const ServerLoadCounters counts;
   ServerLimiter* const limiter;
--- a/src/entry/slot_client.cc
+++ b/src/entry/slot_client.cc
@@ -91,6 +91,7 @@
     this->Cancel(id);
     this->CountOutcome("expired");
     status.state = State::kRejected;
+    status.has_expired = true;
     return status;
   }
   if (now >= request.answer_by && request.is_asked) {
@@ -168,6 +169,10 @@
   switch (reply.state) {
     case SlotState::kQueued:
       request.answer_by = this->network->Now() + kQueuedInterval;
+      if (reply.retry_after_us > 0) {
+        request.status.retry_after =
+            std::chrono::microseconds(reply.retry_after_us);
+      }
       return;
     case SlotState::kGranted:
       request.status.state = State::kGranted;
--- a/src/entry/slot_client.h
+++ b/src/entry/slot_client.h
@@ -26,6 +26,8 @@
   std::string server;
   // If rejected.
   Duration retry_after{0};
+  // Whether the request was queued and no slot became free in time.
+  bool has_expired = false;
 };
 
 // Requests slots from the coordinator and reports the slots in use to it. No
--- a/src/entry/slot_coordinator.cc
+++ b/src/entry/slot_coordinator.cc
@@ -64,17 +64,13 @@
   SlotResult rejection;
   const std::optional<MonotonicTime> deadline =
       this->balancer->DecideWait(*request, &rejection);
-  if (!deadline) {
-    reply.state = SlotState::kRejected;
-    reply.retry_after_us =
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            rejection.retry_after)
-            .count();
-    this->Reply(key, reply);
-    return;
+  reply.state = deadline ? SlotState::kQueued : SlotState::kRejected;
+  reply.retry_after_us = std::chrono::duration_cast<std::chrono::microseconds>(
+                             rejection.retry_after)
+                             .count();
+  if (deadline) {
+    this->queued[key] = {std::move(request), *deadline};
   }
-  this->queued[key] = {std::move(request), *deadline};
-  reply.state = SlotState::kQueued;
   this->Reply(key, reply);
 }
 
--- a/src/peers/slot_message.h
+++ b/src/peers/slot_message.h
@@ -49,7 +49,8 @@
   std::string group;  // If granted, with its epoch and its head's server id.
   std::int64_t epoch = 0;
   std::string server;
-  std::int64_t retry_after_us = 0;  // If rejected.
+  // If rejected, and if queued in case that no slot becomes free in time.
+  std::int64_t retry_after_us = 0;
 
   auto Tie() const {
     return std::tie(this->node, this->id, this->state, this->group, this->epoch,
--- a/tests/entry/slot_coordination_test.cc
+++ b/tests/entry/slot_coordination_test.cc
@@ -178,6 +178,11 @@
         ++id;
         continue;
       }
+      if (status.state == SlotRequestStatus::State::kRejected) {
+        ++this->rejected;
+        this->rejected_without_time +=
+            status.retry_after >= milliseconds(100) ? 0 : 1;
+      }
       if (status.state == SlotRequestStatus::State::kGranted) {
         ++this->granted;
         this->slots[*id] = {
@@ -222,6 +227,8 @@
   int asked = 0;
   int unasked = 0;
   int granted = 0;
+  int rejected = 0;
+  int rejected_without_time = 0;  // Without a usable Retry-After.
   std::map<std::int64_t, std::pair<std::string, MonotonicTime>> slots;
 
  private:
@@ -361,6 +368,19 @@
   }
 }
 
+// Guards against callers that return at once because a request that expired in
+// the queue has no Retry-After.
+TEST_CASE("Each rejected request is given the time to return") {
+  Simulation simulation(12, 20);
+  simulation.Run(seconds(6), 3 * kOverload);
+  int rejected = 0;
+  for (const auto& entry : simulation.world.vms) {
+    rejected += entry.second->rejected;
+    CHECK(entry.second->rejected_without_time == 0);
+  }
+  CHECK(rejected > 0);
+}
+
 TEST_CASE("Messages that are repeated or late grant no slot twice") {
   Simulation simulation(6, 20);
   simulation.world.repetition = 0.5;
