--- a/src/entry/slot_coordinator.h
+++ b/src/entry/slot_coordinator.h
@@ -37,8 +37,15 @@
         is_ready(std::move(is_ready)),
         ledger(counts.requests, std::move(failure_domain)) {}
 
+  // Replies with a slot, a place in the queue or a rejection. A repeated
+  // request gets the state of the first one.
   void HandleAsk(const SlotAsk& ask);
+
+  // Frees the slot, or removes the request from the queue. Unknown ones are
+  // ignored.
   void HandleReturn(const SlotReturn& slot);
+
+  // Brings the leases of a node in line with what it holds.
   void HandleReport(const SlotReport& report);
 
   // Drops requests that have expired and the slots of nodes that are gone.
