--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -32,9 +32,12 @@
   if (is_new) {
     this->newest_server_times[server.fabric_domain] = now;
   }
-  if (is_new || known->second.draining != server.draining) {
+  if (is_new || known->second.draining != server.draining ||
+      known->second.started_ms != server.started_ms) {
     LogInfo("server_known", {{"server", server.id},
                              {"service", server.service},
+                             {"address", server.endpoint.ToString()},
+                             {"started_ms", server.started_ms},
                              {"domain", server.fabric_domain},
                              {"draining", server.draining ? 1 : 0}});
   }
--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -30,6 +30,22 @@
   return state == MembershipState::kReady || state == MembershipState::kOpen;
 }
 
+// Logs why a member counts as ready. `source`: what `membership` was read from.
+void LogReadyMember(const BackendServer& server,
+                    const GroupMembership& membership,
+                    const char* source,
+                    std::int64_t source_started_ms) {
+  LogInfo("member_ready", {{"group", membership.group},
+                           {"epoch", membership.epoch},
+                           {"server", server.id},
+                           {"address", server.endpoint.ToString()},
+                           {"started_ms", server.started_ms},
+                           {"source", source},
+                           {"source_started_ms", source_started_ms},
+                           {"rank", membership.rank},
+                           {"state", ToString(membership.state)}});
+}
+
 }  // namespace
 
 OrderOutcome GroupOrders::Send(const BackendServer& server,
@@ -150,24 +166,26 @@
     }
     if (IsMemberOf(*server, record) &&
         IsReadyState(server->membership->state)) {
+      LogReadyMember(*server, *server->membership, "entry", server->started_ms);
       ready.insert(id);
       continue;
     }
-    tasks.emplace_back(
-        [this, copy = *server, &record, &ready](Coroutine inner) {
-          const Result<EngineReport> report =
-              this->parts->engines->Report(copy, kReportTimeout, inner);
-          if (report.has_error()) {
-            this->parts->prober->Probe({copy.id});
-            return;
-          }
-          const auto& membership = report.value().membership;
-          if (membership && membership->group == record.group &&
-              membership->epoch == record.epoch &&
-              IsReadyState(membership->state)) {
-            ready.insert(copy.id);
-          }
-        });
+    tasks.emplace_back([this, copy = *server, &record,
+                        &ready](Coroutine inner) {
+      const Result<EngineReport> report =
+          this->parts->engines->Report(copy, kReportTimeout, inner);
+      if (report.has_error()) {
+        this->parts->prober->Probe({copy.id});
+        return;
+      }
+      const auto& membership = report.value().membership;
+      if (membership && membership->group == record.group &&
+          membership->epoch == record.epoch &&
+          IsReadyState(membership->state)) {
+        LogReadyMember(copy, *membership, "report", report.value().started_ms);
+        ready.insert(copy.id);
+      }
+    });
   }
   RunAll(this->parts->loop, std::move(tasks), yield);
   return ready;
--- a/src/control/server_prober.cc
+++ b/src/control/server_prober.cc
@@ -160,9 +160,17 @@
   const auto probe = [&](Coroutine inner) {
     const Result<EngineReport> report =
         this->engines->Report(server, kProbeTimeout, inner);
-    answered = answered || report.has_value();
     if (report.has_error()) {
       *reason = report.error().message;
+      return;
+    }
+    answered = true;
+    if (!this->view->IsReachable(server.id)) {
+      LogInfo("probe_answered",
+              {{"server", server.id},
+               {"address", server.endpoint.ToString()},
+               {"started_ms", server.started_ms},
+               {"answered_by_started_ms", report.value().started_ms}});
     }
   };
   RunAll(this->loop,
