Reproduce the opening of a group without one of its members

The scripted model server now answers as the protocol says: orders for another server get 421, a report is answered whoever is meant, and each join has the member's own rank.

--- /dev/null
+++ b/tests/entry/group_fixture.h
@@ -0,0 +1,269 @@
+// One fabric domain of scripted model servers, and the planner that orders
+// them, over HTTP on one event loop.
+#ifndef ENTRY_GROUP_FIXTURE_H_
+#define ENTRY_GROUP_FIXTURE_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "control/group_reconciler.h"
+#include "control/group_record_codec.h"
+#include "fakes/loop_server.h"
+#include "fakes/loop_store.h"
+#include "net/http_head.h"
+
+namespace kumquatcart {
+
+// What all servers of a test have been: the servers that were ready, by group
+// and epoch, and the groups that were opened without a ready member.
+struct ReadinessLedger {
+  std::set<std::tuple<std::string, std::int64_t, std::string>> ready;
+  std::vector<std::string> opened_incomplete;
+};
+
+// A model server that records the orders it receives. Orders for another server
+// are answered with 421; a report is answered whatever server it is meant for.
+class FakeEngine {
+ public:
+  FakeEngine(EventLoop* loop, std::string id, ReadinessLedger* ledger)
+      : id(std::move(id)),
+        ledger(ledger),
+        address(FreeAddress()),
+        service(loop, [this](const ParsedRequest& request, Coroutine) {
+          return this->Answer(request);
+        }) {
+    REQUIRE(this->service.Start(this->address).has_value());
+  }
+
+  // The entry that the server writes to the store, without its membership.
+  BackendServer Entry() const {
+    BackendServer server;
+    server.id = this->id;
+    server.service = "models";
+    server.failure_domain = "zone";
+    server.fabric_domain = "d";
+    server.started_ms = this->started_ms;
+    server.endpoint =
+        Endpoint{this->address.address().to_string(), this->address.port()};
+    return server;
+  }
+
+  // Another start of the server, without memory of the former one.
+  void Restart(std::string next_id) {
+    this->id = std::move(next_id);
+    ++this->started_ms;
+    this->group = nullptr;
+    this->members.clear();
+  }
+
+  bool HasOrder(const std::string& op) const {
+    return std::any_of(this->orders.begin(), this->orders.end(),
+                       [&op](const Json& order) { return order["op"] == op; });
+  }
+
+  std::string id;
+  std::int64_t started_ms = 1'782'000'000'000;
+  bool becomes_ready = true;
+  bool states_start = true;  // In its reports.
+  std::vector<Json> orders;  // Without those for other servers.
+  // Number of records in the store when the first order arrived.
+  std::function<std::size_t()> count_records = [] { return 0; };
+  std::size_t records_at_first_order = 0;
+
+ private:
+  SimpleHttpResponse Answer(const ParsedRequest& request) {
+    if (request.target == "/api/report") {
+      return {200, this->Report().dump()};
+    }
+    if (FindHeader(request.headers, "X-Expect-Instance") != this->id) {
+      return {421, ""};
+    }
+    const Json order = Json::parse(request.body);
+    if (this->orders.empty()) {
+      this->records_at_first_order = this->count_records();
+    }
+    this->orders.push_back(order);
+    if (order["op"] == "join") {
+      this->Join(order);
+    } else if (order["op"] == "open") {
+      this->CheckMembers(order);
+    } else if (order["op"] == "leave") {
+      this->group = nullptr;
+    }
+    return {202, ""};
+  }
+
+  Json Report() const {
+    Json report{{"models", Json::array()}, {"seq", this->orders.size()}};
+    if (this->states_start) {
+      report["born"] = this->started_ms;
+    }
+    if (!this->group.is_null()) {
+      report["group"] = this->group;
+    }
+    return report;
+  }
+
+  void Join(const Json& order) {
+    this->members = order["members"].get<std::vector<std::string>>();
+    const auto own =
+        std::find(this->members.begin(), this->members.end(), this->id);
+    this->group = {{"name", order["group"]},
+                   {"epoch", order["epoch"]},
+                   {"rank", own - this->members.begin()},
+                   {"state", this->becomes_ready ? "ready" : "joining"}};
+    if (this->becomes_ready) {
+      this->ledger->ready.emplace(order["group"], order["epoch"], this->id);
+    }
+  }
+
+  void CheckMembers(const Json& order) const {
+    for (const std::string& member : this->members) {
+      if (this->ledger->ready.count({order["group"], order["epoch"], member}) ==
+          0) {
+        this->ledger->opened_incomplete.push_back(
+            order["group"].get<std::string>() + " without " + member);
+      }
+    }
+  }
+
+  ReadinessLedger* const ledger;
+  const TcpEndpoint address;
+  Json group;
+  std::vector<std::string> members;  // Of the last join.
+  SimpleHttpServer service;
+};
+
+// One fabric domain, and one model with groups of two.
+struct GroupFixture {
+  explicit GroupFixture(const std::vector<std::string>& ids = {"a", "b", "c"})
+      : store(&this->loop),
+        client(&this->loop, this->store.Address()),
+        http(&this->loop),
+        engines(&this->loop, &this->http),
+        peers("node", "zone"),
+        role(&this->loop, &this->peers, &this->client, "zone"),
+        prober(
+            &this->loop,
+            &this->engines,
+            &this->view,
+            &this->role,
+            [](const PeerState&) {},
+            [] {}),
+        records(
+            &this->loop,
+            &this->client,
+            FollowerSettings{
+                StoreTopic::kGroups, 2, std::chrono::milliseconds(200),
+                std::chrono::milliseconds(1), std::chrono::milliseconds(1)},
+            &this->role,
+            nullptr,
+            [this](const TopicRecord& record) {
+              this->view.PutRecord(
+                  DecodeGroupRecord(record.key, record.offset, *record.value)
+                      .value());
+            }),
+        reconciler({&this->loop, &this->client, &this->engines, &this->prober,
+                    &this->view, &this->peers, &this->role, &this->records,
+                    "zone", [] {}}) {
+    RoutingConfig config;
+    config.version = 1;
+    ServiceSpec service;
+    service.name = "models";
+    service.engine.emplace();
+    service.engine->models.emplace_back();
+    service.engine->models.back().name = "m";
+    service.engine->models.back().group_size = 2;
+    service.engine->models.back().work_share = 1;
+    config.services["models"] = service;
+    this->view.AdoptConfig(std::make_shared<const RoutingConfig>(config));
+    this->view.MarkTrafficStarted();
+    for (const std::string& id : ids) {
+      this->servers.push_back(
+          std::make_unique<FakeEngine>(&this->loop, id, &this->ledger));
+      this->servers.back()->count_records = [this] {
+        return this->store.End("keyed.groups");
+      };
+      this->Register(*this->servers.back());
+    }
+  }
+
+  ~GroupFixture() { this->loop.UnwindCoroutines(); }
+  GroupFixture(const GroupFixture&) = delete;
+  GroupFixture& operator=(const GroupFixture&) = delete;
+
+  // The entry of `server` arrives.
+  void Register(const FakeEngine& server) {
+    this->view.PutServer(server.Entry(), this->loop.Now());
+  }
+
+  // The entry of `id` has lapsed.
+  void Lapse(const std::string& id) {
+    this->view.RemoveServer(id, this->loop.Now());
+    this->view.ExpireServers(this->loop.Now());
+  }
+
+  void Start() {
+    this->prober.Start();
+    this->records.Start();
+    this->reconciler.Start();
+  }
+
+  void RunUntil(Duration bound, const std::function<bool()>& done) {
+    RunCoroutine(&this->loop, [&](Coroutine yield) {
+      const MonotonicTime deadline = this->loop.Now() + bound;
+      while (!done() && this->loop.Now() < deadline) {
+        this->loop.Sleep(std::chrono::milliseconds(5), yield);
+      }
+    });
+  }
+
+  bool HasOpenOrder() const {
+    return std::any_of(
+        this->servers.begin(), this->servers.end(),
+        [](const auto& server) { return server->HasOrder("open"); });
+  }
+
+  // The only group. Precondition: there is a record of it.
+  const GroupStatus& Group() const {
+    return this->view.Groups().begin()->second;
+  }
+
+  // Whether there is an open group of exactly these members, in any order.
+  bool HasOpenGroupOf(std::vector<std::string> members) const {
+    std::sort(members.begin(), members.end());
+    return std::any_of(this->view.Groups().begin(), this->view.Groups().end(),
+                       [&members](const auto& entry) {
+                         std::vector<std::string> listed =
+                             entry.second.record.members;
+                         std::sort(listed.begin(), listed.end());
+                         return entry.second.open && listed == members;
+                       });
+  }
+
+  EventLoop loop;
+  LoopStore store;
+  StoreClient client;
+  HttpClient http;
+  EngineClient engines;
+  FleetView view;
+  PeerDirectory peers;
+  PlannerRole role;
+  ServerProber prober;
+  TopicFollower records;
+  GroupReconciler reconciler;
+  ReadinessLedger ledger;
+  std::vector<std::unique_ptr<FakeEngine>> servers;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_GROUP_FIXTURE_H_
