Count a report only for the start and the member that it speaks of

A server crashes and another starts at its address under another id. Orders to the former one are answered 421, but a report is answered by whichever server has the address. So the probe of the dead server succeeded, it was kept as a member, and when the new server was a member of the same group, its report made the dead one count as ready: readiness was compared by group and epoch only.

A report of another start than that of the entry is an error now (EngineClient::Report), so readiness, probes and the liveness of members without an entry all see it. Readiness also compares the rank, which tells members apart where no start is stated. An order that another server declines makes the addressed server unreachable at once, and the result of a probe is dropped if the server has started again meanwhile.

--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -62,6 +62,8 @@
   if (outcome == OrderOutcome::kUnreachable ||
       outcome == OrderOutcome::kUnknown) {
     this->parts->prober->Probe({server.id});
+  } else if (outcome == OrderOutcome::kWrongServer) {
+    this->parts->prober->HandleWrongServer(server);
   }
   return outcome;
 }
@@ -159,18 +161,19 @@
     std::set<std::string> ready,
     Coroutine yield) {
   std::vector<std::function<void(Coroutine)>> tasks;
-  for (const std::string& id : record.members) {
+  for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
+    const std::string& id = record.members[rank];
     const BackendServer* server = this->parts->view->FindServer(id);
     if (server == nullptr || ready.count(id) > 0) {
       continue;
     }
-    if (IsMemberOf(*server, record) &&
+    if (IsMembershipAt(server->membership, record, rank) &&
         IsReadyState(server->membership->state)) {
       LogReadyMember(*server, *server->membership, "entry", server->started_ms);
       ready.insert(id);
       continue;
     }
-    tasks.emplace_back([this, copy = *server, &record,
+    tasks.emplace_back([this, copy = *server, rank, &record,
                         &ready](Coroutine inner) {
       const Result<EngineReport> report =
           this->parts->engines->Report(copy, kReportTimeout, inner);
@@ -179,8 +182,7 @@
         return;
       }
       const auto& membership = report.value().membership;
-      if (membership && membership->group == record.group &&
-          membership->epoch == record.epoch &&
+      if (IsMembershipAt(membership, record, rank) &&
           IsReadyState(membership->state)) {
         LogReadyMember(copy, *membership, "report", report.value().started_ms);
         ready.insert(copy.id);
--- a/src/control/server_prober.cc
+++ b/src/control/server_prober.cc
@@ -160,17 +160,9 @@
   const auto probe = [&](Coroutine inner) {
     const Result<EngineReport> report =
         this->engines->Report(server, kProbeTimeout, inner);
+    answered = answered || report.has_value();
     if (report.has_error()) {
       *reason = report.error().message;
-      return;
-    }
-    answered = true;
-    if (!this->view->IsReachable(server.id)) {
-      LogInfo("probe_answered",
-              {{"server", server.id},
-               {"address", server.endpoint.ToString()},
-               {"started_ms", server.started_ms},
-               {"answered_by_started_ms", report.value().started_ms}});
     }
   };
   RunAll(this->loop,
@@ -189,16 +181,29 @@
   const bool was_reachable = this->view->IsReachable(server.id);
   std::string reason;
   const bool answered = this->AnswersProbe(server, &reason, yield);
-  if (this->view->FindServer(server.id) == nullptr) {
-    return;
-  }
   if (!answered && was_reachable) {
-    LogWarning("probe_failed", {{"server", server.id}, {"reason", reason}});
+    LogWarning("probe_failed", {{"server", server.id},
+                                {"address", server.endpoint.ToString()},
+                                {"started_ms", server.started_ms},
+                                {"reason", reason}});
+  }
+  this->SetReachable(server, answered);
+}
+
+void ServerProber::SetReachable(const BackendServer& server, bool reachable) {
+  const BackendServer* known = this->view->FindServer(server.id);
+  if (known == nullptr || known->started_ms != server.started_ms) {
+    return;
   }
-  this->view->SetReachable(server.id, answered, this->loop->Now());
-  if (answered != was_reachable) {
+  const bool was_reachable = this->view->IsReachable(server.id);
+  this->view->SetReachable(server.id, reachable, this->loop->Now());
+  if (reachable != was_reachable) {
     this->changed();
   }
 }
 
+void ServerProber::HandleWrongServer(const BackendServer& server) {
+  this->SetReachable(server, false);
+}
+
 }  // namespace kumquatcart
--- a/src/control/server_prober.h
+++ b/src/control/server_prober.h
@@ -43,6 +43,10 @@
   // Probes the servers in parallel, except those with a probe in progress.
   void Probe(const std::vector<std::string>& servers);
 
+  // Handles an answer that says that another server has the address of
+  // `server`.
+  void HandleWrongServer(const BackendServer& server);
+
   // Reports servers that may be lost. The planner of their failure domain
   // probes them, so that one VM probes and all receive the result.
   void ReportSuspected(const std::vector<std::string>& servers);
@@ -61,6 +65,9 @@
   void ProbePeerReported(const std::vector<std::string>& servers);
   void CheckUnreachable();
   void ProbeOne(const BackendServer& server, Coroutine yield);
+  // Applies what was found of `server`, unless it has been removed or has
+  // started again since.
+  void SetReachable(const BackendServer& server, bool reachable);
   // Sends two overlapping probes and returns whether one is answered. Sets
   // `reason` to the error of the last one that failed.
   bool AnswersProbe(const BackendServer& server,
--- a/src/model/backend_server.h
+++ b/src/model/backend_server.h
@@ -2,6 +2,7 @@
 #ifndef MODEL_BACKEND_SERVER_H_
 #define MODEL_BACKEND_SERVER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -60,8 +61,8 @@
 // What a server answers when asked for its state; some hundred milliseconds
 // old.
 struct EngineReport {
-  std::string loaded_model;  // Empty: none.
-  std::int64_t started_ms = 0;
+  std::string loaded_model;     // Empty: none.
+  std::int64_t started_ms = 0;  // Unix time of its start; 0 where not given.
   std::int64_t orders_accepted = 0;
   int waiting = 0;
   int running = 0;
@@ -93,6 +94,22 @@
   }
 };
 
+// Whether two statements of a server, with the Unix times of its start, may be
+// of the same start. True if one of them does not give it. Thread safe.
+inline bool MayBeSameStart(std::int64_t left_ms, std::int64_t right_ms) {
+  return left_ms == 0 || right_ms == 0 || left_ms == right_ms;
+}
+
+// Whether `membership` is that of the member at `rank` in the list of `record`.
+// Thread safe.
+inline bool IsMembershipAt(const std::optional<GroupMembership>& membership,
+                           const GroupRecord& record,
+                           std::size_t rank) {
+  return membership && membership->group == record.group &&
+         membership->epoch == record.epoch && membership->rank >= 0 &&
+         static_cast<std::size_t>(membership->rank) == rank;
+}
+
 // Whether the server's membership is the one of `record`. Thread safe.
 inline bool IsMemberOf(const BackendServer& server, const GroupRecord& record) {
   return server.membership && server.membership->group == record.group &&
--- a/src/platform/engine_client.cc
+++ b/src/platform/engine_client.cc
@@ -116,7 +116,11 @@
     return MakeError(ErrorCode::kUnavailable,
                      std::string("report: ") + ToString(reply.result));
   }
-  return DecodeEngineReport(reply.body);
+  BOOST_OUTCOME_TRY(report, DecodeEngineReport(reply.body));
+  if (!MayBeSameStart(report.started_ms, server.started_ms)) {
+    return MakeError(ErrorCode::kNotFound, "another start has the address");
+  }
+  return report;
 }
 
 }  // namespace kumquatcart
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -44,8 +44,10 @@
                     Duration timeout,
                     Coroutine yield);
 
-  // Asks a server for its state. Errors: kTimeout, kUnavailable, kNotFound
-  // where another server has the address, kInvalidArgument.
+  // Asks a server for its state. Whichever server has the address answers, so a
+  // report of another start than `server`'s is an error. Errors: kTimeout,
+  // kUnavailable, kNotFound where another server or start has the address,
+  // kInvalidArgument.
   Result<EngineReport> Report(const BackendServer& server,
                               Duration timeout,
                               Coroutine yield);
