Take a group member for one start of its server

A server that starts again under its id knows nothing of its group, but its group's record lists the id, its entry is there and it answers. So the group kept counting as open: its head accepted requests that stood still for six seconds, and only then, when the head reported the group as broken, was it formed anew. Members that restart behind a cut from the store are such servers.

The record of a group states the start of each member. A member whose entry names a later start is lost to the group, at once and without a probe, but usable otherwise, so the planner may take it back as a free server. That the former start did not answer says nothing of the new one. Records without starts, from earlier versions, mean what they meant.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -29,6 +29,10 @@
   }
   this->pending_removals.erase(server.id);
   this->unregistered.erase(server.id);
+  if (!is_new && server.started_ms > known->second.started_ms) {
+    // That the former start did not answer says nothing of this one.
+    this->unreachable.erase(server.id);
+  }
   if (is_new) {
     this->newest_server_times[server.fabric_domain] = now;
   }
@@ -185,15 +189,27 @@
              : ServerAvailability::kUsable;
 }
 
+ServerAvailability FleetView::MemberAvailability(const GroupRecord& record,
+                                                 std::size_t rank) const {
+  const std::string& id = record.members[rank];
+  const BackendServer* server = this->FindServer(id);
+  return server != nullptr && HasRestartedSince(*server, record, rank)
+             ? ServerAvailability::kLost
+             : this->AvailabilityOf(id);
+}
+
 bool FleetView::Serves(const GroupStatus& status) const {
-  const std::vector<std::string>& members = status.record.members;
-  if (!status.open || members.empty() || !this->IsUsable(members.front())) {
+  const GroupRecord& record = status.record;
+  if (!status.open || record.members.empty() ||
+      !this->IsUsable(record.members.front())) {
     return false;
   }
-  return std::all_of(
-      members.begin(), members.end(), [this](const std::string& id) {
-        return this->AvailabilityOf(id) != ServerAvailability::kLost;
-      });
+  for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
+    if (this->MemberAvailability(record, rank) == ServerAvailability::kLost) {
+      return false;
+    }
+  }
+  return true;
 }
 
 bool FleetView::CanFinishRequests(const std::string& group,
@@ -208,10 +224,17 @@
   } else if (status->previous && status->previous->epoch == epoch) {
     record = &*status->previous;  // The head may be finishing requests.
   }
-  return record == nullptr ||
-         std::all_of(
-             record->members.begin(), record->members.end(),
-             [this](const std::string& id) { return this->IsReachable(id); });
+  if (record == nullptr) {
+    return true;
+  }
+  for (std::size_t rank = 0; rank < record->members.size(); ++rank) {
+    const BackendServer* server = this->FindServer(record->members[rank]);
+    if (!this->IsReachable(record->members[rank]) ||
+        (server != nullptr && HasRestartedSince(*server, *record, rank))) {
+      return false;
+    }
+  }
+  return true;
 }
 
 }  // namespace kumquatcart
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -2,6 +2,7 @@
 #ifndef CONTROL_FLEET_VIEW_H_
 #define CONTROL_FLEET_VIEW_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -74,6 +75,10 @@
 
   // Whether the server may take requests and join groups.
   ServerAvailability AvailabilityOf(const std::string& id) const;
+  // The same for the member at `rank` of `record`: lost also if its server has
+  // started again since the record was written.
+  ServerAvailability MemberAvailability(const GroupRecord& record,
+                                        std::size_t rank) const;
   bool IsUsable(const std::string& id) const {
     return this->AvailabilityOf(id) == ServerAvailability::kUsable;
   }
@@ -87,8 +92,8 @@
   bool Serves(const GroupStatus& status) const;
 
   // Whether a request that runs under `epoch` of `group` can continue. False
-  // once a member of that epoch is unreachable; true if the group or the epoch
-  // is unknown.
+  // once a member of that epoch is lost; true if the group or the epoch is
+  // unknown.
   bool CanFinishRequests(const std::string& group, std::int64_t epoch) const;
 
   // Number of changes of the servers, groups and their reachability. While it
--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -207,8 +207,9 @@
     }
     this->parts->loop->Sleep(kMemberPollInterval, yield);
     ready = this->CollectReadyMembers(record, std::move(ready), yield);
-    for (const std::string& id : record.members) {
-      if (this->parts->view->AvailabilityOf(id) == ServerAvailability::kLost) {
+    for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
+      if (this->parts->view->MemberAvailability(record, rank) ==
+          ServerAvailability::kLost) {
         return false;  // The planner replaces the member.
       }
     }
--- a/src/control/group_planner.cc
+++ b/src/control/group_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 
 #include "base/contains.h"
@@ -23,7 +24,11 @@
       : input(input), assigned_servers(input.assigned_elsewhere) {
     std::set<std::string> in_groups;
     for (const GroupRecord& group : input.groups) {
-      in_groups.insert(group.members.begin(), group.members.end());
+      std::copy_if(group.members.begin(), group.members.end(),
+                   std::inserter(in_groups, in_groups.end()),
+                   [this, &group](const std::string& id) {
+                     return !this->HasRestarted(group, id);
+                   });
       this->group_names.insert(group.group);
     }
     for (const PlannedServer& server : input.servers) {
@@ -58,6 +63,18 @@
                                                : found->second;
   }
 
+  bool HasRestarted(const GroupRecord& group, const std::string& id) const {
+    const auto found = this->input.restarted_members.find(group.group);
+    return found != this->input.restarted_members.end() &&
+           found->second.count(id) > 0;
+  }
+
+  ServerAvailability MemberAvailability(const GroupRecord& group,
+                                        const std::string& id) const {
+    return this->HasRestarted(group, id) ? ServerAvailability::kLost
+                                         : this->AvailabilityOf(id);
+  }
+
   // Relative cost for `server` to join a group of `model`: 0 if the model is
   // loaded, 1 if it is staged in memory, kColdJoinCost otherwise.
   static int JoinCost(const PlannedServer& server, const std::string& model) {
@@ -94,13 +111,14 @@
   // servers cannot be used otherwise in the meantime.
   bool MayRecover(const GroupRecord& group) const {
     return std::all_of(group.members.begin(), group.members.end(),
-                       [this](const std::string& id) {
-                         return this->AvailabilityOf(id) ==
+                       [this, &group](const std::string& id) {
+                         return this->MemberAvailability(group, id) ==
                                 ServerAvailability::kLost;
                        }) &&
            std::any_of(group.members.begin(), group.members.end(),
-                       [this](const std::string& id) {
-                         return this->availabilities.count(id) > 0;
+                       [this, &group](const std::string& id) {
+                         return this->availabilities.count(id) > 0 &&
+                                !this->HasRestarted(group, id);
                        });
   }
 
@@ -108,7 +126,7 @@
     std::vector<std::string> kept;     // Usable members in record order.
     std::vector<std::string> leaving;  // Members that still answer.
     for (const std::string& id : group.members) {
-      switch (this->AvailabilityOf(id)) {
+      switch (this->MemberAvailability(group, id)) {
         case ServerAvailability::kUsable:
           kept.push_back(id);
           break;
--- a/src/control/group_planner.h
+++ b/src/control/group_planner.h
@@ -46,6 +46,9 @@
   std::string fabric_domain;
   std::vector<PlannedServer> servers;
   std::vector<GroupRecord> groups;  // Without dissolved ones.
+  // Members whose servers have started again since the group's record was
+  // written, by group: lost to the group, but usable otherwise.
+  std::map<std::string, std::set<std::string>> restarted_members;
   // Groups whose head reported a failure after waiting for a member. They need
   // a new epoch.
   std::set<std::string> broken_groups;
--- a/src/control/group_reconciler.cc
+++ b/src/control/group_reconciler.cc
@@ -106,6 +106,12 @@
 void GroupReconciler::WriteRecords(const std::vector<GroupRecord>& records,
                                    Coroutine yield) {
   for (GroupRecord record : records) {
+    record.member_starts.clear();
+    for (const std::string& id : record.members) {
+      const BackendServer* server = this->parts.view->FindServer(id);
+      record.member_starts.push_back(server == nullptr ? 0
+                                                       : server->started_ms);
+    }
     const std::int64_t at = this->parts.records->End();
     const Result<std::int64_t> offset =
         this->parts.store->Append(StoreTopic::kGroups, record.group,
--- a/src/control/group_record_codec.cc
+++ b/src/control/group_record_codec.cc
@@ -8,7 +8,8 @@
   return Json{{"service", record.service},
               {"model", record.model},
               {"fabric_domain", record.fabric_domain},
-              {"members", record.members}}
+              {"members", record.members},
+              {"member_starts", record.member_starts}}
       .dump();
 }
 
@@ -24,6 +25,8 @@
     record.model = json.at("model").get<std::string>();
     record.fabric_domain = json.at("fabric_domain").get<std::string>();
     record.members = json.at("members").get<std::vector<std::string>>();
+    record.member_starts =
+        json.value("member_starts", std::vector<std::int64_t>());
     return record;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/control/planning_input.cc
+++ b/src/control/planning_input.cc
@@ -168,6 +168,12 @@
       continue;
     }
     input.groups.push_back(record);
+    for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
+      const BackendServer* server = view.FindServer(record.members[rank]);
+      if (server != nullptr && HasRestartedSince(*server, record, rank)) {
+        input.restarted_members[record.group].insert(server->id);
+      }
+    }
     const BackendServer* head = view.FindServer(record.members.front());
     if (head != nullptr && IsMemberOf(*head, record) &&
         head->membership->state == MembershipState::kBroken) {
--- a/src/model/backend_server.h
+++ b/src/model/backend_server.h
@@ -87,10 +87,13 @@
   std::string fabric_domain;
   std::vector<std::string> members;  // Server ids; the first is the head.
                                      // Empty: the group is dissolved.
+  // Unix times in ms of the starts of `members`, in their order. A member is
+  // one start of its server. 0, or no element: unknown.
+  std::vector<std::int64_t> member_starts;
 
   auto Tie() const {
     return std::tie(this->group, this->epoch, this->service, this->model,
-                    this->fabric_domain, this->members);
+                    this->fabric_domain, this->members, this->member_starts);
   }
 };
 
@@ -100,6 +103,17 @@
   return left_ms == 0 || right_ms == 0 || left_ms == right_ms;
 }
 
+// Whether `server`, which is listed at `rank` of `record`, has started again
+// since the record was written. Thread safe.
+inline bool HasRestartedSince(const BackendServer& server,
+                              const GroupRecord& record,
+                              std::size_t rank) {
+  const std::int64_t recorded_ms = rank < record.member_starts.size()
+                                       ? record.member_starts[rank]
+                                       : std::int64_t{0};
+  return recorded_ms != 0 && server.started_ms > recorded_ms;
+}
+
 // Whether `membership` is that of the member at `rank` in the list of `record`.
 // Thread safe.
 inline bool IsMembershipAt(const std::optional<GroupMembership>& membership,
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -137,13 +137,49 @@
   CHECK(!view.FindServer("a")->draining);
 }
 
+// Guards against requests to a group one of whose members has lost its state.
+TEST_CASE("A member that has started again is lost to its group only") {
+  FleetView view;
+  BackendServer member = Server("b");
+  member.started_ms = 10;
+  view.PutServer(Server("a"), kStart);
+  view.PutServer(member, kStart);
+  GroupRecord record = Record(5, {"a", "b"});
+  record.member_starts = {0, 10};
+  view.PutRecord(record);
+  view.SetOpen("g", 5, true);
+  CHECK(view.Serves(*view.FindGroup("g")));
+  view.SetReachable("b", false, kStart);
+  member.started_ms = 20;
+  view.PutServer(member, kStart);
+  CHECK(view.IsUsable("b"));
+  CHECK(view.MemberAvailability(record, 1) == ServerAvailability::kLost);
+  CHECK(!view.Serves(*view.FindGroup("g")));
+  CHECK(!view.CanFinishRequests("g", 5));
+}
+
+// The entry of the member's present start may arrive after the record.
+TEST_CASE(
+    "A member whose known start is earlier than its record is available") {
+  FleetView view;
+  BackendServer member = Server("a");
+  member.started_ms = 10;
+  view.PutServer(member, kStart);
+  GroupRecord record = Record(5, {"a"});
+  record.member_starts = {20};
+  view.PutRecord(record);
+  CHECK(view.MemberAvailability(record, 0) == ServerAvailability::kUsable);
+}
+
 TEST_CASE("A decoded group record has an epoch that follows from its offset") {
-  const GroupRecord record = Record(0, {"a", "b"});
+  GroupRecord record = Record(0, {"a", "b"});
+  record.member_starts = {1'782'000'000'001, 0};
   const Result<GroupRecord> decoded =
       DecodeGroupRecord("g", 41, EncodeGroupRecord(record));
   REQUIRE(decoded.has_value());
   CHECK(decoded.value().epoch == 42);
   CHECK(decoded.value().members == record.members);
+  CHECK(decoded.value().member_starts == record.member_starts);
   CHECK(DecodeGroupRecord("g", 41, "{}").has_error());
 }
 
--- a/tests/control/group_planner_test.cc
+++ b/tests/control/group_planner_test.cc
@@ -124,6 +124,27 @@
   CHECK(Find(&input, next.members.back())->standby_model == group.model);
 }
 
+// Guards against a server that stays idle after a restart, since its former
+// start is listed by a group that cannot use it.
+TEST_CASE("A member that has started again may rejoin as a free server") {
+  DomainInput input = MakeRunningDomain();
+  const GroupRecord group = input.groups[0];
+  for (const PlannedServer& server : input.servers) {
+    if (!server.standby_model.empty()) {
+      Find(&input, server.id)->availability = ServerAvailability::kLost;
+    }
+  }
+  CHECK(PlanDomain(input).records.empty());
+  input.restarted_members[group.group] = {group.members[0]};
+  const DomainPlan plan = PlanDomain(input);
+  REQUIRE(plan.records.size() == 1);
+  CHECK(plan.records[0].group == group.group);
+  CHECK(std::set<std::string>(plan.records[0].members.begin(),
+                              plan.records[0].members.end()) ==
+        std::set<std::string>(group.members.begin(), group.members.end()));
+  CHECK(plan.records[0].members.back() == group.members[0]);
+}
+
 TEST_CASE(
     "A group with too few free servers for its lost members is dissolved") {
   DomainInput input = MakeRunningDomain();
