Give up a server when a later one starts at its address

A crashed server whose entry has not lapsed yet was planned with for up to four seconds beside the server that had started at its address: it was chosen as a member and as a spare, each join was answered 421, and the group waited for a further record.

An address belongs to one server, so the entry of a later start there makes the earlier one unreachable, whichever entry arrives first. A probe corrects it where clocks were wrong, since a report must be of the probed start.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -47,6 +47,7 @@
   }
   this->servers[server.id] = server;
   ++this->change_count;
+  this->MarkFormerHolder(server, now);
   if (!server.membership || server.membership->rank != 0) {
     return;
   }
@@ -58,6 +59,27 @@
   }
 }
 
+void FleetView::MarkFormerHolder(const BackendServer& server,
+                                 MonotonicTime now) {
+  if (server.started_ms == 0) {
+    return;
+  }
+  const auto [entry, is_first] =
+      this->address_holders.emplace(server.endpoint, server.id);
+  if (is_first || entry->second == server.id) {
+    return;
+  }
+  const BackendServer* holder = this->FindServer(entry->second);
+  if (holder == nullptr || holder->endpoint != server.endpoint) {
+    entry->second = server.id;
+    return;
+  }
+  const bool is_newer = holder->started_ms < server.started_ms;
+  const std::string former = is_newer ? holder->id : server.id;
+  entry->second = is_newer ? server.id : holder->id;
+  this->SetReachable(former, false, now);
+}
+
 void FleetView::RemoveServer(const std::string& id, MonotonicTime effective) {
   if (this->servers.count(id) > 0) {
     this->pending_removals.emplace(id, effective);
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -36,7 +36,8 @@
     return this->config;
   }
 
-  // Adds or updates a server. An entry of an earlier start is ignored.
+  // Adds or updates a server. An entry of an earlier start is ignored. Of two
+  // servers with one address, the one that started earlier is unreachable.
   void PutServer(const BackendServer& server, MonotonicTime now);
   // Schedules the removal of a server whose entry the store has dropped, for
   // `effective`: entries that expired during a store outage may be renewed.
@@ -106,11 +107,15 @@
 
  private:
   bool IsMember(const std::string& id) const;
+  // Marks the former holder of the address of `server`, which may be `server`.
+  void MarkFormerHolder(const BackendServer& server, MonotonicTime now);
   // Removes unregistered servers that are no longer members of any group.
   void RemoveFormerMembers();
 
   std::shared_ptr<const RoutingConfig> config;
   std::map<std::string, BackendServer> servers;
+  // The server that last started at each address, as far as known.
+  std::map<Endpoint, std::string> address_holders;
   std::map<std::string, MonotonicTime> pending_removals;
   std::set<std::string> unregistered;
   std::map<std::string, MonotonicTime> newest_server_times;
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -158,6 +158,31 @@
   CHECK(!view.CanFinishRequests("g", 5));
 }
 
+// Guards against a crashed server that is planned with until its entry lapses,
+// although another one has started at its address.
+TEST_CASE("Of two servers with one address the earlier one is unreachable") {
+  BackendServer former = Server("b");
+  former.started_ms = 10;
+  former.endpoint = Endpoint{"10.0.0.1", 80};
+  BackendServer next = former;
+  next.id = "a";
+  next.started_ms = 20;
+  BackendServer elsewhere = former;
+  elsewhere.id = "c";
+  elsewhere.endpoint.port = 81;
+  const bool former_is_first = GENERATE(true, false);
+  FleetView view;
+  view.PutServer(elsewhere, kStart);
+  view.PutServer(former_is_first ? former : next, kStart);
+  CHECK(view.IsUsable(former_is_first ? "b" : "a"));
+  view.PutServer(former_is_first ? next : former, kStart);
+  CHECK(view.IsUsable("a"));
+  CHECK(view.IsUsable("c"));
+  CHECK(view.AvailabilityOf("b") == ServerAvailability::kLost);
+  view.PutServer(next, kStart);
+  CHECK(view.IsUsable("a"));
+}
+
 // The entry of the member's present start may arrive after the record.
 TEST_CASE(
     "A member whose known start is earlier than its record is available") {
