Order the servers of a dissolved group to leave once and at once

The planning pass orders each server without a recorded group to leave, all in parallel. The task of the dissolved group ordered the same servers once more, one after the other, each followed by a wait of 0.35 s for its entry, and the next record of that name waits for the task.

"The servers of a dissolved group are ordered to leave once" fails before: two orders each.

--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -86,9 +86,7 @@
   if (!this->IsCurrent(record)) {
     return;
   }
-  if (record.members.empty()) {
-    this->Dissolve(record, yield);
-  } else if (this->JoinMembers(record, yield)) {
+  if (this->JoinMembers(record, yield)) {
     this->OpenHead(record, yield);
   }
 }
@@ -239,20 +237,6 @@
   this->parts->changed();
 }
 
-void GroupOrders::Dissolve(const GroupRecord& record, Coroutine yield) {
-  std::vector<BackendServer> members;
-  for (const auto& entry : this->parts->view->Servers()) {
-    const BackendServer& server = entry.second;
-    if (server.membership && server.membership->group == record.group &&
-        this->parts->view->IsReachable(server.id)) {
-      members.push_back(server);
-    }
-  }
-  for (const BackendServer& server : members) {
-    this->LeaveGroup(server, yield);
-  }
-}
-
 void GroupOrders::LeaveGroup(const BackendServer& server, Coroutine yield) {
   GroupRecord former;
   former.group = server.membership->group;
--- a/src/control/group_orders.h
+++ b/src/control/group_orders.h
@@ -16,8 +16,8 @@
   // `parts` outlives this.
   explicit GroupOrders(const GroupControlDependencies* parts) : parts(parts) {}
 
-  // Forms and opens the group, or dissolves it if the record has no members.
-  // Returns early if there is a newer record.
+  // Forms and opens the group. Returns early if there is a newer record.
+  // Precondition: the record has members.
   void Reconcile(const GroupRecord& record, Coroutine yield);
 
   // Orders a server to leave the group that it reports. Precondition: the
@@ -48,7 +48,6 @@
   // Whether the record is the newest of its group and this VM still plans the
   // domain.
   bool IsCurrent(const GroupRecord& record) const;
-  void Dissolve(const GroupRecord& record, Coroutine yield);
 
   const GroupControlDependencies* const parts;
 };
--- a/src/control/group_reconciler.cc
+++ b/src/control/group_reconciler.cc
@@ -78,7 +78,8 @@
       continue;
     }
     members.insert(status.record.members.begin(), status.record.members.end());
-    if (!status.open) {
+    // The servers of a dissolved group are ordered to leave below.
+    if (!status.open && !status.record.members.empty()) {
       this->StartOnce("group " + entry.first,
                       [this, record = status.record](Coroutine yield) {
                         this->orders.Reconcile(record, yield);
--- a/tests/entry/group_reconciler_test.cc
+++ b/tests/entry/group_reconciler_test.cc
@@ -35,6 +35,36 @@
   CHECK(!d.HasOpenOrder());
 }
 
+// Guards against a group that is formed late: each server of a dissolved group
+// was ordered to leave a second time, one after the other, and the next group
+// of the same name was not ordered to join until all had been.
+TEST_CASE("The servers of a dissolved group are ordered to leave once") {
+  GroupFixture f({"a", "b", "c", "d", "e", "f", "g"});
+  f.SetGroupSize(6);
+  for (const auto& server : f.servers) {
+    server->publish = [&f](const FakeEngine& changed) { f.Register(changed); };
+  }
+  f.Start();
+  f.RunUntil(std::chrono::seconds(5),
+             [&] { return !f.view.Groups().empty() && f.Group().open; });
+  REQUIRE(f.Group().record.members.size() == 6);
+  f.SetGroupSize(3);
+  for (const char* lost : {"a", "b"}) {
+    f.view.SetReachable(lost, false, f.loop.Now());
+  }
+  f.RunUntil(std::chrono::seconds(5), [&] {
+    return f.Group().open && f.Group().record.members.size() == 3;
+  });
+  CHECK(f.Group().record.members.size() == 3);
+  CHECK(f.Group().open);
+  for (const auto& server : f.servers) {
+    const auto leaves =
+        std::count_if(server->orders.begin(), server->orders.end(),
+                      [](const Json& order) { return order["op"] == "leave"; });
+    CHECK(leaves <= 1);
+  }
+}
+
 TEST_CASE("Without the store no group orders are sent") {
   GroupFixture d;
   d.records.Start();
