Take no rejection without an id for a request on a reused connection

Callers could get a 503, which promises that nothing has run, for a request that a server was running, and a request could run on more servers than its route allows. A rejection without a request id counted as the answer to the current request on every connection. On a reused one, or behind an answer to another request, it may be an earlier rejection that a faulty server writes once more.

Such a rejection now ends the attempt as "may have run": it counts as an attempt of the route, is retried only within it, and ends in 502 if no retry is left. The first answer of a new connection can only belong to its one request, so there a rejection without an id keeps its meaning. Requests that may run once always get a new connection.

repeated_refusal_test, before: "An earlier refusal written once more refuses no later request" got 503 for requests that ran (CHECK_FALSE(PromisesNotRun( answer.status)): !true, 10 times); "Repeated refusals without an id count as attempts of the route": 3 <= 2; "A refusal without an id behind another answer promises nothing": 2 == 1. Rejections that name the earlier request were skipped before too. "Each request that may run once gets a new connection" held before; with reuse allowed for such requests on a scratch copy it fails (0 == 4).

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -60,6 +60,7 @@
   if (this->job->route->repeatability != Repeatability::kAtMostOnce) {
     this->connection = context.pool->TakeIdle(address, kMaxReuseIdleTime);
     if (this->connection != nullptr) {
+      this->is_reused = true;
       this->connection->SetWaiter(this->job->waiter);
       return true;
     }
@@ -172,6 +173,11 @@
   return this->head.request_id != this->job->request->id;
 }
 
+bool ServerAttempt::MayAnswerOtherRequest() const {
+  return this->head.request_id.empty() &&
+         (this->is_reused || this->skipped_answers > 0);
+}
+
 bool ServerAttempt::SkipOtherAnswer(ResponseState state) {
   this->skipped_bytes += this->response->TakeBody().size();
   if (state == ResponseState::kComplete) {
@@ -187,7 +193,7 @@
   // Another server has the address now, or the answer belongs to another
   // request.
   if (this->head.status == kHttpMisdirectedRequest ||
-      this->AnswersOtherRequest()) {
+      this->AnswersOtherRequest() || this->MayAnswerOtherRequest()) {
     return;
   }
   const std::string& server = this->slot->ServerId();
@@ -237,6 +243,10 @@
       }
       continue;
     }
+    if (this->MayAnswerOtherRequest()) {
+      return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                              "a rejection that may be of another request");
+    }
     if (this->IsStream()) {
       return this->HandleStreamInput(state);
     }
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -103,6 +103,9 @@
   std::optional<AttemptOutcome> HandleStreamInput(ResponseState state);
   std::optional<AttemptOutcome> HandleWholeAnswer();
   bool AnswersOtherRequest() const;
+  // Whether the answer names no request and is not the first one on its
+  // connection, so that it may be a repeated answer to an earlier request.
+  bool MayAnswerOtherRequest() const;
   // Discards what has arrived of an answer to another request. Returns false
   // when too much of them has arrived.
   bool SkipOtherAnswer(ResponseState state);
@@ -121,6 +124,7 @@
   AttemptJob* const job;
   ServerSlot* const slot;
   ConnectionPtr connection;
+  bool is_reused = false;  // The connection has carried earlier requests.
   std::optional<ResponseParser> response;
   ServerAnswerHead head;
   bool head_read = false;
