Promise nothing when an answer stands behind a rejection

A request that may run once could run at two servers, and its caller could get a 503 although it ran: a server that rejects a request and goes on to run it sends its answer behind the rejection, and only the rejection was read.

The input behind a rejection is now looked through. If it holds another answer to this request, or the beginning of one, the attempt ends as "may have run": 502 for a request that may run once, one attempt less for others. A repeated rejection, answers to other requests and bytes that are no answer change nothing, so that such a request still goes to another server. An answer that arrives later than the rejection cannot be seen: the platform states that a rejected request never runs.

"A refusal without an answer behind it keeps its promise" guards the other side; with every input behind a rejection taken as an answer the request would be lost.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -336,8 +336,13 @@
 std::optional<AttemptOutcome> ServerAttempt::HandleWholeAnswer() {
   const int status = this->head.status;
   if (this->head.not_run) {
+    if (!this->connection->ReadPending()) {
+      this->FinishConnection();
+    } else if (this->MayHaveRunAfterRejection()) {
+      return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                              "an answer behind a rejection");
+    }
     this->suspected = this->head.suspected_server;
-    this->FinishConnection();
     return this->SetOutcome(AttemptOutcome::kNotRun,
                             "declined with " + std::to_string(status));
   }
@@ -359,6 +364,27 @@
   return this->SetOutcome(AttemptOutcome::kDelivered, "complete answer");
 }
 
+bool ServerAttempt::MayHaveRunAfterRejection() {
+  for (int i = 0; i < kMaxSkippedAnswers && this->connection->ReadPending();
+       ++i) {
+    ResponseParser next(this->job->request->method == "HEAD");
+    const ResponseState state = next.ParseAvailable(this->connection.get());
+    if (!next.HasHead()) {
+      return state != ResponseState::kParseFailed;
+    }
+    const ServerAnswerHead other = DecodeAnswerHead(next);
+    const bool names_other =
+        !other.request_id.empty() && other.request_id != this->job->request->id;
+    if (!other.not_run && !names_other) {
+      return true;
+    }
+    if (state != ResponseState::kComplete) {
+      return false;
+    }
+  }
+  return false;
+}
+
 void ServerAttempt::FinishConnection() {
   if (!this->response->IsKeepAlive() || this->connection->UnsentBytes() > 0 ||
       !this->connection->Input().empty() || this->connection->HasEnded() ||
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -118,6 +118,11 @@
   void ForwardEvents(const std::string& bytes);
   // Records the time that the server took to begin, with the first event.
   void NoteFirstEvent();
+  // Whether the server may have run the request in spite of its rejection:
+  // another answer to it stands in the input. A repeated rejection and bytes
+  // that are no answer don't say so. Takes input, so that the connection cannot
+  // be reused.
+  bool MayHaveRunAfterRejection();
   void FinishConnection();
   AttemptOutcome SetOutcome(AttemptOutcome outcome, std::string reason);
 
--- a/tests/entry/repeated_refusal_test.cc
+++ b/tests/entry/repeated_refusal_test.cc
@@ -215,6 +215,49 @@
   });
 }
 
+// Guards against a second run of a request whose server goes on after its
+// refusal: the true answer stands behind it in the input.
+TEST_CASE("A refusal with an answer behind it promises nothing") {
+  const std::string refusal = MakeRefusal("once");
+  for (const std::string& bytes :
+       {refusal + MakeSuccess("once"), refusal + "HTTP/1.1 2",
+        MakeRefusal("") + MakeSuccess("once"),
+        MakeRefusal("earlier") + MakeRefusal("") + MakeSuccess("once")}) {
+    CAPTURE(bytes);
+    EntryFixture fixture;
+    Runs runs;
+    const auto send = [&bytes](const std::string&) { return bytes; };
+    fixture.AddPlain("a", RunAndSend("a", &runs, send));
+    fixture.AddPlain("b", RunAndSend("b", &runs, send));
+    const CallerAnswer answer =
+        fixture.Call(MakeRequestWithId("/once/x", "once"));
+    CHECK(CountRuns(runs, "once") == 1);
+    CHECK_FALSE(PromisesNotRun(answer.status));
+  }
+}
+
+// Guards against the loss of a request that a server has refused twice, or with
+// bytes behind the refusal that belong to no request: another server can run
+// it.
+TEST_CASE("A refusal without an answer behind it keeps its promise") {
+  for (const std::string& extra :
+       {MakeRefusal("once"), MakeRefusal(""), MakeRefusal("earlier"),
+        MakeSuccess("earlier"), std::string("no answer\r\n\r\n")}) {
+    CAPTURE(extra);
+    EntryFixture fixture;
+    Runs sent;
+    const auto send = [&sent, &extra](const std::string& id) {
+      return sent.size() == 1 ? MakeRefusal(id) + extra : MakeSuccess(id);
+    };
+    fixture.AddPlain("a", RunAndSend("a", &sent, send));
+    fixture.AddPlain("b", RunAndSend("b", &sent, send));
+    const CallerAnswer answer =
+        fixture.Call(MakeRequestWithId("/once/x", "once"));
+    CHECK(answer.status == 200);
+    CHECK(sent.size() == 2);
+  }
+}
+
 // Guards against a refusal without an id that is taken for the answer to this
 // request although another request's answer came on the same connection.
 TEST_CASE("A refusal without an id behind another answer promises nothing") {
