Take no success for a rejection

A request that may run once could run twice: an answer with a success status counted as a rejection if it carried the field by which servers state that they have not run a request, and the request went to another server. Only statuses from 400 on reject a request now; the success is delivered as the server's answer.

repeated_refusal_test, "A success is no refusal whatever its fields say", before: CHECK(CountRuns(runs, "once") == 1) with 2 == 1, and a 503 to the caller.

--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -233,8 +233,9 @@
   head.status = response.Status();
   head.request_id = std::string(response.Header(wire::kRequestId));
   head.is_signed = !response.Header(wire::kSeal).empty();
-  head.not_run = !response.Header(wire::kNotExecuted).empty() ||
-                 head.status == kHttpMisdirectedRequest;
+  head.not_run = head.status >= kHttpBadRequest &&
+                 (!response.Header(wire::kNotExecuted).empty() ||
+                  head.status == kHttpMisdirectedRequest);
   head.is_event_stream = IsEventStream(response.Header("Content-Type"));
   head.is_encoded =
       !response.Header("Content-Encoding").empty() ||
--- a/tests/entry/repeated_refusal_test.cc
+++ b/tests/entry/repeated_refusal_test.cc
@@ -274,6 +274,26 @@
   CHECK_FALSE(PromisesNotRun(answer.status));
 }
 
+// Guards against a second run of a request that a server has answered with
+// success, by a field that contradicts the status.
+TEST_CASE("A success is no refusal whatever its fields say") {
+  EntryFixture fixture;
+  Runs runs;
+  const auto send = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nX-Not-Executed: 1\r\n"
+           "X-Response-Seal: sealed\r\nContent-Length: 3\r\n"
+           "X-Request-Id: " +
+           id + "\r\n\r\nran";
+  };
+  fixture.AddPlain("a", RunAndSend("a", &runs, send));
+  fixture.AddPlain("b", RunAndSend("b", &runs, send));
+  const CallerAnswer answer =
+      fixture.Call(MakeRequestWithId("/once/x", "once"));
+  CHECK(CountRuns(runs, "once") == 1);
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "ran");
+}
+
 // Guards against an answer of an earlier request that is given to a later one,
 // whether it arrives before the later request is sent or after.
 TEST_CASE("An earlier answer written once more answers no later request") {
