Take no answer to an earlier order or report for that of the next

An order could count as begun, or as holding, though its server had refused it, and a former report could count as a fresh one: orders and reports shared pooled connections, and their answers name no request. A faulty server that writes an earlier answer once more while the next request is on its way shifts every answer by one: the 202 of a `join` becomes that of the `open` behind it.

Each order now has a connection of its own; orders are rare, and a closed one can no longer be mistaken for an order that may be carried out. Reports are frequent while members join, so they carry a request id, which servers echo. A report that names another request is skipped; one without an id counts only as the first one of a new connection, which is not used again then.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -2,11 +2,13 @@
 #ifndef NET_HTTP_CLIENT_H_
 #define NET_HTTP_CLIENT_H_
 
+#include <optional>
 #include <string>
 
 #include "net/connection_pool.h"
 #include "net/http_head.h"
 #include "net/net_constants.h"
+#include "net/response_parser.h"
 
 namespace kumquatcart {
 
@@ -55,10 +57,53 @@
                         Duration max_idle,
                         Coroutine yield);
 
+  // As Exchange, on a connection that carries no other request, so that no
+  // answer to another request can arrive on it.
+  HttpResponse ExchangeOnNewConnection(const TcpEndpoint& endpoint,
+                                       const OutgoingRequest& request,
+                                       MonotonicTime deadline,
+                                       Coroutine yield);
+
+  // As Exchange, for servers that may repeat earlier responses and that echo
+  // the header field `id_field`. Skips responses to other requests. A response
+  // without the field is accepted only as the first one of a new connection,
+  // which is not reused then. Precondition: `request` has the field, with a
+  // value that no other request to the endpoint has.
+  HttpResponse ExchangeWithId(const TcpEndpoint& endpoint,
+                              const OutgoingRequest& request,
+                              const std::string& id_field,
+                              MonotonicTime deadline,
+                              Duration max_idle,
+                              Coroutine yield);
+
   // Closes pooled connections that can no longer be reused.
   void PruneIdle() { this->pool.CloseUnusable(); }
 
  private:
+  struct Call {
+    TcpEndpoint endpoint;
+    const OutgoingRequest* request = nullptr;
+    MonotonicTime deadline;
+    std::optional<Duration> max_idle;  // None: only on a new connection.
+    std::string id_field;              // Empty: responses name no request.
+  };
+
+  HttpResponse Run(const Call& call, Coroutine yield);
+  // Waits for the response to the call's request, which has been sent. Returns
+  // whether the connection can be reused.
+  bool Receive(const Call& call,
+               bool is_reused,
+               Waiter* waiter,
+               TcpConnection* connection,
+               HttpResponse* reply,
+               Coroutine yield);
+  // Waits for the next whole response until `deadline`.
+  ResponseState ReceiveOne(MonotonicTime deadline,
+                           Waiter* waiter,
+                           TcpConnection* connection,
+                           ResponseParser* response,
+                           Coroutine yield);
+
   EventLoop* const loop;
   const std::size_t max_body_bytes;
   ConnectionPool pool;
--- a/src/platform/engine_client.cc
+++ b/src/platform/engine_client.cc
@@ -1,5 +1,6 @@
 #include "platform/engine_client.h"
 
+#include "base/ids.h"
 #include "base/json.h"
 #include "model/socket_address.h"
 #include "net/http_status.h"
@@ -91,9 +92,9 @@
   request.headers = {{"Content-Type", "application/json"},
                      {wire::kExpectInstance, server.id}};
   request.body = EncodeOrder(order, record).dump();
-  return Classify(this->client->Exchange(ToTcpEndpoint(server.endpoint),
-                                         request, this->loop->Now() + timeout,
-                                         kMaxIdle, yield));
+  return Classify(this->client->ExchangeOnNewConnection(
+      ToTcpEndpoint(server.endpoint), request, this->loop->Now() + timeout,
+      yield));
 }
 
 Result<EngineReport> EngineClient::Report(const BackendServer& server,
@@ -102,10 +103,11 @@
   OutgoingRequest request;
   request.method = "GET";
   request.target = wire::kReportPath;
-  request.headers = {{wire::kExpectInstance, server.id}};
-  const HttpResponse reply =
-      this->client->Exchange(ToTcpEndpoint(server.endpoint), request,
-                             this->loop->Now() + timeout, kMaxIdle, yield);
+  request.headers = {{wire::kExpectInstance, server.id},
+                     {wire::kRequestId, MakeId<RequestId>().value}};
+  const HttpResponse reply = this->client->ExchangeWithId(
+      ToTcpEndpoint(server.endpoint), request, wire::kRequestId,
+      this->loop->Now() + timeout, kMaxIdle, yield);
   if (reply.HasResponseStatus(kHttpMisdirectedRequest)) {
     return MakeError(ErrorCode::kNotFound, "another server has the address");
   }
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -36,7 +36,8 @@
   EngineClient(EventLoop* loop, HttpClient* client)
       : loop(loop), client(client) {}
 
-  // Sends one order about `record`'s group to `server`. kStage uses the
+  // Sends one order about `record`'s group to `server`, on a connection of its
+  // own: an answer to another order would count as its own. kStage uses the
   // record's model only.
   OrderOutcome Send(const BackendServer& server,
                     GroupOrder order,
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -112,6 +112,38 @@
   });
 }
 
+// Guards against the answer to a call that has timed out, such as an append to
+// the store, which is taken for the answer to the next call.
+TEST_CASE("A response that comes after its deadline answers no later call") {
+  constexpr Duration kDelay = std::chrono::milliseconds(40);
+  EventLoop loop;
+  int requests = 0;
+  LoopServer server(&loop, [&](const auto& connection, Waiter* waiter,
+                               Coroutine yield) {
+    while (!ReadHead(connection.get(), waiter, yield).empty()) {
+      const std::string number = std::to_string(++requests);
+      if (requests % 2 == 0) {
+        loop.Sleep(kDelay, yield);
+      }
+      connection->Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + number);
+    }
+  });
+  HttpClient client(&loop);
+  RunCoroutine(&loop, [&](Coroutine yield) {
+    const OutgoingRequest request{"GET", "/x", {}, {}};
+    for (int i = 1; i <= 5; i += 2) {
+      CHECK(SendGet(&loop, &client, server.Address(), yield).body ==
+            std::to_string(i));
+      CHECK(client
+                .Exchange(server.Address(), request, loop.Now() + kDelay / 2,
+                          kMaxIdle, yield)
+                .result == ExchangeResult::kTimedOut);
+    }
+    loop.Sleep(2 * kDelay, yield);
+    CHECK(SendGet(&loop, &client, server.Address(), yield).body == "7");
+  });
+}
+
 // Guards against a request on a pooled connection that the server has closed
 // while the event loop was held up and had not looked at the socket yet.
 TEST_CASE("A pooled connection that the server has closed is not used") {
