--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -60,6 +60,7 @@
   if (this->job->route->repeatability != Repeatability::kAtMostOnce) {
     this->connection = context.pool->TakeIdle(address, kMaxReuseIdleTime);
     if (this->connection != nullptr) {
+      this->is_reused = true;
       this->connection->SetWaiter(this->job->waiter);
       return true;
     }
@@ -172,6 +173,11 @@
   return this->head.request_id != this->job->request->id;
 }
 
+bool ServerAttempt::MayAnswerOtherRequest() const {
+  return this->head.request_id.empty() &&
+         (this->is_reused || this->skipped_answers > 0);
+}
+
 bool ServerAttempt::SkipOtherAnswer(ResponseState state) {
   this->skipped_bytes += this->response->TakeBody().size();
   if (state == ResponseState::kComplete) {
@@ -187,7 +193,7 @@
   // Another server has the address now, or the answer belongs to another
   // request.
   if (this->head.status == kHttpMisdirectedRequest ||
-      this->AnswersOtherRequest()) {
+      this->AnswersOtherRequest() || this->MayAnswerOtherRequest()) {
     return;
   }
   const std::string& server = this->slot->ServerId();
@@ -237,6 +243,10 @@
       }
       continue;
     }
+    if (this->MayAnswerOtherRequest()) {
+      return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                              "a rejection that may be of another request");
+    }
     if (this->IsStream()) {
       return this->HandleStreamInput(state);
     }
@@ -326,8 +336,13 @@
 std::optional<AttemptOutcome> ServerAttempt::HandleWholeAnswer() {
   const int status = this->head.status;
   if (this->head.not_run) {
+    if (!this->connection->ReadPending()) {
+      this->FinishConnection();
+    } else if (this->MayHaveRunAfterRejection()) {
+      return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                              "an answer behind a rejection");
+    }
     this->suspected = this->head.suspected_server;
-    this->FinishConnection();
     return this->SetOutcome(AttemptOutcome::kNotRun,
                             "declined with " + std::to_string(status));
   }
@@ -349,6 +364,27 @@
   return this->SetOutcome(AttemptOutcome::kDelivered, "complete answer");
 }
 
+bool ServerAttempt::MayHaveRunAfterRejection() {
+  for (int i = 0; i < kMaxSkippedAnswers && this->connection->ReadPending();
+       ++i) {
+    ResponseParser next(this->job->request->method == "HEAD");
+    const ResponseState state = next.ParseAvailable(this->connection.get());
+    if (!next.HasHead()) {
+      return state != ResponseState::kParseFailed;
+    }
+    const ServerAnswerHead other = DecodeAnswerHead(next);
+    const bool names_other =
+        !other.request_id.empty() && other.request_id != this->job->request->id;
+    if (!other.not_run && !names_other) {
+      return true;
+    }
+    if (state != ResponseState::kComplete) {
+      return false;
+    }
+  }
+  return false;
+}
+
 void ServerAttempt::FinishConnection() {
   if (!this->response->IsKeepAlive() || this->connection->UnsentBytes() > 0 ||
       !this->connection->Input().empty() || this->connection->HasEnded() ||
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -103,6 +103,9 @@
   std::optional<AttemptOutcome> HandleStreamInput(ResponseState state);
   std::optional<AttemptOutcome> HandleWholeAnswer();
   bool AnswersOtherRequest() const;
+  // Whether the answer names no request and is not the first one on its
+  // connection, so that it may be a repeated answer to an earlier request.
+  bool MayAnswerOtherRequest() const;
   // Discards what has arrived of an answer to another request. Returns false
   // when too much of them has arrived.
   bool SkipOtherAnswer(ResponseState state);
@@ -115,12 +118,18 @@
   void ForwardEvents(const std::string& bytes);
   // Records the time that the server took to begin, with the first event.
   void NoteFirstEvent();
+  // Whether the server may have run the request in spite of its rejection:
+  // another answer to it stands in the input. A repeated rejection and bytes
+  // that are no answer don't say so. Takes input, so that the connection cannot
+  // be reused.
+  bool MayHaveRunAfterRejection();
   void FinishConnection();
   AttemptOutcome SetOutcome(AttemptOutcome outcome, std::string reason);
 
   AttemptJob* const job;
   ServerSlot* const slot;
   ConnectionPtr connection;
+  bool is_reused = false;  // The connection has carried earlier requests.
   std::optional<ResponseParser> response;
   ServerAnswerHead head;
   bool head_read = false;
