--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -201,6 +201,7 @@
   if (response.HasHead()) {
     answer.status = response.Status();
     answer.framing = response.Framing();
+    answer.headers = response.Headers();
   }
   answer.body = response.TakeBody();
   return answer;
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -61,6 +61,7 @@
   ResponseState state = ResponseState::kIncomplete;
   int status = 0;
   ResponseFraming framing = ResponseFraming::kNone;
+  HeaderList headers;
   std::string body;   // What arrived of it.
   std::string extra;  // Bytes after a complete answer.
 };
