Move the progress of a caller's stream into a class of its own

Which event of an attempt goes to the caller was decided in the middle of the attempt's input, with fields that everybody could write.

--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -55,12 +55,12 @@
 }
 
 std::int64_t RequestForwarder::LastEvent() const {
-  return this->job.progress.last_event.value_or(-1);
+  return this->job.progress.LastEvent().value_or(-1);
 }
 
 void RequestForwarder::LogRequest(int status, const std::string& reason) {
   const MonotonicTime now = this->context->loop->Now();
-  const bool has_events = this->job.progress.has_events;
+  const StreamProgress& progress = this->job.progress;
   const AnswerSender& answer = *this->job.answer;
   LogInfo(
       "request",
@@ -82,10 +82,11 @@
        {"prompt", this->request.prompt_tokens},
        {"patience_ms", ToMillis(this->request.patience)},
        {"config", this->routes ? this->routes->Config().version : 0},
-       {"first_ms", has_events ? ToMillis(this->job.progress.first_event_at -
-                                          this->received_at)
-                               : -1},
-       {"pause_ms", ToMillis(this->job.progress.longest_pause)},
+       {"first_ms",
+        progress.HasForwarded()
+            ? ToMillis(progress.FirstForwardedAt() - this->received_at)
+            : -1},
+       {"pause_ms", ToMillis(progress.LongestPause())},
        {"ms", ToMillis(now - this->received_at)}});
   this->context->metrics
       ->GetCounter("kumquatcart_requests_total",
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -22,17 +22,6 @@
 
 }  // namespace
 
-void StreamProgress::NoteEvents(MonotonicTime now) {
-  if (this->has_events) {
-    this->longest_pause =
-        std::max(this->longest_pause, now - this->last_event_at);
-  } else {
-    this->has_events = true;
-    this->first_event_at = now;
-  }
-  this->last_event_at = now;
-}
-
 const char* ToString(AttemptOutcome outcome) {
   constexpr const char* kNames[] = {"delivered",    "failure",     "not_run",
                                     "may_have_run", "caller_gone", "time_up"};
@@ -79,9 +68,8 @@
   facts.organisation = this->job->organisation;
   facts.remaining = this->job->deadline - this->job->context->loop->Now();
   facts.is_late = this->job->is_late;
-  facts.resume_after = this->job->progress.has_events
-                           ? this->job->progress.last_event
-                           : this->job->request->resume_after;
+  facts.resume_after =
+      this->job->progress.BeginAttempt(this->job->request->resume_after);
   this->sent_at = this->job->context->loop->Now();
   this->connection->Send(
       SerializeRequest(EncodeForServer(*this->job->request, facts)));
@@ -277,25 +265,24 @@
   StreamProgress& progress = this->job->progress;
   std::string passed;
   for (const StreamEvent& event : this->splitter.Feed(bytes)) {
-    this->has_event = true;
-    if (event.id && progress.last_event && *event.id <= *progress.last_event) {
-      continue;  // Already forwarded by an earlier attempt.
-    }
-    if (event.id) {
-      progress.last_event = event.id;
+    if (progress.Accept(event) == EventVerdict::kForward) {
+      passed += event.text;
     }
-    passed += event.text;
   }
   if (!passed.empty()) {
-    this->BeginStreamOnce();
-    this->slot->NotePrefillDone();
-    this->NoteFirstEvent();
-    progress.NoteEvents(this->job->context->loop->Now());
-    this->job->answer->SendPart(passed);
-    this->job->context->stall_detector->NoteProgress(this->slot->Group());
+    this->ForwardText(passed);
   }
 }
 
+void ServerAttempt::ForwardText(const std::string& text) {
+  this->BeginStreamOnce();
+  this->slot->NotePrefillDone();
+  this->NoteFirstEvent();
+  this->job->progress.NoteForwarded(this->job->context->loop->Now());
+  this->job->answer->SendPart(text);
+  this->job->context->stall_detector->NoteProgress(this->slot->Group());
+}
+
 std::optional<AttemptOutcome> ServerAttempt::HandleStreamInput(
     ResponseState state) {
   this->BeginStreamOnce();
@@ -313,7 +300,7 @@
                             "the answer ended within an event");
   }
   if (this->response->Framing() == ResponseFraming::kConnection &&
-      !this->has_event) {
+      !this->job->progress.HasAttemptEvents()) {
     // Nothing tells an empty stream from a server that failed after the head.
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                             "connection closed before the first event");
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -13,6 +13,7 @@
 #include "entry/entry_context.h"
 #include "entry/event_splitter.h"
 #include "entry/group_load_balancer.h"
+#include "entry/stream_progress.h"
 #include "model/caller_request.h"
 #include "platform/caller_codec.h"
 
@@ -31,18 +32,6 @@
 // Lower-case name for logs. Thread safe.
 const char* ToString(AttemptOutcome outcome);
 
-// Progress of the caller's stream over all attempts.
-struct StreamProgress {
-  // Records that events were forwarded at `now`.
-  void NoteEvents(MonotonicTime now);
-
-  std::optional<std::int64_t> last_event;  // Highest event id forwarded.
-  bool has_events = false;
-  MonotonicTime first_event_at;
-  MonotonicTime last_event_at;
-  Duration longest_pause{0};  // Between two events.
-};
-
 // An answer of a server that is buffered because a retry may succeed.
 struct BufferedAnswer {
   int status = 0;
@@ -113,6 +102,7 @@
   bool IsStream() const;
   void BeginStreamOnce();
   void ForwardEvents(const std::string& bytes);
+  void ForwardText(const std::string& text);
   // Records the time that the server took to begin, with the first event.
   void NoteFirstEvent();
   void FinishConnection();
@@ -131,7 +121,6 @@
   MonotonicTime sent_at;
   bool has_forwarded_events = false;  // Of this attempt.
   EventSplitter splitter;
-  bool has_event = false;  // A whole event of this answer has arrived.
   BufferedAnswer failure;
   std::string reason;
   std::string suspected;
--- /dev/null
+++ b/src/entry/stream_progress.h
@@ -0,0 +1,63 @@
+// Progress of a caller's stream over all attempts.
+#ifndef ENTRY_STREAM_PROGRESS_H_
+#define ENTRY_STREAM_PROGRESS_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "base/clock.h"
+#include "entry/event_splitter.h"
+
+namespace kumquatcart {
+
+// What is done with an event that a server sends.
+enum class EventVerdict {
+  kForward,
+  kSkip,  // An earlier attempt has forwarded it.
+};
+
+// Decides which events of each attempt continue the caller's stream. Not thread
+// safe.
+class StreamProgress {
+ public:
+  // Begins an attempt. `resume_after`: the event after which the caller itself
+  // resumes the stream. Returns the event after which the server must begin;
+  // none for the whole stream.
+  std::optional<std::int64_t> BeginAttempt(
+      std::optional<std::int64_t> resume_after);
+
+  // Judges the next event of the attempt. One with kForward counts as
+  // forwarded.
+  EventVerdict Accept(const StreamEvent& event);
+
+  // Records that events were forwarded at `now`.
+  void NoteForwarded(MonotonicTime now);
+
+  // Whether the attempt has sent an event, forwarded or not.
+  bool HasAttemptEvents() const { return this->has_attempt_events; }
+
+  // Highest event id forwarded.
+  std::optional<std::int64_t> LastEvent() const { return this->last_event; }
+  bool HasForwarded() const { return this->has_forwarded; }
+  // Precondition: HasForwarded().
+  MonotonicTime FirstForwardedAt() const { return this->first_forwarded_at; }
+  // Longest time between two events.
+  Duration LongestPause() const { return this->longest_pause; }
+
+ private:
+  EventVerdict AcceptId(std::int64_t id);
+
+  std::optional<std::int64_t> last_event;
+
+  // Of the attempt.
+  bool has_attempt_events = false;
+
+  bool has_forwarded = false;
+  MonotonicTime first_forwarded_at;
+  MonotonicTime last_forwarded_at;
+  Duration longest_pause{0};
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_STREAM_PROGRESS_H_
