End an attempt that resumes a stream after a gap

What callers saw: a stream whose first server broke off after event 2 and whose second one began with event 4 reached its caller as events 1, 2, 4, framed as complete.

Cause: of a resumed stream only ids up to the last one forwarded were looked at, and dropped; whatever came after them was passed on.

Change: where the ids of the stream count by one, the first new event of an attempt must be the next one; otherwise the attempt ends, and the stream goes on at another server or ends without its last chunk. The platform says that ids increase, not that they count by one, so that a gap is judged only where all ids so far did so; a stream that begins with id 1 counts by one. Within the answer of one server nothing is judged. A line stream_resumed says where each resumed stream went on.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -68,6 +68,7 @@
   facts.organisation = this->job->organisation;
   facts.remaining = this->job->deadline - this->job->context->loop->Now();
   facts.is_late = this->job->is_late;
+  this->resumed_after = this->job->progress.LastEvent();
   facts.resume_after =
       this->job->progress.BeginAttempt(this->job->request->resume_after);
   this->sent_at = this->job->context->loop->Now();
@@ -202,14 +203,18 @@
       this->NoteRateLimit();
     }
     if (state == ResponseState::kParseFailed) {
+      std::string stop_reason;
       if (this->head_read && this->IsStream()) {
-        this->ForwardEvents(this->response->TakeBody());
+        stop_reason = this->ForwardEvents(this->response->TakeBody());
       }
-      return this->SetOutcome(
-          this->connection->HasSentBytes() ? AttemptOutcome::kMayHaveRun
-                                           : AttemptOutcome::kNotRun,
-          this->head_read ? "connection closed during the answer"
-                          : "connection closed before an answer");
+      if (stop_reason.empty()) {
+        stop_reason = this->head_read ? "connection closed during the answer"
+                                      : "connection closed before an answer";
+      }
+      return this->SetOutcome(this->connection->HasSentBytes()
+                                  ? AttemptOutcome::kMayHaveRun
+                                  : AttemptOutcome::kNotRun,
+                              std::move(stop_reason));
     }
     if (!this->head_read) {
       return std::nullopt;
@@ -261,17 +266,35 @@
   this->has_forwarded_events = true;
 }
 
-void ServerAttempt::ForwardEvents(const std::string& bytes) {
+std::string ServerAttempt::ForwardEvents(const std::string& bytes) {
   StreamProgress& progress = this->job->progress;
   std::string passed;
+  std::string stop_reason;
   for (const StreamEvent& event : this->splitter.Feed(bytes)) {
-    if (progress.Accept(event) == EventVerdict::kForward) {
+    const EventVerdict verdict = progress.Accept(event);
+    if (verdict == EventVerdict::kGap) {
+      stop_reason = "the answer leaves out events";
+      break;
+    }
+    if (verdict == EventVerdict::kForward) {
+      this->LogResumptionOnce(event);
       passed += event.text;
     }
   }
   if (!passed.empty()) {
     this->ForwardText(passed);
   }
+  return stop_reason;
+}
+
+void ServerAttempt::LogResumptionOnce(const StreamEvent& event) {
+  if (event.id && this->resumed_after) {
+    LogInfo("stream_resumed", {{"id", this->job->request->id},
+                               {"server", this->slot->ServerId()},
+                               {"last_event", *this->resumed_after},
+                               {"next_event", *event.id}});
+    this->resumed_after.reset();
+  }
 }
 
 void ServerAttempt::ForwardText(const std::string& text) {
@@ -286,7 +309,11 @@
 std::optional<AttemptOutcome> ServerAttempt::HandleStreamInput(
     ResponseState state) {
   this->BeginStreamOnce();
-  this->ForwardEvents(this->response->TakeBody());
+  std::string stop_reason = this->ForwardEvents(this->response->TakeBody());
+  if (!stop_reason.empty()) {
+    return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                            std::move(stop_reason));
+  }
   if (!this->buffer_use.Set(this->splitter.Partial().size())) {
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                             "an event exceeds the size limit");
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -101,8 +101,11 @@
   // been read.
   bool IsStream() const;
   void BeginStreamOnce();
-  void ForwardEvents(const std::string& bytes);
+  // Returns why the stream does not go on with these events; empty if it does.
+  std::string ForwardEvents(const std::string& bytes);
   void ForwardText(const std::string& text);
+  // Logs the first event that continues an earlier attempt's stream.
+  void LogResumptionOnce(const StreamEvent& event);
   // Records the time that the server took to begin, with the first event.
   void NoteFirstEvent();
   void FinishConnection();
@@ -120,6 +123,8 @@
   bool sent_under_limit = false;  // The server's rate limit was known.
   MonotonicTime sent_at;
   bool has_forwarded_events = false;  // Of this attempt.
+  // The caller's last event when the attempt began, until it is continued.
+  std::optional<std::int64_t> resumed_after;
   EventSplitter splitter;
   BufferedAnswer failure;
   std::string reason;
--- a/src/entry/stream_progress.cc
+++ b/src/entry/stream_progress.cc
@@ -6,8 +6,10 @@
 
 std::optional<std::int64_t> StreamProgress::BeginAttempt(
     std::optional<std::int64_t> resume_after) {
+  this->resume_after = resume_after;
+  this->is_joining = this->last_event.has_value();
   this->has_attempt_events = false;
-  return this->last_event ? this->last_event : resume_after;
+  return this->is_joining ? this->last_event : resume_after;
 }
 
 EventVerdict StreamProgress::Accept(const StreamEvent& event) {
@@ -19,10 +21,31 @@
   if (this->last_event && id <= *this->last_event) {
     return EventVerdict::kSkip;
   }
+  const Step step_to_event = this->StepTo(id);
+  // Ids need not be consecutive. Only where they were, a number that is left
+  // out is an event that is missing.
+  if (this->is_joining && this->step == Step::kOne &&
+      step_to_event != Step::kOne) {
+    return EventVerdict::kGap;
+  }
+  if (this->step != Step::kOther) {
+    this->step = step_to_event;
+  }
   this->last_event = id;
+  this->is_joining = false;
   return EventVerdict::kForward;
 }
 
+StreamProgress::Step StreamProgress::StepTo(std::int64_t id) const {
+  const std::optional<std::int64_t> previous =
+      this->last_event ? this->last_event : this->resume_after;
+  if (previous) {
+    return id == *previous + 1 ? Step::kOne : Step::kOther;
+  }
+  // Ids that are not consecutive, as of offsets, do not begin with one.
+  return id == 1 ? Step::kOne : Step::kUnknown;
+}
+
 void StreamProgress::NoteForwarded(MonotonicTime now) {
   if (this->has_forwarded) {
     this->longest_pause =
--- a/src/entry/stream_progress.h
+++ b/src/entry/stream_progress.h
@@ -14,6 +14,7 @@
 enum class EventVerdict {
   kForward,
   kSkip,  // An earlier attempt has forwarded it.
+  kGap,   // Events before it are missing.
 };
 
 // Decides which events of each attempt continue the caller's stream. Not thread
@@ -27,7 +28,7 @@
       std::optional<std::int64_t> resume_after);
 
   // Judges the next event of the attempt. One with kForward counts as
-  // forwarded.
+  // forwarded; after kGap the attempt must end.
   EventVerdict Accept(const StreamEvent& event);
 
   // Records that events were forwarded at `now`.
@@ -45,11 +46,18 @@
   Duration LongestPause() const { return this->longest_pause; }
 
  private:
+  // Distance between the ids of successive events.
+  enum class Step { kUnknown, kOne, kOther };
+
   EventVerdict AcceptId(std::int64_t id);
+  Step StepTo(std::int64_t id) const;
 
   std::optional<std::int64_t> last_event;
+  std::optional<std::int64_t> resume_after;
+  Step step = Step::kUnknown;  // Of all events so far.
 
   // Of the attempt.
+  bool is_joining = false;  // It has not continued the caller's stream yet.
   bool has_attempt_events = false;
 
   bool has_forwarded = false;
--- a/tests/entry/resumed_stream_test.cc
+++ b/tests/entry/resumed_stream_test.cc
@@ -135,6 +135,25 @@
           {"204", Head("204 No Content", "second", ""), 204}};
 }
 
+std::vector<Row> StreamRows() {
+  const auto row = [](const std::string& name, const std::string& events,
+                      const StreamPart& after_events) {
+    return Row{name, Stream("second", events), kOk, StreamPart{events, true},
+               after_events};
+  };
+  return {
+      row("rest", EventTexts(3, kEvents), {EventTexts(3, kEvents), true}),
+      row("repeats", EventTexts(1, kEvents), {EventTexts(3, kEvents), true}),
+      row("what the caller has", EventTexts(1, 2), {"", true}),
+      row("gap", EventTexts(4, kEvents), {}),
+      row("comment", ": keep alive\n\n" + EventTexts(3, kEvents),
+          {": keep alive\n\n" + EventTexts(3, kEvents), true}),
+      row("empty", "", {"", true}),
+      {"empty, ended by its connection",
+       Head("200 OK", "second", "Content-Type: text/event-stream\r\n"), kOk,
+       StreamPart{}}};
+}
+
 // Two servers; the first attempt gets `first`, all others get `second`.
 class TwoServers {
  public:
@@ -221,6 +240,12 @@
   CheckAllBreaks(ErrorRows());
 }
 
+// Guards against a stream with a gap, a repeat or the events of an error, which
+// a second server causes that does not go on where the first one broke off.
+TEST_CASE("A second stream goes on after the last event or not at all") {
+  CheckAllBreaks(StreamRows());
+}
+
 // Guards against the body of an error that a HEAD request gets, which its
 // caller takes for the next answer, and against a length that is not its own.
 TEST_CASE("A HEAD request gets the second server's head only") {
@@ -237,6 +262,18 @@
   }
 }
 
+// Guards against a gap that is suspected where ids do not count the events.
+TEST_CASE("A stream whose ids leave out numbers is resumed") {
+  const std::string begin = "id: 6\ndata: a\n\nid: 12\ndata: b\n\n";
+  const std::string rest = "id: 18\ndata: c\n\n";
+  TwoServers servers(
+      Head("200 OK", "first", kStreamFields) + SerializeChunk(begin),
+      Stream("second", rest));
+  const CallerAnswer answer = servers.Call("POST", "/stream/x", kHttp11);
+  CHECK(answer.state == ResponseState::kComplete);
+  CHECK(answer.body == begin + rest);
+}
+
 // Guards against the failure of one attempt with a part of another's answer.
 TEST_CASE("The failure of the first server is kept as it was") {
   const std::string first =
