Resume a stream only between events with ids

What callers saw: after a stream that broke off, the next server's answer began with an event without an id, such as an "event: error"; it stood in the middle of the caller's stream, and the stream ended as complete. And a stream whose events, or the last of them, had no id was resumed from its beginning or with a repeat.

Cause: only events with an id were compared with what the caller has; all others were passed on. A stream counted as resumable by its route alone, whether its last event named a place to resume from or not.

Change: until an attempt has continued the stream by an event with an id, an event without one ends it: its place is unknown. After an event without an id no further server is asked. Comments and retry times are no events; they are passed on as before. Such events within the answer of one server are passed on too: they are its own.

--- a/src/entry/event_splitter.cc
+++ b/src/entry/event_splitter.cc
@@ -10,12 +10,18 @@
 constexpr std::string_view kIdField = "id:";
 constexpr char kLineEndCharacters[] = "\r\n";
 
+// Removes the first line of `text` and returns it without its end.
+std::string_view TakeLine(std::string_view* text) {
+  const std::size_t line_end = text->find_first_of(kLineEndCharacters);
+  const std::string_view line = text->substr(0, line_end);
+  text->remove_prefix(line_end == std::string_view::npos ? text->size()
+                                                         : line_end + 1);
+  return line;
+}
+
 std::optional<std::int64_t> ParseEventId(std::string_view text) {
   while (!text.empty()) {
-    const std::size_t line_end = text.find_first_of(kLineEndCharacters);
-    std::string_view line = text.substr(0, line_end);
-    text.remove_prefix(line_end == std::string_view::npos ? text.size()
-                                                          : line_end + 1);
+    std::string_view line = TakeLine(&text);
     if (line.substr(0, kIdField.size()) != kIdField) {
       continue;
     }
@@ -35,6 +41,22 @@
 
 }  // namespace
 
+EventContent ContentOf(const StreamEvent& event) {
+  EventContent content = EventContent::kNone;
+  std::string_view text = event.text;
+  while (!text.empty()) {
+    const std::string_view line = TakeLine(&text);
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (name == "id" || name == "data" || name == "event") {
+      return EventContent::kEvent;
+    }
+    if (!name.empty() && name != "retry") {
+      content = EventContent::kEvent;
+    }
+  }
+  return content;
+}
+
 std::vector<StreamEvent> EventSplitter::Feed(const std::string& bytes) {
   this->partial += bytes;
   std::vector<StreamEvent> events;
--- a/src/entry/event_splitter.h
+++ b/src/entry/event_splitter.h
@@ -20,6 +20,15 @@
   auto Tie() const { return std::tie(this->text, this->id); }
 };
 
+// What an event holds, by the names of its fields.
+enum class EventContent {
+  kEvent,  // An id, a type or data.
+  kNone,   // Nothing that a caller receives: comments, a retry time.
+};
+
+// Thread safe.
+EventContent ContentOf(const StreamEvent& event);
+
 // Lines end with LF, CR LF or CR. Not thread safe.
 class EventSplitter {
  public:
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -325,6 +325,9 @@
 
 bool RequestForwarder::HasAttemptLeft(AttemptOutcome outcome,
                                       int runs_so_far) const {
+  if (!this->job.progress.CanResume()) {
+    return false;
+  }
   return outcome == AttemptOutcome::kNotRun
              ? this->declined <= kMaxDeclinedRetries
              : this->job.route->repeatability != Repeatability::kAtMostOnce &&
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -276,6 +276,10 @@
       stop_reason = "the answer leaves out events";
       break;
     }
+    if (verdict == EventVerdict::kForeign) {
+      stop_reason = "the answer holds what is no event of the stream";
+      break;
+    }
     if (verdict == EventVerdict::kForward) {
       this->LogResumptionOnce(event);
       passed += event.text;
--- a/src/entry/stream_progress.cc
+++ b/src/entry/stream_progress.cc
@@ -13,8 +13,21 @@
 }
 
 EventVerdict StreamProgress::Accept(const StreamEvent& event) {
+  switch (ContentOf(event)) {
+    case EventContent::kNone:
+      return EventVerdict::kForward;
+    case EventContent::kEvent:
+      break;
+  }
   this->has_attempt_events = true;
-  return event.id ? this->AcceptId(*event.id) : EventVerdict::kForward;
+  if (event.id) {
+    return this->AcceptId(*event.id);
+  }
+  if (this->is_joining) {
+    return EventVerdict::kForeign;  // Its place in the stream is unknown.
+  }
+  this->ends_without_id = true;
+  return EventVerdict::kForward;
 }
 
 EventVerdict StreamProgress::AcceptId(std::int64_t id) {
@@ -32,6 +45,7 @@
     this->step = step_to_event;
   }
   this->last_event = id;
+  this->ends_without_id = false;
   this->is_joining = false;
   return EventVerdict::kForward;
 }
--- a/src/entry/stream_progress.h
+++ b/src/entry/stream_progress.h
@@ -13,8 +13,9 @@
 // What is done with an event that a server sends.
 enum class EventVerdict {
   kForward,
-  kSkip,  // An earlier attempt has forwarded it.
-  kGap,   // Events before it are missing.
+  kSkip,     // An earlier attempt has forwarded it.
+  kGap,      // Events before it are missing.
+  kForeign,  // It is not known to belong to the stream.
 };
 
 // Decides which events of each attempt continue the caller's stream. Not thread
@@ -28,12 +29,15 @@
       std::optional<std::int64_t> resume_after);
 
   // Judges the next event of the attempt. One with kForward counts as
-  // forwarded; after kGap the attempt must end.
+  // forwarded; after kGap and kForeign the attempt must end.
   EventVerdict Accept(const StreamEvent& event);
 
   // Records that events were forwarded at `now`.
   void NoteForwarded(MonotonicTime now);
 
+  // Whether another attempt can continue the stream: the latest event that was
+  // forwarded, if any, has an id.
+  bool CanResume() const { return !this->ends_without_id; }
   // Whether the attempt has sent an event, forwarded or not.
   bool HasAttemptEvents() const { return this->has_attempt_events; }
 
@@ -55,6 +59,7 @@
   std::optional<std::int64_t> last_event;
   std::optional<std::int64_t> resume_after;
   Step step = Step::kUnknown;  // Of all events so far.
+  bool ends_without_id = false;
 
   // Of the attempt.
   bool is_joining = false;  // It has not continued the caller's stream yet.
--- a/tests/entry/resumed_stream_test.cc
+++ b/tests/entry/resumed_stream_test.cc
@@ -136,6 +136,8 @@
 }
 
 std::vector<Row> StreamRows() {
+  const std::string error_event = "event: error\ndata: failed\n\n";
+  const std::string unnumbered = "data: event 3\n\n";
   const auto row = [](const std::string& name, const std::string& events,
                       const StreamPart& after_events) {
     return Row{name, Stream("second", events), kOk, StreamPart{events, true},
@@ -146,6 +148,11 @@
       row("repeats", EventTexts(1, kEvents), {EventTexts(3, kEvents), true}),
       row("what the caller has", EventTexts(1, 2), {"", true}),
       row("gap", EventTexts(4, kEvents), {}),
+      row("error event", error_event, {}),
+      row("error event after events", EventTexts(3, 3) + error_event,
+          {EventTexts(3, 3) + error_event, true}),
+      row("events without id", unnumbered, {}),
+      row("repeat and an event without id", EventTexts(2, 2) + unnumbered, {}),
       row("comment", ": keep alive\n\n" + EventTexts(3, kEvents),
           {": keep alive\n\n" + EventTexts(3, kEvents), true}),
       row("empty", "", {"", true}),
@@ -262,6 +269,22 @@
   }
 }
 
+// Guards against a stream that is resumed from its beginning because its
+// events, or the last of them, name no place to resume from.
+TEST_CASE("A stream is not resumed after an event without an id") {
+  const std::string unnumbered = "data: event\n\n";
+  for (const std::string& begin : {unnumbered, EventTexts(1, 1) + unnumbered}) {
+    CAPTURE(begin);
+    TwoServers servers(
+        Head("200 OK", "first", kStreamFields) + SerializeChunk(begin),
+        Stream("second", begin + unnumbered));
+    const CallerAnswer answer = servers.Call("POST", "/stream/x", kHttp11);
+    CHECK(answer.state == ResponseState::kParseFailed);
+    CHECK(answer.body == begin);
+    CHECK(servers.Attempts() == 1);
+  }
+}
+
 // Guards against a gap that is suspected where ids do not count the events.
 TEST_CASE("A stream whose ids leave out numbers is resumed") {
   const std::string begin = "id: 6\ndata: a\n\nid: 12\ndata: b\n\n";
