Pass on no text or head as an event of a stream

What callers saw: the text of an error, at times its whole head, in the middle of their stream, which then ended as complete.

The second server's error with status 200, a signature and no content type is taken for a stream, and its text for an event. A server that fails may also write the head of an error into the body of the stream that it has begun; the head ends with an empty line, alone or behind a part of an event.

Change: an event holds an id, a type or data, beside whatever other fields. A block with none of them, no comment and no retry time ends the attempt at that place, and so does one in which other fields follow a line with an HTTP version, as the fields of a head do; lines of text in events have names of their own. The stream is resumed after the last event.

Open: an error's text without a head that follows a part of an event cannot be told from the value of that event's field.

--- a/src/entry/event_splitter.cc
+++ b/src/entry/event_splitter.cc
@@ -9,6 +9,8 @@
 
 constexpr std::string_view kIdField = "id:";
 constexpr char kLineEndCharacters[] = "\r\n";
+// Begins the status line of an answer, which may follow a part of a field.
+constexpr std::string_view kHttpVersion = "HTTP/1.";
 
 // Removes the first line of `text` and returns it without its end.
 std::string_view TakeLine(std::string_view* text) {
@@ -42,19 +44,29 @@
 }  // namespace
 
 EventContent ContentOf(const StreamEvent& event) {
-  EventContent content = EventContent::kNone;
+  bool has_event_field = false;
+  bool has_other_field = false;
+  bool follows_status_line = false;
   std::string_view text = event.text;
   while (!text.empty()) {
     const std::string_view line = TakeLine(&text);
     const std::string_view name = line.substr(0, line.find(':'));
     if (name == "id" || name == "data" || name == "event") {
-      return EventContent::kEvent;
+      has_event_field = true;
+    } else if (!name.empty() && name != "retry") {
+      if (follows_status_line) {
+        return EventContent::kOther;
+      }
+      has_other_field = true;
     }
-    if (!name.empty() && name != "retry") {
-      content = EventContent::kEvent;
+    if (line.find(kHttpVersion) != std::string_view::npos) {
+      follows_status_line = true;
     }
   }
-  return content;
+  if (has_event_field) {
+    return EventContent::kEvent;
+  }
+  return has_other_field ? EventContent::kOther : EventContent::kNone;
 }
 
 std::vector<StreamEvent> EventSplitter::Feed(const std::string& bytes) {
--- a/src/entry/event_splitter.h
+++ b/src/entry/event_splitter.h
@@ -24,6 +24,7 @@
 enum class EventContent {
   kEvent,  // An id, a type or data.
   kNone,   // Nothing that a caller receives: comments, a retry time.
+  kOther,  // No field of an event, or the head of another answer.
 };
 
 // Thread safe.
--- a/src/entry/stream_progress.cc
+++ b/src/entry/stream_progress.cc
@@ -16,6 +16,8 @@
   switch (ContentOf(event)) {
     case EventContent::kNone:
       return EventVerdict::kForward;
+    case EventContent::kOther:
+      return EventVerdict::kForeign;
     case EventContent::kEvent:
       break;
   }
--- a/tests/entry/event_splitter_test.cc
+++ b/tests/entry/event_splitter_test.cc
@@ -88,5 +88,33 @@
   }));
 }
 
+// Guards against a head or an error's text that is taken for an event because
+// an empty line ends it.
+TEST_CASE("An event holds a field of an event") {
+  for (const std::string line_end : {"\n", "\r\n", "\r"}) {
+    const auto content = [&](const std::string& first,
+                             const std::string& second) {
+      std::string text = first;
+      for (const std::string& part : {line_end, second, line_end, line_end}) {
+        text += part;
+      }
+      return ContentOf({text, {}});
+    };
+    CHECK(content("id: 1", "data: a") == EventContent::kEvent);
+    CHECK(content("event: error", "retry: 1") == EventContent::kEvent);
+    CHECK(content("x-weight-versions: 3", "id: 8") == EventContent::kEvent);
+    CHECK(content(": comment", "data") == EventContent::kEvent);
+    CHECK(content(": comment", "retry: 1") == EventContent::kNone);
+    CHECK(ContentOf({line_end, {}}) == EventContent::kNone);
+    CHECK(content("HTTP/1.1 500 Error", "X-Request-Id: 1") ==
+          EventContent::kOther);
+    CHECK(content("Internal error", ": comment") == EventContent::kOther);
+    CHECK(content("id: 1\ndaHTTP/1.1 500 Error", "X-Request-Id: 1") ==
+          EventContent::kOther);
+    CHECK(content("data: HTTP/1.1 500 Error", "data: X-Request-Id: 1") ==
+          EventContent::kEvent);
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- a/tests/entry/resumed_stream_test.cc
+++ b/tests/entry/resumed_stream_test.cc
@@ -158,7 +158,9 @@
       row("empty", "", {"", true}),
       {"empty, ended by its connection",
        Head("200 OK", "second", "Content-Type: text/event-stream\r\n"), kOk,
-       StreamPart{}}};
+       StreamPart{}},
+      // Without a type it is taken for a stream.
+      {"text without a type", Whole("200 OK"), kOk, StreamPart{}}};
 }
 
 // Two servers; the first attempt gets `first`, all others get `second`.
@@ -269,6 +271,39 @@
   }
 }
 
+// Guards against the head of an error that a failing server writes into the
+// body of its stream, and that reaches the caller as an event or a part of one.
+TEST_CASE("A head within the body of a stream is no event of it") {
+  const std::string error = Whole("500 Internal Server Error");
+  const std::string chunked = Head("200 OK", "first", kStreamFields);
+  const std::string lengthless =
+      Head("200 OK", "first", "Content-Type: text/event-stream\r\n");
+  for (const std::string part :
+       {"", "id: 3\n", "id: 3\nda", "id: 3\ndata: e"}) {
+    const std::string begun = EventTexts(1, 2) + part;
+    const std::string one_chunk = SerializeChunk(begun + error);
+    std::string framed = chunked + one_chunk;
+    framed += SerializeChunk({});
+    std::string two_chunks = chunked + SerializeChunk(begun);
+    two_chunks += SerializeChunk(error);
+    std::string after_chunk = chunked + SerializeChunk(begun);
+    after_chunk += error;
+    std::string connection = lengthless + begun;
+    connection += error;
+    for (const std::string& first :
+         {framed, two_chunks, after_chunk, connection}) {
+      for (const std::string version : {kHttp11, kHttp10}) {
+        CAPTURE(first, version);
+        TwoServers servers(first, Stream("second", EventTexts(3, kEvents)));
+        const CallerAnswer answer = servers.Call("POST", "/stream/x", version);
+        CHECK(answer.state == ResponseState::kComplete);
+        CHECK(answer.body == EventTexts(1, kEvents));
+        CHECK(servers.Attempts() == 2);
+      }
+    }
+  }
+}
+
 // Guards against a stream that is resumed from its beginning because its
 // events, or the last of them, name no place to resume from.
 TEST_CASE("A stream is not resumed after an event without an id") {
