End no stream as complete before what its caller has

What callers saw: a stream that broke off after event 2 ended as complete although the server that resumed it had sent only event 1, or only what the caller had, and its connection closed.

Cause: the events of a resumed stream that the caller has are dropped, and the end of its framing was taken for the end of the stream, however far it had come. Where the answer ended with its connection, a dropped event also counted as the one that such an answer must have.

Change: an answer whose latest event is before the caller's is a run that broke off or another one; one that ends with its connection must hold an event that the caller did not have. Otherwise the attempt ends, and the stream goes on elsewhere or ends without its last chunk. A framed answer that holds exactly what the caller has, or nothing, is still complete: the first server may have broken off after its last event.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -331,11 +331,15 @@
                             "the answer ended within an event");
   }
   if (this->response->Framing() == ResponseFraming::kConnection &&
-      !this->job->progress.HasAttemptEvents()) {
+      !this->job->progress.HasNewEvents()) {
     // Nothing tells an empty stream from a server that failed after the head.
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                             "connection closed before the first event");
   }
+  if (this->job->progress.IsBehind()) {
+    return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                            "the answer ended before the caller's last event");
+  }
   this->job->answer->EndStream();
   this->FinishConnection();
   return this->SetOutcome(AttemptOutcome::kDelivered, "complete stream");
--- a/src/entry/stream_progress.cc
+++ b/src/entry/stream_progress.cc
@@ -8,7 +8,8 @@
     std::optional<std::int64_t> resume_after) {
   this->resume_after = resume_after;
   this->is_joining = this->last_event.has_value();
-  this->has_attempt_events = false;
+  this->has_new_events = false;
+  this->attempt_event.reset();
   return this->is_joining ? this->last_event : resume_after;
 }
 
@@ -21,7 +22,6 @@
     case EventContent::kEvent:
       break;
   }
-  this->has_attempt_events = true;
   if (event.id) {
     return this->AcceptId(*event.id);
   }
@@ -29,10 +29,12 @@
     return EventVerdict::kForeign;  // Its place in the stream is unknown.
   }
   this->ends_without_id = true;
+  this->has_new_events = true;
   return EventVerdict::kForward;
 }
 
 EventVerdict StreamProgress::AcceptId(std::int64_t id) {
+  this->attempt_event = id;
   if (this->last_event && id <= *this->last_event) {
     return EventVerdict::kSkip;
   }
@@ -49,6 +51,7 @@
   this->last_event = id;
   this->ends_without_id = false;
   this->is_joining = false;
+  this->has_new_events = true;
   return EventVerdict::kForward;
 }
 
@@ -73,4 +76,9 @@
   this->last_forwarded_at = now;
 }
 
+bool StreamProgress::IsBehind() const {
+  return this->is_joining && this->attempt_event && this->last_event &&
+         *this->attempt_event < *this->last_event;
+}
+
 }  // namespace kumquatcart
--- a/src/entry/stream_progress.h
+++ b/src/entry/stream_progress.h
@@ -38,8 +38,11 @@
   // Whether another attempt can continue the stream: the latest event that was
   // forwarded, if any, has an id.
   bool CanResume() const { return !this->ends_without_id; }
-  // Whether the attempt has sent an event, forwarded or not.
-  bool HasAttemptEvents() const { return this->has_attempt_events; }
+  // Whether the attempt has sent an event that the caller did not have.
+  bool HasNewEvents() const { return this->has_new_events; }
+  // Whether the events of the attempt stop before the latest one that the
+  // caller has.
+  bool IsBehind() const;
 
   // Highest event id forwarded.
   std::optional<std::int64_t> LastEvent() const { return this->last_event; }
@@ -63,7 +66,8 @@
 
   // Of the attempt.
   bool is_joining = false;  // It has not continued the caller's stream yet.
-  bool has_attempt_events = false;
+  bool has_new_events = false;
+  std::optional<std::int64_t> attempt_event;  // Latest id.
 
   bool has_forwarded = false;
   MonotonicTime first_forwarded_at;
--- a/tests/entry/resumed_stream_test.cc
+++ b/tests/entry/resumed_stream_test.cc
@@ -147,6 +147,7 @@
       row("rest", EventTexts(3, kEvents), {EventTexts(3, kEvents), true}),
       row("repeats", EventTexts(1, kEvents), {EventTexts(3, kEvents), true}),
       row("what the caller has", EventTexts(1, 2), {"", true}),
+      row("less than the caller has", EventTexts(1, 1), {}),
       row("gap", EventTexts(4, kEvents), {}),
       row("error event", error_event, {}),
       row("error event after events", EventTexts(3, 3) + error_event,
@@ -159,6 +160,12 @@
       {"empty, ended by its connection",
        Head("200 OK", "second", "Content-Type: text/event-stream\r\n"), kOk,
        StreamPart{}},
+      {"less than the caller has, ended by its connection",
+       Head("200 OK", "second", "") + EventTexts(1, 1), kOk,
+       StreamPart{EventTexts(1, 1), true}},
+      {"what the caller has, ended by its connection",
+       Head("200 OK", "second", "") + EventTexts(1, 2), kOk,
+       StreamPart{EventTexts(1, 2), true}},
       // Without a type it is taken for a stream.
       {"text without a type", Whole("200 OK"), kOk, StreamPart{}}};
 }
