--- a/src/entry/event_splitter.cc
+++ b/src/entry/event_splitter.cc
@@ -9,13 +9,21 @@
 
 constexpr std::string_view kIdField = "id:";
 constexpr char kLineEndCharacters[] = "\r\n";
+// Begins the status line of an answer, which may follow a part of a field.
+constexpr std::string_view kHttpVersion = "HTTP/1.";
+
+// Removes the first line of `text` and returns it without its end.
+std::string_view TakeLine(std::string_view* text) {
+  const std::size_t line_end = text->find_first_of(kLineEndCharacters);
+  const std::string_view line = text->substr(0, line_end);
+  text->remove_prefix(line_end == std::string_view::npos ? text->size()
+                                                         : line_end + 1);
+  return line;
+}
 
 std::optional<std::int64_t> ParseEventId(std::string_view text) {
   while (!text.empty()) {
-    const std::size_t line_end = text.find_first_of(kLineEndCharacters);
-    std::string_view line = text.substr(0, line_end);
-    text.remove_prefix(line_end == std::string_view::npos ? text.size()
-                                                          : line_end + 1);
+    std::string_view line = TakeLine(&text);
     if (line.substr(0, kIdField.size()) != kIdField) {
       continue;
     }
@@ -35,6 +43,32 @@
 
 }  // namespace
 
+EventContent ContentOf(const StreamEvent& event) {
+  bool has_event_field = false;
+  bool has_other_field = false;
+  bool follows_status_line = false;
+  std::string_view text = event.text;
+  while (!text.empty()) {
+    const std::string_view line = TakeLine(&text);
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (name == "id" || name == "data" || name == "event") {
+      has_event_field = true;
+    } else if (!name.empty() && name != "retry") {
+      if (follows_status_line) {
+        return EventContent::kOther;
+      }
+      has_other_field = true;
+    }
+    if (line.find(kHttpVersion) != std::string_view::npos) {
+      follows_status_line = true;
+    }
+  }
+  if (has_event_field) {
+    return EventContent::kEvent;
+  }
+  return has_other_field ? EventContent::kOther : EventContent::kNone;
+}
+
 std::vector<StreamEvent> EventSplitter::Feed(const std::string& bytes) {
   this->partial += bytes;
   std::vector<StreamEvent> events;
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -22,17 +22,6 @@
 
 }  // namespace
 
-void StreamProgress::NoteEvents(MonotonicTime now) {
-  if (this->has_events) {
-    this->longest_pause =
-        std::max(this->longest_pause, now - this->last_event_at);
-  } else {
-    this->has_events = true;
-    this->first_event_at = now;
-  }
-  this->last_event_at = now;
-}
-
 const char* ToString(AttemptOutcome outcome) {
   constexpr const char* kNames[] = {"delivered",    "failure",     "not_run",
                                     "may_have_run", "caller_gone", "time_up"};
@@ -80,9 +69,9 @@
   facts.organisation = this->job->organisation;
   facts.remaining = this->job->deadline - this->job->context->loop->Now();
   facts.is_late = this->job->is_late;
-  facts.resume_after = this->job->progress.has_events
-                           ? this->job->progress.last_event
-                           : this->job->request->resume_after;
+  this->resumed_after = this->job->progress.LastEvent();
+  facts.resume_after =
+      this->job->progress.BeginAttempt(this->job->request->resume_after);
   this->sent_at = this->job->context->loop->Now();
   this->connection->Send(
       SerializeRequest(EncodeForServer(*this->job->request, facts)));
@@ -220,14 +209,18 @@
       this->NoteRateLimit();
     }
     if (state == ResponseState::kParseFailed) {
+      std::string stop_reason;
       if (this->head_read && this->IsStream()) {
-        this->ForwardEvents(this->response->TakeBody());
+        stop_reason = this->ForwardEvents(this->response->TakeBody());
       }
-      return this->SetOutcome(
-          this->connection->HasSentBytes() ? AttemptOutcome::kMayHaveRun
-                                           : AttemptOutcome::kNotRun,
-          this->head_read ? "connection closed during the answer"
-                          : "connection closed before an answer");
+      if (stop_reason.empty()) {
+        stop_reason = this->head_read ? "connection closed during the answer"
+                                      : "connection closed before an answer";
+      }
+      return this->SetOutcome(this->connection->HasSentBytes()
+                                  ? AttemptOutcome::kMayHaveRun
+                                  : AttemptOutcome::kNotRun,
+                              std::move(stop_reason));
     }
     if (!this->head_read) {
       return std::nullopt;
@@ -283,33 +276,58 @@
   this->has_forwarded_events = true;
 }
 
-void ServerAttempt::ForwardEvents(const std::string& bytes) {
+std::string ServerAttempt::ForwardEvents(const std::string& bytes) {
   StreamProgress& progress = this->job->progress;
   std::string passed;
+  std::string stop_reason;
   for (const StreamEvent& event : this->splitter.Feed(bytes)) {
-    this->has_event = true;
-    if (event.id && progress.last_event && *event.id <= *progress.last_event) {
-      continue;  // Already forwarded by an earlier attempt.
+    const EventVerdict verdict = progress.Accept(event);
+    if (verdict == EventVerdict::kGap) {
+      stop_reason = "the answer leaves out events";
+      break;
+    }
+    if (verdict == EventVerdict::kForeign) {
+      stop_reason = "the answer holds what is no event of the stream";
+      break;
     }
-    if (event.id) {
-      progress.last_event = event.id;
+    if (verdict == EventVerdict::kForward) {
+      this->LogResumptionOnce(event);
+      passed += event.text;
     }
-    passed += event.text;
   }
   if (!passed.empty()) {
-    this->BeginStreamOnce();
-    this->slot->NotePrefillDone();
-    this->NoteFirstEvent();
-    progress.NoteEvents(this->job->context->loop->Now());
-    this->job->answer->SendPart(passed);
-    this->job->context->stall_detector->NoteProgress(this->slot->Group());
+    this->ForwardText(passed);
+  }
+  return stop_reason;
+}
+
+void ServerAttempt::LogResumptionOnce(const StreamEvent& event) {
+  if (event.id && this->resumed_after) {
+    LogInfo("stream_resumed", {{"id", this->job->request->id},
+                               {"server", this->slot->ServerId()},
+                               {"last_event", *this->resumed_after},
+                               {"next_event", *event.id}});
+    this->resumed_after.reset();
   }
 }
 
+void ServerAttempt::ForwardText(const std::string& text) {
+  this->BeginStreamOnce();
+  this->slot->NotePrefillDone();
+  this->NoteFirstEvent();
+  this->job->progress.NoteForwarded(this->job->context->loop->Now());
+  this->job->answer->SendPart(text);
+  this->job->context->stall_detector->NoteProgress(this->slot->Group());
+}
+
 std::optional<AttemptOutcome> ServerAttempt::HandleStreamInput(
     ResponseState state) {
   this->BeginStreamOnce();
-  this->ForwardEvents(this->response->TakeBody());
+  std::string stop_reason = this->ForwardEvents(this->response->TakeBody());
+  if (!stop_reason.empty()) {
+    return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                            std::move(stop_reason));
+  }
   if (!this->buffer_use.Set(this->splitter.Partial().size())) {
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                             "an event exceeds the size limit");
@@ -323,11 +341,15 @@
                             "the answer ended within an event");
   }
   if (this->response->Framing() == ResponseFraming::kConnection &&
-      !this->has_event) {
+      !this->job->progress.HasNewEvents()) {
     // Nothing tells an empty stream from a server that failed after the head.
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                             "connection closed before the first event");
   }
+  if (this->job->progress.IsBehind()) {
+    return this->SetOutcome(AttemptOutcome::kMayHaveRun,
+                            "the answer ended before the caller's last event");
+  }
   this->job->answer->EndStream();
   this->FinishConnection();
   return this->SetOutcome(AttemptOutcome::kDelivered, "complete stream");
