Watch the streams of each epoch of a group by themselves

Callers' streams stood until their head reported a loss or their deadline passed, though the members should be probed after 0.3 s without an event: progress was noted by the group's name, and the former head of a group finishes its streams beside the present one. Each event of one epoch hid the stall of the other, and a stall under the former epoch had the members of the present one probed, not its own.

Streams are now counted by group and epoch, and the members of the stalled epoch are reported, the newest or the one before, as FleetView::CanFinishRequests uses them. Groups without streams are forgotten; the map only grew before.

--- a/src/entry/group_stall_detector.cc
+++ b/src/entry/group_stall_detector.cc
@@ -26,46 +26,77 @@
   });
 }
 
-void GroupStallDetector::Begin(const std::string& group) {
-  Activity& activity = this->activities[group];
+void GroupStallDetector::Begin(const std::string& group, std::int64_t epoch) {
+  Activity& activity = this->activities[{group, epoch}];
   if (activity.streams++ == 0) {
     activity.last_progress_at = this->loop->Now();
   }
 }
 
-void GroupStallDetector::NoteProgress(const std::string& group) {
-  this->activities[group].last_progress_at = this->loop->Now();
+void GroupStallDetector::NoteProgress(const std::string& group,
+                                      std::int64_t epoch) {
+  const auto activity = this->activities.find({group, epoch});
+  if (activity != this->activities.end()) {
+    activity->second.last_progress_at = this->loop->Now();
+  }
+}
+
+void GroupStallDetector::End(const std::string& group, std::int64_t epoch) {
+  --this->activities[{group, epoch}].streams;
 }
 
-void GroupStallDetector::End(const std::string& group) {
-  --this->activities[group].streams;
+const GroupRecord* GroupStallDetector::FindRecord(const Formation& formation) {
+  const GroupStatus* status = this->view->FindGroup(formation.first);
+  if (status == nullptr) {
+    return nullptr;
+  }
+  if (status->record.epoch == formation.second) {
+    return &status->record;
+  }
+  return status->previous && status->previous->epoch == formation.second
+             ? &*status->previous
+             : nullptr;
 }
 
 void GroupStallDetector::CheckGroups() {
   const MonotonicTime now = this->loop->Now();
-  for (auto& [group, activity] : this->activities) {
-    if (activity.streams == 0 ||
-        now - activity.last_progress_at < kStallThreshold ||
-        now - activity.suspected_at < kSuspicionInterval) {
-      continue;
-    }
-    activity.suspected_at = now;
-    const GroupStatus* status = this->view->FindGroup(group);
-    if (status == nullptr) {
+  for (auto entry = this->activities.begin();
+       entry != this->activities.end();) {
+    const bool was_suspected =
+        now - entry->second.suspected_at < kSuspicionInterval;
+    if (entry->second.streams == 0 && !was_suspected) {
+      entry = this->activities.erase(entry);
       continue;
     }
-    LogInfo("group_silent",
-            {{"group", group},
-             {"epoch", status->record.epoch},
-             {"streams", activity.streams},
-             {"silent_ms", ToMillis(now - activity.last_progress_at)}});
-    this->prober->ReportSuspected(status->record.members);
-    if (now - activity.last_progress_at > kLongStallThreshold &&
-        !status->record.members.empty()) {
-      // The planner's probes have completed by now; the network path from this
-      // VM may be broken.
-      this->prober->Probe({status->record.members.front()});
+    if (entry->second.streams > 0 && !was_suspected &&
+        now - entry->second.last_progress_at >= kStallThreshold) {
+      this->Suspect(entry->first, &entry->second);
     }
+    ++entry;
+  }
+}
+
+void GroupStallDetector::Suspect(const Formation& formation,
+                                 Activity* activity) {
+  const MonotonicTime now = this->loop->Now();
+  activity->suspected_at = now;
+  const GroupRecord* record = this->FindRecord(formation);
+  if (record == nullptr) {
+    return;
+  }
+  LogInfo("group_silent",
+          {{"group", record->group},
+           {"epoch", record->epoch},
+           {"streams", activity->streams},
+           {"silent_ms", ToMillis(now - activity->last_progress_at)}});
+  // Copied, since the record may change while the servers are probed.
+  const std::vector<std::string> members = record->members;
+  this->prober->ReportSuspected(members);
+  if (now - activity->last_progress_at > kLongStallThreshold &&
+      !members.empty()) {
+    // The planner's probes have completed by now; the network path from this
+    // VM may be broken.
+    this->prober->Probe({members.front()});
   }
 }
 
--- a/src/entry/group_stall_detector.h
+++ b/src/entry/group_stall_detector.h
@@ -2,8 +2,10 @@
 #ifndef ENTRY_GROUP_STALL_DETECTOR_H_
 #define ENTRY_GROUP_STALL_DETECTOR_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "control/fleet_view.h"
@@ -13,8 +15,9 @@
 
 // A group that lost a member stalls all its requests at once, long before its
 // head reports the loss. When no stream of a group makes progress for some
-// time, the members are reported as suspect, so that they are probed. Runs on
-// the event loop's thread.
+// time, the members are reported as suspect, so that they are probed. The
+// former head of a group may still be finishing streams beside the present one,
+// so each epoch is watched by itself. Runs on the event loop's thread.
 class GroupStallDetector {
  public:
   GroupStallDetector(EventLoop* loop, FleetView* view, ServerProber* prober)
@@ -23,10 +26,11 @@
   // Starts the periodic check.
   void Start();
 
-  // Each stream of a group is enclosed by Begin() and End().
-  void Begin(const std::string& group);
-  void NoteProgress(const std::string& group);
-  void End(const std::string& group);
+  // Each stream of a group is enclosed by Begin() and End(), with the epoch
+  // under which it was sent.
+  void Begin(const std::string& group, std::int64_t epoch);
+  void NoteProgress(const std::string& group, std::int64_t epoch);
+  void End(const std::string& group, std::int64_t epoch);
 
  private:
   struct Activity {
@@ -35,12 +39,19 @@
     MonotonicTime suspected_at;
   };
 
+  using Formation = std::pair<std::string, std::int64_t>;  // Group and epoch.
+
   void CheckGroups();
+  // Reports the members of a formation whose streams have stalled.
+  void Suspect(const Formation& formation, Activity* activity);
+  // The record of a formation; null if it is neither the newest one of its
+  // group nor the one before.
+  const GroupRecord* FindRecord(const Formation& formation);
 
   EventLoop* const loop;
   FleetView* const view;
   ServerProber* const prober;
-  std::map<std::string, Activity> activities;
+  std::map<Formation, Activity> activities;
 };
 
 }  // namespace kumquatcart
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -110,11 +110,11 @@
   GroupStallDetector& watch = *this->job->context->stall_detector;
   const std::string& group = this->slot->Group();
   if (!group.empty()) {
-    watch.Begin(group);
+    watch.Begin(group, this->slot->Epoch());
   }
   const AttemptOutcome outcome = this->Relay(yield);
   if (!group.empty()) {
-    watch.End(group);
+    watch.End(group, this->slot->Epoch());
   }
   return outcome;
 }
@@ -292,7 +292,8 @@
     this->NoteFirstEvent();
     progress.NoteEvents(this->job->context->loop->Now());
     this->job->answer->SendPart(passed);
-    this->job->context->stall_detector->NoteProgress(this->slot->Group());
+    this->job->context->stall_detector->NoteProgress(this->slot->Group(),
+                                                     this->slot->Epoch());
   }
 }
 
