Count failures for the start of a server that they belong to

A plain server that started again under its id got no requests for some seconds: the failures of its former start counted against it, and so did requests that the former start left without an answer and that ended after the entry of the next one. Callers met the load of the other servers, or their limits, in the meantime.

Scores are now kept by id and start, and a slot states the start for which it was assigned. Decayed scores are dropped: those of servers that are gone stayed for ever.

Both cases of server_restart_test failed before ("CHECK( scene.Call() == "a" ) with expansion: "b" == "a"").

--- a/src/entry/plain_load_balancer.cc
+++ b/src/entry/plain_load_balancer.cc
@@ -40,7 +40,8 @@
     }
     const double score =
         static_cast<double>(taken) / server.slots +
-        kFailureWeight * this->failures.Of(server.id, now) +
+        kFailureWeight *
+            this->failures.Of({server.id, server.started_ms}, now) +
         (server.failure_domain == this->failure_domain ? 0
                                                        : kRemoteDomainPenalty);
     scores.emplace_back(score, &server);
@@ -123,12 +124,14 @@
   }
 }
 
-void PlainLoadBalancer::NoteFailure(const std::string& server) {
-  this->failures.NoteFailure(server, this->loop->Now());
+void PlainLoadBalancer::NoteFailure(const ServerSlot& slot) {
+  this->failures.NoteFailure({slot.ServerId(), slot.StartedMs()},
+                             this->loop->Now());
 }
 
-void PlainLoadBalancer::NoteSuccess(const std::string& server) {
-  this->failures.NoteSuccess(server, this->loop->Now());
+void PlainLoadBalancer::NoteSuccess(const ServerSlot& slot) {
+  this->failures.NoteSuccess({slot.ServerId(), slot.StartedMs()},
+                             this->loop->Now());
 }
 
 }  // namespace kumquatcart
--- a/src/entry/plain_load_balancer.h
+++ b/src/entry/plain_load_balancer.h
@@ -39,8 +39,9 @@
   // Notifies the requests that wait for a permit.
   void HandlePermitsChanged();
 
-  void NoteFailure(const std::string& server);
-  void NoteSuccess(const std::string& server);
+  // Notes how a request at the server of `slot` ended.
+  void NoteFailure(const ServerSlot& slot);
+  void NoteSuccess(const ServerSlot& slot);
 
  private:
   // Servers that could take the request, the best one first. Sets the reason in
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -297,9 +297,9 @@
   }
   if (!this->uses_groups) {
     if (outcome == AttemptOutcome::kDelivered) {
-      this->context->plain_balancer->NoteSuccess(slot.ServerId());
+      this->context->plain_balancer->NoteSuccess(slot);
     } else if (outcome != AttemptOutcome::kCallerGone) {
-      this->context->plain_balancer->NoteFailure(slot.ServerId());
+      this->context->plain_balancer->NoteFailure(slot);
     }
   }
   if (outcome == AttemptOutcome::kMayHaveRun && !this->answer_framing.empty()) {
--- a/src/entry/server_slot.cc
+++ b/src/entry/server_slot.cc
@@ -12,6 +12,7 @@
                        std::function<void()> released)
     : counts(counts),
       server_id(server.id),
+      started_ms(server.started_ms),
       address(server.endpoint),
       group(std::move(group)),
       epoch(epoch),
--- a/src/entry/server_slot.h
+++ b/src/entry/server_slot.h
@@ -34,6 +34,8 @@
   ServerSlot& operator=(const ServerSlot&) = delete;
 
   const std::string& ServerId() const { return this->server_id; }
+  // Unix time of the server's start when the slot was assigned; 0 if unknown.
+  std::int64_t StartedMs() const { return this->started_ms; }
   const Endpoint& Address() const { return this->address; }
   // Empty for servers of plain services.
   const std::string& Group() const { return this->group; }
@@ -45,6 +47,7 @@
  private:
   const ServerLoadCounters counts;
   const std::string server_id;
+  const std::int64_t started_ms;
   const Endpoint address;
   const std::string group;
   const std::int64_t epoch;
--- a/src/routing/failure_score.cc
+++ b/src/routing/failure_score.cc
@@ -1,6 +1,7 @@
 #include "routing/failure_score.h"
 
 #include <cmath>
+#include <iterator>
 
 namespace kumquatcart {
 
@@ -14,7 +15,7 @@
 
 }  // namespace
 
-double FailureScore::Of(const std::string& server, MonotonicTime now) const {
+double FailureScore::Of(const ServerStart& server, MonotonicTime now) const {
   const auto found = this->scores.find(server);
   if (found == this->scores.end()) {
     return 0;
@@ -25,11 +26,20 @@
   return found->second.value * std::exp2(-half_lives);
 }
 
-void FailureScore::NoteFailure(const std::string& server, MonotonicTime now) {
+void FailureScore::NoteFailure(const ServerStart& server, MonotonicTime now) {
   this->scores[server] = Score{this->Of(server, now) + 1, now};
+  this->DropNegligible(now);
 }
 
-void FailureScore::NoteSuccess(const std::string& server, MonotonicTime now) {
+void FailureScore::DropNegligible(MonotonicTime now) {
+  for (auto entry = this->scores.begin(); entry != this->scores.end();) {
+    entry = this->Of(entry->first, now) < kNegligibleScore
+                ? this->scores.erase(entry)
+                : std::next(entry);
+  }
+}
+
+void FailureScore::NoteSuccess(const ServerStart& server, MonotonicTime now) {
   const auto found = this->scores.find(server);
   if (found == this->scores.end()) {
     return;
