--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -100,11 +100,11 @@
   GroupStallDetector& watch = *this->job->context->stall_detector;
   const std::string& group = this->slot->Group();
   if (!group.empty()) {
-    watch.Begin(group);
+    watch.Begin(group, this->slot->Epoch());
   }
   const AttemptOutcome outcome = this->Relay(yield);
   if (!group.empty()) {
-    watch.End(group);
+    watch.End(group, this->slot->Epoch());
   }
   return outcome;
 }
@@ -317,7 +317,8 @@
   this->NoteFirstEvent();
   this->job->progress.NoteForwarded(this->job->context->loop->Now());
   this->job->answer->SendPart(text);
-  this->job->context->stall_detector->NoteProgress(this->slot->Group());
+  this->job->context->stall_detector->NoteProgress(this->slot->Group(),
+                                                   this->slot->Epoch());
 }
 
 std::optional<AttemptOutcome> ServerAttempt::HandleStreamInput(
