Take no answer to an earlier call for that of an append

An append could get the offset of an earlier one, and with it two records of groups the same epoch, if the other side writes an earlier answer once more: appends shared pooled connections with all other calls, and their answers name no call. The store's page does not allow such answers; relays and whatever has the address of one are not the store.

Appends, which are rare, now have a connection of their own. Reads go on sharing connections.

--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -146,11 +146,22 @@
          target.rfind(wire::kLogAppendPath, 0) == 0;
 }
 
+HttpResponse StoreClient::Send(const TcpEndpoint& endpoint,
+                               const OutgoingRequest& request,
+                               Duration timeout,
+                               Coroutine yield) {
+  const MonotonicTime deadline = this->loop->Now() + timeout;
+  return request.method == "GET"
+             ? this->client.Exchange(endpoint, request, deadline, kMaxIdle,
+                                     yield)
+             : this->client.ExchangeOnNewConnection(endpoint, request, deadline,
+                                                    yield);
+}
+
 HttpResponse StoreClient::PassOn(const OutgoingRequest& request,
                                  Duration timeout,
                                  Coroutine yield) {
-  HttpResponse reply = this->client.Exchange(
-      this->store, request, this->loop->Now() + timeout, kMaxIdle, yield);
+  HttpResponse reply = this->Send(this->store, request, timeout, yield);
   this->NoteReachability(reply);
   return reply;
 }
@@ -204,8 +215,7 @@
     return std::nullopt;
   }
   const TcpEndpoint& relay = relays[this->next_relay++ % relays.size()];
-  return this->client.Exchange(relay, request, this->loop->Now() + timeout,
-                               kMaxIdle, yield);
+  return this->Send(relay, request, timeout, yield);
 }
 
 Result<TopicBatch> StoreClient::ReadNewest(StoreTopic topic, Coroutine yield) {
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -93,6 +93,12 @@
   bool IsReachable() const { return this->reachable; }
 
  private:
+  // Sends one call. Writes get a connection of their own, so that the answer to
+  // an earlier call never counts as that of a write.
+  HttpResponse Send(const TcpEndpoint& endpoint,
+                    const OutgoingRequest& request,
+                    Duration timeout,
+                    Coroutine yield);
   HttpResponse Call(const OutgoingRequest& request,
                     Duration timeout,
                     Coroutine yield);
