Take no earlier refusal of an engine for that of a later model call

Callers of the own interface could get the outcome "not-run" for a request that an engine ran. An engine's 409 names no request, and model calls shared pooled connections, so a 409 that the engine writes once more counted as the refusal of the next call. Each model call now has a connection of its own, as requests that may run once have.

stream_test, "An earlier refusal of an engine refuses no later request", before: CHECK(runs == runs_before || outcome != "not-run") failed in 4 of 4 calls.

--- a/src/gateway/engine_attempt.cc
+++ b/src/gateway/engine_attempt.cc
@@ -39,6 +39,9 @@
   upstream.content_type = "application/json";
   upstream.headers = {{kRequestIdHeader, request.request.value},
                       {kAttemptIdHeader, request.attempt.value}};
+  // An engine's refusal names no request, so it is known to belong to this one
+  // only on a connection without others.
+  upstream.fresh_connection = true;
   upstream.body =
       Json(request).dump(-1, ' ', false, Json::error_handler_t::replace);
   return upstream;
--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -121,6 +121,31 @@
   fixture.gateway->Stop();
 }
 
+// Guards against "not-run" for a request that an engine runs: the engine writes
+// an earlier refusal once more on a kept connection.
+TEST_CASE("An earlier refusal of an engine refuses no later request",
+          "[gateway]") {
+  constexpr char kRefusal[] =
+      "HTTP/1.1 409 Conflict\r\nContent-Length: 7\r\n\r\nrefused";
+  GatewayFixture fixture;
+  std::atomic<int> runs{0};
+  RawServer server([&](RawConnection* connection, int) {
+    // Refuses the first request of a connection, runs the others.
+    for (int i = 0; !connection->ReadMessage().empty(); ++i) {
+      runs += i > 0 ? 1 : 0;
+      connection->Write(kRefusal);
+    }
+  });
+  fixture.AddGroup("g1", server.Address());
+  for (int i = 0; i < 4; ++i) {
+    const int runs_before = runs;
+    const std::string answer = fixture.Call(MakeCompletion(true));
+    CHECK((runs == runs_before ||
+           HeaderValue(answer, kOutcomeHeader) != "not-run"));
+  }
+  fixture.gateway->Stop();
+}
+
 TEST_CASE("No whole group means an immediate refusal", "[gateway]") {
   GatewayFixture fixture;
   const std::string answer = fixture.Call(MakeCompletion(false));
