Bound the nesting of JSON and CBOR that is parsed

A datagram to the peer port, or a peer's answer, that nests deep ended the process: the decoder of CBOR recurses at each level of arrays and maps, and of texts in parts, until the stack is used up. Only the messages of the gossip protocol had a bound, and texts in parts passed it. Deep text was parsed, at many times its own memory, and overflowed the stack of whoever copied it. A parser's message repeated the whole token at which it failed, up to the size of a record, in a log line.

ParseJson counts brackets before it parses; ParseCbor walks the items without recursion and takes only what encoders of this system write: definite lengths, no tags. Digests, permit and slot messages, records of peers and gossip messages are parsed through it. The bound for CBOR is that of the gossip messages, whose own check it replaces.

--- a/src/base/json.h
+++ b/src/base/json.h
@@ -2,7 +2,7 @@
 #ifndef BASE_JSON_H_
 #define BASE_JSON_H_
 
-#include <exception>
+#include <cstddef>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -13,15 +13,21 @@
 
 using Json = nlohmann::json;
 
-// Parses `text`. Fails with kInvalidArgument; the message contains the position
-// of the error. Thread safe.
-inline Result<Json> ParseJson(const std::string& text) {
-  try {
-    return Json::parse(text);
-  } catch (const Json::exception& error) {
-    return MakeError(ErrorCode::kInvalidArgument, error.what());
-  }
-}
+// Maximum nesting depth of arrays and objects in a document that is parsed.
+// Copies, encoders and the decoder of CBOR recurse at each level, in coroutines
+// with small stacks.
+inline constexpr std::size_t kMaxJsonNesting = 64;
+// The same for CBOR, which only encoders of this system write.
+inline constexpr std::size_t kMaxCborNesting = 32;
+
+// Parses `text`. Fails with kInvalidArgument for a document that is malformed
+// or nests too deep; the message is short and contains the position of the
+// error. Thread safe.
+Result<Json> ParseJson(const std::string& text);
+
+// Parses CBOR with definite lengths and without tags. Fails as ParseJson does.
+// Thread safe.
+Result<Json> ParseCbor(const std::string& bytes);
 
 // Converts `json` to a value type. Fails with kInvalidArgument; the message
 // contains the field. Thread safe.
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -89,8 +89,8 @@
 }
 
 Result<NodeDigest> DecodeDigest(const std::string& bytes) {
+  BOOST_OUTCOME_TRY(json, ParseCbor(bytes));
   try {
-    const Json json = Json::from_cbor(bytes);
     if (json.at(0).get<int>() != kDigestFormat) {
       return MakeError(ErrorCode::kInvalidArgument, "unknown digest format");
     }
--- a/src/peers/peer_constants.h
+++ b/src/peers/peer_constants.h
@@ -23,9 +23,6 @@
 // Maximum size of a topic delta in one message, in bytes.
 constexpr std::size_t kPeerMaxDeltaBytes = 64 * 1024;
 
-// Maximum nesting depth of arrays and maps in a message.
-constexpr std::size_t kPeerMaxNesting = 32;
-
 // Maximum number of member updates in one message.
 constexpr std::size_t kPeerMaxMemberUpdates = 4096;
 
--- a/src/peers/peer_message.cc
+++ b/src/peers/peer_message.cc
@@ -19,43 +19,6 @@
   kDigest,
 };
 
-// Parses a document without building it and fails at excessive nesting, which
-// would overflow the stack in the recursive decoder.
-class NestingCheck : public nlohmann::json_sax<Json> {
- public:
-  // NOLINTBEGIN(readability-identifier-naming): overrides of the library.
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return this->Enter(); }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return this->Leave(); }
-  bool start_array(std::size_t) override { return this->Enter(); }
-  bool end_array() override { return this->Leave(); }
-  bool parse_error(std::size_t,
-                   const std::string&,
-                   const Json::exception&) override {
-    return false;
-  }
-  // NOLINTEND(readability-identifier-naming)
-
- private:
-  bool Enter() {
-    ++this->depth;
-    return this->depth <= kPeerMaxNesting;
-  }
-  bool Leave() {
-    --this->depth;
-    return true;
-  }
-
-  std::size_t depth = 0;
-};
-
 Json ToJson(const MemberUpdate& update) {
   return Json::array({update.key, update.incarnation,
                       static_cast<int>(update.state), update.config_offset,
@@ -177,12 +140,9 @@
 }
 
 Result<PeerMessage> DecodePeerMessage(const std::string& bytes) {
+  BOOST_OUTCOME_TRY(json, ParseCbor(bytes));
   try {
-    NestingCheck check;
-    if (!Json::sax_parse(bytes, &check, Json::input_format_t::cbor)) {
-      return MakeError(ErrorCode::kInvalidArgument, "not well-formed CBOR");
-    }
-    return ReadMessage(Json::from_cbor(bytes));
+    return ReadMessage(json);
   } catch (const std::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument, error.what());
   }
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -66,8 +66,8 @@
 }
 
 Result<TopicBatch> DecodeTopicBatch(const std::string& bytes) {
+  BOOST_OUTCOME_TRY(json, ParseCbor(bytes));
   try {
-    const Json json = Json::from_cbor(bytes);
     TopicBatch batch;
     batch.end = json.at(0).get<std::int64_t>();
     for (const Json& row : json.at(1)) {
--- a/src/peers/tagged_message.cc
+++ b/src/peers/tagged_message.cc
@@ -1,6 +1,7 @@
 #include "peers/tagged_message.h"
 
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace kumquatcart {
@@ -28,16 +29,15 @@
   if (!BeginsWithText(bytes)) {
     return std::nullopt;
   }
-  Json json;
-  try {
-    json = Json::from_cbor(bytes);
-  } catch (const Json::exception&) {
+  Result<Json> json = ParseCbor(bytes);
+  if (json.has_error()) {
     return std::nullopt;  // The decoder of digests reports it.
   }
-  if (!json.is_array() || json.empty() || !json.front().is_string()) {
+  if (!json.value().is_array() || json.value().empty() ||
+      !json.value().front().is_string()) {
     return std::nullopt;
   }
-  return json;
+  return std::move(json.value());
 }
 
 }  // namespace kumquatcart
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -1,13 +1,16 @@
 #include "peers/node_digest.h"
 
 #include <set>
+#include <string>
 #include <vector>
 
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
 #include "peers/peer_directory.h"
+#include "peers/permit_message.h"
 #include "peers/record_exchange.h"
+#include "peers/slot_message.h"
 
 namespace kumquatcart {
 namespace {
@@ -227,6 +230,21 @@
   CHECK(first_ports.size() == kNodes);
 }
 
+// Guards against a datagram that ends the process: the decoder recursed at each
+// level until the stack was used up.
+TEST_CASE("A datagram that nests too deep is refused") {
+  for (const char* level : {"\x81", "\x8f\x60", "\xa1\x60", "\x7f", "\x9f"}) {
+    std::string bytes = "\x8e";
+    while (bytes.size() < 1'000'000) {
+      bytes += level;
+    }
+    CHECK(DecodeDigest(bytes).has_error());
+    CHECK(DecodeTopicBatch(bytes).has_error());
+    CHECK(!DecodePermitMessage(bytes).has_value());
+    CHECK(!DecodeSlotMessage(bytes).has_value());
+  }
+}
+
 TEST_CASE("Digests of unknown nodes are rejected") {
   PeerDirectory directory = MakeDirectory();
   CHECK(!directory.AcceptDigest(DigestOf("x"), kStart));
