Take no server from an entry with numbers, a port or an id out of range

Another writer left an odd entry among those of the servers, and it was taken for a server. A count of slots of wrapped to 4, one of 1e300 was converted without a defined result, a start of -1 or beyond 2^63 was kept, and with a start of 2^63 - 1 all later good entries of that id were ignored as earlier starts. Port 0, the unspecified address (this VM itself) and an address with a zero byte were accepted. An id with spaces, line ends or bytes that are no text went into a header field; one that is not UTF-8 makes the encoder of orders and group records throw out of a coroutine, which ends the process.

Integers are checked in their own type before they are converted, with bounds per field; ids must be printable words; addresses must be connectable. The same holds for reports. Whole numbers in floating-point form are still read.

--- a/src/model/endpoint_parser.cc
+++ b/src/model/endpoint_parser.cc
@@ -7,14 +7,22 @@
 
 namespace kumquatcart {
 
+namespace {
+
+// Longer than any endpoint. Bounds an error's message.
+constexpr std::size_t kMaxQuotedBytes = 80;
+
+}  // namespace
+
 Result<Endpoint> ParseEndpoint(const std::string& text) {
   const Error error =
       MakeError(ErrorCode::kInvalidArgument,
-                "'" + text +
+                "'" + text.substr(0, kMaxQuotedBytes) +
                     "' must be a numeric IP address and a port, such as "
                     "127.0.0.1:8080");
   const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
+  // The library reads an address up to the first zero byte.
+  if (colon == std::string::npos || text.find('\0') != std::string::npos) {
     return error;
   }
   Endpoint endpoint;
--- a/src/platform/server_decoder.cc
+++ b/src/platform/server_decoder.cc
@@ -1,12 +1,29 @@
 #include "platform/server_decoder.h"
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <optional>
+#include <utility>
+
 #include "base/json.h"
 #include "model/endpoint_parser.h"
+#include "model/socket_address.h"
 
 namespace kumquatcart {
 
 namespace {
 
+constexpr std::int64_t kMaxInteger = std::numeric_limits<std::int64_t>::max();
+// Ten times what any service has; sums of loads stay far from their limits.
+constexpr std::int64_t kMaxSlots = 1'000'000;
+// The last millisecond of the year 9999. A start later than that is none, and
+// entries of a later start replace it.
+constexpr std::int64_t kMaxUnixMillis = 253'402'300'799'999;
+constexpr std::int64_t kMaxInt = std::numeric_limits<int>::max();
+// Part of a malformed value that goes into an error.
+constexpr std::size_t kMaxQuotedBytes = 40;
+
 Error Malformed(const std::string& what) {
   return MakeError(ErrorCode::kInvalidArgument, "server: " + what);
 }
@@ -20,12 +37,62 @@
   return found->get<std::string>();
 }
 
-Result<std::int64_t> CountAt(const Json& json, const char* name) {
+// The largest double that converts to the same integer and back.
+constexpr double kMaxExactInteger = 9007199254740992.0;
+
+// `json` as an integer from `min` to `max`, none if it is not one. Other
+// writers leave numbers whose conversion would be undefined or wrap round.
+std::optional<std::int64_t> IntegerIn(const Json& json,
+                                      std::int64_t min,
+                                      std::int64_t max) {
+  std::int64_t number = 0;
+  if (json.is_number_float()) {
+    const auto value = json.get<double>();
+    if (std::trunc(value) != value || std::fabs(value) > kMaxExactInteger) {
+      return std::nullopt;
+    }
+    number = static_cast<std::int64_t>(value);
+  } else if (json.is_number_unsigned()) {
+    const auto value = json.get<std::uint64_t>();
+    if (value > static_cast<std::uint64_t>(kMaxInteger)) {
+      return std::nullopt;
+    }
+    number = static_cast<std::int64_t>(value);
+  } else if (json.is_number_integer()) {
+    number = json.get<std::int64_t>();
+  } else {
+    return std::nullopt;
+  }
+  return number < min || number > max ? std::nullopt : std::optional(number);
+}
+
+Result<std::int64_t> CountAt(const Json& json,
+                             const char* name,
+                             std::int64_t max = kMaxInteger) {
   const auto found = json.find(name);
-  if (found == json.end() || !found->is_number() || found->get<double>() < 0) {
+  const std::optional<std::int64_t> count =
+      found == json.end() ? std::nullopt : IntegerIn(*found, 0, max);
+  if (!count) {
     return Malformed(std::string("no count in ") + name);
   }
-  return found->get<std::int64_t>();
+  return *count;
+}
+
+// As CountAt, and 0 where the field is missing.
+Result<std::int64_t> OptionalCountAt(const Json& json,
+                                     const char* name,
+                                     std::int64_t max = kMaxInteger) {
+  return json.contains(name) ? CountAt(json, name, max) : 0;
+}
+
+// Checks a duration, which may have a fraction.
+Status CheckMillisAt(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_number() || found->get<double>() < 0 ||
+      found->get<double>() > kMaxUnixMillis) {
+    return Malformed(std::string("no time in ") + name);
+  }
+  return Ok();
 }
 
 std::vector<std::string> DecodeStaged(const Json& json) {
@@ -63,67 +130,102 @@
   return std::nullopt;
 }
 
-std::optional<GroupMembership> DecodeMembership(const Json& json) {
+Result<std::optional<GroupMembership>> DecodeMembership(const Json& json) {
   const auto group = json.find("group");
-  if (group == json.end() || !group->is_object()) {
-    return std::nullopt;
+  if (group == json.end() || group->is_null()) {
+    return std::optional<GroupMembership>();
+  }
+  if (!group->is_object()) {
+    return Malformed("a group that is no table");
   }
   GroupMembership membership;
   membership.group = group->value("name", std::string());
-  membership.epoch = group->value("epoch", std::int64_t{0});
-  membership.rank = group->value("rank", 0);
+  BOOST_OUTCOME_TRY(epoch, OptionalCountAt(*group, "epoch"));
+  BOOST_OUTCOME_TRY(rank, OptionalCountAt(*group, "rank", kMaxInt));
+  membership.epoch = epoch;
+  membership.rank = static_cast<int>(rank);
   const auto state = ParseState(group->value("state", std::string()));
   if (membership.group.empty() || !state) {
-    return std::nullopt;
+    return std::optional<GroupMembership>();
   }
   membership.state = *state;
-  return membership;
+  return std::optional(std::move(membership));
+}
+
+// An id that can be sent in a header field and encoded in an order.
+bool IsServerId(const std::string& id) {
+  return !id.empty() && std::all_of(id.begin(), id.end(), [](char byte) {
+    return byte > ' ' && byte <= '~';
+  });
+}
+
+Result<Endpoint> DecodeAddress(const std::string& address) {
+  BOOST_OUTCOME_TRY(endpoint, ParseEndpoint(address));
+  // A connection to the unspecified address would reach this VM.
+  if (endpoint.port == 0 ||
+      ToTcpEndpoint(endpoint).address().is_unspecified()) {
+    return Malformed("an address that nothing can listen on");
+  }
+  return endpoint;
 }
 
 Result<BackendServer> DecodeEntry(const std::string& id, const Json& json) {
   if (!json.is_object()) {
     return Malformed("an entry that is no table");
   }
+  if (!IsServerId(id)) {
+    return Malformed("an id that is no printable word");
+  }
   BackendServer server;
   server.id = id;
   BOOST_OUTCOME_TRY(service, TextAt(json, "service"));
   BOOST_OUTCOME_TRY(address, TextAt(json, "address"));
-  BOOST_OUTCOME_TRY(endpoint, ParseEndpoint(address));
+  BOOST_OUTCOME_TRY(endpoint, DecodeAddress(address));
   BOOST_OUTCOME_TRY(failure_domain, TextAt(json, "zone"));
   server.service = service;
   server.endpoint = endpoint;
   server.failure_domain = failure_domain;
   BOOST_OUTCOME_TRY(state, TextAt(json, "state"));
   if (state != "ready" && state != "draining") {
-    return Malformed("unknown state " + state);
+    return Malformed("unknown state " + state.substr(0, kMaxQuotedBytes));
   }
   server.draining = state == "draining";
-  BOOST_OUTCOME_TRY(slots, CountAt(json, "slots"));
+  BOOST_OUTCOME_TRY(slots, CountAt(json, "slots", kMaxSlots));
   if (slots < 1) {
     return Malformed("no slots");
   }
   server.slots = static_cast<int>(slots);
   BOOST_OUTCOME_TRY(TextAt(json, "version"));
   BOOST_OUTCOME_TRY(CountAt(json, "seq"));
-  BOOST_OUTCOME_TRY(CountAt(json, "cold_left_ms"));
-  server.started_ms = json.value("born", std::int64_t{0});
+  BOOST_OUTCOME_TRY(CheckMillisAt(json, "cold_left_ms"));
+  BOOST_OUTCOME_TRY(started_ms, OptionalCountAt(json, "born", kMaxUnixMillis));
+  server.started_ms = started_ms;
   server.fabric_domain = json.value("domain", std::string());
   server.loaded_model = DecodeLoadedModel(json);
   server.staged_models = DecodeStaged(json);
-  server.membership = DecodeMembership(json);
+  BOOST_OUTCOME_TRY(membership, DecodeMembership(json));
+  server.membership = std::move(membership);
   return server;
 }
 
-EngineReport DecodeReport(const Json& json) {
+Result<EngineReport> DecodeReport(const Json& json) {
+  if (!json.is_object()) {
+    return Malformed("a report that is no table");
+  }
   EngineReport report;
   report.loaded_model = DecodeLoadedModel(json);
-  report.started_ms = json.value("born", std::int64_t{0});
-  report.orders_accepted = json.value("seq", std::int64_t{0});
-  report.waiting = json.value("waiting", 0);
-  report.running = json.value("running", 0);
+  BOOST_OUTCOME_TRY(started_ms, OptionalCountAt(json, "born", kMaxUnixMillis));
+  BOOST_OUTCOME_TRY(orders_accepted, OptionalCountAt(json, "seq"));
+  BOOST_OUTCOME_TRY(waiting, OptionalCountAt(json, "waiting", kMaxInt));
+  BOOST_OUTCOME_TRY(running, OptionalCountAt(json, "running", kMaxInt));
+  report.started_ms = started_ms;
+  report.orders_accepted = orders_accepted;
+  report.waiting = static_cast<int>(waiting);
+  report.running = static_cast<int>(running);
   report.pace = json.value("pace", 1.0);
   report.staged_models = DecodeStaged(json);
-  report.membership = DecodeMembership(json);
+  BOOST_OUTCOME_TRY(membership, DecodeMembership(json));
+  report.membership = std::move(membership);
   return report;
 }
 
