Ignore an odd record of an entry VM instead of ending

A record of an entry VM that is JSON but no table made ApplyNode throw out of the follower's coroutine, which ends the process, at each start again: the record stays in the topic. One whose address is no numeric address was kept and ended the process at the next digest of that VM or the next call that the store refuses; a port of 65536 and more wrapped.

The record has a codec of its own, which checks the address as that of a server and returns an error for all else.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -4,10 +4,10 @@
 #include <filesystem>
 #include <random>
 
-#include "base/json.h"
 #include "base/logging.h"
 #include "base/scope_guard.h"
 #include "control/group_record_codec.h"
+#include "control/node_record_codec.h"
 #include "entry/caller_session.h"
 #include "entry/entry_constants.h"
 #include "model/socket_address.h"
@@ -330,28 +330,21 @@
   if (!record.value) {
     return;
   }
-  const Result<Json> json = ParseJson(*record.value);
-  if (json.has_error()) {
-    LogWarning("node_record_unreadable", {{"node", record.key}});
+  const Result<NodeRecord> node = DecodeNodeRecord(*record.value);
+  if (node.has_error()) {
+    LogWarning("node_record_unreadable", {{"node", record.key},
+                                          {"offset", record.offset},
+                                          {"reason", node.error().message}});
     return;
   }
-  const Result<Endpoint> endpoint =
-      FromJson<Endpoint>(json.value().value("endpoint", Json::object()));
-  if (endpoint.has_error()) {
-    LogWarning("node_record_unreadable", {{"node", record.key}});
-    return;
-  }
-  this->peers.PutPeer(record.key,
-                      json.value().value("failure_domain", std::string()),
-                      endpoint.value(), json.value().value("cores", 0.0));
+  this->peers.PutPeer(record.key, node.value().failure_domain,
+                      node.value().endpoint, node.value().cores);
 }
 
 void EntryProcess::PublishNodeRecord(Coroutine yield) {
-  const std::string value = Json{
-      {"endpoint", this->settings.peers},
-      {"failure_domain", this->settings.failure_domain},
-      {"cores",
-       this->settings.cores}}.dump();
+  const std::string value =
+      EncodeNodeRecord({this->settings.peers, this->settings.failure_domain,
+                        this->settings.cores});
   for (;;) {
     const Result<std::int64_t> offset =
         this->store.Append(StoreTopic::kNodes, this->settings.node_name, value,
--- a/tests/fakes/loop_store.h
+++ b/tests/fakes/loop_store.h
@@ -49,6 +49,10 @@
   // Answers every call with this status, when set.
   std::optional<int> refusal;
   int calls = 0;
+  // Items that each list of newest records begins with.
+  Json extra_items = Json::array();
+  // Keys of one page of the newest records.
+  std::size_t page_size = 500;
 
  private:
   static std::string Parameter(const std::string& target,
@@ -69,7 +73,8 @@
     const std::string topic = Parameter(request.target, "topic");
     std::vector<std::string>& records = this->topics[topic];
     if (request.target.rfind("/api/log-newest", 0) == 0) {
-      return {200, this->Newest(topic)};
+      return {200,
+              this->Newest(topic, Decode(Parameter(request.target, "after")))};
     }
     if (request.target.rfind("/api/log-append", 0) == 0) {
       const std::string at = Parameter(request.target, "at");
@@ -92,7 +97,24 @@
     return {200, body};
   }
 
-  std::string Newest(const std::string& topic) {
+  // Replaces the escapes of a query's value.
+  static std::string Decode(const std::string& value) {
+    constexpr std::size_t kEscapeDigits = 2;
+    constexpr int kHexadecimal = 16;
+    std::string text;
+    for (std::size_t i = 0; i < value.size(); ++i) {
+      if (value[i] == '%') {
+        text += static_cast<char>(std::stoi(value.substr(i + 1, kEscapeDigits),
+                                            nullptr, kHexadecimal));
+        i += kEscapeDigits;
+      } else {
+        text += value[i];
+      }
+    }
+    return text;
+  }
+
+  std::string Newest(const std::string& topic, const std::string& after) {
     std::map<std::string, Json> items;
     std::int64_t offset = 0;
     for (const std::string& bytes : this->topics[topic]) {
@@ -107,11 +129,14 @@
       }
       ++offset;
     }
-    Json list = Json::array();
-    for (const auto& item : items) {
-      list.push_back(item.second);
+    Json list = after.empty() ? this->extra_items : Json::array();
+    auto item = after.empty() ? items.begin() : items.upper_bound(after);
+    for (; item != items.end() && list.size() < this->page_size; ++item) {
+      list.push_back(item->second);
     }
-    return Json{{"items", list}, {"has_more", false}, {"end", offset}}.dump();
+    return Json{
+        {"items", list}, {"has_more", item != items.end()}, {"end", offset}}
+        .dump(-1, ' ', false, Json::error_handler_t::replace);
   }
 
   static std::string EncodeBase64(const std::string& bytes) {
--- a/tests/fuzz/platform_wire_fuzz.cc
+++ b/tests/fuzz/platform_wire_fuzz.cc
@@ -8,6 +8,8 @@
 
 #include "base/logging.h"
 #include "control/group_record_codec.h"
+#include "control/node_record_codec.h"
+#include "model/socket_address.h"
 #include "peers/node_digest.h"
 #include "peers/permit_message.h"
 #include "peers/record_exchange.h"
@@ -45,10 +47,16 @@
   const Result<BackendServer> server = DecodeServerEntry("id", text);
   if (server.has_value()) {
     Require(server.value().slots >= 1);
+    Require(server.value().endpoint.port > 0);
+    Require(server.value().started_ms >= 0);
     Require(!server.value().service.empty());
   }
   static_cast<void>(DecodeEngineReport(text).has_value());
   static_cast<void>(DecodeGroupRecord("group", 1, text).has_value());
+  const Result<NodeRecord> node = DecodeNodeRecord(text);
+  if (node.has_value()) {
+    static_cast<void>(ToTcpEndpoint(node.value().endpoint));  // May not throw.
+  }
   static_cast<void>(DecodeProcessSettings(text).has_value());
 }
 
