Read the other newest records beside a malformed one

One item of the list of newest records that is malformed made the whole list an error. A process that starts, or whose records have expired, reads that list, so it did not get its first records and stayed unready. The key after which the next page begins went into the query unescaped: after a key with a space, an ampersand or a line end, the page could not be read or another one came. A value without padding was decoded beyond its buffer, and one that is no base64 up to its first odd character.

Evidence: "A malformed item does not keep back the newest records", "Pages continue after any key" and "A value without padding is decoded" fail on the former code.

Items are decoded one by one; a malformed one is logged with its key. The list ends if a page does not move on. Keys are escaped; those without reserved characters are sent as before.

--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -1,5 +1,7 @@
 #include "platform/store_client.h"
 
+#include <string_view>
+
 #include <fmt/format.h>
 #include <boost/beast/core/detail/base64.hpp>
 
@@ -47,14 +49,36 @@
   return number;
 }
 
-std::string DecodeBase64(const std::string& text) {
+// None if `text` is not base64.
+std::optional<std::string> DecodeBase64(const std::string& text) {
   namespace base64 = boost::beast::detail::base64;
-  std::string bytes(base64::decoded_size(text.size()), '\0');
-  const auto sizes = base64::decode(bytes.data(), text.data(), text.size());
-  bytes.resize(sizes.first);
+  // The size that the library states leaves out a last group without padding.
+  constexpr std::size_t kGroupBytes = 3;
+  std::string bytes(base64::decoded_size(text.size()) + kGroupBytes, '\0');
+  const auto [size, read] =
+      base64::decode(bytes.data(), text.data(), text.size());
+  if (text.find_first_not_of('=', read) != std::string::npos) {
+    return std::nullopt;
+  }
+  bytes.resize(size);
   return bytes;
 }
 
+// `key` as a value of a query.
+std::string EncodeQueryValue(const std::string& key) {
+  std::string encoded;
+  for (const char byte : key) {
+    const bool is_unreserved =
+        (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z') ||
+        (byte >= 'a' && byte <= 'z') ||
+        std::string_view("-._~").find(byte) != std::string_view::npos;
+    encoded += is_unreserved
+                   ? std::string(1, byte)
+                   : fmt::format("%{:02X}", static_cast<unsigned char>(byte));
+  }
+  return encoded;
+}
+
 OutgoingRequest Get(std::string target) {
   return OutgoingRequest{"GET", std::move(target), {}, {}};
 }
@@ -103,20 +127,48 @@
 
 struct NewestPage {
   std::vector<TopicRecord> records;
+  std::string last_key;  // Of an item that may be malformed; the next page
+                         // begins after it.
   std::int64_t end = 0;
   bool has_more = false;
 };
 
+// Throws Json::exception if `item` is no record.
+Result<TopicRecord> DecodeItem(const Json& item) {
+  TopicRecord record;
+  record.key = item.at("key").get<std::string>();
+  record.value = DecodeBase64(item.at("value").get_ref<const std::string&>());
+  record.offset = item.at("offset").get<std::int64_t>();
+  if (!record.value) {
+    return Unreadable("a value that is not base64");
+  }
+  return record;
+}
+
+// Adds the record of `item`, or logs what is malformed: one record must not
+// keep back the others.
+void AddItem(const Json& item, NewestPage* page) {
+  std::string reason;
+  try {
+    page->last_key = item.at("key").get<std::string>();
+    Result<TopicRecord> record = DecodeItem(item);
+    if (record.has_value()) {
+      page->records.push_back(std::move(record.value()));
+      return;
+    }
+    reason = record.error().message;
+  } catch (const Json::exception& error) {
+    reason = error.what();
+  }
+  LogWarning("record_ignored", {{"key", page->last_key}, {"reason", reason}});
+}
+
 Result<NewestPage> DecodeNewestPage(const std::string& body) {
   BOOST_OUTCOME_TRY(json, ParseJson(body));
   NewestPage page;
   try {
     for (const Json& item : json.at("items")) {
-      TopicRecord record;
-      record.key = item.at("key").get<std::string>();
-      record.value = DecodeBase64(item.at("value").get<std::string>());
-      record.offset = item.at("offset").get<std::int64_t>();
-      page.records.push_back(std::move(record));
+      AddItem(item, &page);
     }
     page.end = json.at("end").get<std::int64_t>();
     page.has_more = json.value("has_more", false);
@@ -215,7 +267,7 @@
     std::string target = fmt::format("{}?topic={}&part=0", wire::kLogNewestPath,
                                      TopicName(topic));
     if (!first) {
-      target += "&after=" + after;
+      target += "&after=" + EncodeQueryValue(after);
     }
     const HttpResponse reply =
         this->Call(Get(std::move(target)), kCallTimeout, yield);
@@ -231,10 +283,8 @@
     if (first) {
       batch.end = page.end;
     }
-    more = page.has_more && !page.records.empty();
-    if (more) {
-      after = page.records.back().key;
-    }
+    more = page.has_more && !page.last_key.empty() && page.last_key != after;
+    after = page.last_key;
     for (TopicRecord& record : page.records) {
       batch.records.push_back(std::move(record));
     }
--- a/tests/entry/odd_record_test.cc
+++ b/tests/entry/odd_record_test.cc
@@ -115,5 +115,78 @@
   });
 }
 
+// A reader of the servers' topic.
+struct Reader {
+  Reader() : store(&this->loop), client(&this->loop, this->store.Address()) {}
+  ~Reader() { this->loop.UnwindCoroutines(); }
+
+  std::vector<TopicRecord> Newest() {
+    std::vector<TopicRecord> records;
+    RunCoroutine(&this->loop, [&](Coroutine yield) {
+      const Result<TopicBatch> batch =
+          this->client.ReadNewest(StoreTopic::kServers, yield);
+      CHECK(batch.has_value());
+      if (batch.has_value()) {
+        records = batch.value().records;
+      }
+    });
+    return records;
+  }
+
+  std::vector<std::string> NewestKeys() {
+    std::vector<std::string> keys;
+    for (const TopicRecord& record : this->Newest()) {
+      keys.push_back(record.key);
+    }
+    return keys;
+  }
+
+  EventLoop loop;
+  LoopStore store;
+  StoreClient client;
+};
+
+// Guards against one malformed item that keeps a starting process from its
+// first records.
+TEST_CASE("A malformed item does not keep back the newest records") {
+  for (const Json& item :
+       {Json(5), Json(nullptr), Json::object(), Json{{"key", 5}},
+        Json{{"key", "odd"}}, Json{{"key", "odd"}, {"value", nullptr}},
+        Json{{"key", "odd"}, {"value", "e30="}, {"offset", "x"}},
+        Json{{"key", "odd"}, {"value", "!"}, {"offset", 0}}}) {
+    INFO(item.dump());
+    Reader reader;
+    reader.store.Put(kServersTopic, "a", "1");
+    reader.store.Put(kServersTopic, "b", "2");
+    reader.store.extra_items = Json::array({item});
+    CHECK(reader.NewestKeys() == std::vector<std::string>{"a", "b"});
+  }
+}
+
+// Guards against pages that repeat or end early after a key with reserved
+// characters.
+TEST_CASE("Pages continue after any key") {
+  Reader reader;
+  reader.store.page_size = 1;
+  std::vector<std::string> keys = {"a",     "b c",       "d&x=1", "e#f",
+                                   "g%20h", "i\r\nX: 1", "j+k",   "l/m"};
+  for (const std::string& key : keys) {
+    reader.store.Put(kServersTopic, key, "1");
+  }
+  CHECK(reader.NewestKeys() == keys);
+}
+
+// Guards against a write beyond the decoded value, whose size the library
+// states without the last group.
+TEST_CASE("A value without padding is decoded") {
+  Reader reader;
+  reader.store.extra_items =
+      Json::array({{{"key", "a"},
+                    {"value", "QUJDREVGR0hJSktMTU5PUFFSU1RVVldYWVphYmNkZWY"},
+                    {"offset", 0}}});
+  CHECK(reader.Newest() ==
+        std::vector<TopicRecord>{{"a", "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdef", 0}});
+}
+
 }  // namespace
 }  // namespace kumquatcart
