Drop a server whose entry has turned odd and stays so

A record of another writer that replaces a good one was ignored, and the server kept. Where the removal of the entry lies between the two, a process that reads only the newest records never sees it: it used a server that is gone for good, while processes that started later did not know it. The protocol says that such an entry names no server to use.

The server is removed three report intervals after the odd record, unless it writes its entry again before. Running servers write once in an interval, so one odd record takes neither requests nor group members from a server that is alive.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <random>
@@ -62,6 +63,10 @@
 // whether this VM reads them from the store.
 constexpr Duration kNodesTopicWait = std::chrono::milliseconds(1000);
 constexpr Duration kNodesTopicPollInterval = std::chrono::milliseconds(5);
+// Time in which a running server replaces an entry that cannot be decoded:
+// three report intervals, after which the platform removes the entry of a
+// silent one.
+constexpr Duration kEntryRewriteTime = std::chrono::milliseconds(3600);
 // Delay between attempts to publish the node record of this process.
 constexpr Duration kNodeRecordRetryDelay = std::chrono::milliseconds(500);
 
@@ -298,6 +303,10 @@
     LogWarning("server_entry_ignored", {{"server", record.key},
                                         {"offset", record.offset},
                                         {"reason", server.error().message}});
+    // The entry no longer names the server, or was removed before this record.
+    this->view.RemoveServer(
+        record.key, std::max(this->store_outage.EffectiveRemovalTime(now),
+                             now + kEntryRewriteTime));
     return;
   }
   const BackendServer* known = this->view.FindServer(record.key);
--- a/tests/entry/odd_record_test.cc
+++ b/tests/entry/odd_record_test.cc
@@ -15,6 +15,8 @@
 constexpr char kGroupsTopic[] = "keyed.groups";
 // A changed entry takes effect within a poll of the topic and a little longer.
 constexpr Duration kPropagationBound = std::chrono::seconds(3);
+// A server of which no entry was written again for this long is not used.
+constexpr Duration kRewriteBound = std::chrono::seconds(6);
 
 // Odd records with keys that sort before and after those of good ones.
 void PutOddServers(Deployment* deployment, const std::string& prefix) {
@@ -115,6 +117,29 @@
   });
 }
 
+// Guards against a server that is used for good although its entry was removed:
+// an odd record of the same id hides the removal from a process that reads only
+// the newest records.
+TEST_CASE("A server whose entry turned odd is used only if it writes again") {
+  Deployment deployment(Duration{0});
+  RunCoroutine(&deployment.loop, [&](Coroutine yield) {
+    deployment.WaitUntilReady(yield);
+    CHECK(IsServedBy(&deployment, "i1", kPropagationBound, yield));
+    for (const bool writes_again : {true, false}) {
+      deployment.store.Put(kServersTopic, "i1", RepeatText("[", kOddNesting));
+      deployment.loop.Sleep(std::chrono::seconds(1), yield);
+      CHECK(IsServedBy(&deployment, "i1", Duration{0}, yield));
+      if (writes_again) {
+        deployment.PutServer("i1");
+      }
+      deployment.loop.Sleep(kRewriteBound, yield);
+      CHECK(IsServedBy(&deployment, "i1", Duration{0}, yield) == writes_again);
+    }
+    deployment.PutServer("i1");
+    CHECK(IsServedBy(&deployment, "i1", kPropagationBound, yield));
+  });
+}
+
 // A reader of the servers' topic.
 struct Reader {
   Reader() : store(&this->loop), client(&this->loop, this->store.Address()) {}
