Decode a configuration without copies of its tables

Unknown fields of a configuration may nest; a copy of the limits, the models or the keys recurses at each level and overflows the stack of the coroutine that decodes.

--- a/src/platform/config_decoder.cc
+++ b/src/platform/config_decoder.cc
@@ -21,6 +21,14 @@
       std::chrono::duration<double>(json.value(name, 0.0)));
 }
 
+// The table or list in `name`, empty where there is none. A copy would recurse
+// at each level.
+const Json& FieldAt(const Json& json, const char* name) {
+  static const Json empty;
+  const auto found = json.find(name);
+  return found == json.end() ? empty : *found;
+}
+
 Repeatability DecodeRepeatability(const Json& json) {
   const auto kind = json.at("kind").get<std::string>();
   if (kind == kIdempotentKind) {
@@ -78,7 +86,7 @@
   engine.loads_per_second = json.value("loads_per_s", 0.0);
   engine.loads_at_once = json.value("loads_at_once", 1);
   engine.forming = Millis(json, "form_ms", 0);
-  for (const Json& model : json.value("models", Json::array())) {
+  for (const Json& model : FieldAt(json, "models")) {
     engine.models.push_back(DecodeModel(model));
   }
   return engine;
@@ -97,6 +105,9 @@
 
 CallerLimits DecodeLimits(const Json& json) {
   CallerLimits limits;
+  if (json.is_null()) {
+    return limits;
+  }
   limits.header_bytes = json.value("max_header_bytes", limits.header_bytes);
   limits.body_bytes = json.value("max_body_bytes", limits.body_bytes);
   limits.header_timeout =
@@ -121,7 +132,7 @@
     if (priority != tenant.end() && priority->is_number_integer()) {
       holder.priority = priority->get<int>();
     }
-    for (const Json& key : tenant.value("api_keys", Json::array())) {
+    for (const Json& key : FieldAt(tenant, "api_keys")) {
       config->holders[key.get<std::string>()] = holder;
     }
   }
@@ -172,7 +183,7 @@
     ServiceSpec service = DecodeService(entry);
     config.services[service.name] = std::move(service);
   }
-  config.limits = DecodeLimits(json.value("limits", Json::object()));
+  config.limits = DecodeLimits(FieldAt(json, "limits"));
   DecodeKeys(json, &config);
   return config;
 }
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
+#include "fakes/odd_server_entries.h"
 #include "platform/caller_codec.h"
 #include "platform/config_decoder.h"
 #include "platform/process_settings.h"
@@ -95,6 +96,17 @@
   CHECK(DecodeRoutingConfig(R"({"version": "7"})").has_error());
 }
 
+// Guards against a copy that overflows the stack.
+TEST_CASE("Deep nesting in unknown fields of a configuration is ignored") {
+  for (const std::string field : {"\"limits\": {", "\"tenants\": [], \"x\": {",
+                                  "\"limits\": {}, \"y\": {"}) {
+    const Result<RoutingConfig> config = DecodeRoutingConfig(
+        R"({"version": 1, "routes": [], "services": [], )" + field +
+        "\"deep\": " + NestedArrays(kOddNesting) + "}}");
+    CHECK(config.has_value());
+  }
+}
+
 constexpr char kEntry[] =
     R"({"service": "s", "address": "10.1.0.9:8080", "zone": "a",
         "version": "v1", "slots": 26, "state": "ready", "cold_left_ms": 0,
