--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -1,13 +1,14 @@
 #include "entry/entry_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <random>
 
-#include "base/json.h"
 #include "base/logging.h"
 #include "base/scope_guard.h"
 #include "control/group_record_codec.h"
+#include "control/node_record_codec.h"
 #include "entry/caller_session.h"
 #include "entry/entry_constants.h"
 #include "model/socket_address.h"
@@ -62,6 +63,10 @@
 // whether this VM reads them from the store.
 constexpr Duration kNodesTopicWait = std::chrono::milliseconds(1000);
 constexpr Duration kNodesTopicPollInterval = std::chrono::milliseconds(5);
+// Time in which a running server replaces an entry that cannot be decoded:
+// three report intervals, after which the platform removes the entry of a
+// silent one.
+constexpr Duration kEntryRewriteTime = std::chrono::milliseconds(3600);
 // Delay between attempts to publish the node record of this process.
 constexpr Duration kNodeRecordRetryDelay = std::chrono::milliseconds(500);
 
@@ -298,6 +303,10 @@
     LogWarning("server_entry_ignored", {{"server", record.key},
                                         {"offset", record.offset},
                                         {"reason", server.error().message}});
+    // The entry no longer names the server, or was removed before this record.
+    this->view.RemoveServer(
+        record.key, std::max(this->store_outage.EffectiveRemovalTime(now),
+                             now + kEntryRewriteTime));
     return;
   }
   const BackendServer* known = this->view.FindServer(record.key);
@@ -334,28 +343,21 @@
   if (!record.value) {
     return;
   }
-  const Result<Json> json = ParseJson(*record.value);
-  if (json.has_error()) {
-    LogWarning("node_record_unreadable", {{"node", record.key}});
+  const Result<NodeRecord> node = DecodeNodeRecord(*record.value);
+  if (node.has_error()) {
+    LogWarning("node_record_unreadable", {{"node", record.key},
+                                          {"offset", record.offset},
+                                          {"reason", node.error().message}});
     return;
   }
-  const Result<Endpoint> endpoint =
-      FromJson<Endpoint>(json.value().value("endpoint", Json::object()));
-  if (endpoint.has_error()) {
-    LogWarning("node_record_unreadable", {{"node", record.key}});
-    return;
-  }
-  this->peers.PutPeer(record.key,
-                      json.value().value("failure_domain", std::string()),
-                      endpoint.value(), json.value().value("cores", 0.0));
+  this->peers.PutPeer(record.key, node.value().failure_domain,
+                      node.value().endpoint, node.value().cores);
 }
 
 void EntryProcess::PublishNodeRecord(Coroutine yield) {
-  const std::string value = Json{
-      {"endpoint", this->settings.peers},
-      {"failure_domain", this->settings.failure_domain},
-      {"cores",
-       this->settings.cores}}.dump();
+  const std::string value =
+      EncodeNodeRecord({this->settings.peers, this->settings.failure_domain,
+                        this->settings.cores});
   for (;;) {
     const Result<std::int64_t> offset =
         this->store.Append(StoreTopic::kNodes, this->settings.node_name, value,
