Let servers of the soak answer reports as promised, and judge groups exactly

Callers' requests ran in a group one of whose members was never ready (PARTIAL), and no soak found it. The stand-in server hid the cause: it answered a report that was meant for another server with 421, where the protocol promises 421 for orders and requests only, its start was a constant, and its address ended with it. And the check excused the fault: it passed over members without a running server, such as the one whose address another server had taken.

A report is answered by whichever server has the address now, with the Unix time of its start. Address, staged models and the way to the store belong to a ServerHost, which outlives its servers; ServerEntries keeps the end of one start from removing the entry of the next one under the same id. Which member was ready in which formation of a group is kept in ReadinessLedger, which outlives the servers too: a member that was ready and ended excuses, one that was never ready does not. A join of the same group and epoch with other members is answered 412, a request without an expected server is run, and one that runs at a server of the other service is accused.

--- /dev/null
+++ b/tools/soak/readiness_ledger.cc
@@ -0,0 +1,25 @@
+#include "soak/readiness_ledger.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace kumquatcart::soak {
+
+void ReadinessLedger::NoteReady(const GroupFormation& formation,
+                                const std::string& member) {
+  this->ready.emplace(formation.group, formation.epoch, formation.members,
+                      member);
+}
+
+std::vector<std::string> ReadinessLedger::NeverReady(
+    const GroupFormation& formation) const {
+  std::vector<std::string> missing;
+  std::copy_if(formation.members.begin(), formation.members.end(),
+               std::back_inserter(missing), [&](const std::string& member) {
+                 return this->ready.count(Key{formation.group, formation.epoch,
+                                              formation.members, member}) == 0;
+               });
+  return missing;
+}
+
+}  // namespace kumquatcart::soak
--- /dev/null
+++ b/tools/soak/server_entries.cc
@@ -0,0 +1,21 @@
+#include "soak/server_entries.h"
+
+namespace kumquatcart::soak {
+
+void ServerEntries::Write(const std::string& id,
+                          std::int64_t started_ms,
+                          const std::string& value) {
+  this->writers[id] = started_ms;
+  this->put(id, value);
+}
+
+void ServerEntries::Lapse(const std::string& id, std::int64_t started_ms) {
+  const auto writer = this->writers.find(id);
+  if (writer == this->writers.end() || writer->second != started_ms) {
+    return;
+  }
+  this->writers.erase(writer);
+  this->put(id, std::nullopt);
+}
+
+}  // namespace kumquatcart::soak
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr char kServersTopic[] = "keyed.servers";
 constexpr Duration kWork = std::chrono::milliseconds(30);
 constexpr Duration kEventInterval = std::chrono::milliseconds(25);
 constexpr Duration kWarmJoin = std::chrono::milliseconds(200);
@@ -20,7 +19,7 @@
 constexpr Duration kForming = std::chrono::milliseconds(100);
 // A head whose group is not whole gives up after this.
 constexpr Duration kStall = std::chrono::milliseconds(2500);
-// An entry lapses this long after its server's end.
+// An entry lapses this long after its server's end or last heartbeat.
 constexpr Duration kLapse = std::chrono::milliseconds(1500);
 // A leaving server goes on for this long.
 constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
@@ -36,10 +35,8 @@
   return false;
 }
 
-std::string ReadyKey(const std::string& group,
-                     std::int64_t epoch,
-                     const std::vector<std::string>& members) {
-  return fmt::format("{}/{}/{}", group, epoch, fmt::join(members, ","));
+bool IsStreamRoute(const std::string& target) {
+  return target.rfind("/stream/", 0) == 0;
 }
 
 }  // namespace
@@ -47,24 +44,25 @@
 ServerStandIn::ServerStandIn(ServerParts parts,
                              std::string id,
                              std::string service,
-                             bool forms_groups)
+                             bool forms_groups,
+                             std::shared_ptr<ServerHost> host)
     : parts(parts),
       id(std::move(id)),
       service(std::move(service)),
-      forms_groups(forms_groups) {}
+      forms_groups(forms_groups),
+      host(std::move(host)) {}
 
 Status ServerStandIn::Start() {
   EventLoop* loop = this->parts.loop;
-  this->address = FreeLoopbackAddress(loop, kServersHost);
-  this->proxy_address = FreeLoopbackAddress(loop, kServersHost);
+  const TcpEndpoint address = FreeLoopbackAddress(loop, kServersHost);
   this->listener = std::make_unique<TcpListener>(
       loop, [this](boost::asio::ip::tcp::socket socket) {
         this->Serve(std::move(socket));
       });
-  this->proxy = std::make_unique<TcpProxy>(loop, this->address);
-  BOOST_OUTCOME_TRY(this->listener->Start(this->address));
-  BOOST_OUTCOME_TRY(this->proxy->Start(this->proxy_address));
+  BOOST_OUTCOME_TRY(this->listener->Start(address));
+  this->started_ms = ToUnixMillis(std::chrono::system_clock::now());
   this->alive = true;
+  this->host->Attach(address, [this] { this->Register(); });
   (*this->parts.table)[this->id] = this;
   this->Register();
   return Ok();
@@ -78,14 +76,29 @@
   this->alive = false;
   this->parts.table->erase(this->id);
   this->listener->Stop();
-  this->proxy->SetState(LinkState::kRefused);
-  this->parts.loop->Spawn([store = this->parts.store, loop = this->parts.loop,
-                           key = this->id](Coroutine yield) {
-    loop->Sleep(kLapse, yield);
-    store->Put(kServersTopic, key, std::nullopt);
+  this->host->Detach();
+  this->LapseEntry();
+}
+
+void ServerStandIn::LapseEntry() {
+  this->parts.loop->Spawn([parts = this->parts, id = this->id,
+                           started = this->started_ms,
+                           host = this->host](Coroutine yield) {
+    parts.loop->Sleep(kLapse, yield);
+    while (host->GetStoreCut() == StoreCut::kEntryStays) {
+      parts.loop->Sleep(kWork, yield);
+    }
+    parts.entries->Lapse(id, started);
   });
 }
 
+void ServerStandIn::CutFromStore(StoreCut cut) {
+  this->host->SetStoreCut(cut);
+  if (cut == StoreCut::kEntryLapses) {
+    this->LapseEntry();
+  }
+}
+
 void ServerStandIn::SetLimit(std::optional<double> per_second) {
   if (!this->alive) {
     return;
@@ -101,7 +114,12 @@
 
 bool ServerStandIn::IsOpenHead() const {
   return this->membership && this->membership->state == "open" &&
-         this->membership->members.front() == this->id;
+         this->membership->formation.members.front() == this->id;
+}
+
+std::vector<std::string> ServerStandIn::GroupMembers() const {
+  return this->membership ? this->membership->formation.members
+                          : std::vector<std::string>();
 }
 
 void ServerStandIn::NoteRequest(const std::string& request_id) const {
@@ -132,18 +150,19 @@
 
 Json ServerStandIn::Describe() const {
   Json json{{"models", Json::array()},
-            {"staged", this->staged},
+            {"staged", this->host->StagedModels()},
             {"seq", this->orders},
-            {"born", 1700}};
+            {"born", this->started_ms}};
   if (!this->loaded_model.empty()) {
     json["models"].push_back(
         {{"name", this->loaded_model}, {"version", 1}, {"adapters", {}}});
   }
   if (this->membership) {
-    const auto& members = this->membership->members;
+    const GroupFormation& formation = this->membership->formation;
+    const std::vector<std::string>& members = formation.members;
     json["group"] = {
-        {"name", this->membership->group},
-        {"epoch", this->membership->epoch},
+        {"name", formation.group},
+        {"epoch", formation.epoch},
         {"rank",
          std::find(members.begin(), members.end(), this->id) - members.begin()},
         {"state", this->membership->state}};
@@ -152,10 +171,13 @@
 }
 
 void ServerStandIn::Register() {
+  if (this->host->GetStoreCut() != StoreCut::kNone) {
+    return;
+  }
   Json json = this->Describe();
   json["service"] = this->service;
-  json["address"] = this->proxy_address.address().to_string() + ":" +
-                    std::to_string(this->proxy_address.port());
+  json["address"] = this->host->Address().address().to_string() + ":" +
+                    std::to_string(this->host->Address().port());
   json["zone"] = "zone";
   json["version"] = "v1";
   json["slots"] = kSlots;
@@ -164,7 +186,7 @@
   if (this->forms_groups) {
     json["domain"] = "zone-d0";
   }
-  this->parts.store->Put(kServersTopic, this->id, json.dump());
+  this->parts.entries->Write(this->id, this->started_ms, json.dump());
 }
 
 void ServerStandIn::Serve(boost::asio::ip::tcp::socket socket) {
@@ -208,15 +230,18 @@
                            TcpConnection* connection,
                            Waiter* waiter,
                            Coroutine yield) {
-  if (FindHeader(request.headers, "X-Expect-Instance") != this->id) {
-    this->AnswerText(request, kHttpMisdirectedRequest, "", true, connection);
-    return true;
-  }
+  // A report is answered whichever server is meant.
   if (request.target == "/api/report") {
     this->AnswerText(request, kHttpOk, this->Describe().dump(), false,
                      connection);
     return true;
   }
+  const std::string_view expected =
+      FindHeader(request.headers, "X-Expect-Instance");
+  if (!expected.empty() && expected != this->id) {
+    this->AnswerText(request, kHttpMisdirectedRequest, "", true, connection);
+    return true;
+  }
   if (request.target == "/api/order") {
     const Result<Json> order = ParseJson(request.body);
     const SimpleHttpResponse answer =
@@ -225,6 +250,11 @@
     this->AnswerText(request, answer.status, answer.body, false, connection);
     return true;
   }
+  if (IsStreamRoute(request.target) != this->forms_groups) {
+    this->parts.ledger->Accuse(
+        fmt::format("{} got {}, which is not of its service", this->id,
+                    FindHeader(request.headers, "X-Request-Id")));
+  }
   if (this->forms_groups) {
     return this->Stream(request, connection, waiter, yield);
   }
@@ -275,7 +305,7 @@
         [this, model = order.value("model", std::string())](Coroutine yield) {
           this->parts.loop->Sleep(kLoad, yield);
           if (this->alive) {
-            this->staged.insert(model);
+            this->host->Stage(model);
             this->Register();
           }
         });
@@ -285,8 +315,10 @@
     return this->Join(order);
   }
   if (!this->membership ||
-      this->membership->group != order.value("group", std::string()) ||
-      this->membership->epoch != order.value("epoch", std::int64_t{0})) {
+      this->membership->formation.group !=
+          order.value("group", std::string()) ||
+      this->membership->formation.epoch !=
+          order.value("epoch", std::int64_t{0})) {
     return {kHttpConflict, ""};
   }
   ++this->orders;
@@ -302,8 +334,7 @@
         [this, opened = *this->membership](Coroutine yield) {
           this->parts.loop->Sleep(kForming, yield);
           if (this->alive && this->membership &&
-              this->membership->epoch == opened.epoch &&
-              this->membership->group == opened.group) {
+              this->membership->formation == opened.formation) {
             this->membership->state = "open";
             this->Register();
           }
@@ -314,66 +345,70 @@
 }
 
 SimpleHttpResponse ServerStandIn::Join(const Json& order) {
-  Membership joined{order.at("group").get<std::string>(),
-                    order.at("epoch").get<std::int64_t>(),
-                    order.at("members").get<std::vector<std::string>>(),
-                    "joining"};
-  if (this->membership && this->membership->epoch > joined.epoch) {
-    return {kHttpPreconditionFailed, ""};
-  }
-  if (this->membership && this->membership->group != joined.group &&
-      this->IsServing(*this->membership)) {
-    this->parts.ledger->Accuse(
-        fmt::format("{} joined {} while its group {} was open", this->id,
-                    joined.group, this->membership->group));
-  }
-  if (this->membership && this->membership->group == joined.group &&
-      this->membership->epoch == joined.epoch) {
-    return {kHttpOk, ""};
+  const GroupFormation joined{
+      order.at("group").get<std::string>(),
+      order.at("epoch").get<std::int64_t>(),
+      order.at("members").get<std::vector<std::string>>()};
+  if (this->membership) {
+    const GroupFormation& current = this->membership->formation;
+    if (current.epoch > joined.epoch) {
+      return {kHttpPreconditionFailed, ""};
+    }
+    if (current.group != joined.group && this->IsServing(current)) {
+      this->parts.ledger->Accuse(
+          fmt::format("{} joined {} while its group {} was open", this->id,
+                      joined.group, current.group));
+    }
+    if (current.group == joined.group && current.epoch == joined.epoch) {
+      return {current == joined ? kHttpOk : kHttpPreconditionFailed, ""};
+    }
   }
   ++this->orders;
   const std::string model = order.value("model", std::string());
-  const bool is_warm =
-      this->loaded_model == model || this->staged.count(model) > 0;
-  this->membership = joined;
+  const bool is_warm = this->loaded_model == model ||
+                       this->host->StagedModels().count(model) > 0;
+  this->membership = Membership{joined, "joining"};
   this->Register();
   this->parts.loop->Spawn([this, joined, model, is_warm](Coroutine yield) {
     this->parts.loop->Sleep(is_warm ? kWarmJoin : kLoad, yield);
-    this->staged.insert(model);
+    if (!this->alive) {
+      return;
+    }
+    this->host->Stage(model);
     this->loaded_model = model;
     this->BecomeReady(joined);
   });
   return {kHttpAccepted, ""};
 }
 
-void ServerStandIn::BecomeReady(const Membership& joined) {
-  if (!this->alive || !this->membership ||
-      this->membership->group != joined.group ||
-      this->membership->epoch != joined.epoch) {
+void ServerStandIn::BecomeReady(const GroupFormation& joined) {
+  if (!this->membership || !(this->membership->formation == joined)) {
     return;
   }
   this->membership->state = "ready";
-  this->ever_ready.insert(ReadyKey(joined.group, joined.epoch, joined.members));
+  this->parts.readiness->NoteReady(joined, this->id);
   this->Register();
 }
 
-bool ServerStandIn::IsServing(const Membership& served) const {
+bool ServerStandIn::IsInGroup(const GroupFormation& served) const {
+  return this->membership &&
+         this->membership->formation.group == served.group &&
+         this->membership->formation.epoch == served.epoch;
+}
+
+bool ServerStandIn::IsServing(const GroupFormation& served) const {
   const auto head = this->parts.table->find(served.members.front());
-  return head != this->parts.table->end() && head->second->membership &&
-         head->second->membership->group == served.group &&
-         head->second->membership->epoch == served.epoch &&
+  return head != this->parts.table->end() && head->second->IsInGroup(served) &&
          head->second->membership->state == "open";
 }
 
-bool ServerStandIn::IsWhole(const Membership& served) const {
-  return std::all_of(
-      served.members.begin(), served.members.end(),
-      [this, &served](const std::string& member) {
-        const auto found = this->parts.table->find(member);
-        return found != this->parts.table->end() && found->second->membership &&
-               found->second->membership->group == served.group &&
-               found->second->membership->epoch == served.epoch;
-      });
+bool ServerStandIn::IsWhole(const GroupFormation& served) const {
+  return std::all_of(served.members.begin(), served.members.end(),
+                     [this, &served](const std::string& member) {
+                       const auto found = this->parts.table->find(member);
+                       return found != this->parts.table->end() &&
+                              found->second->IsInGroup(served);
+                     });
 }
 
 bool ServerStandIn::Stream(const ParsedRequest& request,
@@ -384,19 +419,14 @@
     this->AnswerText(request, kHttpMisdirectedRequest, "", true, connection);
     return true;
   }
-  const Membership served = *this->membership;
+  const GroupFormation served = this->membership->formation;
   const std::string caller_id(FindHeader(request.headers, "X-Request-Id"));
   const std::string resume(FindHeader(request.headers, "Last-Event-Id"));
   this->NoteRequest(caller_id);
-  for (const std::string& member : served.members) {
-    const auto found = this->parts.table->find(member);
-    if (found != this->parts.table->end() &&
-        found->second->ever_ready.count(
-            ReadyKey(served.group, served.epoch, served.members)) == 0) {
-      this->parts.ledger->Accuse(
-          fmt::format("{} ran in {} of which {} was never ready", caller_id,
-                      served.group, member));
-    }
+  for (const std::string& member : this->parts.readiness->NeverReady(served)) {
+    this->parts.ledger->Accuse(
+        fmt::format("{} ran in {} of which {} was never ready", caller_id,
+                    served.group, member));
   }
   const AnswerForm form = this->FormOf(caller_id);
   const auto event_text = [&](int event) {
@@ -424,7 +454,7 @@
     waiter->WaitUntil(this->parts.loop->Now() + kEventInterval, yield);
     const MonotonicTime now = this->parts.loop->Now();
     if (!this->alive || connection->HasEnded() || !this->membership ||
-        this->membership->epoch != served.epoch ||
+        this->membership->formation.epoch != served.epoch ||
         this->membership->state != "open" || now - whole_at > kStall) {
       return this->BreakOff(form, &sender, connection);
     }
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -14,9 +14,10 @@
 #include "entry/simple_http_server.h"
 #include "soak/answer_form.h"
 #include "soak/limit_ledger.h"
+#include "soak/readiness_ledger.h"
 #include "soak/run_ledger.h"
-#include "soak/store_stand_in.h"
-#include "soak/tcp_proxy.h"
+#include "soak/server_entries.h"
+#include "soak/server_host.h"
 
 namespace kumquatcart::soak {
 
@@ -29,30 +30,36 @@
 // What a server needs. The referents outlive it.
 struct ServerParts {
   EventLoop* loop = nullptr;
-  StoreStandIn* store = nullptr;
+  ServerEntries* entries = nullptr;
   RunLedger* ledger = nullptr;
   LimitLedger* limits = nullptr;
+  ReadinessLedger* readiness = nullptr;
   ServerTable* table = nullptr;
   bool varies_framing = false;  // Draws a form for each answer.
 };
 
-// Listens behind a proxy of its own, which the entry VMs know as its address.
-// For the event loop's thread. Lives until the loop has ended.
+// One start of a server, at the address of its VM. For the event loop's thread.
+// Lives until the loop has ended.
 class ServerStandIn {
  public:
   ServerStandIn(ServerParts parts,
                 std::string id,
                 std::string service,
-                bool forms_groups);
+                bool forms_groups,
+                std::shared_ptr<ServerHost> host);
   ~ServerStandIn() { this->Die(); }
   ServerStandIn(const ServerStandIn&) = delete;
   ServerStandIn& operator=(const ServerStandIn&) = delete;
 
-  // Listens and registers. Errors: kUnavailable.
+  // Listens and registers. Precondition: no server has the VM's address.
+  // Errors: kUnavailable.
   Status Start();
 
   // Ends without a word; its entry lapses later.
   void Die();
+  // Holds back all that this VM writes to the store, until the VM's cut ends.
+  // Precondition: `cut` is not kNone.
+  void CutFromStore(StoreCut cut);
   // Tells that it is leaving, goes on for a while, and is gone.
   void Drain();
   bool IsAlive() const { return this->alive; }
@@ -64,18 +71,22 @@
   // Whether it is the head of an open group.
   bool IsOpenHead() const;
 
-  TcpProxy& Link() { return *this->proxy; }
+  // The members of the group that it last joined; empty for none.
+  std::vector<std::string> GroupMembers() const;
+
+  TcpProxy& Link() { return this->host->Link(); }
+  const std::shared_ptr<ServerHost>& Host() const { return this->host; }
   const std::string& Id() const { return this->id; }
 
  private:
   struct Membership {
-    std::string group;
-    std::int64_t epoch = 0;
-    std::vector<std::string> members;
+    GroupFormation formation;
     std::string state;
   };
 
   void Register();
+  // Removes the entry after the heartbeats that it has missed then.
+  void LapseEntry();
   Json Describe() const;
   void Serve(boost::asio::ip::tcp::socket socket);
   // False when the connection is to be closed.
@@ -85,7 +96,7 @@
               Coroutine yield);
   SimpleHttpResponse TakeOrder(const Json& order);
   SimpleHttpResponse Join(const Json& order);
-  void BecomeReady(const Membership& joined);
+  void BecomeReady(const GroupFormation& joined);
   bool Stream(const ParsedRequest& request,
               TcpConnection* connection,
               Waiter* waiter,
@@ -95,10 +106,12 @@
   bool BreakOff(const AnswerForm& form,
                 AnswerSender* sender,
                 TcpConnection* connection) const;
+  // Whether it is in the group of that name and epoch.
+  bool IsInGroup(const GroupFormation& served) const;
   // Whether the head of that group is alive and open.
-  bool IsServing(const Membership& served) const;
+  bool IsServing(const GroupFormation& served) const;
   // Whether every member is alive and in the group that this server heads.
-  bool IsWhole(const Membership& served) const;
+  bool IsWhole(const GroupFormation& served) const;
   // Records a request and adds the limit to the header fields of its answer.
   void NoteRequest(const std::string& request_id) const;
   void AddLimit(const std::string& request_id, HeaderList* headers) const;
@@ -112,19 +125,15 @@
   const std::string id;
   const std::string service;
   const bool forms_groups;
-  TcpEndpoint address;
+  const std::shared_ptr<ServerHost> host;
+  std::int64_t started_ms = 0;  // Unix time.
   std::unique_ptr<TcpListener> listener;
-  std::unique_ptr<TcpProxy> proxy;
-  TcpEndpoint proxy_address;
   bool alive = false;
   bool draining = false;
   std::optional<double> limit;
   int orders = 0;
   std::string loaded_model;
-  std::set<std::string> staged;
   std::optional<Membership> membership;
-  // Groups, epochs and lists under which it was ready once.
-  std::set<std::string> ever_ready;
 };
 
 }  // namespace kumquatcart::soak
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr char kServersTopic[] = "keyed.servers";
 constexpr char kPlainService[] = "plain";
 constexpr char kModelService[] = "models";
 constexpr Duration kQuestionTimeout = std::chrono::milliseconds(1500);
@@ -40,6 +41,10 @@
 SoakWorld::SoakWorld(const SoakSettings& settings)
     : store(&this->loop),
       settings(settings),
+      server_entries([this](const std::string& id,
+                            const std::optional<std::string>& value) {
+        this->store.Put(kServersTopic, id, value);
+      }),
       generator(static_cast<std::minstd_rand::result_type>(
           settings.seed % 2147483646 + 1)) {}
 
@@ -131,12 +136,27 @@
   return this->version;
 }
 
+std::string SoakWorld::NextServerId() {
+  return fmt::format("i{}", ++this->servers_started);
+}
+
 void SoakWorld::AddServer(bool forms_groups) {
+  const auto host = std::make_shared<ServerHost>(&this->loop);
+  if (host->Start().has_error()) {
+    this->ledger.Accuse("the VM of a server has no address");
+    return;
+  }
+  this->StartServer(host, this->NextServerId(), forms_groups);
+}
+
+void SoakWorld::StartServer(const std::shared_ptr<ServerHost>& host,
+                            const std::string& id,
+                            bool forms_groups) {
   this->servers.push_back(std::make_unique<ServerStandIn>(
-      ServerParts{&this->loop, &this->store, &this->ledger, &this->limits,
-                  &this->table, this->settings.with_framings},
-      fmt::format("i{}", ++this->servers_started),
-      forms_groups ? kModelService : kPlainService, forms_groups));
+      ServerParts{&this->loop, &this->server_entries, &this->ledger,
+                  &this->limits, &this->readiness, &this->table,
+                  this->settings.with_framings},
+      id, forms_groups ? kModelService : kPlainService, forms_groups, host));
   if (this->servers.back()->Start().has_error()) {
     this->ledger.Accuse("a stand-in server could not listen");
   }
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -54,8 +54,13 @@
     this->idle = {timeout, this->idle.newest};
   }
   Duration IdleTimeout() const { return this->idle.newest; }
-  // Starts one more server of the kind.
+  // Starts one more server of the kind, on a VM of its own.
   void AddServer(bool forms_groups);
+  // Starts a server on a VM that has none.
+  void StartServer(const std::shared_ptr<ServerHost>& host,
+                   const std::string& id,
+                   bool forms_groups);
+  std::string NextServerId();
   // Servers that live and are not leaving.
   std::vector<ServerStandIn*> Servers(bool forms_groups) const;
   // Starts processes that have ended, and takes note of ends.
@@ -69,6 +74,7 @@
   EventLoop loop;
   RunLedger ledger;
   LimitLedger limits;
+  ReadinessLedger readiness;
   StoreStandIn store;
   std::vector<std::unique_ptr<EntryChild>> entries;
   std::vector<std::unique_ptr<SoakCaller>> callers;
@@ -80,6 +86,7 @@
                         Coroutine yield);
 
   const SoakSettings settings;
+  ServerEntries server_entries;
   ServerTable table;
   std::vector<std::unique_ptr<ServerStandIn>> servers;
   std::minstd_rand generator;
--- a/tools/soak/tcp_proxy.cc
+++ b/tools/soak/tcp_proxy.cc
@@ -24,6 +24,11 @@
         this->Accept(std::move(socket));
       }) {}
 
+void TcpProxy::SetTarget(const TcpEndpoint& next) {
+  this->target = next;
+  ++this->targets;
+}
+
 void TcpProxy::Accept(boost::asio::ip::tcp::socket socket) {
   const ConnectionRef near =
       TcpConnection::Adopt(this->loop, std::move(socket));
@@ -54,10 +59,11 @@
   while (this->state == LinkState::kSilent) {
     this->loop->Sleep(kLook, yield);
   }
+  const int generation = this->targets;
   bool open = far->Connect(this->target, this->loop->Now() + kConnectTimeout,
                            &waiter, yield);
   while (open) {
-    if (this->state == LinkState::kRefused) {
+    if (this->state == LinkState::kRefused || generation != this->targets) {
       break;
     }
     if (this->state != LinkState::kSilent) {
--- a/tools/soak/tcp_proxy.h
+++ b/tools/soak/tcp_proxy.h
@@ -31,6 +31,9 @@
 
   void SetState(LinkState next) { this->state = next; }
 
+  // Cuts all connections; later ones go to `next`.
+  void SetTarget(const TcpEndpoint& next);
+
  private:
   using ConnectionRef = std::shared_ptr<TcpConnection>;
 
@@ -40,7 +43,8 @@
   void Pass(TcpConnection* from, TcpConnection* to, Coroutine yield);
 
   EventLoop* const loop;
-  const TcpEndpoint target;
+  TcpEndpoint target;
+  int targets = 0;  // How often the target has changed.
   TcpListener listener;
   LinkState state = LinkState::kSound;
 };
