Leave two servers with one address and start as they are

Found while merging: with equal starts the server whose entry came last was taken for the former holder of the address. Nothing tells them apart then; a report does, or an order.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -74,6 +74,9 @@
     entry->second = server.id;
     return;
   }
+  if (holder->started_ms == server.started_ms) {
+    return;  // Nothing tells which of them has the address.
+  }
   const bool is_newer = holder->started_ms < server.started_ms;
   const std::string former = is_newer ? holder->id : server.id;
   entry->second = is_newer ? server.id : holder->id;
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -183,6 +183,19 @@
   CHECK(view.IsUsable("a"));
 }
 
+TEST_CASE("Two servers with one address and start stay as they are") {
+  BackendServer first = Server("a");
+  first.started_ms = 10;
+  first.endpoint = Endpoint{"10.0.0.1", 80};
+  BackendServer second = first;
+  second.id = "b";
+  FleetView view;
+  view.PutServer(first, kStart);
+  view.PutServer(second, kStart);
+  CHECK(view.IsUsable("a"));
+  CHECK(view.IsUsable("b"));
+}
+
 // The entry of the member's present start may arrive after the record.
 TEST_CASE(
     "A member whose known start is earlier than its record is available") {
