Reset a group's health when other members form it

Own interface: a group that was formed anew got no requests until its circuit let a probe through, up to 15 s, and stayed an outlier, because circuit and statistics are kept by the group's name. Requests to the former members that ended later counted as well.

Health belongs to one epoch now. It is reset when the group appears under another one, and the end of an attempt under another epoch only ends its count in flight.

The new case of router_test failed before ("chosen.count("formed-anew") == 1 with expansion: 0 == 1").

--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -151,7 +151,7 @@
   }
   BackendState& state = *pool.backend_states[*chosen];
   state.ledger.Start(now);
-  state.circuit.RecordStart(now);
+  state.health->circuit.RecordStart(now);
   return pool.routes[*chosen];
 }
 
@@ -161,20 +161,24 @@
   const MonotonicTime now = this->clock->Now();
   const std::lock_guard<std::mutex> lock(this->mutex);
   const std::shared_ptr<BackendState> state =
-      this->FindOrCreateState(route.backend, now);
+      this->FindOrCreateState(route, now);
   state->ledger.Finish(now);
-  UpdateStats(result, latency, &state->stats);
+  BackendHealth& health = *state->health;
+  if (health.epoch != route.epoch) {
+    return;  // Other members have formed the group since.
+  }
+  UpdateStats(result, latency, &health.stats);
   switch (result) {
     case AttemptResult::kAnswered:
-      state->circuit.RecordSuccess();
+      health.circuit.RecordSuccess();
       break;
     case AttemptResult::kCancelled:
-      state->circuit.RecordNeutral();
+      health.circuit.RecordNeutral();
       break;
     case AttemptResult::kRefused:
     case AttemptResult::kFailed:
     case AttemptResult::kTimedOut:
-      state->circuit.RecordFailure(now);
+      health.circuit.RecordFailure(now);
       break;
   }
 }
@@ -237,7 +241,10 @@
   candidate.distance = distance;
   pool->routes.push_back(route);
   pool->loads.push_back(load);
-  pool->backend_states.push_back(this->FindOrCreateState(route.backend, now));
+  pool->backend_states.push_back(this->FindOrCreateState(route, now));
+  if (pool->backend_states.back()->health->epoch != route.epoch) {
+    pool->backend_states.back()->health.emplace(route);
+  }
   pool->candidates.push_back(std::move(candidate));
 }
 
@@ -248,17 +255,21 @@
     candidate.load = state.ledger.Estimate(pool->loads[index], now);
     candidate.weight =
         SlowStartWeight(now - state.routable_since, this->settings.slow_start);
-    candidate.suspected = state.is_outlier || !state.circuit.Allows(now);
+    candidate.suspected =
+        state.health->is_outlier || !state.health->circuit.Allows(now);
   }
 }
 
+Router::BackendHealth::BackendHealth(const Route& route) : epoch(route.epoch) {
+  this->stats.id = route.backend;
+}
+
 std::shared_ptr<Router::BackendState> Router::FindOrCreateState(
-    const BackendId& backend,
+    const Route& route,
     MonotonicTime now) {
-  std::shared_ptr<BackendState>& state = this->backend_states[backend];
+  std::shared_ptr<BackendState>& state = this->backend_states[route.backend];
   if (!state) {
     state = std::make_shared<BackendState>();
-    state->stats.id = backend;
     // Backend servers found when this node starts may already be warm, so they
     // skip slow start.
     const bool seen_at_start =
@@ -266,6 +277,9 @@
     state->routable_since =
         seen_at_start ? now - this->settings.slow_start : now;
   }
+  if (!state->health) {
+    state->health.emplace(route);
+  }
   state->last_seen = now;
   return state;
 }
@@ -294,11 +308,11 @@
   std::vector<BackendStats> stats;
   stats.reserve(pool->backend_states.size());
   for (const std::shared_ptr<BackendState>& state : pool->backend_states) {
-    stats.push_back(state->stats);
+    stats.push_back(state->health->stats);
   }
   const std::set<BackendId> outliers = FindOutliers(stats, OutlierPolicy());
   for (const std::shared_ptr<BackendState>& state : pool->backend_states) {
-    state->is_outlier = outliers.count(state->stats.id) > 0;
+    state->health->is_outlier = outliers.count(state->health->stats.id) > 0;
   }
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <tuple>
@@ -103,14 +104,22 @@
   void Finish(const Route& route, AttemptResult result, Duration latency);
 
  private:
+  // Health of one backend server; of a group, under one epoch.
+  struct BackendHealth {
+    explicit BackendHealth(const Route& route);
+
+    GroupEpoch epoch = 0;
+    CircuitBreaker circuit{CircuitPolicy()};
+    BackendStats stats;
+    bool is_outlier = false;
+  };
+
   // Health and load history of one backend server.
   struct BackendState {
     MonotonicTime routable_since;
     MonotonicTime last_seen;
     InFlightHistory ledger{kInFlightHistoryRetention};
-    CircuitBreaker circuit{CircuitPolicy()};
-    BackendStats stats;
-    bool is_outlier = false;
+    std::optional<BackendHealth> health;  // Always set.
   };
 
   // The backend servers of one service, rebuilt when the board's tables change.
@@ -133,7 +142,7 @@
                  MonotonicTime now,
                  Pool* pool);
   void UpdateCandidates(MonotonicTime now, Pool* pool) const;
-  std::shared_ptr<BackendState> FindOrCreateState(const BackendId& backend,
+  std::shared_ptr<BackendState> FindOrCreateState(const Route& route,
                                                   MonotonicTime now);
   Distance DistanceTo(const FailureDomainId& failure_domain,
                       const VmTable& vms) const;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -92,6 +92,31 @@
   REQUIRE(probed.count("bad") == 1);
 }
 
+// Guards against a group that gets no requests after it was formed anew, since
+// its former members failed, or requests to them end later.
+TEST_CASE("Failures of a former epoch do not count against a group") {
+  Fixture fixture;
+  ReplicaGroup group = MakeGroup("formed-anew", "llm", "fd-a", 4);
+  PublishGroup(&fixture.board, group);
+  std::vector<Route> former;
+  for (int attempt = 0; attempt < 10; ++attempt) {
+    fixture.ChooseAndFinish(AttemptResult::kFailed);
+    former.push_back(fixture.router.Choose(fixture.query).value());
+  }
+  PublishGroup(&fixture.board, MakeGroup("other", "llm", "fd-a", 4));
+  group.claim.epoch = 2;
+  PublishGroup(&fixture.board, group);
+  for (const Route& route : former) {
+    fixture.router.Finish(route, AttemptResult::kFailed, milliseconds(10));
+  }
+  std::set<std::string> chosen;
+  for (int attempt = 0; attempt < 50; ++attempt) {
+    chosen.insert(
+        fixture.ChooseAndFinish(AttemptResult::kAnswered).group.value);
+  }
+  CHECK(chosen.count("formed-anew") == 1);
+}
+
 TEST_CASE("The only backend server is used regardless of its failures") {
   Fixture fixture;
   PublishGroup(&fixture.board, MakeGroup("only", "llm", "fd-a", 4));
