Close kept connections to an address when a server starts there

A request that may run again could be sent over a kept connection to a server that is gone, and used up one of its attempts, or ended with 502 where the route has one, although the server that has the address now would have run it: the pool goes by address, and a VM that dies closes no connections.

When the entry of a server is new, of another start or at another address, the idle connections to its address are closed, those for reports and orders as well.

The new case of entry_process_test failed before ("CHECK( is_closed ) with expansion: false", for another start under the id and for another id).

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -300,6 +300,14 @@
                                         {"reason", server.error().message}});
     return;
   }
+  const BackendServer* known = this->view.FindServer(record.key);
+  if (known == nullptr || known->started_ms != server.value().started_ms ||
+      known->endpoint != server.value().endpoint) {
+    // Connections that were opened before lead to a former server.
+    const TcpEndpoint address = ToTcpEndpoint(server.value().endpoint);
+    this->pool.CloseIdle(address);
+    this->engine_http.CloseIdle(address);
+  }
   this->view.PutServer(server.value(), now);
   this->limiter.HandleStart(record.key, server.value().started_ms);
   this->group_balancer.AssignFreeSlots();
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -56,6 +56,17 @@
   connections.push_back(std::move(connection));
 }
 
+void ConnectionPool::CloseIdle(const TcpEndpoint& endpoint) {
+  const auto found = this->idle.find(endpoint);
+  if (found == this->idle.end()) {
+    return;
+  }
+  for (const ConnectionPtr& connection : found->second) {
+    connection->Close();
+  }
+  this->idle.erase(found);
+}
+
 void ConnectionPool::CloseUnusable() {
   const MonotonicTime now = this->loop->Now();
   for (auto entry = this->idle.begin(); entry != this->idle.end();) {
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -29,6 +29,9 @@
                         ConnectionPtr connection,
                         Duration idle_limit);
 
+  // Closes the connections to `endpoint`.
+  void CloseIdle(const TcpEndpoint& endpoint);
+
   // Closes connections that exceed their idle limit, were closed by the peer or
   // hold unread input.
   void CloseUnusable();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -55,6 +55,11 @@
                         Duration max_idle,
                         Coroutine yield);
 
+  // Closes the pooled connections to `endpoint`.
+  void CloseIdle(const TcpEndpoint& endpoint) {
+    this->pool.CloseIdle(endpoint);
+  }
+
   // Closes pooled connections that can no longer be reused.
   void PruneIdle() { this->pool.CloseUnusable(); }
 
--- a/tests/entry/entry_process_test.cc
+++ b/tests/entry/entry_process_test.cc
@@ -17,12 +17,19 @@
 constexpr char kConfig[] = R"({"version": 1,
   "routes": [{"name": "r", "host": "h", "path_prefix": "/x/",
               "kind": "non_idempotent", "timeout_ms": 4000, "service": "s",
+              "public": true},
+             {"name": "k", "host": "h", "path_prefix": "/kept/",
+              "kind": "idempotent", "timeout_ms": 4000, "service": "kept",
               "public": true}],
-  "services": [{"name": "s", "max_connections": 100}],
+  "services": [{"name": "s", "max_connections": 100},
+               {"name": "kept", "max_connections": 100}],
   "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
              "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
   "tenants": []})";
 
+constexpr std::int64_t kFirstStart = 1'700;
+constexpr std::int64_t kSecondStart = 2'700;
+
 constexpr Duration kStopGrace = std::chrono::seconds(5);
 
 Endpoint ToEndpoint(const TcpEndpoint& address) {
@@ -45,11 +52,7 @@
                  this->loop.Sleep(std::chrono::milliseconds(100), yield);
                }) {
     this->store.Put("keyed.op", "config", kConfig);
-    this->store.Put("keyed.servers", "i1",
-                    R"({"service": "s", "zone": "a", "version": "v", "slots": 4,
-            "state": "ready", "seq": 0, "cold_left_ms": 0, "born": 1700, "address": ")" +
-                        ToEndpoint(this->server.Address()).ToString() +
-                        R"("})");
+    this->PutServer("i1", "s", kFirstStart, this->server.Address());
     this->settings.node_name = "n1";
     this->settings.failure_domain = "a";
     this->settings.failure_domains = {"a"};
@@ -75,6 +78,23 @@
     this->loop.UnwindCoroutines();
   }
 
+  // The entry of a server that started at the Unix time `started_ms`.
+  void PutServer(const std::string& id,
+                 const std::string& service,
+                 std::int64_t started_ms,
+                 const TcpEndpoint& address) {
+    const Json entry{{"service", service},
+                     {"zone", "a"},
+                     {"version", "v"},
+                     {"slots", 4},
+                     {"state", "ready"},
+                     {"seq", 0},
+                     {"cold_left_ms", 0},
+                     {"born", started_ms},
+                     {"address", ToEndpoint(address).ToString()}};
+    this->store.Put("keyed.servers", id, entry.dump());
+  }
+
   HttpResponse SendRequest(const Endpoint& at,
                            const std::string& target,
                            Coroutine yield) {
@@ -122,6 +142,50 @@
   });
 }
 
+// Guards against requests that are sent over a connection of a former server at
+// an address, and fail where they could have run.
+TEST_CASE(
+    "Kept connections to an address are closed when a server starts there") {
+  struct Change {
+    const char* id;
+    std::int64_t started_ms;
+  };
+  for (const Change& change :
+       {Change{"kept", kSecondStart}, Change{"other", kFirstStart}}) {
+    CAPTURE(change.id);
+    Deployment deployment(Duration{0});
+    bool is_closed = false;
+    LoopServer kept(&deployment.loop, [&](const auto& connection,
+                                          Waiter* waiter, Coroutine yield) {
+      const std::string head = ReadHead(connection.get(), waiter, yield);
+      std::string answer = MakeAnswer(head, "200 OK", "done");
+      answer.insert(answer.find("\r\n") + 2, "Keep-Alive: timeout=60\r\n");
+      connection->Send(answer);
+      while (!connection->HasEnded() &&
+             waiter->WaitUntil(TestDeadline(&deployment.loop), yield)) {
+      }
+      is_closed = connection->HasEnded();
+    });
+    deployment.PutServer("kept", "kept", kFirstStart, kept.Address());
+    RunCoroutine(&deployment.loop, [&](Coroutine yield) {
+      deployment.WaitUntilReady(yield);
+      REQUIRE(
+          deployment.SendRequest(deployment.settings.callers, "/kept/1", yield)
+              .HasResponseStatus(200));
+      deployment.loop.Sleep(std::chrono::milliseconds(100), yield);
+      CHECK_FALSE(is_closed);
+      deployment.PutServer(change.id, "kept", change.started_ms,
+                           kept.Address());
+      const MonotonicTime deadline =
+          deployment.loop.Now() + std::chrono::seconds(4);
+      while (!is_closed && deployment.loop.Now() < deadline) {
+        deployment.loop.Sleep(std::chrono::milliseconds(10), yield);
+      }
+      CHECK(is_closed);
+    });
+  }
+}
+
 TEST_CASE("A process completes its requests after SIGTERM") {
   Deployment deployment(std::chrono::milliseconds(900));
   std::vector<std::string> bodies;
