--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -243,7 +243,7 @@
   pool->loads.push_back(load);
   pool->backend_states.push_back(this->FindOrCreateState(route, now));
   if (pool->backend_states.back()->health->epoch != route.epoch) {
-    pool->backend_states.back()->ResetHealth(route);
+    pool->backend_states.back()->health.emplace(route);
   }
   pool->candidates.push_back(std::move(candidate));
 }
@@ -260,10 +260,8 @@
   }
 }
 
-void Router::BackendState::ResetHealth(const Route& route) {
-  this->health.emplace();
-  this->health->epoch = route.epoch;
-  this->health->stats.id = route.backend;
+Router::BackendHealth::BackendHealth(const Route& route) : epoch(route.epoch) {
+  this->stats.id = route.backend;
 }
 
 std::shared_ptr<Router::BackendState> Router::FindOrCreateState(
@@ -280,7 +278,7 @@
         seen_at_start ? now - this->settings.slow_start : now;
   }
   if (!state->health) {
-    state->ResetHealth(route);
+    state->health.emplace(route);
   }
   state->last_seen = now;
   return state;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -106,6 +106,8 @@
  private:
   // Health of one backend server; of a group, under one epoch.
   struct BackendHealth {
+    explicit BackendHealth(const Route& route);
+
     GroupEpoch epoch = 0;
     CircuitBreaker circuit{CircuitPolicy()};
     BackendStats stats;
@@ -118,9 +120,6 @@
     MonotonicTime last_seen;
     InFlightHistory ledger{kInFlightHistoryRetention};
     std::optional<BackendHealth> health;  // Always set.
-
-    // Forgets the health, for the epoch of `route`.
-    void ResetHealth(const Route& route);
   };
 
   // The backend servers of one service, rebuilt when the board's tables change.
