--- a/tests/base/json_test.cc
+++ b/tests/base/json_test.cc
@@ -92,7 +92,7 @@
 }
 
 rc::Gen<Json> AnyDocument(int depth) {
-  const auto scalar = rc::gen::oneOf(
+  auto scalar = rc::gen::oneOf(
       rc::gen::map(rc::gen::arbitrary<std::int64_t>(),
                    [](std::int64_t number) { return Json(number); }),
       rc::gen::map(rc::gen::arbitrary<std::uint64_t>(),
