Start servers again at their addresses in the soak (--rebirths)

Callers' requests ran in a group that was opened on the report of another server at a member's address (PARTIAL). The soak could not find it: no server started again, and no address was used twice.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -35,6 +35,10 @@
       ->check(CLI::Range(1, 3600));
   app.add_option("--entries", settings.entries, "Entry VM processes")
       ->check(CLI::Range(1, 40));
+  app.add_option("--engines", settings.engines, "Servers that form groups")
+      ->check(CLI::Range(1, 40));
+  app.add_option("--group-size", settings.group_size, "Members of each group")
+      ->check(CLI::Range(1, 6));
   app.add_option("--callers", settings.callers, "Callers at once")
       ->check(CLI::Range(1, 400));
   app.add_option("--unused-routes", settings.unused_routes,
@@ -46,6 +50,9 @@
   app.add_flag("--framings", settings.with_framings,
                "Servers frame answers in all forms and break some off, some "
                "callers speak HTTP/1.0");
+  app.add_flag("--rebirths", settings.with_rebirths,
+               "Servers start again at their addresses, under the same id or "
+               "a new one, and servers of the other service get addresses");
   app.add_flag("--verbose", verbose, "Prints each fault as it begins");
   CLI11_PARSE(app, argc, argv);
   kumquatcart::ConfigureLogging(
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -8,6 +8,7 @@
 #include "soak/fault_schedule.h"
 #include "soak/idle_schedule.h"
 #include "soak/limit_schedule.h"
+#include "soak/rebirth_schedule.h"
 
 namespace kumquatcart::soak {
 
@@ -110,6 +111,7 @@
   FaultSchedule schedule(&world, settings.seed);
   LimitSchedule limits(&world, settings.seed);
   IdleSchedule idle(&world, settings.seed);
+  RebirthSchedule rebirths(&world, settings.seed);
   bool restarts = true;
   bool watches = true;
   world.loop.Spawn([&](Coroutine yield) {
@@ -138,7 +140,17 @@
     if (settings.with_idle_timeouts) {
       world.loop.Spawn([&, end](Coroutine inner) { idle.Run(end, inner); });
     }
+    bool is_reborn = !settings.with_rebirths;
+    if (settings.with_rebirths) {
+      world.loop.Spawn([&, end](Coroutine inner) {
+        rebirths.Run(end, inner);
+        is_reborn = true;
+      });
+    }
     schedule.Run(end, yield);
+    while (!is_reborn) {
+      world.loop.Sleep(kWatch, yield);
+    }
     world.loop.Sleep(kRecovery, yield);
     CheckEnd(&world, yield);
     watches = false;
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -113,7 +113,7 @@
                     {"form_ms", 100},
                     {"models",
                      {{{"name", "m"},
-                       {"size", 2},
+                       {"size", this->settings.group_size},
                        {"share", 1.0},
                        {"pace", 1.0},
                        {"load_s", 0.9},
@@ -173,6 +173,11 @@
   return found;
 }
 
+int SoakWorld::SpareServers(bool forms_groups) const {
+  return static_cast<int>(this->Servers(forms_groups).size()) -
+         (forms_groups ? this->settings.engines : this->settings.plain_servers);
+}
+
 void SoakWorld::KeepProcesses(bool restarts) {
   for (const auto& entry : this->entries) {
     entry->Reap();
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -23,6 +23,7 @@
   int entries = 3;
   int plain_servers = 3;
   int engines = 7;
+  int group_size = 2;  // Members of each replica group.
   int callers = 10;
   int unused_routes = 0;     // Routes that no caller uses, in every version.
   bool with_limits = false;  // Servers name rate limits.
@@ -31,6 +32,8 @@
   // Servers frame answers in all forms and break some off; some callers speak
   // HTTP/1.0.
   bool with_framings = false;
+  // Servers start again at their addresses, which others also get.
+  bool with_rebirths = false;
 };
 
 // The idle timeout of the first version.
@@ -63,6 +66,8 @@
   std::string NextServerId();
   // Servers that live and are not leaving.
   std::vector<ServerStandIn*> Servers(bool forms_groups) const;
+  // How many more of them there are than at the start.
+  int SpareServers(bool forms_groups) const;
   // Starts processes that have ended, and takes note of ends.
   void KeepProcesses(bool restarts);
 
