Let a task that waits not keep back another order to its server

Servers stood idle for up to 40 s after their group had been dissolved. Since only the planning pass orders them to leave, under the task key of their standby orders, and the task that has ordered a model to be staged waits 40 s before it repeats that. A spare that had staged a model, became a member and lost its group was left in the group, so that no other could take it.

Each order has a key of its own now, with the server's start, so that neither the wait for another order nor one for a former start keeps it back.

"A former standby leaves its dissolved group" fails before: no order to leave in 5 s.

--- a/src/control/group_reconciler.cc
+++ b/src/control/group_reconciler.cc
@@ -13,6 +13,11 @@
 
 constexpr Duration kReconcileInterval = std::chrono::milliseconds(100);
 
+// Names one start of a server in the keys of tasks.
+std::string StartKey(const BackendServer& server) {
+  return server.id + " " + std::to_string(server.started_ms);
+}
+
 }  // namespace
 
 void GroupReconciler::Start() {
@@ -90,17 +95,22 @@
     if (members.count(server->id) == 0 && server->membership &&
         server->membership->group != StandbyGroupName(server->id) &&
         this->parts.view->IsReachable(server->id)) {
-      this->StartOnce("server " + server->id,
+      this->StartOnce("leave " + StartKey(*server),
                       [this, copy = *server](Coroutine yield) {
                         this->orders.LeaveGroup(copy, yield);
                       });
     }
   }
   for (const StandbyAssignment& standby : plan.standbys) {
-    this->StartOnce("server " + standby.server,
-                    [this, standby](Coroutine yield) {
-                      this->standbys.LoadStandby(standby, yield);
-                    });
+    const BackendServer* server = this->parts.view->FindServer(standby.server);
+    if (server == nullptr) {
+      continue;
+    }
+    this->StartOnce(
+        (standby.stages_only ? "stage " : "standby ") + StartKey(*server),
+        [this, standby](Coroutine yield) {
+          this->standbys.LoadStandby(standby, yield);
+        });
   }
 }
 
--- a/tests/entry/group_fixture.h
+++ b/tests/entry/group_fixture.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -54,6 +55,8 @@
     server.started_ms = this->states_start ? this->started_ms : 0;
     server.endpoint =
         Endpoint{this->address.address().to_string(), this->address.port()};
+    server.loaded_model = this->loaded_model;
+    server.staged_models = this->staged_models;
     if (this->publish && !this->group.is_null()) {
       server.membership = GroupMembership{
           this->group["name"], this->group["epoch"], this->group["rank"],
@@ -106,6 +109,8 @@
       this->CheckMembers(order);
     } else if (order["op"] == "leave") {
       this->group = nullptr;
+    } else if (order["op"] == "stage") {
+      this->staged_models.push_back(order["model"]);
     }
     if (this->publish) {
       this->publish(*this);
@@ -128,6 +133,7 @@
     this->members = order["members"].get<std::vector<std::string>>();
     const auto own =
         std::find(this->members.begin(), this->members.end(), this->id);
+    this->loaded_model = order["model"];
     this->group = {{"name", order["group"]},
                    {"epoch", order["epoch"]},
                    {"rank", own - this->members.begin()},
@@ -151,6 +157,8 @@
   const TcpEndpoint address;
   Json group;
   std::vector<std::string> members;  // Of the last join.
+  std::string loaded_model;
+  std::vector<std::string> staged_models;
   SimpleHttpServer service;
 };
 
@@ -186,7 +194,7 @@
         reconciler({&this->loop, &this->client, &this->engines, &this->prober,
                     &this->view, &this->peers, &this->role, &this->records,
                     "zone", [] {}}) {
-    this->SetGroupSize(2);
+    this->SetModels({{"m", 2}});
     this->view.MarkTrafficStarted();
     for (const std::string& id : ids) {
       this->servers.push_back(
@@ -202,17 +210,22 @@
   GroupFixture(const GroupFixture&) = delete;
   GroupFixture& operator=(const GroupFixture&) = delete;
 
-  // Puts a configuration in force whose model needs `size` servers.
-  void SetGroupSize(int size) {
+  // Puts a configuration in force with these models and the sizes of their
+  // groups. Each model has an equal share of the work.
+  void SetModels(const std::vector<std::pair<std::string, int>>& sizes) {
     RoutingConfig config;
     config.version = this->view.Config() ? this->view.Config()->version + 1 : 1;
     ServiceSpec service;
     service.name = "models";
     service.engine.emplace();
-    service.engine->models.emplace_back();
-    service.engine->models.back().name = "m";
-    service.engine->models.back().group_size = size;
-    service.engine->models.back().work_share = 1;
+    service.engine->loads_per_second = 1000;
+    for (const auto& [name, size] : sizes) {
+      ModelSpec model;
+      model.name = name;
+      model.group_size = size;
+      model.work_share = 1.0 / static_cast<double>(sizes.size());
+      service.engine->models.push_back(model);
+    }
     config.services["models"] = service;
     this->view.AdoptConfig(std::make_shared<const RoutingConfig>(config));
   }
@@ -254,6 +267,30 @@
     return this->view.Groups().begin()->second;
   }
 
+  // The first group of the model with members; null if there is none.
+  const GroupStatus* FindGroupOfModel(const std::string& model) const {
+    for (const auto& entry : this->view.Groups()) {
+      const GroupRecord& record = entry.second.record;
+      if (record.model == model && !record.members.empty()) {
+        return &entry.second;
+      }
+    }
+    return nullptr;
+  }
+
+  bool HasOpenGroupOfModel(const std::string& model, std::size_t size) const {
+    const GroupStatus* group = this->FindGroupOfModel(model);
+    return group != nullptr && group->open &&
+           group->record.members.size() == size;
+  }
+
+  // Precondition: there is a server with this id.
+  const FakeEngine* Find(const std::string& id) const {
+    return std::find_if(this->servers.begin(), this->servers.end(),
+                        [&id](const auto& server) { return server->id == id; })
+        ->get();
+  }
+
   // Whether there is an open group of exactly these members, in any order.
   bool HasOpenGroupOf(std::vector<std::string> members) const {
     std::sort(members.begin(), members.end());
--- a/tests/entry/group_reconciler_test.cc
+++ b/tests/entry/group_reconciler_test.cc
@@ -40,7 +40,7 @@
 // of the same name was not ordered to join until all had been.
 TEST_CASE("The servers of a dissolved group are ordered to leave once") {
   GroupFixture f({"a", "b", "c", "d", "e", "f", "g"});
-  f.SetGroupSize(6);
+  f.SetModels({{"m", 6}});
   for (const auto& server : f.servers) {
     server->publish = [&f](const FakeEngine& changed) { f.Register(changed); };
   }
@@ -48,7 +48,7 @@
   f.RunUntil(std::chrono::seconds(5),
              [&] { return !f.view.Groups().empty() && f.Group().open; });
   REQUIRE(f.Group().record.members.size() == 6);
-  f.SetGroupSize(3);
+  f.SetModels({{"m", 3}});
   for (const char* lost : {"a", "b"}) {
     f.view.SetReachable(lost, false, f.loop.Now());
   }
@@ -65,6 +65,44 @@
   }
 }
 
+// Guards against a server that stays idle: the task that had ordered it to
+// stage a model, and waits 40 s before it repeats that, kept the order to leave
+// back.
+TEST_CASE("A former standby leaves its dissolved group") {
+  GroupFixture f({"a", "b", "c", "d", "e", "f", "g"});
+  f.SetModels({{"m", 3}, {"n", 2}});
+  for (const auto& server : f.servers) {
+    server->publish = [&f](const FakeEngine& changed) { f.Register(changed); };
+  }
+  f.records.Start();
+  f.reconciler.Start();
+  const auto staged = [&f] {
+    return std::count_if(
+        f.servers.begin(), f.servers.end(),
+        [](const auto& server) { return server->HasOrder("stage"); });
+  };
+  f.RunUntil(std::chrono::seconds(5), [&] {
+    return staged() == 2 && f.HasOpenGroupOfModel("m", 3) &&
+           f.HasOpenGroupOfModel("n", 2);
+  });
+  REQUIRE(staged() == 2);
+  const GroupStatus* large = f.FindGroupOfModel("m");
+  REQUIRE(large != nullptr);
+  const std::vector<std::string> first = large->record.members;
+  f.view.SetReachable(first[1], false, f.loop.Now());
+  f.RunUntil(std::chrono::seconds(5),
+             [&] { return large->record.members != first && large->open; });
+  REQUIRE(large->record.members.size() == 3);
+  const std::string standby = large->record.members.back();
+  f.view.SetReachable(first[0], false, f.loop.Now());
+  f.view.SetReachable(first[2], false, f.loop.Now());
+  const FakeEngine* server = f.Find(standby);
+  REQUIRE(server->HasOrder("stage"));
+  f.RunUntil(std::chrono::seconds(5),
+             [&] { return server->HasOrder("leave"); });
+  CHECK(server->HasOrder("leave"));
+}
+
 TEST_CASE("Without the store no group orders are sent") {
   GroupFixture d;
   d.records.Start();
