Give up requests of a group whose lost member is forgotten

A member without an entry that stops answering is removed. Unknown servers counted as reachable, so its group's streams went on waiting for the head to give up, some seconds later, instead of moving to another group; their reserved slots were returned.

A member of the newest record that is not known is lost. fleet_view_test, "A group keeps serving if a member loses its entry but answers", now checks it.

Also, a server is compared with the holder of its address only when it is new, has started again or has moved: each further entry marked a live server again where clocks were wrong, after the probe that had corrected it.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -45,9 +45,14 @@
                              {"domain", server.fabric_domain},
                              {"draining", server.draining ? 1 : 0}});
   }
+  const bool is_new_holder = is_new ||
+                             known->second.started_ms != server.started_ms ||
+                             known->second.endpoint != server.endpoint;
   this->servers[server.id] = server;
   ++this->change_count;
-  this->MarkFormerHolder(server, now);
+  if (is_new_holder) {
+    this->MarkFormerHolder(server, now);
+  }
   if (!server.membership || server.membership->rank != 0) {
     return;
   }
@@ -244,8 +249,10 @@
     return true;
   }
   const GroupRecord* record = nullptr;
+  bool is_newest = false;
   if (status->record.epoch == epoch) {
     record = &status->record;
+    is_newest = true;
   } else if (status->previous && status->previous->epoch == epoch) {
     record = &*status->previous;  // The head may be finishing requests.
   }
@@ -254,8 +261,11 @@
   }
   for (std::size_t rank = 0; rank < record->members.size(); ++rank) {
     const BackendServer* server = this->FindServer(record->members[rank]);
-    if (!this->IsReachable(record->members[rank]) ||
-        (server != nullptr && HasRestartedSince(*server, *record, rank))) {
+    // Members of the newest record are kept without an entry while they answer.
+    const bool is_lost = server == nullptr
+                             ? is_newest
+                             : HasRestartedSince(*server, *record, rank);
+    if (is_lost || !this->IsReachable(record->members[rank])) {
       return false;
     }
   }
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -65,9 +65,11 @@
   view.ExpireServers(kStart);
   CHECK(view.Serves(*view.FindGroup("g")));
   CHECK(view.AvailabilityOf("b") == ServerAvailability::kLeaving);
+  CHECK(view.CanFinishRequests("g", 5));
   view.SetReachable("b", false, kStart);
   CHECK(!view.Serves(*view.FindGroup("g")));
   CHECK(view.FindServer("b") == nullptr);
+  CHECK(!view.CanFinishRequests("g", 5));
 }
 
 TEST_CASE("A head that lost its entry takes no requests") {
@@ -181,6 +183,11 @@
   CHECK(view.AvailabilityOf("b") == ServerAvailability::kLost);
   view.PutServer(next, kStart);
   CHECK(view.IsUsable("a"));
+  // A probe has shown that the clock of the later one was wrong.
+  view.SetReachable("b", true, kStart);
+  former.draining = true;
+  view.PutServer(former, kStart);
+  CHECK(view.AvailabilityOf("b") == ServerAvailability::kLeaving);
 }
 
 TEST_CASE("Two servers with one address and start stay as they are") {
