--- a/src/platform/server_decoder.cc
+++ b/src/platform/server_decoder.cc
@@ -145,7 +145,8 @@
   membership.epoch = epoch;
   membership.rank = static_cast<int>(rank);
   const auto state = ParseState(group->value("state", std::string()));
-  if (membership.group.empty() || !state) {
+  // Without a rank the server would count as the head.
+  if (membership.group.empty() || !state || !group->contains("rank")) {
     return std::optional<GroupMembership>();
   }
   membership.state = *state;
--- a/tests/platform/server_decoder_test.cc
+++ b/tests/platform/server_decoder_test.cc
@@ -45,6 +45,16 @@
   CHECK(with("address", "\"::1:80\"").value().endpoint.host == "::1");
 }
 
+// Guards against a member that counts as the head of its group.
+TEST_CASE("A group without a rank is no membership") {
+  const std::string group =
+      R"({"group": {"name": "g", "epoch": 3, "state": "ready")";
+  CHECK(!DecodeEngineReport(group + "}}").value().membership);
+  CHECK(
+      DecodeEngineReport(group + R"(, "rank": 2}})").value().membership->rank ==
+      2);
+}
+
 // Guards against a report that is malformed in one number and is counted as
 // that of a member.
 TEST_CASE("An odd report is an error") {
