Log the recorded start of a ready member

The start that a source speaks of was the entry's own where the source is the entry, so that the line could not show an entry of another start than the recorded one.

--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -30,20 +30,27 @@
   return state == MembershipState::kReady || state == MembershipState::kOpen;
 }
 
-// Logs why a member counts as ready. `source`: what `membership` was read from.
+// Logs why the member at `rank` counts as ready. `source`: what `membership`
+// was read from.
 void LogReadyMember(const BackendServer& server,
+                    const GroupRecord& record,
+                    std::size_t rank,
                     const GroupMembership& membership,
                     const char* source,
                     std::int64_t source_started_ms) {
-  LogInfo("member_ready", {{"group", membership.group},
-                           {"epoch", membership.epoch},
-                           {"server", server.id},
-                           {"address", server.endpoint.ToString()},
-                           {"started_ms", server.started_ms},
-                           {"source", source},
-                           {"source_started_ms", source_started_ms},
-                           {"rank", membership.rank},
-                           {"state", ToString(membership.state)}});
+  LogInfo("member_ready",
+          {{"group", membership.group},
+           {"epoch", membership.epoch},
+           {"server", server.id},
+           {"address", server.endpoint.ToString()},
+           {"recorded_started_ms", rank < record.member_starts.size()
+                                       ? record.member_starts[rank]
+                                       : std::int64_t{0}},
+           {"started_ms", server.started_ms},
+           {"source", source},
+           {"source_started_ms", source_started_ms},
+           {"rank", membership.rank},
+           {"state", ToString(membership.state)}});
 }
 
 }  // namespace
@@ -167,25 +174,27 @@
     }
     if (IsMembershipAt(server->membership, record, rank) &&
         IsReadyState(server->membership->state)) {
-      LogReadyMember(*server, *server->membership, "entry", server->started_ms);
+      LogReadyMember(*server, record, rank, *server->membership, "entry",
+                     server->started_ms);
       ready.insert(id);
       continue;
     }
-    tasks.emplace_back([this, copy = *server, rank, &record,
-                        &ready](Coroutine inner) {
-      const Result<EngineReport> report =
-          this->parts->engines->Report(copy, kReportTimeout, inner);
-      if (report.has_error()) {
-        this->parts->prober->Probe({copy.id});
-        return;
-      }
-      const auto& membership = report.value().membership;
-      if (IsMembershipAt(membership, record, rank) &&
-          IsReadyState(membership->state)) {
-        LogReadyMember(copy, *membership, "report", report.value().started_ms);
-        ready.insert(copy.id);
-      }
-    });
+    tasks.emplace_back(
+        [this, copy = *server, rank, &record, &ready](Coroutine inner) {
+          const Result<EngineReport> report =
+              this->parts->engines->Report(copy, kReportTimeout, inner);
+          if (report.has_error()) {
+            this->parts->prober->Probe({copy.id});
+            return;
+          }
+          const auto& membership = report.value().membership;
+          if (IsMembershipAt(membership, record, rank) &&
+              IsReadyState(membership->state)) {
+            LogReadyMember(copy, record, rank, *membership, "report",
+                           report.value().started_ms);
+            ready.insert(copy.id);
+          }
+        });
   }
   RunAll(this->parts->loop, std::move(tasks), yield);
   return ready;
