--- a/tests/entry/group_fixture.h
+++ b/tests/entry/group_fixture.h
@@ -212,13 +212,14 @@
 
   // Puts a configuration in force with these models and the sizes of their
   // groups. Each model has an equal share of the work.
-  void SetModels(const std::vector<std::pair<std::string, int>>& sizes) {
+  void SetModels(const std::vector<std::pair<std::string, int>>& sizes,
+                 double loads_per_second = 1000) {
     RoutingConfig config;
     config.version = this->view.Config() ? this->view.Config()->version + 1 : 1;
     ServiceSpec service;
     service.name = "models";
     service.engine.emplace();
-    service.engine->loads_per_second = 1000;
+    service.engine->loads_per_second = loads_per_second;
     for (const auto& [name, size] : sizes) {
       ModelSpec model;
       model.name = name;
--- a/tests/entry/group_reconciler_test.cc
+++ b/tests/entry/group_reconciler_test.cc
@@ -103,6 +103,28 @@
   CHECK(server->HasOrder("leave"));
 }
 
+// Guards against more loads from the weight store than it allows (CEILING),
+// when many servers are new at once: joins of groups are not counted, only
+// those of standbys.
+TEST_CASE("Joins of groups load no more than the weight store allows") {
+  constexpr double kLoadsPerSecond = 5.5;
+  constexpr int kAllowedInFiveSeconds = 33;  // 5.5 * 5 * 1.1 + 3.
+  std::vector<std::string> ids;
+  for (int i = 10; i < 58; ++i) {
+    ids.push_back("s" + std::to_string(i));
+  }
+  GroupFixture f(ids);
+  f.SetModels({{"m", 3}}, kLoadsPerSecond);
+  f.Start();
+  f.RunUntil(std::chrono::milliseconds(2500), [] { return false; });
+  // Each server's first join loads the model.
+  const auto loads = std::count_if(
+      f.servers.begin(), f.servers.end(),
+      [](const auto& server) { return server->HasOrder("join"); });
+  CHECK(loads > 0);
+  CHECK(loads <= kAllowedInFiveSeconds);
+}
+
 TEST_CASE("Without the store no group orders are sent") {
   GroupFixture d;
   d.records.Start();
