Count the joins of groups as loads from the weight store

LoadBudget counts both. Joins of groups may use the rate divided by the failure domains, each of which has one planner; standbys get what these leave of the rate divided by the VMs, as before. A member whose model is loaded or staged is not counted, nor are loads before the first request. A member that has to wait is ordered as soon as the budget allows, the others at once.

--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -146,7 +146,9 @@
 
 void GroupOrders::SendJoins(const GroupRecord& record,
                             const std::set<std::string>& ready,
+                            std::map<std::string, MonotonicTime>* ordered_at,
                             Coroutine yield) {
+  const MonotonicTime now = this->parts->loop->Now();
   std::vector<std::function<void(Coroutine)>> tasks;
   for (const std::string& id : record.members) {
     const BackendServer* server = this->parts->view->FindServer(id);
@@ -154,6 +156,13 @@
         IsMemberOf(*server, record)) {
       continue;  // The member is already joining or ready.
     }
+    const auto ordered = ordered_at->find(id);
+    if ((ordered != ordered_at->end() &&
+         now - ordered->second <= kJoinResendDelay) ||
+        !this->loads->TryCount(*server, record.model, LoadPurpose::kGroup)) {
+      continue;
+    }
+    (*ordered_at)[id] = now;
     tasks.emplace_back([this, copy = *server, &record](Coroutine inner) {
       this->Send(copy, GroupOrder::kJoin, record, inner);
     });
@@ -202,16 +211,12 @@
 
 bool GroupOrders::JoinMembers(const GroupRecord& record, Coroutine yield) {
   std::set<std::string> ready = this->CollectReadyMembers(record, {}, yield);
-  MonotonicTime joined_at{};
+  std::map<std::string, MonotonicTime> ordered_at;
   while (this->IsCurrent(record)) {
     if (ready.size() == record.members.size()) {
       return true;
     }
-    const MonotonicTime now = this->parts->loop->Now();
-    if (now - joined_at > kJoinResendDelay) {
-      this->SendJoins(record, ready, yield);
-      joined_at = now;
-    }
+    this->SendJoins(record, ready, &ordered_at, yield);
     this->parts->loop->Sleep(kMemberPollInterval, yield);
     ready = this->CollectReadyMembers(record, std::move(ready), yield);
     for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
--- a/src/control/group_orders.h
+++ b/src/control/group_orders.h
@@ -2,10 +2,12 @@
 #ifndef CONTROL_GROUP_ORDERS_H_
 #define CONTROL_GROUP_ORDERS_H_
 
+#include <map>
 #include <set>
 #include <string>
 
 #include "control/group_control_dependencies.h"
+#include "control/load_budget.h"
 
 namespace kumquatcart {
 
@@ -13,8 +15,9 @@
 // older record have no effect. Use only on the event loop's thread.
 class GroupOrders {
  public:
-  // `parts` outlives this.
-  explicit GroupOrders(const GroupControlDependencies* parts) : parts(parts) {}
+  // The arguments outlive this.
+  GroupOrders(const GroupControlDependencies* parts, LoadBudget* loads)
+      : parts(parts), loads(loads) {}
 
   // Forms and opens the group. Returns early if there is a newer record.
   // Precondition: the record has members.
@@ -38,8 +41,12 @@
                  bool may_finish,
                  Coroutine yield);
   bool JoinMembers(const GroupRecord& record, Coroutine yield);
+  // Orders members that are not joining yet to join. `ordered_at`: when each
+  // was ordered last. Members that need a load beyond the budget wait for a
+  // later call.
   void SendJoins(const GroupRecord& record,
                  const std::set<std::string>& ready,
+                 std::map<std::string, MonotonicTime>* ordered_at,
                  Coroutine yield);
   std::set<std::string> CollectReadyMembers(const GroupRecord& record,
                                             std::set<std::string> ready,
@@ -50,6 +57,7 @@
   bool IsCurrent(const GroupRecord& record) const;
 
   const GroupControlDependencies* const parts;
+  LoadBudget* const loads;
 };
 
 }  // namespace kumquatcart
--- a/src/control/group_reconciler.h
+++ b/src/control/group_reconciler.h
@@ -11,6 +11,7 @@
 
 #include "control/group_control_dependencies.h"
 #include "control/group_orders.h"
+#include "control/load_budget.h"
 #include "control/planning_input.h"
 #include "control/standby_loader.h"
 
@@ -24,8 +25,9 @@
  public:
   explicit GroupReconciler(GroupControlDependencies control_parts)
       : parts(std::move(control_parts)),
-        orders(&this->parts),
-        standbys(&this->parts, &this->orders) {}
+        loads(&this->parts),
+        orders(&this->parts, &this->loads),
+        standbys(&this->parts, &this->orders, &this->loads) {}
   GroupReconciler(const GroupReconciler&) = delete;
   GroupReconciler& operator=(const GroupReconciler&) = delete;
 
@@ -52,6 +54,7 @@
   void WriteRecords(const std::vector<GroupRecord>& records, Coroutine yield);
 
   const GroupControlDependencies parts;
+  LoadBudget loads;
   GroupOrders orders;
   StandbyLoader standbys;
   std::set<std::string> running_tasks;  // Task keys.
--- a/src/control/standby_loader.cc
+++ b/src/control/standby_loader.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "base/contains.h"
 #include "control/standby_name.h"
 
 namespace kumquatcart {
@@ -14,34 +13,9 @@
 // A staging order without effect is resent after this time, which is well above
 // the duration of a load that shares the weight store with others.
 constexpr Duration kStageResendDelay = std::chrono::seconds(40);
-// Time window in which loads are counted against the weight store's rate.
-constexpr Duration kLoadWindow = std::chrono::seconds(5);
 
 }  // namespace
 
-bool StandbyLoader::TryCountLoad(const BackendServer& server,
-                                 const std::string& model,
-                                 const EngineSpec& engine) {
-  if (Contains(server.staged_models, model) ||
-      !this->parts->view->HasTraffic()) {
-    return true;
-  }
-  const MonotonicTime now = this->parts->loop->Now();
-  while (!this->load_times.empty() &&
-         now - this->load_times.front() > kLoadWindow) {
-    this->load_times.pop_front();
-  }
-  const double allowed = engine.loads_per_second *
-                         std::chrono::duration<double>(kLoadWindow).count() /
-                         std::max(1, this->parts->peers->CountLiveNodes(now));
-  if (static_cast<double>(this->load_times.size()) + 1 >
-      std::max(1.0, allowed)) {
-    return false;
-  }
-  this->load_times.push_back(now);
-  return true;
-}
-
 void StandbyLoader::LoadStandby(const StandbyAssignment& standby,
                                 Coroutine yield) {
   const BackendServer* server = this->parts->view->FindServer(standby.server);
@@ -49,10 +23,7 @@
     return;
   }
   const BackendServer copy = *server;
-  const auto service = this->parts->view->Config()->services.find(copy.service);
-  if (service == this->parts->view->Config()->services.end() ||
-      !service->second.engine ||
-      !this->TryCountLoad(copy, standby.model, *service->second.engine)) {
+  if (!this->loads->TryCount(copy, standby.model, LoadPurpose::kStandby)) {
     return;
   }
   GroupRecord record;
