--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -63,13 +63,14 @@
   // current one.
   void SetOpen(const std::string& group, std::int64_t epoch, bool open);
 
-  // Sets whether the server answers probes. An unregistered server that does
-  // not is removed.
+  // Sets whether the known start of the server answers at its address. An
+  // unregistered server that does not is removed.
   void SetReachable(const std::string& id, bool reachable, MonotonicTime now);
   bool IsReachable(const std::string& id) const {
     return this->unreachable.count(id) == 0;
   }
-  // Servers that do not answer probes, with the time of the first failure.
+  // Servers that do not answer at their addresses, with the time at which that
+  // was first found.
   const std::map<std::string, MonotonicTime>& Unreachable() const {
     return this->unreachable;
   }
--- a/src/control/group_orders.h
+++ b/src/control/group_orders.h
@@ -27,8 +27,8 @@
   // server has a membership.
   void LeaveGroup(const BackendServer& server, Coroutine yield);
 
-  // Sends and logs one order. Probes the server if it does not answer; it is
-  // unreachable if another one has its address.
+  // Sends and logs one order. Probes the server if it does not answer, and
+  // marks it as unreachable if another one answers at its address.
   OrderOutcome Send(const BackendServer& server,
                     GroupOrder order,
                     const GroupRecord& record,
--- a/src/control/group_planner.h
+++ b/src/control/group_planner.h
@@ -21,7 +21,7 @@
   kUsable,   // Registered, reachable and not leaving.
   kLeaving,  // Answers, but is draining or no longer registered: it takes no
              // new requests and may terminate at any time.
-  kLost,     // Does not answer.
+  kLost,     // Does not answer, or another server or start has its address.
 };
 
 // State of a server as an input of the planner.
--- a/src/model/backend_server.h
+++ b/src/model/backend_server.h
@@ -114,8 +114,8 @@
   return recorded_ms != 0 && server.started_ms > recorded_ms;
 }
 
-// Whether `membership` is that of the member at `rank` in the list of `record`.
-// Thread safe.
+// Whether `membership`, from a report that another server may have given, is
+// that of the member at `rank` in the list of `record`. Thread safe.
 inline bool IsMembershipAt(const std::optional<GroupMembership>& membership,
                            const GroupRecord& record,
                            std::size_t rank) {
@@ -124,7 +124,8 @@
          static_cast<std::size_t>(membership->rank) == rank;
 }
 
-// Whether the server's membership is the one of `record`. Thread safe.
+// Whether the server, by its entry, is in the group of `record` under its
+// epoch. Thread safe.
 inline bool IsMemberOf(const BackendServer& server, const GroupRecord& record) {
   return server.membership && server.membership->group == record.group &&
          server.membership->epoch == record.epoch;
