Let a stand-in server that breaks off a stream not end its framing

The log of the process shows the order to close the server's group at 53.870 s and the end of the answer at 53.889 s, framed, after event 5: the stand-in ended the chunks of a stream that it broke off between two events, which nobody can tell from a whole one.

The default form closes the connection. Drawn forms are as before: they end their framing, and each of their writes but the last ends within an event. "An answer whose framing ends when it breaks off splits its events" fails before.

--- a/tests/soak/server_stand_in_test.cc
+++ b/tests/soak/server_stand_in_test.cc
@@ -6,6 +6,7 @@
 #include "fakes/loop_server.h"
 #include "net/http_client.h"
 #include "net/http_status.h"
+#include "soak/answer_form.h"
 
 namespace kumquatcart::soak {
 namespace {
@@ -202,6 +203,19 @@
   }
 }
 
+// Guards against an accusation of the program for a stream that its server
+// ended as complete between two events: where the framing of a broken answer
+// ends, each write must end within an event.
+TEST_CASE("An answer whose framing ends when it breaks off splits its events") {
+  std::vector<AnswerForm> forms{AnswerForm{}};
+  for (int i = 0; i < 1000; ++i) {
+    forms.push_back(DrawAnswerForm("server", std::to_string(i)));
+  }
+  for (const AnswerForm& form : forms) {
+    CHECK((form.break_end != BreakEnd::kFramed || form.splits_events));
+  }
+}
+
 // Guards against a request that is sent to an address without the server's id.
 TEST_CASE("A request at a server of the other service is accused") {
   Servers servers;
--- a/tools/soak/answer_form.cc
+++ b/tools/soak/answer_form.cc
@@ -29,6 +29,7 @@
   form.ends_with_connection = draw(2) == 0;
   form.line_end = kLineEnds[draw(std::size(kLineEnds))];
   form.splits_events = true;
+  form.break_end = BreakEnd::kFramed;
   if (draw(kBreaksOneIn) == 0) {
     form.breaks_after = 1 + draw(kStreamEvents - 1);
     form.break_end = kBreakEnds[draw(std::size(kBreakEnds))];
--- a/tools/soak/answer_form.h
+++ b/tools/soak/answer_form.h
@@ -15,7 +15,9 @@
   kReset,
 };
 
-// The default is a whole answer with a length or chunks.
+// The default is a whole answer with a length or chunks. If the server has to
+// break it off, the framing does not end: nothing else would tell a stream that
+// stops between two events from a whole one.
 struct AnswerForm {
   bool ends_with_connection = false;  // Neither a length nor chunks.
   std::string line_end = "\n";        // Of the events of a stream.
@@ -23,7 +25,7 @@
   // cut between two writes is recognisable.
   bool splits_events = false;
   int breaks_after = 0;  // Breaks off within the event after this; 0: never.
-  BreakEnd break_end = BreakEnd::kFramed;
+  BreakEnd break_end = BreakEnd::kClosed;
 
   auto Tie() const {
     return std::tie(this->ends_with_connection, this->line_end,
