--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -168,6 +168,7 @@
 }
 
 bool TopicFollower::ReadMore(Duration wait, Coroutine yield) {
+  const MonotonicTime started = this->loop->Now();
   const Result<TopicBatch> batch =
       this->store->ReadSince(this->settings.topic, this->end, wait, yield);
   if (batch.has_error()) {
@@ -177,8 +178,11 @@
       this->records_expired = true;
       return true;
     }
-    LogWarning("topic_read_failed", {{"topic", ToString(this->settings.topic)},
-                                     {"reason", batch.error().message}});
+    LogWarning("topic_read_failed",
+               {{"topic", ToString(this->settings.topic)},
+                {"end", this->end},
+                {"ms", ToMillis(this->loop->Now() - started)},
+                {"reason", batch.error().message}});
     return false;
   }
   this->ApplyRecords(batch.value());
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -80,6 +80,7 @@
        {"runs", this->runs},
        {"declined", this->declined},
        {"prompt", this->request.prompt_tokens},
+       {"max_output", this->request.max_output_tokens},
        {"patience_ms", ToMillis(this->request.patience)},
        {"config", this->routes ? this->routes->Config().version : 0},
        {"first_ms",
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -91,6 +91,7 @@
   HttpResponse reply;
   const bool is_reusable =
       this->Receive(call, is_reused, &waiter, connection.get(), &reply, yield);
+  reply.on_kept_connection = is_reused;
   connection->SetWaiter(nullptr);
   if (is_reusable) {
     this->pool.ReturnConnection(call.endpoint, std::move(connection),
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -32,6 +32,8 @@
   std::string body;
   // Body bytes received before a failure.
   std::size_t partial_body_bytes = 0;
+  // Whether the connection had carried earlier requests.
+  bool on_kept_connection = false;
 
   bool HasResponseStatus(int expected) const {
     return this->result == ExchangeResult::kAnswered &&
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -202,12 +202,25 @@
                                const OutgoingRequest& request,
                                Duration timeout,
                                Coroutine yield) {
-  const MonotonicTime deadline = this->loop->Now() + timeout;
-  return request.method == "GET"
-             ? this->client.Exchange(endpoint, request, deadline, kMaxIdle,
-                                     yield)
-             : this->client.ExchangeOnNewConnection(endpoint, request, deadline,
-                                                    yield);
+  const MonotonicTime sent_at = this->loop->Now();
+  const MonotonicTime deadline = sent_at + timeout;
+  HttpResponse reply =
+      request.method == "GET"
+          ? this->client.Exchange(endpoint, request, deadline, kMaxIdle, yield)
+          : this->client.ExchangeOnNewConnection(endpoint, request, deadline,
+                                                 yield);
+  if (IsRefusal(reply)) {
+    LogWarning(
+        "store_call_failed",
+        {{"call", request.target},
+         {"via",
+          endpoint == this->store ? "store" : endpoint.address().to_string()},
+         {"kept_connection", reply.on_kept_connection ? 1 : 0},
+         {"result", ToString(reply.result)},
+         {"status", reply.status},
+         {"ms", ToMillis(this->loop->Now() - sent_at)}});
+  }
+  return reply;
 }
 
 HttpResponse StoreClient::PassOn(const OutgoingRequest& request,
