--- a/tests/fakes/loop_store.h
+++ b/tests/fakes/loop_store.h
@@ -20,9 +20,17 @@
  public:
   explicit LoopStore(EventLoop* loop)
       : address(FreeAddress()),
-        service(loop, [this](const ParsedRequest& request, Coroutine) {
-          return this->Answer(request);
-        }) {
+        service(loop,
+                [this, loop](const ParsedRequest& request, Coroutine yield) {
+                  const int silences_before = this->silences;
+                  if (this->reads_wait) {
+                    this->AwaitRecords(request, loop, yield);
+                  }
+                  if (this->is_silent || this->silences != silences_before) {
+                    loop->Sleep(kLostAnswerTime, yield);
+                  }
+                  return this->Answer(request);
+                }) {
     if (this->service.Start(this->address).has_error()) {
       std::abort();
     }
@@ -46,6 +54,17 @@
     this->first[topic] = this->topics[topic].size();
   }
 
+  // Whether reads wait for a record as long as their callers ask for. Without,
+  // they are answered at once.
+  bool reads_wait = false;
+  // In a silence no call is answered, and those that are waiting are lost:
+  // their connections stay open, but return nothing further.
+  void BeginSilence() {
+    this->is_silent = true;
+    ++this->silences;
+  }
+  void EndSilence() { this->is_silent = false; }
+
   // Answers every call with this status, when set.
   std::optional<int> refusal;
   int calls = 0;
@@ -55,6 +74,28 @@
   std::size_t page_size = 500;
 
  private:
+  // Longer than any test.
+  static constexpr Duration kLostAnswerTime = std::chrono::minutes(10);
+
+  // Waits until the read `request` has records to return, or its wait is over.
+  void AwaitRecords(const ParsedRequest& request,
+                    EventLoop* loop,
+                    Coroutine yield) {
+    constexpr Duration kPollInterval = std::chrono::milliseconds(2);
+    const std::string wait = Parameter(request.target, "wait_ms");
+    if (wait.empty()) {
+      return;
+    }
+    const std::vector<std::string>& records =
+        this->topics[Parameter(request.target, "topic")];
+    const std::size_t from = std::stoul(Parameter(request.target, "from"));
+    const MonotonicTime deadline =
+        loop->Now() + std::chrono::milliseconds(std::stoi(wait));
+    while (records.size() <= from && loop->Now() < deadline) {
+      loop->Sleep(kPollInterval, yield);
+    }
+  }
+
   static std::string Parameter(const std::string& target,
                                const std::string& name) {
     const std::size_t at = target.find(name + "=");
@@ -160,6 +201,8 @@
   }
 
   const TcpEndpoint address;
+  bool is_silent = false;
+  int silences = 0;  // Begun so far.
   std::map<std::string, std::vector<std::string>> topics;
   std::map<std::string, std::size_t> first;
   SimpleHttpServer service;
