Pass store calls through live peers that reach the store

A call that the store does not answer went to the next peer by name, also to one that is gone or has reported that it does not reach the store; the call then hung there too. FindStoreRelays() lists the others, and all if none is known to do.

--- a/src/peers/peer_directory.cc
+++ b/src/peers/peer_directory.cc
@@ -286,18 +286,29 @@
 }
 
 std::vector<Endpoint> PeerDirectory::EndpointsFromSuccessor() const {
+  return this->EndpointsFromSuccessor([](const PeerState&) { return true; });
+}
+
+std::vector<Endpoint> PeerDirectory::EndpointsFromSuccessor(
+    const std::function<bool(const PeerState&)>& matches) const {
   std::vector<Endpoint> endpoints;
-  endpoints.reserve(this->peers.size());
   const auto successor = this->peers.upper_bound(this->own_node);
-  for (auto peer = successor; peer != this->peers.end(); ++peer) {
-    endpoints.push_back(peer->second.endpoint);
-  }
-  for (auto peer = this->peers.begin(); peer != successor; ++peer) {
-    endpoints.push_back(peer->second.endpoint);
-  }
+  const auto add = [&](const auto& entry) {
+    if (matches(entry.second)) {
+      endpoints.push_back(entry.second.endpoint);
+    }
+  };
+  std::for_each(successor, this->peers.end(), add);
+  std::for_each(this->peers.begin(), successor, add);
   return endpoints;
 }
 
+std::vector<Endpoint> PeerDirectory::FindStoreRelays(MonotonicTime now) const {
+  std::vector<Endpoint> relays = this->EndpointsFromSuccessor(
+      [now](const PeerState& peer) { return CanPlan(peer, now); });
+  return relays.empty() ? this->EndpointsFromSuccessor() : relays;
+}
+
 bool PeerDirectory::IsStoreDown(bool own_reaches_store,
                                 MonotonicTime now) const {
   std::map<std::string, std::map<std::pair<double, std::string>, bool>>
--- a/src/peers/peer_directory.h
+++ b/src/peers/peer_directory.h
@@ -68,6 +68,9 @@
   // every node starts with a different peer.
   std::vector<Endpoint> EndpointsFromSuccessor() const;
 
+  // The same of the peers that reach the store, or of all if none is known to.
+  std::vector<Endpoint> FindStoreRelays(MonotonicTime now) const;
+
   // Number of live peers, plus one for this process.
   int CountLiveNodes(MonotonicTime now) const;
 
@@ -174,6 +177,9 @@
   // none.
   const std::string* FindFirstNeighbour(MonotonicTime now) const;
 
+  std::vector<Endpoint> EndpointsFromSuccessor(
+      const std::function<bool(const PeerState&)>& matches) const;
+
   // Number of peers in the failure domain of this process that match.
   int CountNeighbours(
       const std::function<bool(const std::string&, const PeerState&)>& matches)
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -230,6 +230,30 @@
   CHECK(first_ports.size() == kNodes);
 }
 
+// Guards against calls that hang at a peer that is gone or does not reach the
+// store itself.
+TEST_CASE("Store calls pass through live peers that reach the store") {
+  PeerDirectory directory("n", "zone");
+  const MonotonicTime now = kStart + std::chrono::seconds(10);
+  const auto add = [&](const std::string& node, std::uint16_t port,
+                       bool reaches_store, MonotonicTime digest_at) {
+    directory.PutPeer(node, "zone", Endpoint{"10.0.0.1", port});
+    NodeDigest digest = DigestOf(node);
+    digest.reaches_store = reaches_store;
+    directory.AcceptDigest(digest, digest_at);
+  };
+  directory.PutPeer("silent", "zone", Endpoint{"10.0.0.1", 1});
+  add("gone", 2, true, kStart);
+  add("refused", 3, false, now);
+  CHECK(directory.FindStoreRelays(now).size() == 3);
+  add("z", 4, true, now);
+  add("a", 5, true, now);
+  const std::vector<Endpoint> relays = directory.FindStoreRelays(now);
+  REQUIRE(relays.size() == 2);
+  CHECK(relays[0].port == 4);
+  CHECK(relays[1].port == 5);
+}
+
 // Guards against a datagram that ends the process: the decoder recursed at each
 // level until the stack was used up.
 TEST_CASE("A datagram that nests too deep is refused") {
