Bound the time for which a lost read of the store hides changes

Callers were handled by an old configuration (CONFIG), by all VMs alike, up to four seconds after a newer one was confirmed. A read waits at the store until a record comes. One that is lost in a silence of the store, or on a connection that is half open, looks like one that waits: the configuration's was given up after 4.0 s, and then repeated at a peer for another 4.0 s, with the store back for seconds. Class of fault: what is believed rests on a call that may never be answered, and the time limits of the call, of its fallback and of its relay are longer than the belief may be old.

* The wait of a read of the configuration and of the servers is at most half of the bound within which a change must take effect (settings), so that the read that follows a lost one is in time.
* What replaces a call without an answer, at a peer or while the store is not known to answer, does not wait for records.
A relay takes as long as the call that it passes on, not 5 s.
* Reads that were sent before the store answered again are sent again at once, and so are reads sent about as early as one that was not answered in time.
* The end of an old call no longer says that the store is unreachable if it has answered a call sent later; VMs so lost their duties, and the store counted as down, seconds after its return.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -45,18 +45,10 @@
 constexpr Duration kStandbyPause = std::chrono::milliseconds(800);
 constexpr Duration kReadWait = std::chrono::milliseconds(3500);
 constexpr Duration kServersReadWait = std::chrono::milliseconds(1200);
-constexpr FollowerSettings kOperatorTopic{StoreTopic::kOperator,
-                                          kOperatorReaders, kReadWait,
-                                          kShortPause, kShortPause};
-constexpr FollowerSettings kServersTopic{StoreTopic::kServers, kOtherReaders,
-                                         kServersReadWait, kBatchPause,
-                                         kStandbyPause};
 constexpr FollowerSettings kGroupsTopic{StoreTopic::kGroups, kOtherReaders,
                                         kReadWait, kShortPause, kStandbyPause};
 constexpr FollowerSettings kNodesTopic{StoreTopic::kNodes, kOtherReaders,
                                        kReadWait, kBatchPause, kStandbyPause};
-// A relayed read waits up to 3.5 s at the store, like a direct one.
-constexpr Duration kRelayTimeout = std::chrono::seconds(5);
 // Longest time for which decoding the configuration holds up requests.
 constexpr Duration kMaxDecodeStep = std::chrono::milliseconds(10);
 // Longest time for which the other topics wait for the nodes' one, which tells
@@ -76,6 +68,24 @@
   return (std::int64_t{std::random_device{}()} + 1) << kIdsPerProcessBits;
 }
 
+// The wait of a read of a topic whose changes must take effect within `bound`.
+// A read that is lost, and repeated after its wait, must not exceed the bound.
+Duration ReadWaitWithin(Duration bound, Duration longest) {
+  return std::min(bound / 2, longest);
+}
+
+FollowerSettings OperatorTopicSettings(const ProcessSettings& settings) {
+  return {StoreTopic::kOperator, kOperatorReaders,
+          ReadWaitWithin(settings.propagation_bound, kReadWait), kShortPause,
+          kShortPause};
+}
+
+FollowerSettings ServersTopicSettings(const ProcessSettings& settings) {
+  return {StoreTopic::kServers, kOtherReaders,
+          ReadWaitWithin(settings.drain_bound, kServersReadWait), kBatchPause,
+          kStandbyPause};
+}
+
 RetryLimits BoundsOf(const ProcessSettings& settings) {
   return {settings.retry_ratio, settings.retry_base, settings.retry_window};
 }
@@ -152,13 +162,13 @@
                     }),
       operator_topic(&this->loop,
                      &this->store,
-                     kOperatorTopic,
+                     OperatorTopicSettings(this->settings),
                      &this->role,
                      this->MakePeerFetcher(StoreTopic::kOperator),
                      [this](const TopicRecord& r) { this->ApplyConfig(r); }),
       servers_topic(&this->loop,
                     &this->store,
-                    kServersTopic,
+                    ServersTopicSettings(this->settings),
                     &this->role,
                     this->MakePeerFetcher(StoreTopic::kServers),
                     [this](const TopicRecord& r) { this->ApplyServer(r); }),
@@ -203,7 +213,7 @@
   this->loop.Monitor()->SetMetrics(&this->metrics);
   this->store.SetRelays([this] {
     std::vector<TcpEndpoint> relays;
-    for (const Endpoint& peer : this->peers.EndpointsFromSuccessor()) {
+    for (const Endpoint& peer : this->peers.FindStoreRelays(this->loop.Now())) {
       relays.push_back(ToTcpEndpoint(peer));
     }
     return relays;
@@ -577,8 +587,7 @@
     return SimpleHttpResponse{kHttpNotFound, ""};
   }
   const HttpResponse reply = this->store.PassOn(
-      OutgoingRequest{request.method, request.target, {}, request.body},
-      kRelayTimeout, yield);
+      OutgoingRequest{request.method, request.target, {}, request.body}, yield);
   if (reply.result != ExchangeResult::kAnswered) {
     return SimpleHttpResponse{reply.result == ExchangeResult::kNotSent
                                   ? kHttpServiceUnavailable
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -3,6 +3,8 @@
 #include <string_view>
 #include <utility>
 
+#include "base/scope_guard.h"
+
 namespace kumquatcart {
 
 namespace {
@@ -88,10 +90,16 @@
   connection->SetWaiter(&waiter);
   connection->Send(
       SerializeRequest(WithHostHeader(*call.request, call.endpoint)));
+  PendingRead read{this->loop->Now(), connection.get()};
+  const ScopeGuard guard([this, &read] { this->pending_reads.erase(&read); });
+  if (call.request->method == "GET") {
+    this->pending_reads.insert(&read);
+  }
   HttpResponse reply;
   const bool is_reusable =
       this->Receive(call, is_reused, &waiter, connection.get(), &reply, yield);
   reply.on_kept_connection = is_reused;
+  reply.was_abandoned = read.is_abandoned;
   connection->SetWaiter(nullptr);
   if (is_reusable) {
     this->pool.ReturnConnection(call.endpoint, std::move(connection),
@@ -102,6 +110,18 @@
   return reply;
 }
 
+int HttpClient::AbandonReads(MonotonicTime sent_before) {
+  int count = 0;
+  for (PendingRead* read : this->pending_reads) {
+    if (read->sent_at < sent_before && !read->connection->HasEnded()) {
+      read->is_abandoned = true;
+      read->connection->Abort();
+      ++count;
+    }
+  }
+  return count;
+}
+
 bool HttpClient::Receive(const Call& call,
                          bool is_reused,
                          Waiter* waiter,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -3,6 +3,7 @@
 #define NET_HTTP_CLIENT_H_
 
 #include <optional>
+#include <set>
 #include <string>
 
 #include "net/connection_pool.h"
@@ -30,6 +31,8 @@
   int status = 0;
   HeaderList headers;
   std::string body;
+  // Whether AbandonReads() ended the exchange.
+  bool was_abandoned = false;
   // Body bytes received before a failure.
   std::size_t partial_body_bytes = 0;
   // Whether the connection had carried earlier requests.
@@ -86,7 +89,18 @@
   // Closes pooled connections that can no longer be reused.
   void PruneIdle() { this->pool.CloseUnusable(); }
 
+  // Ends the GET requests in progress that were sent before `sent_before`, with
+  // kNoAnswer. Returns their number.
+  int AbandonReads(MonotonicTime sent_before);
+
  private:
+  // A GET request that has been sent and is not answered yet.
+  struct PendingRead {
+    MonotonicTime sent_at;
+    TcpConnection* connection = nullptr;
+    bool is_abandoned = false;
+  };
+
   struct Call {
     TcpEndpoint endpoint;
     const OutgoingRequest* request = nullptr;
@@ -114,6 +128,7 @@
   EventLoop* const loop;
   const std::size_t max_body_bytes;
   ConnectionPool pool;
+  std::set<PendingRead*> pending_reads;
 };
 
 }  // namespace kumquatcart
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -224,6 +224,11 @@
   this->socket.close(ignored);
 }
 
+void TcpConnection::Abort() {
+  this->Close();
+  this->MarkEnded(/*by_error=*/true);
+}
+
 void TcpConnection::SetResetOnClose(bool resets) {
   if (this->resets_on_close == resets) {
     return;
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -73,6 +73,9 @@
   // Closes immediately and discards unsent bytes.
   void Close();
 
+  // Closes as after a failure, and notifies the waiter.
+  void Abort();
+
   // Whether the connection is reset when it closes, the end of the process
   // included. Ends when FinishSending has sent all bytes.
   void SetResetOnClose(bool resets);
--- a/src/platform/process_settings.cc
+++ b/src/platform/process_settings.cc
@@ -14,6 +14,7 @@
 // Defaults for bounds that a settings file may leave out; each is the strictest
 // value that deployments have used.
 constexpr double kDefaultDrainMs = 2000;
+constexpr double kDefaultPropagationMs = 2000;
 constexpr double kDefaultGraceSeconds = 8;
 constexpr double kDefaultStallMs = 6000;
 constexpr double kDefaultRetryRatio = 0.1;
@@ -56,6 +57,8 @@
   const Json& bounds = TableAt(json, "bounds");
   settings->drain_bound =
       FromMillis(NumberAt(bounds, "drain_ms", kDefaultDrainMs));
+  settings->propagation_bound = FromMillis(
+      NumberAt(bounds, "config_propagation_ms", kDefaultPropagationMs));
   settings->stop_grace =
       FromMillis(NumberAt(bounds, "grace_s", kDefaultGraceSeconds) * 1000);
   settings->stall_time =
--- a/src/platform/process_settings.h
+++ b/src/platform/process_settings.h
@@ -25,8 +25,10 @@
   Endpoint store;
   std::uint64_t call_bytes = 0;  // Largest body of an append.
   Duration drain_bound{0};       // A leaving server gets no request after this.
-  Duration stop_grace{0};        // From the stop signal to the kill.
-  Duration stall_time{0};        // A group that lost a member stands this long.
+  // A confirmed configuration is in force everywhere after this.
+  Duration propagation_bound{0};
+  Duration stop_grace{0};  // From the stop signal to the kill.
+  Duration stall_time{0};  // A group that lost a member stands this long.
   double retry_ratio = 0;  // Retries allowed for each request, system-wide.
   double retry_base = 0;   // Retries allowed beside those, in one window.
   Duration retry_window{0};
@@ -35,12 +37,13 @@
   double link_bytes_per_second = 0;
 
   auto Tie() const {
-    return std::tie(
-        this->node_name, this->failure_domain, this->failure_domains,
-        this->callers, this->readiness, this->peers, this->metrics, this->store,
-        this->call_bytes, this->drain_bound, this->stop_grace, this->stall_time,
-        this->retry_ratio, this->retry_base, this->retry_window,
-        this->descriptors, this->cores, this->link_bytes_per_second);
+    return std::tie(this->node_name, this->failure_domain,
+                    this->failure_domains, this->callers, this->readiness,
+                    this->peers, this->metrics, this->store, this->call_bytes,
+                    this->drain_bound, this->propagation_bound,
+                    this->stop_grace, this->stall_time, this->retry_ratio,
+                    this->retry_base, this->retry_window, this->descriptors,
+                    this->cores, this->link_bytes_per_second);
   }
 };
 
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -1,6 +1,9 @@
 #include "platform/store_client.h"
 
+#include <algorithm>
+#include <charconv>
 #include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 #include <boost/beast/core/detail/base64.hpp>
@@ -18,8 +21,9 @@
 // A store that is up answers in some ten milliseconds, a slow one within half a
 // second.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
-// Time beyond the wait that a waiting read may take.
+// Time beyond its wait that a waiting read may take.
 constexpr Duration kReadSlack = std::chrono::milliseconds(500);
+constexpr char kWaitParameter[] = "&wait_ms=";
 // Largest body asked of one read.
 constexpr int kReadKilobytes = 1024;
 // While the store refuses this VM, calls go to a relay first, and to the store
@@ -79,6 +83,25 @@
   return encoded;
 }
 
+std::string ReadTarget(StoreTopic topic, std::int64_t from, Duration wait) {
+  return fmt::format("{}?topic={}&part=0&from={}&max_kb={}{}{}",
+                     wire::kLogReadPath, TopicName(topic), from, kReadKilobytes,
+                     kWaitParameter, ToMillis(wait));
+}
+
+// Longest time that a call with this target takes.
+Duration TimeLimitOf(const std::string& target) {
+  const std::size_t at = target.find(kWaitParameter);
+  if (at == std::string::npos) {
+    return kCallTimeout;
+  }
+  std::int64_t wait_ms = 0;
+  const char* end = target.data() + target.size();
+  std::from_chars(target.data() + at + std::string_view(kWaitParameter).size(),
+                  end, wait_ms);
+  return std::chrono::milliseconds(wait_ms) + kReadSlack;
+}
+
 OutgoingRequest Get(std::string target) {
   return OutgoingRequest{"GET", std::move(target), {}, {}};
 }
@@ -200,10 +223,9 @@
 
 HttpResponse StoreClient::Send(const TcpEndpoint& endpoint,
                                const OutgoingRequest& request,
-                               Duration timeout,
                                Coroutine yield) {
   const MonotonicTime sent_at = this->loop->Now();
-  const MonotonicTime deadline = sent_at + timeout;
+  const MonotonicTime deadline = sent_at + TimeLimitOf(request.target);
   HttpResponse reply =
       request.method == "GET"
           ? this->client.Exchange(endpoint, request, deadline, kMaxIdle, yield)
@@ -216,6 +238,7 @@
          {"via",
           endpoint == this->store ? "store" : endpoint.address().to_string()},
          {"kept_connection", reply.on_kept_connection ? 1 : 0},
+         {"abandoned", reply.was_abandoned ? 1 : 0},
          {"result", ToString(reply.result)},
          {"status", reply.status},
          {"ms", ToMillis(this->loop->Now() - sent_at)}});
@@ -224,55 +247,77 @@
 }
 
 HttpResponse StoreClient::PassOn(const OutgoingRequest& request,
-                                 Duration timeout,
                                  Coroutine yield) {
-  HttpResponse reply = this->Send(this->store, request, timeout, yield);
-  this->NoteReachability(reply);
+  const MonotonicTime sent_at = this->loop->Now();
+  HttpResponse reply = this->Send(this->store, request, yield);
+  this->NoteReachability(reply, sent_at);
   return reply;
 }
 
-void StoreClient::NoteReachability(const HttpResponse& reply) {
-  const bool answered = !IsRefusal(reply);
-  if (answered == this->reachable) {
+void StoreClient::NoteReachability(const HttpResponse& reply,
+                                   MonotonicTime sent_at) {
+  if (!IsRefusal(reply)) {
+    this->answered_call_sent_at =
+        std::max(this->answered_call_sent_at, sent_at);
+    if (!this->reachable) {
+      this->reachable = true;
+      LogInfo("store_regained");
+      if (std::exchange(this->was_silent, false)) {
+        this->AbandonReads(sent_at);
+      }
+    }
+    return;
+  }
+  if (reply.was_abandoned) {
     return;
   }
-  this->reachable = answered;
-  if (answered) {
-    LogInfo("store_regained");
-  } else {
+  if (reply.result == ExchangeResult::kTimedOut) {
+    // Others that were sent about as early share its fate.
+    this->AbandonReads(this->loop->Now() - kCallTimeout);
+  }
+  if (sent_at < this->answered_call_sent_at) {
+    return;
+  }
+  this->was_silent =
+      this->was_silent || reply.result == ExchangeResult::kTimedOut;
+  if (this->reachable) {
+    this->reachable = false;
     LogWarning("store_lost",
                {{"result", ToString(reply.result)}, {"status", reply.status}});
   }
 }
 
-HttpResponse StoreClient::Call(const OutgoingRequest& request,
-                               Duration timeout,
-                               Coroutine yield) {
-  const MonotonicTime now = this->loop->Now();
+void StoreClient::AbandonReads(MonotonicTime sent_before) {
+  const int count = this->client.AbandonReads(sent_before);
+  if (count > 0) {
+    LogInfo("store_reads_abandoned", {{"count", count}});
+  }
+}
+
+HttpResponse StoreClient::Call(const StoreCall& call, Coroutine yield) {
   const bool asks_relay_first =
-      !this->reachable && now - this->direct_at < kDirectInterval;
+      !this->reachable && this->loop->Now() - this->direct_at < kDirectInterval;
   bool relay_refused = false;
   if (asks_relay_first) {
-    std::optional<HttpResponse> relayed =
-        this->CallRelay(request, timeout, yield);
+    std::optional<HttpResponse> relayed = this->CallRelay(call.request, yield);
     if (relayed && !IsRefusal(*relayed)) {
       return *std::move(relayed);
     }
     relay_refused = relayed.has_value();
   }
-  this->direct_at = now;
-  HttpResponse reply = this->PassOn(request, timeout, yield);
-  if (!IsRefusal(reply) || relay_refused) {
+  this->direct_at = this->loop->Now();
+  HttpResponse reply =
+      this->PassOn(this->reachable ? call.request : call.without_wait, yield);
+  if (!IsRefusal(reply) || relay_refused || this->reachable) {
     return reply;
   }
   std::optional<HttpResponse> relayed =
-      this->CallRelay(request, timeout, yield);
+      this->CallRelay(call.without_wait, yield);
   return !relayed || IsRefusal(*relayed) ? reply : *std::move(relayed);
 }
 
 std::optional<HttpResponse> StoreClient::CallRelay(
     const OutgoingRequest& request,
-    Duration timeout,
     Coroutine yield) {
   const std::vector<TcpEndpoint> relays =
       this->list_relays ? this->list_relays() : std::vector<TcpEndpoint>();
@@ -280,7 +325,7 @@
     return std::nullopt;
   }
   const TcpEndpoint& relay = relays[this->next_relay++ % relays.size()];
-  return this->Send(relay, request, timeout, yield);
+  return this->Send(relay, request, yield);
 }
 
 Result<TopicBatch> StoreClient::ReadNewest(StoreTopic topic, Coroutine yield) {
@@ -292,8 +337,7 @@
     if (!first) {
       target += "&after=" + EncodeQueryValue(after);
     }
-    const HttpResponse reply =
-        this->Call(Get(std::move(target)), kCallTimeout, yield);
+    const HttpResponse reply = this->Call(Get(std::move(target)), yield);
     if (reply.HasResponseStatus(kHttpNotFound)) {
       return batch;  // Nobody has written to the topic yet.
     }
@@ -319,11 +363,10 @@
                                           std::int64_t from,
                                           Duration wait,
                                           Coroutine yield) {
-  const HttpResponse reply = this->Call(
-      Get(fmt::format("{}?topic={}&part=0&from={}&max_kb={}&wait_ms={}",
-                      wire::kLogReadPath, TopicName(topic), from,
-                      kReadKilobytes, ToMillis(wait))),
-      wait + kReadSlack, yield);
+  const HttpResponse reply =
+      this->Call(StoreCall{Get(ReadTarget(topic, from, wait)),
+                           Get(ReadTarget(topic, from, Duration{0}))},
+                 yield);
   if (reply.HasResponseStatus(kHttpGone)) {
     return MakeError(ErrorCode::kExpired, "the records were dropped");
   }
@@ -350,7 +393,7 @@
     request.target += fmt::format("&at={}", *at);
   }
   request.body = EncodeRecord(key, value);
-  const HttpResponse reply = this->Call(request, kCallTimeout, yield);
+  const HttpResponse reply = this->Call(request, yield);
   if (reply.HasResponseStatus(kHttpPreconditionFailed)) {
     return MakeError(ErrorCode::kConflict, "the topic ends elsewhere");
   }
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -81,32 +81,42 @@
                               std::optional<std::int64_t> at,
                               Coroutine yield);
 
-  // Passes a peer's call on to the store unchanged. For the relay service.
-  HttpResponse PassOn(const OutgoingRequest& request,
-                      Duration timeout,
-                      Coroutine yield);
+  // Passes a call on to the store unchanged, also for a peer. Takes at most one
+  // second, or for a read half a second more than it asks the store to wait.
+  HttpResponse PassOn(const OutgoingRequest& request, Coroutine yield);
 
   // Whether `target` is a call that PassOn takes.
   static bool IsStoreCall(const std::string& target);
 
-  // Whether the last direct call was answered.
+  // Whether the store answers: of the direct calls that have ended, the one
+  // that was sent last was answered.
   bool IsReachable() const { return this->reachable; }
 
  private:
+  // A call, and what is sent instead while it is unknown whether the store
+  // answers: the same, without waiting for records.
+  struct StoreCall {
+    OutgoingRequest request;
+    OutgoingRequest without_wait;
+  };
+
   // Sends one call. Writes get a connection of their own, so that the answer to
   // an earlier call never counts as that of a write.
   HttpResponse Send(const TcpEndpoint& endpoint,
                     const OutgoingRequest& request,
-                    Duration timeout,
-                    Coroutine yield);
-  HttpResponse Call(const OutgoingRequest& request,
-                    Duration timeout,
                     Coroutine yield);
+  HttpResponse Call(const StoreCall& call, Coroutine yield);
+  // The same for a call that does not wait at the store.
+  HttpResponse Call(const OutgoingRequest& request, Coroutine yield) {
+    return this->Call(StoreCall{request, request}, yield);
+  }
   // None: there is no relay.
   std::optional<HttpResponse> CallRelay(const OutgoingRequest& request,
-                                        Duration timeout,
                                         Coroutine yield);
-  void NoteReachability(const HttpResponse& reply);
+  void NoteReachability(const HttpResponse& reply, MonotonicTime sent_at);
+  // Ends the reads that were sent before `sent_before`, so that they are sent
+  // again: their answers are probably lost.
+  void AbandonReads(MonotonicTime sent_before);
 
   EventLoop* const loop;
   const TcpEndpoint store;
@@ -114,7 +124,9 @@
   RelayList list_relays;
   std::size_t next_relay = 0;
   bool reachable = true;
-  MonotonicTime direct_at;  // Last direct call.
+  bool was_silent = false;              // Since the store was reachable.
+  MonotonicTime direct_at;              // Last direct call.
+  MonotonicTime answered_call_sent_at;  // Of direct calls, the latest one.
 };
 
 // Decodes the body of a read: the topic's end, its first offset, then records.
--- a/tests/entry/process_fixture.h
+++ b/tests/entry/process_fixture.h
@@ -70,6 +70,8 @@
       *endpoint = ToEndpoint(FreeAddress());
     }
     this->settings.store = ToEndpoint(this->store.Address());
+    this->settings.drain_bound = std::chrono::seconds(2);
+    this->settings.propagation_bound = std::chrono::seconds(2);
     this->settings.stop_grace = stop_grace;
     this->settings.retry_ratio = 0.2;
     this->settings.retry_base = 10;
