Check in the soak that versions are in force in time

The stand-in of the store answered the calls of a silence late instead of losing them, and nothing checked when a version is in force, so the soak could not find the lost reads.

--- a/tests/net/response_parser_test.cc
+++ b/tests/net/response_parser_test.cc
@@ -108,7 +108,10 @@
   for (const std::string framing :
        {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
     for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
-      const std::string head = version + " 200 OK\r\n" + framing + "\r\n";
+      std::string head = version;
+      head += " 200 OK\r\n";
+      head += framing;
+      head += "\r\n";
       for (std::size_t size = 0; size < head.size(); ++size) {
         for (const bool reset : {false, true}) {
           CAPTURE(framing, version, size, reset);
--- a/tools/soak/entry_child.cc
+++ b/tools/soak/entry_child.cc
@@ -100,6 +100,7 @@
     _exit(127);
   }
   this->ending = false;
+  this->disturbed_at = this->loop->Now();
   this->ledger->NoteDisturbance(this->host, this->loop->Now());
   this->limits->NoteDisturbance(this->host, this->loop->Now());
 }
@@ -113,6 +114,7 @@
     this->told_at = this->loop->Now();
   }
   if (number != SIGHUP) {
+    this->disturbed_at = this->loop->Now();
     this->limits->NoteDisturbance(this->host, this->loop->Now());
   }
   // Neither a reload nor a planned stop may cost a request.
--- a/tools/soak/entry_child.h
+++ b/tools/soak/entry_child.h
@@ -47,6 +47,8 @@
   bool IsRunning() const { return this->pid > 0; }
   bool IsStopping() const { return this->ending; }
   TcpProxy& StoreLink() { return *this->store_link; }
+  // The last start or signal but a reload.
+  MonotonicTime DisturbedAt() const { return this->disturbed_at; }
   const TcpEndpoint& Callers() const { return this->callers; }
   const TcpEndpoint& Readiness() const { return this->readiness; }
   const std::string& Name() const { return this->name; }
@@ -65,6 +67,7 @@
   pid_t pid = 0;
   bool ending = false;
   MonotonicTime told_at;
+  MonotonicTime disturbed_at;
 };
 
 }  // namespace kumquatcart::soak
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -53,6 +53,9 @@
   app.add_flag("--rebirths", settings.with_rebirths,
                "Servers start again at their addresses, under the same id or "
                "a new one, and servers of the other service get addresses");
+  app.add_flag("--silences", settings.with_silences,
+               "The store loses reads in silences, before new versions; "
+               "no faults of processes, links or servers");
   app.add_flag("--verbose", verbose, "Prints each fault as it begins");
   CLI11_PARSE(app, argc, argv);
   kumquatcart::ConfigureLogging(
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -1,6 +1,7 @@
 #include "soak/soak_run.h"
 
 #include <csignal>
+#include <optional>
 
 #include <fmt/format.h>
 
@@ -9,6 +10,7 @@
 #include "soak/idle_schedule.h"
 #include "soak/limit_schedule.h"
 #include "soak/rebirth_schedule.h"
+#include "soak/silence_schedule.h"
 
 namespace kumquatcart::soak {
 
@@ -22,14 +24,46 @@
 constexpr Duration kMeasured = std::chrono::seconds(2);
 constexpr double kServedShare = 0.9;
 constexpr Duration kWatch = std::chrono::milliseconds(50);
+// Time after which a process that reads the store, and that nothing disturbs,
+// has a version: the platform's bound and its stable window at most.
+constexpr Duration kInForceTime = std::chrono::milliseconds(3000);
+// With more processes, some depend on others for their records.
+constexpr std::size_t kStoreReaders = 4;
 // Time until every request has ended: longer than callers wait.
 constexpr Duration kLastAnswers = std::chrono::seconds(4);
 constexpr Duration kStopTime = std::chrono::seconds(8);
 
+// Whether the store, the process and the link between them have all been sound
+// since `time`.
+bool WasCalmSince(const SoakWorld& world,
+                  EntryChild* entry,
+                  MonotonicTime time) {
+  const std::optional<MonotonicTime> store = world.store.SoundSince();
+  const std::optional<MonotonicTime> link = entry->StoreLink().SoundSince();
+  return store && *store <= time && link && *link <= time &&
+         entry->DisturbedAt() <= time && entry->IsRunning() &&
+         !entry->IsStopping();
+}
+
+// Accuses a process that does not have a version although nothing has kept it
+// from reading that for long enough.
+void CheckInForce(SoakWorld* world, EntryChild* entry, Coroutine yield) {
+  const MonotonicTime due_at = world->loop.Now() - kInForceTime;
+  const int due = world->VersionAt(due_at);
+  if (due > 0 && WasCalmSince(*world, entry, due_at) &&
+      world->AskRoute(*entry, due, yield) == kHttpNotFound &&
+      WasCalmSince(*world, entry, due_at)) {
+    world->ledger.Accuse(fmt::format("{} does not have version {} after {} ms",
+                                     entry->Name(), due,
+                                     ToMillis(kInForceTime)));
+  }
+}
+
 // Asks one process again and again for the newest route that it has shown, for
 // as long as it lives.
 void WatchConfig(SoakWorld* world,
                  EntryChild* entry,
+                 bool all_read_store,
                  const bool* goes_on,
                  Coroutine yield) {
   int shown = 0;
@@ -39,6 +73,9 @@
       shown = 0;
       continue;
     }
+    if (all_read_store) {
+      CheckInForce(world, entry, yield);
+    }
     const int newest = world->Version();
     if (world->AskRoute(*entry, newest, yield) == kHttpOk) {
       shown = std::max(shown, newest);
@@ -112,6 +149,7 @@
   LimitSchedule limits(&world, settings.seed);
   IdleSchedule idle(&world, settings.seed);
   RebirthSchedule rebirths(&world, settings.seed);
+  SilenceSchedule silences(&world, settings.seed);
   bool restarts = true;
   bool watches = true;
   world.loop.Spawn([&](Coroutine yield) {
@@ -126,7 +164,8 @@
     for (const auto& entry : world.entries) {
       world.loop.Spawn(
           [&world, &watches, child = entry.get()](Coroutine inner) {
-            WatchConfig(&world, child, &watches, inner);
+            WatchConfig(&world, child, world.entries.size() <= kStoreReaders,
+                        &watches, inner);
           });
     }
     for (const bool forms_groups : {false, true}) {
@@ -140,6 +179,13 @@
     if (settings.with_idle_timeouts) {
       world.loop.Spawn([&, end](Coroutine inner) { idle.Run(end, inner); });
     }
+    bool is_sound = !settings.with_silences;
+    if (settings.with_silences) {
+      world.loop.Spawn([&, end](Coroutine inner) {
+        silences.Run(end, inner);
+        is_sound = true;
+      });
+    }
     bool is_reborn = !settings.with_rebirths;
     if (settings.with_rebirths) {
       world.loop.Spawn([&, end](Coroutine inner) {
@@ -147,8 +193,11 @@
         is_reborn = true;
       });
     }
-    schedule.Run(end, yield);
-    while (!is_reborn) {
+    // Other faults start processes again, which read all records anew.
+    if (!settings.with_silences) {
+      schedule.Run(end, yield);
+    }
+    while (!is_reborn || !is_sound) {
       world.loop.Sleep(kWatch, yield);
     }
     world.loop.Sleep(kRecovery, yield);
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -1,5 +1,7 @@
 #include "soak/soak_world.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "net/http_status.h"
@@ -90,8 +92,15 @@
   }
 }
 
+int SoakWorld::VersionAt(MonotonicTime time) const {
+  const auto& written = this->versions_written_at;
+  return static_cast<int>(
+      std::upper_bound(written.begin(), written.end(), time) - written.begin());
+}
+
 int SoakWorld::ChangeConfig() {
   ++this->version;
+  this->versions_written_at.push_back(this->loop.Now());
   Json routes{MakeRoute("/once/", "non_idempotent", kPlainService),
               MakeRoute("/again/", "idempotent", kPlainService),
               MakeRoute("/stream/", "streaming", kModelService)};
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -34,6 +34,9 @@
   bool with_framings = false;
   // Servers start again at their addresses, which others also get.
   bool with_rebirths = false;
+  // The store loses reads in silences, after which versions are written. Takes
+  // the place of the faults of processes, links and servers.
+  bool with_silences = false;
 };
 
 // The idle timeout of the first version.
@@ -52,6 +55,8 @@
   // Writes a new configuration, with one route more; returns its version.
   int ChangeConfig();
   int Version() const { return this->version; }
+  // The newest version that was written at `time` or before; 0 if none was.
+  int VersionAt(MonotonicTime time) const;
   // The idle timeout of the next version.
   void SetIdleTimeout(Duration timeout) {
     this->idle = {timeout, this->idle.newest};
@@ -97,6 +102,7 @@
   std::minstd_rand generator;
   TcpEndpoint store_address;
   int version = 0;
+  std::vector<MonotonicTime> versions_written_at;  // From version 1 on.
   IdleTimeouts idle{kFirstIdleTimeout, kFirstIdleTimeout};
   int servers_started = 0;
   int questions = 0;
--- a/tools/soak/store_stand_in.cc
+++ b/tools/soak/store_stand_in.cc
@@ -82,11 +82,26 @@
   this->topics[topic].push_back(Record{key, value});
 }
 
+void StoreStandIn::SetFault(StoreFault next) {
+  this->silences += next == StoreFault::kSilent ? 1 : 0;
+  this->fault = next;
+  this->changed_at = this->loop->Now();
+}
+
 SimpleHttpResponse StoreStandIn::Answer(const ParsedRequest& request,
                                         Coroutine yield) {
-  while (this->fault == StoreFault::kSilent) {
-    this->loop->Sleep(kPoll, yield);
+  const int silences_before = this->silences;
+  const bool is_lost = this->fault == StoreFault::kSilent;
+  SimpleHttpResponse answer =
+      is_lost ? SimpleHttpResponse{} : this->Handle(request, yield);
+  if (is_lost || this->silences != silences_before) {
+    this->loop->Sleep(kLostAnswer, yield);
   }
+  return answer;
+}
+
+SimpleHttpResponse StoreStandIn::Handle(const ParsedRequest& request,
+                                        Coroutine yield) {
   if (this->fault == StoreFault::kRefuses) {
     return {kHttpServiceUnavailable, ""};
   }
--- a/tools/soak/store_stand_in.h
+++ b/tools/soak/store_stand_in.h
@@ -14,8 +14,10 @@
 
 enum class StoreFault {
   kNone,
-  kRefuses,      // Answers every call with 503 and does nothing.
-  kSilent,       // Answers nothing and does nothing while it lasts.
+  kRefuses,  // Answers every call with 503 and does nothing.
+  // Answers and does nothing while it lasts. Calls that fall into it are lost:
+  // their connections stay open and return nothing further.
+  kSilent,
   kLosesAnswers  // Does what appends ask and does not answer them.
 };
 
@@ -39,7 +41,13 @@
            const std::string& key,
            const std::optional<std::string>& value);
 
-  void SetFault(StoreFault next) { this->fault = next; }
+  void SetFault(StoreFault next);
+
+  // Since when no fault has lasted; none while one does.
+  std::optional<MonotonicTime> SoundSince() const {
+    return this->fault == StoreFault::kNone ? std::optional(this->changed_at)
+                                            : std::nullopt;
+  }
 
  private:
   struct Record {
@@ -49,6 +57,7 @@
   using Query = std::map<std::string, std::string>;
 
   SimpleHttpResponse Answer(const ParsedRequest& request, Coroutine yield);
+  SimpleHttpResponse Handle(const ParsedRequest& request, Coroutine yield);
   SimpleHttpResponse Append(const Query& query, const std::string& body);
   SimpleHttpResponse Read(const Query& query, Coroutine yield);
   SimpleHttpResponse Newest(const Query& query);
@@ -57,6 +66,8 @@
   SimpleHttpServer service;
   std::map<std::string, std::vector<Record>> topics;
   StoreFault fault = StoreFault::kNone;
+  MonotonicTime changed_at;  // Of the fault.
+  int silences = 0;          // Begun so far.
 };
 
 }  // namespace kumquatcart::soak
--- a/tools/soak/tcp_proxy.h
+++ b/tools/soak/tcp_proxy.h
@@ -2,6 +2,7 @@
 #ifndef SOAK_TCP_PROXY_H_
 #define SOAK_TCP_PROXY_H_
 
+#include <optional>
 #include <set>
 
 #include "entry/simple_http_server.h"
@@ -29,7 +30,16 @@
     return this->listener.Start(listen);
   }
 
-  void SetState(LinkState next) { this->state = next; }
+  void SetState(LinkState next) {
+    this->state = next;
+    this->changed_at = this->loop->Now();
+  }
+
+  // Since when the link has been sound; none while it is harmed.
+  std::optional<MonotonicTime> SoundSince() const {
+    return this->state == LinkState::kSound ? std::optional(this->changed_at)
+                                            : std::nullopt;
+  }
 
   // Cuts all connections; later ones go to `next`.
   void SetTarget(const TcpEndpoint& next);
@@ -47,6 +57,7 @@
   int targets = 0;  // How often the target has changed.
   TcpListener listener;
   LinkState state = LinkState::kSound;
+  MonotonicTime changed_at;  // Of the state.
 };
 
 }  // namespace kumquatcart::soak
