--- a/src/entry/request_forwarder.h
+++ b/src/entry/request_forwarder.h
@@ -35,7 +35,7 @@
   bool RunAttempts(Coroutine yield);
   SlotResult AcquireSlot(Coroutine yield);
   SlotQuery MakeQuery() const;
-  // When the request has ended for certain if it is sent now.
+  // The latest end of the request if it is sent to healthy servers now.
   MonotonicTime LatestEnd() const;
   // Whether no server has run the request yet and it may last longer than the
   // grace period of a stop that has begun.
--- a/src/routing/run_time_bound.cc
+++ b/src/routing/run_time_bound.cc
@@ -4,8 +4,7 @@
 
 namespace {
 
-// Share of the time by which the prompts of other requests, which are read
-// between token steps, make a request longer.
+// Factor for the prompts of other requests, which are read between token steps.
 constexpr double kOtherPromptsFactor = 1.4;
 // Time at the group before the request's own prompt is read.
 constexpr Duration kStartTime = std::chrono::milliseconds(500);
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -25,7 +25,7 @@
 constexpr double kServedShare = 0.9;
 constexpr Duration kWatch = std::chrono::milliseconds(50);
 // Time after which a process that reads the store, and that nothing disturbs,
-// has a version: the platform's bound and its stable window at most.
+// has a version: longer than the platform's bound of 2 s.
 constexpr Duration kInForceTime = std::chrono::milliseconds(3000);
 // With more processes, some depend on others for their records.
 constexpr std::size_t kStoreReaders = 4;
