Close the gateway's port only after the answers of a stop are sent

What callers saw: on a stop beside streams, streams ended without their error event, and the process could crash (SIGSEGV in the HTTP library).

Cause: Gateway::Stop cancelled the exchanges and closed the listener at once. The listener closes the sockets of its connections on one thread while others start to send the next chunk on them. The library does not guard against that.

Ruled out: the answer's framing and the fresh client; the cut answers are incidental.

The fix: a stop refuses new requests, lets no exchange start, cancels those in progress, and waits for the answers, pages included, for at most 2 s before it closes the port. No chunk is being sent then. Bytes that arrive on a kept connection in the moment of the close can still meet it.

--- a/src/gateway/active_requests.h
+++ b/src/gateway/active_requests.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <mutex>
 
+#include "base/clock.h"
+
 namespace kumquatcart {
 
-// Lets a drain wait for the last request. Thread safe.
+// Lets a drain or a stop wait for the last request. Thread safe.
 class ActiveRequests {
  public:
   // One request in progress, for as long as it lives.
@@ -34,6 +36,27 @@
     this->changed.wait(lock, [this] { return this->count == 0; });
   }
 
+  // As above, but returns false once `timeout` of `clock` has passed with
+  // requests in progress.
+  bool WaitUntilNone(Clock* clock, Duration timeout) {
+    bool timed_out = false;
+    const TimerId timer = clock->CallAfter(timeout, [&] {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      timed_out = true;
+      this->changed.notify_all();
+    });
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->changed.wait(lock, [&] { return this->count == 0 || timed_out; });
+    const bool none = this->count == 0;
+    lock.unlock();
+    if (!clock->Cancel(timer)) {
+      // The callback has started and refers to this call's variables.
+      lock.lock();
+      this->changed.wait(lock, [&] { return timed_out; });
+    }
+    return none;
+  }
+
  private:
   void Add(std::int64_t change) {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/src/gateway/exchange_registry.h
+++ b/src/gateway/exchange_registry.h
@@ -15,9 +15,14 @@
 // mutex is a leaf in the lock order.
 class ExchangeRegistry {
  public:
-  void Add(const std::shared_ptr<UpstreamExchange>& exchange) {
+  // Returns false when the registry is closed: the exchange must not start.
+  bool Add(const std::shared_ptr<UpstreamExchange>& exchange) {
     const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->closed) {
+      return false;
+    }
     this->exchanges.emplace(exchange.get(), exchange);
+    return true;
   }
 
   void Remove(const UpstreamExchange* exchange) {
@@ -25,8 +30,10 @@
     this->exchanges.erase(exchange);
   }
 
-  std::vector<std::shared_ptr<UpstreamExchange>> All() const {
+  // Lets no further exchange start. Returns those in progress.
+  std::vector<std::shared_ptr<UpstreamExchange>> Close() {
     const std::lock_guard<std::mutex> lock(this->mutex);
+    this->closed = true;
     std::vector<std::shared_ptr<UpstreamExchange>> all;
     for (const auto& [key, weak] : this->exchanges) {
       if (auto exchange = weak.lock()) {
@@ -37,7 +44,8 @@
   }
 
  private:
-  mutable std::mutex mutex;
+  std::mutex mutex;
+  bool closed = false;
   std::unordered_map<const UpstreamExchange*, std::weak_ptr<UpstreamExchange>>
       exchanges;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,15 +38,33 @@
   }
 }
 
-void SendPage(const web::http::http_request& transport, WholeReply page) {
-  web::http::http_response response(
-      static_cast<web::http::status_code>(page.status));
-  response.set_body(std::move(page.body), page.content_type);
-  for (const HttpHeader& header : page.headers) {
-    response.headers().add(header.name, header.value);
+// The answer to a request for a page. It is in progress until it is sent.
+class PageAnswer {
+ public:
+  PageAnswer(std::shared_ptr<ActiveRequests> active,
+             const web::http::http_request& transport)
+      : active(std::move(active)),
+        slot(this->active.get()),
+        transport(transport) {}
+
+  // Called once.
+  static void Send(const std::shared_ptr<PageAnswer>& answer, WholeReply page) {
+    web::http::http_response response(
+        static_cast<web::http::status_code>(page.status));
+    response.set_body(std::move(page.body), page.content_type);
+    for (const HttpHeader& header : page.headers) {
+      response.headers().add(header.name, header.value);
+    }
+    answer->transport.reply(response).then(
+        [answer](const pplx::task<void>& sent) { Observe(sent); });
   }
-  transport.reply(response).then(Observe);
-}
+
+ private:
+  // Outlives the gateway where a page handler still runs.
+  const std::shared_ptr<ActiveRequests> active;
+  const ActiveRequests::Slot slot;
+  const web::http::http_request transport;
+};
 
 WholeReply MakePage(int status, std::string content_type, std::string body) {
   WholeReply page;
@@ -147,13 +165,27 @@
     return;
   }
   this->context.stopping = true;
-  for (const auto& exchange : this->context.exchanges.All()) {
+  this->accepting = false;
+  for (const auto& exchange : this->context.exchanges.Close()) {
     exchange->Cancel();
   }
+  this->WaitForAnswers();
   Close(&this->listener);
   Close(&this->operator_listener);
 }
 
+void Gateway::WaitForAnswers() {
+  Clock* const clock = this->context.parts.clock;
+  const MonotonicTime deadline = clock->Now() + kStopAnswerTimeout;
+  const bool answered =
+      this->context.active.WaitUntilNone(clock, kStopAnswerTimeout) &&
+      this->active_pages->WaitUntilNone(clock, deadline - clock->Now());
+  if (!answered) {
+    LogWarning("stop_cuts_answers", {{"requests", this->context.active.Count()},
+                                     {"pages", this->active_pages->Count()}});
+  }
+}
+
 bool Gateway::IsReady() const {
   return !this->draining &&
          this->context.parts.board->config.Read()->offset > kNoOffset;
@@ -195,8 +227,8 @@
         this->ServeAddedPage(transport)) {
       return;
     }
-    SendPage(transport, MakePage(status_codes::NotFound, kTextType,
-                                 "nothing is served here\n"));
+    this->SendPage(transport, MakePage(status_codes::NotFound, kTextType,
+                                       "nothing is served here\n"));
   } catch (const std::exception& error) {
     LogError("operator_request_failed", {{"detail", error.what()}});
     transport.reply(status_codes::InternalError).then(Observe);
@@ -328,15 +360,22 @@
   incoming->Refuse(RequestOutcome::kNotRun, shown, status);
 }
 
+void Gateway::SendPage(const web::http::http_request& transport,
+                       WholeReply page) {
+  PageAnswer::Send(std::make_shared<PageAnswer>(this->active_pages, transport),
+                   std::move(page));
+}
+
 bool Gateway::ServeHealth(const web::http::http_request& transport) {
   const std::string path = transport.relative_uri().path();
   if (path == "/healthz") {
-    SendPage(transport, MakePage(status_codes::OK, kTextType, "ok\n"));
+    this->SendPage(transport, MakePage(status_codes::OK, kTextType, "ok\n"));
   } else if (path == "/readyz") {
     const bool ready = this->IsReady();
-    SendPage(transport, MakePage(ready ? status_codes::OK
-                                       : status_codes::ServiceUnavailable,
-                                 kTextType, ready ? "ready\n" : "not ready\n"));
+    this->SendPage(
+        transport,
+        MakePage(ready ? status_codes::OK : status_codes::ServiceUnavailable,
+                 kTextType, ready ? "ready\n" : "not ready\n"));
   } else {
     return false;
   }
@@ -348,11 +387,12 @@
   if (path == "/metrics") {
     this->context.metrics.active_requests.Set(
         static_cast<double>(this->context.active.Count()));
-    SendPage(transport, MakePage(status_codes::OK, kPrometheusType,
-                                 this->context.parts.metrics->Serialize()));
+    this->SendPage(transport,
+                   MakePage(status_codes::OK, kPrometheusType,
+                            this->context.parts.metrics->Serialize()));
   } else if (path == "/status") {
-    SendPage(transport, MakePage(status_codes::OK, "application/json",
-                                 this->RenderStatusPage()));
+    this->SendPage(transport, MakePage(status_codes::OK, "application/json",
+                                       this->RenderStatusPage()));
   } else {
     return false;
   }
@@ -377,17 +417,19 @@
   WorkerPool* const workers = this->context.parts.workers;
   const auto limit =
       static_cast<std::size_t>(this->context.settings.max_body_bytes);
+  const auto answer =
+      std::make_shared<PageAnswer>(this->active_pages, transport);
   ReadBody(transport, limit,
-           [transport, handler, request, workers](Result<std::string> body) {
+           [answer, handler, request, workers](Result<std::string> body) {
              if (!body.has_value()) {
-               SendPage(transport, MakePage(kStatusBodyTooLarge, kTextType,
-                                            body.error().message));
+               PageAnswer::Send(answer, MakePage(kStatusBodyTooLarge, kTextType,
+                                                 body.error().message));
                return;
              }
              PageRequest complete = request;
              complete.body = std::move(body.value());
-             workers->Post([transport, handler, complete] {
-               SendPage(transport, handler(complete));
+             workers->Post([answer, handler, complete] {
+               PageAnswer::Send(answer, handler(complete));
              });
            });
   return true;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,7 +52,8 @@
   void Drain();
 
   // Breaks off what is still in progress, with the truth to its callers, and
-  // closes the port. Idempotent.
+  // closes the port once their answers are sent, or cut after a bound.
+  // Idempotent.
   void Stop();
 
   // Whether /readyz says so: configuration is known and no drain has begun.
@@ -76,6 +77,8 @@
       std::function<void(const web::http::http_request&)> handler);
   void HandleRequest(const web::http::http_request& transport);
   void HandleOperatorRequest(const web::http::http_request& transport);
+  void WaitForAnswers();
+  void SendPage(const web::http::http_request& transport, WholeReply page);
   bool ServeHealth(const web::http::http_request& transport);
   void Dispatch(const std::shared_ptr<IncomingRequest>& incoming);
   void DispatchCompletion(const std::shared_ptr<IncomingRequest>& incoming,
@@ -96,6 +99,8 @@
 
   GatewayContext context;
   std::vector<Page> pages;
+  const std::shared_ptr<ActiveRequests> active_pages =
+      std::make_shared<ActiveRequests>();
   std::atomic<bool> draining{false};
   std::atomic<bool> accepting{true};
   std::mutex mutex;  // Guards `directory`; leaf in the lock order.
--- a/src/gateway/gateway_constants.h
+++ b/src/gateway/gateway_constants.h
@@ -43,6 +43,9 @@
 // Retry-After of a refusal whose cause names none, in milliseconds.
 constexpr std::int64_t kDefaultRetryAfterMs = 1000;
 
+// Longest wait for the answers of requests that a stop breaks off.
+constexpr std::chrono::seconds kStopAnswerTimeout{2};
+
 // Audit entries shown by /status.
 constexpr std::size_t kStatusAuditEntries = 100;
 
--- a/src/gateway/upstream_exchange.cc
+++ b/src/gateway/upstream_exchange.cc
@@ -110,7 +110,12 @@
       observer(std::move(observer)) {}
 
 void UpstreamExchange::Start(const UpstreamRequest& request) {
-  this->registry->Add(this->shared_from_this());
+  if (!this->registry->Add(this->shared_from_this())) {
+    this->never_started = true;
+    this->cancelled = true;
+    this->HandleTransportEnd(nullptr);
+    return;
+  }
   this->Touch();
   this->ArmTimer(this->PhaseBound());
   try {
--- /dev/null
+++ b/tests/gateway/stop_test.cc
@@ -0,0 +1,72 @@
+// Stops of a gateway beside requests in progress.
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_fixture.h"
+
+namespace kumquatcart {
+namespace {
+
+// Sends tokens until the other side closes.
+void StreamWithoutEnd(RawConnection* connection) {
+  const std::string request = connection->ReadMessage();
+  if (request.empty()) {
+    return;
+  }
+  connection->Write(EngineHead());
+  int index = 0;
+  while (connection->Write(EngineToken(request, index, "x"))) {
+    ++index;
+  }
+}
+
+// Guards against a port that closes while answers are being sent: callers lose
+// the end of their streams, and the HTTP library crashes.
+TEST_CASE("A stop tells every caller the truth before its port closes",
+          "[gateway]") {
+  constexpr int kRounds = 10;
+  constexpr int kCallers = 8;
+  for (int round = 0; round < kRounds; ++round) {
+    CAPTURE(round);
+    GatewayFixture fixture;
+    RawServer engine(
+        [](RawConnection* connection, int) { StreamWithoutEnd(connection); });
+    fixture.AddGroup("g1", engine.Address());
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (int index = 0; index < kCallers; ++index) {
+      callers.push_back(fixture.Send(MakeCompletion(true)));
+      callers.back()->ReadUntil("\"text\"");
+    }
+    auto stopped =
+        std::async(std::launch::async, [&] { fixture.gateway->Stop(); });
+    for (const auto& caller : callers) {
+      const std::string rest = caller->ReadToEnd();
+      CHECK(rest.find("this entry VM stops") != std::string::npos);
+      CHECK(rest.find("[DONE]") == std::string::npos);
+    }
+    stopped.wait();
+  }
+}
+
+// A request whose caller never sends its body is in progress, but must not hold
+// up the end of the process.
+TEST_CASE("A stop cuts what is not answered in time", "[gateway]") {
+  GatewayFixture fixture;
+  const auto caller = fixture.Send(
+      "POST /v1/completions HTTP/1.1\r\nHost: gateway\r\nAuthorization: Bearer "
+      "armor-token\r\nContent-Length: 10\r\n\r\n{");
+  auto stopped =
+      std::async(std::launch::async, [&] { fixture.gateway->Stop(); });
+  while (stopped.wait_for(std::chrono::milliseconds(1)) !=
+         std::future_status::ready) {
+    fixture.clock.Advance(std::chrono::milliseconds(100));
+  }
+  CHECK(caller->ReadToEnd().find(" 200 ") == std::string::npos);
+}
+
+}  // namespace
+}  // namespace kumquatcart
