--- a/tests/entry/slot_coordination_test.cc
+++ b/tests/entry/slot_coordination_test.cc
@@ -29,6 +29,10 @@
 constexpr Duration kReportInterval = milliseconds(200);
 constexpr Duration kMaintenanceInterval = milliseconds(250);
 constexpr Duration kPatience = milliseconds(1300);
+// Latest start that meets the latency target.
+constexpr Duration kStartTime = milliseconds(100);
+// The wait of a queued request is estimated again within this time.
+constexpr Duration kRecheckTime = milliseconds(150);
 // A lost return ends with the next report that arrives, and the slots of a dead
 // VM after one and a half seconds.
 constexpr Duration kRepairTime = milliseconds(2000);
@@ -159,7 +163,7 @@
     SlotQuery query;
     query.service = "llm";
     query.model = "m";
-    query.latest_start = this->Now() + milliseconds(100);
+    query.latest_start = this->Now() + kStartTime;
     query.wait_until = this->Now() + kPatience;
     if (this->FindCoordinator() == this->name) {
       return;
@@ -167,25 +171,25 @@
     const std::int64_t id = this->client->Begin(query, [] {});
     ++(id == 0 ? this->unasked : this->asked);
     if (id != 0) {
-      this->requests.insert(id);
+      this->requests.emplace(id, this->Now());
     }
   }
 
   void Step() {
     for (auto id = this->requests.begin(); id != this->requests.end();) {
-      const SlotRequestStatus status = this->client->Check(*id);
+      const SlotRequestStatus status = this->client->Check(id->first);
       if (status.state == SlotRequestStatus::State::kPending) {
         ++id;
         continue;
       }
       if (status.state == SlotRequestStatus::State::kRejected) {
-        ++this->rejected;
+        this->rejection_waits.push_back(this->Now() - id->second);
         this->rejected_without_time +=
             status.retry_after >= milliseconds(100) ? 0 : 1;
       }
       if (status.state == SlotRequestStatus::State::kGranted) {
         ++this->granted;
-        this->slots[*id] = {
+        this->slots[id->first] = {
             status.server,
             this->Now() + kMinHold +
                 std::chrono::duration_cast<Duration>((kMaxHold - kMinHold) *
@@ -227,7 +231,7 @@
   int asked = 0;
   int unasked = 0;
   int granted = 0;
-  int rejected = 0;
+  std::vector<Duration> rejection_waits;
   int rejected_without_time = 0;  // Without a usable Retry-After.
   std::map<std::int64_t, std::pair<std::string, MonotonicTime>> slots;
 
@@ -269,7 +273,7 @@
   std::unique_ptr<SlotClient> client;
   std::unique_ptr<GroupLoadBalancer> balancer;
   std::unique_ptr<SlotCoordinator> coordinator;
-  std::set<std::int64_t> requests;
+  std::map<std::int64_t, MonotonicTime> requests;  // Begin by id.
   MonotonicTime next_report;
   MonotonicTime next_maintenance;
 };
@@ -373,14 +377,40 @@
 TEST_CASE("Each rejected request is given the time to return") {
   Simulation simulation(12, 20);
   simulation.Run(seconds(6), 3 * kOverload);
-  int rejected = 0;
+  std::size_t rejected = 0;
   for (const auto& entry : simulation.world.vms) {
-    rejected += entry.second->rejected;
+    rejected += entry.second->rejection_waits.size();
     CHECK(entry.second->rejected_without_time == 0);
   }
   CHECK(rejected > 0);
 }
 
+// Guards against requests that miss their latency target, then wait behind all
+// new ones and are rejected in the end.
+TEST_CASE(
+    "In a lasting shortage requests without prospects are rejected soon") {
+  Simulation simulation(13, 20);
+  simulation.Run(seconds(6), 3 * kOverload);
+  for (const auto& entry : simulation.world.vms) {
+    entry.second->rejection_waits.clear();
+  }
+  const int granted = simulation.Granted();
+  simulation.Run(seconds(6), 3 * kOverload);
+  std::ptrdiff_t rejected = 0;
+  std::ptrdiff_t soon = 0;
+  for (const auto& entry : simulation.world.vms) {
+    const std::vector<Duration>& waits = entry.second->rejection_waits;
+    rejected += static_cast<std::ptrdiff_t>(waits.size());
+    soon += std::count_if(waits.begin(), waits.end(), [](Duration wait) {
+      return wait <= kStartTime + kRecheckTime;
+    });
+  }
+  CHECK(rejected > 0);
+  CHECK(soon >= rejected * 9 / 10);
+  // The slots stay in use.
+  CHECK(simulation.Granted() - granted > 0.85 * 20 * 6);
+}
+
 TEST_CASE("Messages that are repeated or late grant no slot twice") {
   Simulation simulation(6, 20);
   simulation.world.repetition = 0.5;
