--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -77,6 +77,8 @@
       std::function<void(const web::http::http_request&)> handler);
   void HandleRequest(const web::http::http_request& transport);
   void HandleOperatorRequest(const web::http::http_request& transport);
+  // Waits until all answers are sent, those of pages included, for at most
+  // kStopAnswerTimeout. Precondition: no request is accepted any more.
   void WaitForAnswers();
   void SendPage(const web::http::http_request& transport, WholeReply page);
   bool ServeHealth(const web::http::http_request& transport);
--- a/src/gateway/upstream_exchange.h
+++ b/src/gateway/upstream_exchange.h
@@ -63,7 +63,8 @@
                    const GatewaySettings& settings,
                    std::shared_ptr<ExchangeObserver> observer);
 
-  // Sends `request`. Called once.
+  // Sends `request`, or ends at once as not sent if the registry is closed.
+  // Called once.
   void Start(const UpstreamRequest& request);
 
   // Lets the body go on after OnBody returned false.
