--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -49,14 +49,8 @@
 
   // Called once.
   static void Send(const std::shared_ptr<PageAnswer>& answer, WholeReply page) {
-    web::http::http_response response(
-        static_cast<web::http::status_code>(page.status));
-    response.set_body(std::move(page.body), page.content_type);
-    for (const HttpHeader& header : page.headers) {
-      response.headers().add(header.name, header.value);
-    }
-    answer->transport.reply(response).then(
-        [answer](const pplx::task<void>& sent) { Observe(sent); });
+    answer->transport.reply(MakeResponse(std::move(page)))
+        .then([answer](const pplx::task<void>& sent) { Observe(sent); });
   }
 
  private:
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,7 +78,7 @@
   void HandleRequest(const web::http::http_request& transport);
   void HandleOperatorRequest(const web::http::http_request& transport);
   // Waits until all answers are sent, those of pages included, for at most
-  // kStopAnswerTimeout. Precondition: no request is accepted any more.
+  // kStopAnswerTimeout. Precondition: callers' new requests are refused.
   void WaitForAnswers();
   void SendPage(const web::http::http_request& transport, WholeReply page);
   bool ServeHealth(const web::http::http_request& transport);
--- a/src/gateway/incoming_request.cc
+++ b/src/gateway/incoming_request.cc
@@ -41,6 +41,16 @@
 
 }  // namespace
 
+web::http::http_response MakeResponse(WholeReply reply) {
+  web::http::http_response response(
+      static_cast<web::http::status_code>(reply.status));
+  response.set_body(std::move(reply.body), reply.content_type);
+  for (const HttpHeader& header : reply.headers) {
+    response.headers().add(header.name, header.value);
+  }
+  return response;
+}
+
 int StatusOfError(ErrorCode code) {
   switch (code) {
     case ErrorCode::kInvalidArgument:
@@ -195,12 +205,7 @@
 }
 
 void IncomingRequest::Send(RequestOutcome outcome, WholeReply reply) {
-  web::http::http_response response(
-      static_cast<web::http::status_code>(reply.status));
-  response.set_body(std::move(reply.body), reply.content_type);
-  for (const HttpHeader& header : reply.headers) {
-    response.headers().add(header.name, header.value);
-  }
+  web::http::http_response response = MakeResponse(std::move(reply));
   response.headers().add(kOutcomeHeader, ToString(outcome));
   response.headers().add(kRequestIdHeader, this->options.request.value);
   const std::shared_ptr<IncomingRequest> self = this->shared_from_this();
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -35,6 +35,9 @@
   }
 };
 
+// `reply` as a response of the HTTP library. Thread safe.
+web::http::http_response MakeResponse(WholeReply reply);
+
 // HTTP status for a refusal with `code`.
 int StatusOfError(ErrorCode code);
 
