--- a/tests/entry/simple_http_server_test.cc
+++ b/tests/entry/simple_http_server_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "fakes/loop_server.h"
+#include "fakes/loopback_acceptor.h"
 
 namespace kumquatcart {
 namespace {
@@ -16,11 +17,8 @@
   EventLoop loop;
   int accepted = 0;
   TcpListener listener(&loop, [&](const auto&) { ++accepted; });
-  TcpEndpoint address(boost::asio::ip::make_address("127.0.0.1"), 0);
-  {
-    boost::asio::ip::tcp::acceptor probe(loop.Context(), address);
-    address = probe.local_endpoint();
-  }
+  const TcpEndpoint address =
+      ListenOnFreePort(&loop.Context()).local_endpoint();
   REQUIRE(listener.Start(address).has_value());
   std::vector<boost::asio::ip::tcp::socket> callers;
   for (std::size_t i = 0; i < kConnections; ++i) {
--- a/tests/fakes/loop_server.h
+++ b/tests/fakes/loop_server.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/ip/address.hpp>
-
+#include "fakes/loopback_acceptor.h"
 #include "net/event_loop.h"
 #include "net/tcp_connection.h"
 
@@ -40,8 +39,7 @@
   LoopServer(EventLoop* loop, Script script)
       : loop(loop),
         script(std::move(script)),
-        acceptor(loop->Context(),
-                 TcpEndpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
+        acceptor(ListenOnFreePort(&loop->Context())) {
     this->AcceptNext();
   }
 
--- a/tests/fakes/raw_server.cc
+++ b/tests/fakes/raw_server.cc
@@ -3,6 +3,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "fakes/loopback_acceptor.h"
+
 namespace kumquatcart {
 
 namespace {
@@ -13,10 +15,6 @@
 constexpr std::size_t kReadBytes = 4096;
 constexpr int kSmallBufferBytes = 4096;
 
-// With SO_REUSEADDR two sockets can be given the same ephemeral port; the
-// second one then fails to listen.
-constexpr bool kReuseAddress = false;
-
 boost::asio::io_context& ClientContext() {
   static boost::asio::io_context io;
   return io;
@@ -112,10 +110,7 @@
 }
 
 RawServer::RawServer(Serve serve)
-    : serve(std::move(serve)),
-      acceptor(this->io,
-               tcp::endpoint(boost::asio::ip::make_address(kLoopback), 0),
-               kReuseAddress) {
+    : serve(std::move(serve)), acceptor(ListenOnFreePort(&this->io)) {
   this->accept_thread = std::thread([this] { this->Accept(); });
 }
 
@@ -170,11 +165,7 @@
 }
 
 std::uint16_t PickFreePort() {
-  tcp::acceptor acceptor(
-      ClientContext(),
-      tcp::endpoint(boost::asio::ip::make_address(kLoopback), 0),
-      kReuseAddress);
-  return acceptor.local_endpoint().port();
+  return ListenOnFreePort(&ClientContext()).local_endpoint().port();
 }
 
 }  // namespace kumquatcart
--- a/tests/soak/soak_caller_test.cc
+++ b/tests/soak/soak_caller_test.cc
@@ -20,9 +20,7 @@
 // close has arrived at the caller when it sends.
 std::vector<std::string> AskOnce(bool reads, bool blocks) {
   EventLoop loop;
-  tcp::acceptor acceptor(
-      loop.Context(),
-      TcpEndpoint(boost::asio::ip::make_address(kServersHost), 0));
+  tcp::acceptor acceptor = ListenOnFreePort(&loop, kServersHost);
   std::thread server([&] {
     tcp::socket socket = acceptor.accept();
     std::array<char, 4096> bytes;
--- a/tools/soak/loopback.h
+++ b/tools/soak/loopback.h
@@ -13,12 +13,22 @@
 constexpr char kPlatformHost[] = "127.0.1.1";
 constexpr char kServersHost[] = "127.0.1.2";
 
+// Listens on a free port of `host`.
+inline boost::asio::ip::tcp::acceptor ListenOnFreePort(
+    EventLoop* loop,
+    const std::string& host) {
+  // With SO_REUSEADDR two sockets can be given the same ephemeral port; the
+  // second one then fails to listen.
+  constexpr bool kReuseAddress = false;
+  return boost::asio::ip::tcp::acceptor(
+      loop->Context(), TcpEndpoint(boost::asio::ip::make_address(host), 0),
+      kReuseAddress);
+}
+
 // A port of `host` that nothing uses at this moment.
 inline TcpEndpoint FreeLoopbackAddress(EventLoop* loop,
                                        const std::string& host) {
-  boost::asio::ip::tcp::acceptor acceptor(
-      loop->Context(), TcpEndpoint(boost::asio::ip::make_address(host), 0));
-  return acceptor.local_endpoint();
+  return ListenOnFreePort(loop, host).local_endpoint();
 }
 
 }  // namespace kumquatcart::soak
