Share the endless stream and the clock's loop of the gateway tests

stop_test wrote again what stream_test and failure_point_test had, and the text of a request that MakeCompletion builds. The assertions are the same.

--- a/tests/gateway/failure_point_test.cc
+++ b/tests/gateway/failure_point_test.cc
@@ -255,10 +255,7 @@
   auto answered = std::async(std::launch::async, [&] {
     return fixture.Call(MakeRequest("POST", "/services/registre/x", "{}"));
   });
-  while (answered.wait_for(std::chrono::milliseconds(1)) !=
-         std::future_status::ready) {
-    fixture.clock.Advance(std::chrono::milliseconds(100));
-  }
+  AdvanceUntilReady(&fixture.clock, answered);
   const std::string answer = answered.get();
   CHECK(HeaderValue(answer, kOutcomeHeader) == "not-run");
   CHECK(HeaderValue(answer, kRetryAfterHeader) == "1");
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -168,6 +168,15 @@
   return EngineChunk(Json(chunk).dump()) + "0\r\n\r\n";
 }
 
+void StreamWithoutEnd(RawConnection* connection,
+                      const std::string& request,
+                      int index,
+                      const std::string& token) {
+  while (connection->Write(EngineToken(request, index, token))) {
+    ++index;
+  }
+}
+
 GenerateRequest ParseGenerate(const std::string& message) {
   const std::string body = message.substr(message.find("\r\n\r\n") + 4);
   return DecodeJson<GenerateRequest>(body).value();
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -2,6 +2,7 @@
 #ifndef GATEWAY_GATEWAY_FIXTURE_H_
 #define GATEWAY_GATEWAY_FIXTURE_H_
 
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
@@ -71,6 +72,22 @@
                         const std::string& token);
 std::string EngineDone(const std::string& request, int total);
 
+// Writes `token` to `request`'s stream, from `index` on, until the other side
+// closes.
+void StreamWithoutEnd(RawConnection* connection,
+                      const std::string& request,
+                      int index,
+                      const std::string& token);
+
+// Advances `clock` until `pending` is ready.
+template <class Value>
+void AdvanceUntilReady(ManualClock* clock, const std::future<Value>& pending) {
+  while (pending.wait_for(std::chrono::milliseconds(1)) !=
+         std::future_status::ready) {
+    clock->Advance(std::chrono::milliseconds(100));
+  }
+}
+
 // The body of a request to an engine.
 GenerateRequest ParseGenerate(const std::string& message);
 
--- a/tests/gateway/stop_test.cc
+++ b/tests/gateway/stop_test.cc
@@ -11,19 +11,6 @@
 namespace kumquatcart {
 namespace {
 
-// Sends tokens until the other side closes.
-void StreamWithoutEnd(RawConnection* connection) {
-  const std::string request = connection->ReadMessage();
-  if (request.empty()) {
-    return;
-  }
-  connection->Write(EngineHead());
-  int index = 0;
-  while (connection->Write(EngineToken(request, index, "x"))) {
-    ++index;
-  }
-}
-
 // Guards against a port that closes while answers are being sent: callers lose
 // the end of their streams, and the HTTP library crashes.
 TEST_CASE("A stop tells every caller the truth before its port closes",
@@ -33,8 +20,11 @@
   for (int round = 0; round < kRounds; ++round) {
     CAPTURE(round);
     GatewayFixture fixture;
-    RawServer engine(
-        [](RawConnection* connection, int) { StreamWithoutEnd(connection); });
+    RawServer engine([](RawConnection* connection, int) {
+      const std::string request = connection->ReadMessage();
+      connection->Write(EngineHead());
+      StreamWithoutEnd(connection, request, 0, "x");
+    });
     fixture.AddGroup("g1", engine.Address());
     std::vector<std::unique_ptr<RawConnection>> callers;
     for (int index = 0; index < kCallers; ++index) {
@@ -52,19 +42,16 @@
   }
 }
 
-// A request whose caller never sends its body is in progress, but must not hold
-// up the end of the process.
+// A request whose caller never sends its whole body is in progress, but must
+// not hold up the end of the process.
 TEST_CASE("A stop cuts what is not answered in time", "[gateway]") {
   GatewayFixture fixture;
-  const auto caller = fixture.Send(
-      "POST /v1/completions HTTP/1.1\r\nHost: gateway\r\nAuthorization: Bearer "
-      "armor-token\r\nContent-Length: 10\r\n\r\n{");
+  std::string request = MakeCompletion(true);
+  request.pop_back();
+  const auto caller = fixture.Send(request);
   auto stopped =
       std::async(std::launch::async, [&] { fixture.gateway->Stop(); });
-  while (stopped.wait_for(std::chrono::milliseconds(1)) !=
-         std::future_status::ready) {
-    fixture.clock.Advance(std::chrono::milliseconds(100));
-  }
+  AdvanceUntilReady(&fixture.clock, stopped);
   CHECK(caller->ReadToEnd().find(" 200 ") == std::string::npos);
 }
 
--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -185,10 +185,7 @@
     const std::string request = connection->ReadMessage();
     connection->Write(EngineHead() + EngineToken(request, 0, "0"));
     left.get_future().wait();
-    int index = 1;
-    while (connection->Write(EngineToken(request, index, "t"))) {
-      ++index;
-    }
+    StreamWithoutEnd(connection, request, 1, "t");
     engine_stopped.set_value();
   });
   fixture.AddGroup("g1", server.Address());
@@ -249,11 +246,7 @@
   RawServer engine([&](RawConnection* connection, int) {
     const std::string request = connection->ReadMessage();
     connection->Write(EngineHead());
-    const std::string token(8000, 'x');
-    int index = 0;
-    while (connection->Write(EngineToken(request, index, token))) {
-      ++index;
-    }
+    StreamWithoutEnd(connection, request, 0, std::string(8000, 'x'));
   });
   fixture.AddGroup("g1", engine.Address());
   const auto caller = fixture.Send(MakeCompletion(true));
