--- a/src/entry/entry_constants.h
+++ b/src/entry/entry_constants.h
@@ -21,7 +21,7 @@
 // Subtracted from a caller's deadline so that the answer arrives in time.
 inline constexpr Duration kDeadlineMargin = std::chrono::milliseconds(25);
 
-// Time limit of a request without a deadline from the caller.
+// Timeout of a request without a deadline from the caller.
 inline constexpr Duration kDefaultRequestTimeout = std::chrono::seconds(8);
 
 // How long a request waits, after a process start, until the configuration,
--- a/src/entry/request_reader.h
+++ b/src/entry/request_reader.h
@@ -1,4 +1,4 @@
-// Reads HTTP requests from a connection within size and time limits.
+// Reads HTTP requests from a connection with size limits and timeouts.
 #ifndef ENTRY_REQUEST_READER_H_
 #define ENTRY_REQUEST_READER_H_
 
