Let servers of the soak name a wait, and count what reaches them then

--backoffs makes plain servers and heads of groups reject requests with 503 and Retry-After, one at a time or all of a kind, towards all entry VMs or half of them. The ledger counts the requests of each VM at each server until the end of each wait. The choice of servers that get requests is shared with the schedule of rate limits.

--- a/tests/soak/server_stand_in_test.cc
+++ b/tests/soak/server_stand_in_test.cc
@@ -36,7 +36,8 @@
                        bool forms_groups = true) {
     this->servers.push_back(std::make_unique<ServerStandIn>(
         ServerParts{&this->loop, &this->server_entries, &this->ledger,
-                    &this->limits, &this->readiness, &this->table},
+                    &this->limits, &this->backoffs, &this->readiness,
+                    &this->table},
         id, "service", forms_groups, host));
     REQUIRE(this->servers.back()->Start().has_value());
     return this->servers.back().get();
@@ -78,6 +79,7 @@
 
  private:
   LimitLedger limits;
+  BackoffLedger backoffs;
   ReadinessLedger readiness;
   ServerEntries server_entries{
       [this](const std::string& id, const std::optional<std::string>& value) {
--- a/tools/soak/entry_child.cc
+++ b/tools/soak/entry_child.cc
@@ -37,12 +37,14 @@
 EntryChild::EntryChild(EventLoop* loop,
                        RunLedger* ledger,
                        LimitLedger* limits,
+                       BackoffLedger* backoffs,
                        ChildPlaces places,
                        int number,
                        const TcpEndpoint& store)
     : loop(loop),
       ledger(ledger),
       limits(limits),
+      backoffs(backoffs),
       places(std::move(places)),
       name(fmt::format("n{}", number + 1)),
       host(fmt::format("127.0.2.{}", number + 1)),
@@ -103,6 +105,7 @@
   this->disturbed_at = this->loop->Now();
   this->ledger->NoteDisturbance(this->host, this->loop->Now());
   this->limits->NoteDisturbance(this->host, this->loop->Now());
+  this->backoffs->NoteDisturbance(this->host, this->loop->Now());
 }
 
 void EntryChild::Signal(int number, bool expects_end) {
@@ -116,6 +119,7 @@
   if (number != SIGHUP) {
     this->disturbed_at = this->loop->Now();
     this->limits->NoteDisturbance(this->host, this->loop->Now());
+    this->backoffs->NoteDisturbance(this->host, this->loop->Now());
   }
   // Neither a reload nor a planned stop may cost a request.
   if (number != SIGHUP && number != SIGTERM) {
--- a/tools/soak/entry_child.h
+++ b/tools/soak/entry_child.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "soak/backoff_ledger.h"
 #include "soak/limit_ledger.h"
 #include "soak/run_ledger.h"
 #include "soak/tcp_proxy.h"
@@ -27,6 +28,7 @@
   EntryChild(EventLoop* loop,
              RunLedger* ledger,
              LimitLedger* limits,
+             BackoffLedger* backoffs,
              ChildPlaces places,
              int number,
              const TcpEndpoint& store);
@@ -57,6 +59,7 @@
   EventLoop* const loop;
   RunLedger* const ledger;
   LimitLedger* const limits;
+  BackoffLedger* const backoffs;
   const ChildPlaces places;
   const std::string name;
   const std::string host;
--- a/tools/soak/fault_schedule.cc
+++ b/tools/soak/fault_schedule.cc
@@ -152,9 +152,11 @@
   const LinkState harm = this->DrawHarm();
   this->Note(fmt::format("link of {} {}", server->Id(), ToString(harm)));
   server->Link().SetState(harm);
+  this->world->backoffs.NoteLinkChange(server->Id(), this->world->loop.Now());
   this->world->loop.Sleep(this->DrawTime(300, 3000), yield);
   if (server->IsAlive()) {
     server->Link().SetState(LinkState::kSound);
+    this->world->backoffs.NoteLinkChange(server->Id(), this->world->loop.Now());
   }
 }
 
--- a/tools/soak/limit_schedule.cc
+++ b/tools/soak/limit_schedule.cc
@@ -30,13 +30,8 @@
   EventLoop& loop = this->world->loop;
   while (*goes_on) {
     loop.Sleep(kPause, yield);
-    // Heads only: the other members of a group get no requests.
-    std::vector<ServerStandIn*> servers;
-    for (ServerStandIn* server : this->world->Servers(forms_groups)) {
-      if (!forms_groups || server->IsOpenHead()) {
-        servers.push_back(server);
-      }
-    }
+    const std::vector<ServerStandIn*> servers =
+        this->world->RequestServers(forms_groups);
     if (servers.size() < 2) {
       continue;
     }
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -45,6 +45,8 @@
                  "Routes that enlarge every version of the configuration")
       ->check(CLI::Range(0, 2000));
   app.add_flag("--limits", settings.with_limits, "Servers name rate limits");
+  app.add_flag("--backoffs", settings.with_backoffs,
+               "Servers reject requests with a Retry-After for some time");
   app.add_flag("--idle-timeouts", settings.with_idle_timeouts,
                "Versions change the idle timeout, callers rest up to it");
   app.add_flag("--framings", settings.with_framings,
@@ -70,9 +72,11 @@
     std::filesystem::create_directories(settings.directory);
     const SoakReport report = kumquatcart::soak::RunSoak(settings);
     std::cout << fmt::format(
-        "seed {}: {} faults, {} served, {} refused, {} failed, {} broken\n",
+        "seed {}: {} faults, {} served, {} refused, {} failed, {} told to "
+        "wait, "
+        "{} broken\n",
         settings.seed, report.faults, report.served, report.refused,
-        report.failed, report.broken.size());
+        report.failed, report.told_to_wait, report.broken.size());
     for (const std::string& what : report.broken) {
       std::cout << "  " << what << '\n';
     }
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -112,6 +112,35 @@
   }
 }
 
+void ServerStandIn::RejectUntil(MonotonicTime end, bool towards_all) {
+  this->rejects_until = end;
+  this->rejects_all = towards_all;
+}
+
+bool ServerStandIn::RejectIfBusy(const ParsedRequest& request,
+                                 TcpConnection* connection) const {
+  const std::string request_id(FindHeader(request.headers, "X-Request-Id"));
+  const std::string entry = this->parts.ledger->EntryOf(request_id);
+  const MonotonicTime now = this->parts.loop->Now();
+  this->parts.backoffs->NoteRequest(this->id, entry, now);
+  if (now >= this->rejects_until ||
+      (!this->rejects_all && std::hash<std::string>()(entry) % 2 == 0)) {
+    return false;
+  }
+  const Duration wait = this->rejects_until - now;
+  HeaderList headers{
+      {"X-Request-Id", request_id},
+      {"Keep-Alive", "timeout=5"},
+      {"X-Not-Executed", "1"},
+      {"Retry-After",
+       fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())}};
+  this->AddLimit(request_id, &headers);
+  AnswerSender(connection, false)
+      .SendWhole(kHttpServiceUnavailable, headers, "");
+  this->parts.backoffs->NoteRejection(this->id, entry, wait, now);
+  return true;
+}
+
 bool ServerStandIn::IsOpenHead() const {
   return this->membership && this->membership->state == "open" &&
          this->membership->formation.members.front() == this->id;
@@ -258,6 +287,9 @@
   if (this->forms_groups) {
     return this->Stream(request, connection, waiter, yield);
   }
+  if (this->RejectIfBusy(request, connection)) {
+    return true;
+  }
   const std::string caller_id(FindHeader(request.headers, "X-Request-Id"));
   this->NoteRequest(caller_id);
   this->parts.loop->Sleep(kWork, yield);
@@ -419,6 +451,9 @@
     this->AnswerText(request, kHttpMisdirectedRequest, "", true, connection);
     return true;
   }
+  if (this->RejectIfBusy(request, connection)) {
+    return true;
+  }
   const GroupFormation served = this->membership->formation;
   const std::string caller_id(FindHeader(request.headers, "X-Request-Id"));
   const std::string resume(FindHeader(request.headers, "Last-Event-Id"));
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -13,6 +13,7 @@
 #include "entry/answer_sender.h"
 #include "entry/simple_http_server.h"
 #include "soak/answer_form.h"
+#include "soak/backoff_ledger.h"
 #include "soak/limit_ledger.h"
 #include "soak/readiness_ledger.h"
 #include "soak/run_ledger.h"
@@ -33,6 +34,7 @@
   ServerEntries* entries = nullptr;
   RunLedger* ledger = nullptr;
   LimitLedger* limits = nullptr;
+  BackoffLedger* backoffs = nullptr;
   ReadinessLedger* readiness = nullptr;
   ServerTable* table = nullptr;
   bool varies_framing = false;  // Draws a form for each answer.
@@ -68,6 +70,9 @@
 
   // Names `per_second` as its rate limit in all answers; none ends it.
   void SetLimit(std::optional<double> per_second);
+  // Rejects requests until `end` and names the time until then: those of all
+  // entry VMs, or of half of them.
+  void RejectUntil(MonotonicTime end, bool towards_all);
   // Whether it is the head of an open group.
   bool IsOpenHead() const;
 
@@ -112,6 +117,10 @@
   bool IsServing(const GroupFormation& served) const;
   // Whether every member is alive and in the group that this server heads.
   bool IsWhole(const GroupFormation& served) const;
+  // Rejects the request if this server rejects those of its entry VM now.
+  // Returns whether it did.
+  bool RejectIfBusy(const ParsedRequest& request,
+                    TcpConnection* connection) const;
   // Records a request and adds the limit to the header fields of its answer.
   void NoteRequest(const std::string& request_id) const;
   void AddLimit(const std::string& request_id, HeaderList* headers) const;
@@ -131,6 +140,8 @@
   bool alive = false;
   bool draining = false;
   std::optional<double> limit;
+  MonotonicTime rejects_until;
+  bool rejects_all = false;  // Requests of every entry VM.
   int orders = 0;
   std::string loaded_model;
   std::optional<Membership> membership;
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "net/http_status.h"
+#include "soak/backoff_schedule.h"
 #include "soak/fault_schedule.h"
 #include "soak/idle_schedule.h"
 #include "soak/limit_schedule.h"
@@ -147,6 +148,7 @@
   }
   FaultSchedule schedule(&world, settings.seed);
   LimitSchedule limits(&world, settings.seed);
+  BackoffSchedule backoffs(&world, settings.seed);
   IdleSchedule idle(&world, settings.seed);
   RebirthSchedule rebirths(&world, settings.seed);
   SilenceSchedule silences(&world, settings.seed);
@@ -168,14 +170,19 @@
                         &watches, inner);
           });
     }
+    const MonotonicTime end = world.loop.Now() + settings.length;
     for (const bool forms_groups : {false, true}) {
       world.loop.Spawn([&, forms_groups](Coroutine inner) {
         if (settings.with_limits) {
           limits.Run(forms_groups, &watches, inner);
         }
       });
+      world.loop.Spawn([&, forms_groups, end](Coroutine inner) {
+        if (settings.with_backoffs) {
+          backoffs.Run(forms_groups, end, inner);
+        }
+      });
     }
-    const MonotonicTime end = world.loop.Now() + settings.length;
     if (settings.with_idle_timeouts) {
       world.loop.Spawn([&, end](Coroutine inner) { idle.Run(end, inner); });
     }
@@ -211,9 +218,11 @@
   });
   world.loop.Run();
   report.broken = world.ledger.Judge();
-  const std::vector<std::string> exceeded =
-      world.limits.Judge(world.loop.Now());
-  report.broken.insert(report.broken.end(), exceeded.begin(), exceeded.end());
+  for (const std::vector<std::string>& broken :
+       {world.limits.Judge(world.loop.Now()), world.backoffs.Judge()}) {
+    report.broken.insert(report.broken.end(), broken.begin(), broken.end());
+  }
+  report.told_to_wait = world.backoffs.Rejections();
   report.faults = schedule.Faults();
   report.served = world.ledger.Count(RequestEnd::kServed);
   report.refused = world.ledger.Count(RequestEnd::kRefused);
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -62,7 +62,7 @@
   }
   for (int i = 0; i < this->settings.entries; ++i) {
     this->entries.push_back(std::make_unique<EntryChild>(
-        &this->loop, &this->ledger, &this->limits,
+        &this->loop, &this->ledger, &this->limits, &this->backoffs,
         ChildPlaces{this->settings.program, this->settings.directory}, i,
         this->store_address));
     BOOST_OUTCOME_TRY(this->entries.back()->Prepare());
@@ -163,8 +163,8 @@
                             bool forms_groups) {
   this->servers.push_back(std::make_unique<ServerStandIn>(
       ServerParts{&this->loop, &this->server_entries, &this->ledger,
-                  &this->limits, &this->readiness, &this->table,
-                  this->settings.with_framings},
+                  &this->limits, &this->backoffs, &this->readiness,
+                  &this->table, this->settings.with_framings},
       id, forms_groups ? kModelService : kPlainService, forms_groups, host));
   if (this->servers.back()->Start().has_error()) {
     this->ledger.Accuse("a stand-in server could not listen");
@@ -182,6 +182,16 @@
   return found;
 }
 
+std::vector<ServerStandIn*> SoakWorld::RequestServers(bool forms_groups) const {
+  std::vector<ServerStandIn*> servers = this->Servers(forms_groups);
+  servers.erase(std::remove_if(servers.begin(), servers.end(),
+                               [forms_groups](const ServerStandIn* server) {
+                                 return forms_groups && !server->IsOpenHead();
+                               }),
+                servers.end());
+  return servers;
+}
+
 int SoakWorld::SpareServers(bool forms_groups) const {
   return static_cast<int>(this->Servers(forms_groups).size()) -
          (forms_groups ? this->settings.engines : this->settings.plain_servers);
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -27,6 +27,8 @@
   int callers = 10;
   int unused_routes = 0;     // Routes that no caller uses, in every version.
   bool with_limits = false;  // Servers name rate limits.
+  // Servers reject requests with a Retry-After.
+  bool with_backoffs = false;
   // Versions change the idle timeout, and half of the callers rest up to it.
   bool with_idle_timeouts = false;
   // Servers frame answers in all forms and break some off; some callers speak
@@ -71,6 +73,8 @@
   std::string NextServerId();
   // Servers that live and are not leaving.
   std::vector<ServerStandIn*> Servers(bool forms_groups) const;
+  // Those of them that get requests: plain servers, or heads of open groups.
+  std::vector<ServerStandIn*> RequestServers(bool forms_groups) const;
   // How many more of them there are than at the start.
   int SpareServers(bool forms_groups) const;
   // Starts processes that have ended, and takes note of ends.
@@ -84,6 +88,7 @@
   EventLoop loop;
   RunLedger ledger;
   LimitLedger limits;
+  BackoffLedger backoffs;
   ReadinessLedger readiness;
   StoreStandIn store;
   std::vector<std::unique_ptr<EntryChild>> entries;
