Log and count the waits that servers name in rejections

The log said neither that a rejection named a time nor which, so it could not tell whether a VM knew of a wait that it did not keep. Retry-After of a 503 is decoded into the answer's head, fractions too; values that are no time are logged. No decision rests on it yet. explain shows the lines of a request's servers.

--- a/src/cli/request_story.cc
+++ b/src/cli/request_story.cc
@@ -28,10 +28,11 @@
 }
 
 bool IsBelief(const std::string& event) {
-  return IsOneOf(event, {"server_known", "server_removed", "server_unreachable",
-                         "server_reachable", "server_gone", "probe_failed",
-                         "group_silent", "group_recorded", "group_open",
-                         "group_closed", "server_limit", "server_limit_share"});
+  return IsOneOf(
+      event, {"server_known", "server_removed", "server_unreachable",
+              "server_reachable", "server_gone", "probe_failed", "group_silent",
+              "group_recorded", "group_open", "group_closed", "server_limit",
+              "server_limit_share", "server_backoff", "server_backoff_ended"});
 }
 
 }  // namespace
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -178,13 +178,37 @@
          this->skipped_bytes <= kMaxSkippedBytes;
 }
 
-void ServerAttempt::NoteRateLimit() {
+void ServerAttempt::ProcessServerState() {
   // Another server has the address now, or the answer belongs to another
   // request.
   if (this->head.status == kHttpMisdirectedRequest ||
       this->AnswersOtherRequest() || this->MayAnswerOtherRequest()) {
     return;
   }
+  this->NoteRateLimit();
+  this->NoteBackoff();
+}
+
+void ServerAttempt::NoteBackoff() {
+  const std::string& server = this->slot->ServerId();
+  if (this->head.has_invalid_backoff) {
+    LogWarning("server_backoff_unreadable",
+               {{"id", this->job->request->id}, {"server", server}});
+  }
+  if (!this->head.backoff) {
+    return;
+  }
+  this->job->context->metrics->GetCounter("kumquatcart_server_backoffs_total")
+      .Add();
+  LogInfo("server_backoff", {{"id", this->job->request->id},
+                             {"server", server},
+                             {"started_ms", this->slot->StartedMs()},
+                             {"backoff_ms", ToMillis(*this->head.backoff)},
+                             {"signed", this->head.is_signed ? 1 : 0},
+                             {"source", "answer"}});
+}
+
+void ServerAttempt::NoteRateLimit() {
   const std::string& server = this->slot->ServerId();
   if (this->head.has_invalid_rate_limit) {
     LogWarning("server_limit_unreadable",
@@ -206,7 +230,7 @@
     if (this->response->HasHead() && !this->head_read) {
       this->head = DecodeAnswerHead(*this->response);
       this->head_read = true;
-      this->NoteRateLimit();
+      this->ProcessServerState();
     }
     if (state == ResponseState::kParseFailed) {
       std::string stop_reason;
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -98,8 +98,10 @@
   // Discards what has arrived of an answer to another request. Returns false
   // when too much of them has arrived.
   bool SkipOtherAnswer(ResponseState state);
-  // Records the rate limit that the answer's head names.
+  // Processes what the answer's head says of the server itself.
+  void ProcessServerState();
   void NoteRateLimit();
+  void NoteBackoff();
   // Whether the answer is passed on event by event. Precondition: its head has
   // been read.
   bool IsStream() const;
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -25,6 +25,9 @@
 constexpr char kLateUrgency[] = "8";  // Of 0 to 9; others have 5.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
 
+// Longest backoff; longer ones are not meant as a time.
+constexpr double kMaxBackoffSeconds = 24 * 3600;
+
 struct LessIgnoringCase {
   bool operator()(const std::string& left, const std::string& right) const {
     return std::lexicographical_compare(
@@ -166,15 +169,34 @@
 }
 
 // A decimal number, zero or above.
-std::optional<double> ParseRate(std::string_view text) {
-  double rate = 0;
+std::optional<double> ParseDecimal(std::string_view text) {
+  double number = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(),
-                                      rate, std::chars_format::fixed);
+                                      number, std::chars_format::fixed);
   if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
-      !std::isfinite(rate) || rate < 0) {
+      !std::isfinite(number) || number < 0) {
     return std::nullopt;
   }
-  return rate;
+  return number;
+}
+
+void DecodeRateLimit(std::string_view limit, ServerAnswerHead* head) {
+  head->rate_limit = ParseDecimal(limit);
+  head->has_invalid_rate_limit = !limit.empty() && !head->rate_limit;
+}
+
+// Only a rejection for unavailability speaks of all requests; 429 may concern
+// the one that it answers.
+void DecodeBackoff(std::string_view retry_after, ServerAnswerHead* head) {
+  if (head->status != kHttpServiceUnavailable || retry_after.empty()) {
+    return;
+  }
+  const std::optional<double> seconds = ParseDecimal(retry_after);
+  head->has_invalid_backoff = !seconds || *seconds > kMaxBackoffSeconds;
+  if (!head->has_invalid_backoff && *seconds > 0) {
+    head->backoff = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(*seconds));
+  }
 }
 
 }  // namespace
@@ -242,9 +264,8 @@
       !IsPlainTransferCoding(response.Header("Transfer-Encoding"));
   head.suspected_server = std::string(response.Header(wire::kAtServer));
   head.idle_limit = DecodeIdleLimit(response.Header("Keep-Alive"));
-  const std::string_view limit = response.Header(wire::kServerLimit);
-  head.rate_limit = ParseRate(limit);
-  head.has_invalid_rate_limit = !limit.empty() && !head.rate_limit;
+  DecodeRateLimit(response.Header(wire::kServerLimit), &head);
+  DecodeBackoff(response.Header(wire::kRetryAfter), &head);
   return head;
 }
 
--- a/src/platform/caller_codec.h
+++ b/src/platform/caller_codec.h
@@ -53,12 +53,17 @@
   // it names no limit.
   std::optional<double> rate_limit;
   bool has_invalid_rate_limit = false;  // It names one that is not a rate.
+  // Time in which the server, which rejects the request, wants no further ones
+  // from this VM; none: it names no time, or zero.
+  std::optional<Duration> backoff;
+  bool has_invalid_backoff = false;  // It names one that is not a time.
 
   auto Tie() const {
     return std::tie(this->status, this->request_id, this->is_signed,
                     this->not_run, this->is_encoded, this->is_event_stream,
                     this->suspected_server, this->idle_limit, this->rate_limit,
-                    this->has_invalid_rate_limit);
+                    this->has_invalid_rate_limit, this->backoff,
+                    this->has_invalid_backoff);
   }
 };
 
--- a/tests/cli/request_story_test.cc
+++ b/tests/cli/request_story_test.cc
@@ -42,6 +42,19 @@
   CHECK(story.beliefs == std::vector<std::string>{log[0], log[2]});
 }
 
+// Guards against a rejection whose cause is the answer to an earlier request.
+TEST_CASE(
+    "A story of a request that was held back holds the server's backoff") {
+  const std::vector<std::string> log = {
+      "time=1 event=server_backoff id=r0 server=a backoff_ms=2000",
+      "time=2 event=server_backoff id=r0 server=b backoff_ms=3000",
+      "time=3 event=held_back id=r1 server=a backoff_left_ms=1200",
+      "time=4 event=request id=r1 server=\"\" status=503"};
+  const RequestStory story = TellRequestStory(log, "r1");
+  CHECK(story.decisions == std::vector<std::string>{log[2], log[3]});
+  CHECK(story.beliefs == std::vector<std::string>{log[0]});
+}
+
 TEST_CASE("explain prints the story, and says when there is none") {
   RuntimeClock clock;
   std::string text;
