--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -145,6 +145,11 @@
   this->view.SetOpen(record.group, 1, true);
 }
 
+void EntryFixture::StartServer(const BackendServer& server) {
+  this->view.PutServer(server, this->loop.Now());
+  this->limiter.HandleStart(server.id, server.started_ms);
+}
+
 void EntryFixture::SetIdleTimeout(Duration idle_timeout) {
   RoutingConfig config = *this->view.Config();
   ++config.version;
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -81,6 +81,9 @@
   void AddPlain(const std::string& id, LoopServer::Script script);
   void AddGroup(const std::string& id, LoopServer::Script script);
 
+  // Replaces the entry of a server, as a new start of it does.
+  void StartServer(const BackendServer& server);
+
   // Puts a new version of the configuration in force.
   void SetIdleTimeout(Duration idle_timeout);
 
