Send a server nothing from this VM while it wants no requests

Callers saw refusals and late answers while other servers were free; a server that had asked a VM for some seconds of rest got nearly every request of that VM.

Cause: Retry-After of a server's rejection was read by nobody. The rejection excluded the server for the request that received it; the next one selected it again, and rather sooner, as it had no request in progress. The slot coordinator, which never gets that answer, assigned it too. Each such request cost a retry of the shared budget, until requests were refused for lack of it. For plain servers the rejection counted as a failure, whose score ends before a long wait and after a short one.

ServerGate is the one place that both balancers ask whether a server takes a request: backoff, return after one, permit. The coordinator is asked for other groups; the attempt looks once more when its connection is open. A backoff is no failure, belongs to this VM only and ends with the server's start. Rejected callers get its end as Retry-After, later for each further one. VMs return after a random delay, with one request at a time more for each that was accepted.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -18,6 +18,7 @@
 class GroupLoadBalancer;
 class GroupStallDetector;
 class PlainLoadBalancer;
+class ServerGate;
 class ServerLimiter;
 
 // The referents outlive every request. Must be used on the event loop's thread.
@@ -32,6 +33,7 @@
   SharedRetryBudget* shared_retry_budget = nullptr;
   MetricRegistry* metrics = nullptr;
   ServerLimiter* limiter = nullptr;
+  ServerGate* gate = nullptr;
   // Routes of the current configuration; null until one has been read.
   std::shared_ptr<const RouteTable> routes;
   // Whether servers and groups have been read from the store.
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -129,8 +129,14 @@
               &this->permits,
               &this->metrics,
               std::random_device{}(),
-              {[this] { this->OnPermitsChanged(); },
+              {[this] { this->OnGateOpened(); },
                [this] { this->digests.SendToAll(); }}),
+      gate(&this->permits,
+           &this->load,
+           &this->limiter,
+           &this->metrics,
+           std::random_device{}(),
+           [this] { this->OnGateOpened(); }),
       shared_retry_budget(BoundsOf(this->settings)),
       slot_exchange(&this->loop,
                     &this->peers,
@@ -143,7 +149,7 @@
       group_balancer([this] { return this->loop.Now(); },
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
-                     &this->limiter,
+                     &this->gate,
                      &this->slots,
                      this->settings.failure_domain),
       slot_coordinator(this->settings.node_name,
@@ -155,7 +161,7 @@
       plain_balancer(&this->loop,
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
-                     &this->limiter,
+                     &this->gate,
                      this->settings.failure_domain),
       stall_detector(&this->loop, &this->view, &this->prober),
       config_loader(&this->loop,
@@ -226,6 +232,7 @@
   this->context.prober = &this->prober;
   this->context.pool = &this->pool;
   this->context.limiter = &this->limiter;
+  this->context.gate = &this->gate;
   this->digests.SetMessageListener([this](const std::string& bytes) {
     return SlotExchange::HandleDatagram(bytes, &this->slots,
                                         &this->slot_coordinator) ||
@@ -332,6 +339,7 @@
   }
   this->view.PutServer(server.value(), now);
   this->limiter.HandleStart(record.key, server.value().started_ms);
+  this->gate.HandleStart({record.key, server.value().started_ms});
   this->group_balancer.AssignFreeSlots();
 }
 
@@ -444,9 +452,9 @@
   }
 }
 
-void EntryProcess::OnPermitsChanged() {
+void EntryProcess::OnGateOpened() {
   this->group_balancer.AssignFreeSlots();
-  this->plain_balancer.HandlePermitsChanged();
+  this->plain_balancer.HandleGateOpened();
 }
 
 void EntryProcess::UpdateStoreOutage() {
@@ -467,9 +475,11 @@
     this->view.ExpireServers(now);
     this->slot_coordinator.DropStale();
     this->load.DropExpired(now);
-    this->limiter.DropStale([this](const std::string& server) {
+    const auto exists = [this](const std::string& server) {
       return this->view.FindServer(server) != nullptr;
-    });
+    };
+    this->limiter.DropStale(exists);
+    this->gate.DropStale(exists);
     this->pool.CloseUnusable();
     this->engine_http.PruneIdle();
     this->record_client.PruneIdle();
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -20,6 +20,7 @@
 #include "entry/permit_exchange.h"
 #include "entry/plain_load_balancer.h"
 #include "entry/record_service.h"
+#include "entry/server_gate.h"
 #include "entry/server_limiter.h"
 #include "entry/simple_http_server.h"
 #include "entry/slot_client.h"
@@ -61,7 +62,7 @@
   void PublishNodeRecord(Coroutine yield);
   void RunMaintenance(Coroutine yield);
   void OnFleetChanged();
-  void OnPermitsChanged();
+  void OnGateOpened();
   void UpdateStoreOutage();
   void WaitForSignal();
   void ReloadSettings(const char* cause);
@@ -98,6 +99,7 @@
   ServerProber prober;
   PermitExchange permits;
   ServerLimiter limiter;
+  ServerGate gate;
   SharedRetryBudget shared_retry_budget;
   SlotExchange slot_exchange;
   SlotClient slots;
--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -19,8 +19,8 @@
 // second.
 constexpr Duration kNoGroupRetryAfter = std::chrono::milliseconds(800);
 
-// Interval at which a request that waits for a permit estimates its wait again.
-constexpr Duration kPermitRecheckInterval = std::chrono::milliseconds(50);
+// Interval at which a request that is held back estimates its wait again.
+constexpr Duration kHoldRecheckInterval = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -139,8 +139,7 @@
     if (!chosen) {
       return nullptr;
     }
-    if (this->TakePermit(slot_request,
-                         groups[*chosen]->record.members.front())) {
+    if (this->TryPass(slot_request, groups[*chosen]->record.members.front())) {
       return groups[*chosen];
     }
     const auto index = static_cast<std::ptrdiff_t>(*chosen);
@@ -150,19 +149,12 @@
   }
 }
 
-bool GroupLoadBalancer::TakePermit(const SlotRequest& slot_request,
-                                   const std::string& server) {
-  if (slot_request.is_for_peer) {
-    return !this->limiter->IsLimited(server);
-  }
-  if (!this->limiter->HasPermit(server)) {
-    if (slot_request.was_tried) {
-      this->limiter->Refill(server);
-    } else {
-      this->limiter->NoteDemand(server);
-    }
-  }
-  return this->limiter->TryTake(server);
+bool GroupLoadBalancer::TryPass(const SlotRequest& slot_request,
+                                const std::string& head) {
+  // A backoff of the head concerns the requests of this VM only.
+  return slot_request.is_for_peer
+             ? !this->gate->IsLimited(head)
+             : this->gate->TryPass(head, !slot_request.was_tried);
 }
 
 const GroupStatus* GroupLoadBalancer::TrySelect(
@@ -196,7 +188,7 @@
   return !groups.empty() && this->FindEngine(service) != nullptr &&
          std::none_of(
              groups.begin(), groups.end(), [this](const GroupStatus* group) {
-               return this->limiter->IsLimited(group->record.members.front());
+               return this->gate->IsLimited(group->record.members.front());
              });
 }
 
@@ -279,19 +271,19 @@
   }
   bool has_slot = false;
   bool has_full_group = false;
-  WaitEstimate permit{Duration::max(), {}};
+  WaitEstimate hold{Duration::max(), {}};
   for (const GroupStatus* group : groups) {
     const std::string& head = group->record.members.front();
     pending_tokens += is_coordinator ? this->counts.unread->Total(head)
                                      : this->counts.unread->LocalCount(head);
     if (this->counts.requests->Total(head) >= engine->slots) {
       has_full_group = true;
-    } else if (this->limiter->HasPermit(head)) {
+    } else if (slot_request.is_for_peer || this->gate->IsOpen(head)) {
       has_slot = true;
     } else {
-      const Duration wait = this->limiter->EstimateWait(head, ahead);
-      if (wait < permit.wait) {
-        permit = {wait, head};
+      const Duration wait = this->gate->EstimateWait(head, ahead);
+      if (wait < hold.wait) {
+        hold = {wait, head};
       }
     }
   }
@@ -306,10 +298,10 @@
   }
   const Duration slot_wait =
       this->wait_estimator.EstimateWait(query.model, ahead, now);
-  const bool needs_permit = !permit.rate_limited_by.empty() &&
-                            (!has_full_group || permit.wait < slot_wait);
-  return needs_permit ? WaitEstimate{std::max(prefill_wait, permit.wait),
-                                     permit.rate_limited_by}
+  const bool is_held_back =
+      !hold.held_back_by.empty() && (!has_full_group || hold.wait < slot_wait);
+  return is_held_back ? WaitEstimate{std::max(prefill_wait, hold.wait),
+                                     hold.held_back_by}
                       : WaitEstimate{std::max(prefill_wait, slot_wait), {}};
 }
 
@@ -320,10 +312,12 @@
   const MonotonicTime now = this->now();
   const WaitEstimate expected = this->EstimateWait(slot_request);
   std::uniform_real_distribution<double> uniform(0, 1);
-  rejection->rate_limited_by = expected.rate_limited_by;
+  rejection->held_back_by = expected.held_back_by;
   rejection->retry_after =
       JitteredRetryAfter(expected.wait, uniform(this->generator));
+  // Callers that return reach another VM, which the server may not restrain.
   const bool may_be_late =
+      !this->gate->HasBackoff(expected.held_back_by) &&
       now + kLateWaitFactor * expected.wait <= query.wait_until;
   if (may_be_late) {
     return query.wait_until;
@@ -332,22 +326,40 @@
     return std::min(query.latest_start, query.wait_until);
   }
   rejection->reason = "expected wait exceeds the latency target";
-  if (!expected.rate_limited_by.empty()) {
-    rejection->retry_after =
-        this->limiter->NextRetryAfter(expected.rate_limited_by);
-    rejection->reason = "the rate limits of the groups are used up";
+  if (!expected.held_back_by.empty()) {
+    rejection->retry_after = this->gate->NextRetryAfter(expected.held_back_by);
+    rejection->reason = this->gate->HoldReason(expected.held_back_by);
   }
   return std::nullopt;
 }
 
+std::optional<SlotQuery> GroupLoadBalancer::QueryForCoordinator(
+    const SlotQuery& query) {
+  SlotQuery asked = query;
+  bool has_open_group = false;
+  for (const GroupStatus* group : this->CandidateGroups(query)) {
+    const std::string& head = group->record.members.front();
+    if (this->gate->IsRestrained(head)) {
+      asked.excluded.insert(head);
+    } else {
+      has_open_group = true;
+    }
+  }
+  return has_open_group ? std::optional(std::move(asked)) : std::nullopt;
+}
+
 bool GroupLoadBalancer::AcquireFromCoordinator(const SlotQuery& query,
                                                TcpConnection* caller,
                                                Waiter* waiter,
                                                Coroutine yield,
                                                SlotResult* result) {
   using State = SlotRequestStatus::State;
+  const std::optional<SlotQuery> asked = this->QueryForCoordinator(query);
+  if (!asked) {
+    return false;
+  }
   const std::int64_t id =
-      this->slots->Begin(query, [waiter] { waiter->Notify(); });
+      this->slots->Begin(*asked, [waiter] { waiter->Notify(); });
   if (id == 0) {
     return false;
   }
@@ -379,7 +391,8 @@
   if (group == nullptr || group->record.epoch != grant.epoch ||
       group->record.members.empty() ||
       group->record.members.front() != grant.server ||
-      !this->view->Serves(*group) || !this->limiter->TryTake(grant.server)) {
+      !this->view->Serves(*group) ||
+      !this->gate->TryPass(grant.server, /*is_first_try=*/true)) {
     LogInfo("slot_grant_unusable", {{"group", grant.group},
                                     {"epoch", grant.epoch},
                                     {"server", grant.server}});
@@ -397,8 +410,9 @@
   std::uniform_real_distribution<double> uniform(0, 1);
   if (this->FindEngine(query.service) == nullptr ||
       this->CandidateGroups(query).empty()) {
-    result.retry_after =
-        JitteredRetryAfter(kNoGroupRetryAfter, uniform(this->generator));
+    result.retry_after = std::max(
+        JitteredRetryAfter(kNoGroupRetryAfter, uniform(this->generator)),
+        this->gate->ShortestBackoff(query.excluded));
     result.reason = "no group serves the model";
     return result;
   }
@@ -415,14 +429,13 @@
     }
     while (!slot_request->IsGranted() && !caller->HasEnded() &&
            this->now() < *deadline) {
-      const bool is_rate_limited = !result.rate_limited_by.empty();
+      const bool is_held_back = !result.held_back_by.empty();
       waiter->WaitUntil(
-          is_rate_limited
-              ? std::min(*deadline, this->now() + kPermitRecheckInterval)
-              : *deadline,
+          is_held_back ? std::min(*deadline, this->now() + kHoldRecheckInterval)
+                       : *deadline,
           yield);
       // A reply of the coordinator may have shown that the wait is too long.
-      if (is_rate_limited && !slot_request->IsGranted() &&
+      if (is_held_back && !slot_request->IsGranted() &&
           !this->DecideWait(*slot_request, &result)) {
         return result;
       }
--- a/src/entry/group_load_balancer.h
+++ b/src/entry/group_load_balancer.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "control/fleet_view.h"
-#include "entry/server_limiter.h"
+#include "entry/server_gate.h"
 #include "entry/server_slot.h"
 #include "entry/slot_client.h"
 #include "entry/slot_query.h"
@@ -30,8 +30,8 @@
   ServerSlotPtr slot;
   Duration retry_after{0};
   const char* reason = "";
-  // The server whose rate limit is the reason; empty if none is.
-  std::string rate_limited_by;
+  // The server that holds the request back; empty if none does.
+  std::string held_back_by;
   // Whether the slot coordinator assigned the slot or rejected the request.
   bool by_coordinator = false;
 };
@@ -80,13 +80,13 @@
   GroupLoadBalancer(NowFunction now,
                     FleetView* view,
                     ServerLoadCounters counts,
-                    ServerLimiter* limiter,
+                    ServerGate* gate,
                     SlotClient* slots,
                     std::string failure_domain)
       : now(std::move(now)),
         view(view),
         counts(counts),
-        limiter(limiter),
+        gate(gate),
         slots(slots),
         failure_domain(std::move(failure_domain)) {}
 
@@ -126,6 +126,10 @@
  private:
   friend class SlotRequest;
 
+  // The query for the slot coordinator, which does not know how this VM is
+  // restrained: without groups whose heads hold its requests back. None if
+  // there are no others.
+  std::optional<SlotQuery> QueryForCoordinator(const SlotQuery& query);
   // Asks the slot coordinator. Returns false if it does not decide.
   bool AcquireFromCoordinator(const SlotQuery& query,
                               TcpConnection* caller,
@@ -144,13 +148,12 @@
                          std::int64_t id);
   // The group to use; null if none has a free slot.
   const GroupStatus* TrySelect(const SlotRequest& slot_request);
-  // The group to use of `groups`. Skips those whose head has a rate limit and
-  // no permit left, and requests permits of these.
+  // The group to use of `groups`. Skips those whose head takes no request now.
   const GroupStatus* Select(std::vector<const GroupStatus*> groups,
                             const SlotRequest& slot_request,
                             const EngineSpec& engine);
-  // Takes a permit of a limited server. Returns false if there is none.
-  bool TakePermit(const SlotRequest& slot_request, const std::string& server);
+  // Whether the head of a group takes the request now.
+  bool TryPass(const SlotRequest& slot_request, const std::string& head);
   GroupCandidate MakeCandidate(const GroupStatus& group,
                                const EngineSpec& engine) const;
   // Open groups that serve the query's model and are not excluded.
@@ -167,8 +170,8 @@
   // Estimated time until a queued request is granted a slot.
   struct WaitEstimate {
     Duration wait{0};
-    // The server whose rate limit determines the wait; empty if none does.
-    std::string rate_limited_by;
+    // The server that holds the request back; empty if the slots do.
+    std::string held_back_by;
   };
   // Precondition: the service of the request has an engine.
   WaitEstimate EstimateWait(const SlotRequest& slot_request);
@@ -177,7 +180,7 @@
   const NowFunction now;
   FleetView* const view;
   const ServerLoadCounters counts;
-  ServerLimiter* const limiter;
+  ServerGate* const gate;
   SlotClient* const slots;
   const std::string failure_domain;
   std::list<SlotRequest*> queue;  // Requests without a slot.
--- a/src/entry/plain_load_balancer.cc
+++ b/src/entry/plain_load_balancer.cc
@@ -25,6 +25,8 @@
     const SlotQuery& query,
     SlotResult* result) const {
   result->reason = "the service has no available server";
+  result->retry_after = std::max(kMinForwardRetryAfter,
+                                 this->gate->ShortestBackoff(query.excluded));
   const MonotonicTime now = this->loop->Now();
   std::vector<std::pair<double, const BackendServer*>> scores;
   for (const auto& entry : this->view->Servers()) {
@@ -36,6 +38,7 @@
     const int taken = this->counts.requests->Total(server.id);
     if (taken >= server.slots * kMaxRequestsPerSlot) {
       result->reason = "all servers are at their request limit";
+      result->retry_after = kMinForwardRetryAfter;
       continue;
     }
     const double score =
@@ -61,34 +64,26 @@
 SlotResult PlainLoadBalancer::TryAcquire(const SlotQuery& query,
                                          bool is_first_try) {
   SlotResult result;
-  result.retry_after = kMinForwardRetryAfter;
   std::optional<MonotonicTime> earliest;
   for (const BackendServer* server : this->RankServers(query, &result)) {
-    if (!this->limiter->HasPermit(server->id)) {
-      if (is_first_try) {
-        this->limiter->NoteDemand(server->id);
-      } else {
-        this->limiter->Refill(server->id);
-      }
-    }
-    if (this->limiter->TryTake(server->id)) {
+    if (this->gate->TryPass(server->id, is_first_try)) {
       result.slot = std::make_unique<ServerSlot>(this->counts, *server, "", 0,
                                                  0, nullptr);
       return result;
     }
     const MonotonicTime expected =
-        this->PermitExpectedAt(server->id).value_or(MonotonicTime::max());
+        this->PassExpectedAt(server->id).value_or(MonotonicTime::max());
     if (!earliest || expected < *earliest) {
       earliest = expected;
-      result.rate_limited_by = server->id;
+      result.held_back_by = server->id;
     }
   }
   return result;
 }
 
-std::optional<MonotonicTime> PlainLoadBalancer::PermitExpectedAt(
+std::optional<MonotonicTime> PlainLoadBalancer::PassExpectedAt(
     const std::string& server) {
-  return this->limiter->PermitExpectedAt(server, this->waiting.count(server));
+  return this->gate->PassExpectedAt(server, this->waiting.count(server));
 }
 
 SlotResult PlainLoadBalancer::Acquire(const SlotQuery& query,
@@ -99,26 +94,25 @@
   for (;;) {
     SlotResult result = this->TryAcquire(query, is_first_try);
     is_first_try = false;
-    if (result.rate_limited_by.empty() || result.slot != nullptr ||
+    if (result.held_back_by.empty() || result.slot != nullptr ||
         caller->HasEnded()) {
       return result;
     }
     const std::optional<MonotonicTime> expected =
-        this->PermitExpectedAt(result.rate_limited_by);
+        this->PassExpectedAt(result.held_back_by);
     if (!expected || *expected > query.latest_start ||
         this->loop->Now() >= query.latest_start) {
-      result.retry_after =
-          this->limiter->NextRetryAfter(result.rate_limited_by);
-      result.reason = "the rate limits of the servers are used up";
+      result.retry_after = this->gate->NextRetryAfter(result.held_back_by);
+      result.reason = this->gate->HoldReason(result.held_back_by);
       return result;
     }
-    const auto entry = this->waiting.emplace(result.rate_limited_by, waiter);
+    const auto entry = this->waiting.emplace(result.held_back_by, waiter);
     const ScopeGuard guard([this, entry] { this->waiting.erase(entry); });
     waiter->WaitUntil(query.latest_start, yield);
   }
 }
 
-void PlainLoadBalancer::HandlePermitsChanged() {
+void PlainLoadBalancer::HandleGateOpened() {
   for (const auto& entry : this->waiting) {
     entry.second->Notify();
   }
--- a/src/entry/plain_load_balancer.h
+++ b/src/entry/plain_load_balancer.h
@@ -13,31 +13,31 @@
 namespace kumquatcart {
 
 // Assigns each request to the server with the lowest score of load, recent
-// failures and distance that has no rate limit or a permit left. Runs on the
-// event loop's thread.
+// failures and distance that takes it now. Runs on the event loop's thread.
 class PlainLoadBalancer {
  public:
   PlainLoadBalancer(EventLoop* loop,
                     FleetView* view,
                     ServerLoadCounters counts,
-                    ServerLimiter* limiter,
+                    ServerGate* gate,
                     std::string failure_domain)
       : loop(loop),
         view(view),
         counts(counts),
-        limiter(limiter),
+        gate(gate),
         failure_domain(std::move(failure_domain)) {}
 
   // Returns a slot at the best server of the service. Suspends only if all
-  // servers that could take the request are out of permits and one is expected
-  // by `query.latest_start`. Precondition: `waiter` is attached to `caller`.
+  // servers that could take the request hold it back and one is expected to
+  // take it by `query.latest_start`. Precondition: `waiter` is attached to
+  // `caller`.
   SlotResult Acquire(const SlotQuery& query,
                      TcpConnection* caller,
                      Waiter* waiter,
                      Coroutine yield);
 
-  // Notifies the requests that wait for a permit.
-  void HandlePermitsChanged();
+  // Notifies the requests that are held back.
+  void HandleGateOpened();
 
   // Notes how a request at the server of `slot` ended.
   void NoteFailure(const ServerSlot& slot);
@@ -48,20 +48,19 @@
   // `result` if there is none.
   std::vector<const BackendServer*> RankServers(const SlotQuery& query,
                                                 SlotResult* result) const;
-  // A slot at the first server that needs no permit or has one. Without a slot,
-  // `result` names the server whose permit may come first, if any.
+  // A slot at the first server that takes the request now. Without a slot, the
+  // result names the server that may take it first, if any.
   SlotResult TryAcquire(const SlotQuery& query, bool is_first_try);
-  // Time at which a request that begins to wait should have a permit of the
-  // server.
-  std::optional<MonotonicTime> PermitExpectedAt(const std::string& server);
+  // Time at which the server should take a request that begins to wait.
+  std::optional<MonotonicTime> PassExpectedAt(const std::string& server);
 
   EventLoop* const loop;
   FleetView* const view;
   const ServerLoadCounters counts;
-  ServerLimiter* const limiter;
+  ServerGate* const gate;
   const std::string failure_domain;
   FailureScore failures;
-  // Requests that wait for a permit, by the server that they wait for.
+  // Requests that are held back, by the server that they wait for.
   std::multimap<std::string, Waiter*> waiting;
 };
 
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -6,7 +6,7 @@
 #include "base/logging.h"
 #include "entry/entry_constants.h"
 #include "entry/plain_load_balancer.h"
-#include "entry/server_limiter.h"
+#include "entry/server_gate.h"
 #include "net/http_status.h"
 #include "routing/run_time_bound.h"
 
@@ -281,9 +281,9 @@
       return this->RefuseForStop();
     }
     if (result.slot == nullptr) {
-      if (!result.rate_limited_by.empty()) {
-        this->context->limiter->LogRejection(
-            this->request.id, result.rate_limited_by, result.retry_after);
+      if (!result.held_back_by.empty()) {
+        this->context->gate->LogRejection(this->request.id, result.held_back_by,
+                                          result.retry_after);
       }
       return this->GiveUp(result.retry_after, result.reason);
     }
@@ -293,6 +293,9 @@
     ServerAttempt attempt(&this->job, result.slot.get());
     const AttemptOutcome outcome = attempt.Run(yield);
     this->slot_request = nullptr;
+    if (attempt.IsHeldBack()) {
+      continue;  // Nothing was sent, so the next attempt is no retry.
+    }
     this->NoteAttempt(*result.slot, outcome, attempt);
     switch (outcome) {
       case AttemptOutcome::kDelivered:
@@ -333,7 +336,8 @@
   if (!this->uses_groups) {
     if (outcome == AttemptOutcome::kDelivered) {
       this->context->plain_balancer->NoteSuccess(slot);
-    } else if (outcome != AttemptOutcome::kCallerGone) {
+    } else if (outcome != AttemptOutcome::kCallerGone &&
+               !attempt.HasBackoff()) {
       this->context->plain_balancer->NoteFailure(slot);
     }
   }
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -6,6 +6,7 @@
 #include "base/scope_guard.h"
 #include "entry/entry_constants.h"
 #include "entry/group_stall_detector.h"
+#include "entry/server_gate.h"
 #include "entry/server_limiter.h"
 #include "model/socket_address.h"
 #include "net/http_status.h"
@@ -96,6 +97,12 @@
     return this->SetOutcome(AttemptOutcome::kCallerGone,
                             "the caller disconnected");
   }
+  // It may have begun while the connection was opened.
+  if (this->job->context->gate->HasBackoff(this->slot->ServerId())) {
+    this->is_held_back = true;
+    return this->SetOutcome(AttemptOutcome::kNotRun,
+                            "the server takes no requests for a time");
+  }
   this->SendRequest();
   GroupStallDetector& watch = *this->job->context->stall_detector;
   const std::string& group = this->slot->Group();
@@ -190,22 +197,24 @@
 }
 
 void ServerAttempt::NoteBackoff() {
-  const std::string& server = this->slot->ServerId();
+  ServerGate& gate = *this->job->context->gate;
+  const ServerStart server{this->slot->ServerId(), this->slot->StartedMs()};
   if (this->head.has_invalid_backoff) {
-    LogWarning("server_backoff_unreadable",
-               {{"id", this->job->request->id}, {"server", server}});
+    gate.HandleUnreadableBackoff(server.id, this->job->request->id);
   }
+  // Rejections bear no signature. One that another sender has made costs no
+  // more than the time that it names.
   if (!this->head.backoff) {
+    if (!this->head.not_run) {
+      gate.HandleAccepted(server.id);
+    }
     return;
   }
-  this->job->context->metrics->GetCounter("kumquatcart_server_backoffs_total")
-      .Add();
-  LogInfo("server_backoff", {{"id", this->job->request->id},
-                             {"server", server},
-                             {"started_ms", this->slot->StartedMs()},
-                             {"backoff_ms", ToMillis(*this->head.backoff)},
-                             {"signed", this->head.is_signed ? 1 : 0},
-                             {"source", "answer"}});
+  this->names_backoff = true;
+  const BackendServer* known = this->job->context->view->FindServer(server.id);
+  if (known == nullptr || known->started_ms == server.started_ms) {
+    gate.HandleBackoff(server, *this->head.backoff, this->job->request->id);
+  }
 }
 
 void ServerAttempt::NoteRateLimit() {
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -79,6 +79,12 @@
   std::string AnswerFraming() const;
   // What ended the input of the answer, for logs.
   std::string AnswerEnd() const { return ToString(this->response->End()); }
+  // After kNotRun: whether the server wants no requests for some time, which is
+  // no failure of it.
+  bool HasBackoff() const { return this->is_held_back || this->names_backoff; }
+  // After kNotRun: whether nothing was sent, because the server's backoff began
+  // after it was selected.
+  bool IsHeldBack() const { return this->is_held_back; }
   // After kNotRun: the server that the answer names as the cause; may be empty.
   const std::string& SuspectedServer() const { return this->suspected; }
 
@@ -131,6 +137,8 @@
   int skipped_answers = 0;
   std::size_t skipped_bytes = 0;
   AnswerBufferUse buffer_use;
+  bool is_held_back = false;
+  bool names_backoff = false;
   bool sent_under_limit = false;  // The server's rate limit was known.
   MonotonicTime sent_at;
   bool has_forwarded_events = false;  // Of this attempt.
--- a/src/routing/failure_score.h
+++ b/src/routing/failure_score.h
@@ -2,24 +2,13 @@
 #ifndef ROUTING_FAILURE_SCORE_H_
 #define ROUTING_FAILURE_SCORE_H_
 
-#include <cstdint>
 #include <map>
-#include <string>
-#include <tuple>
 
 #include "base/clock.h"
-#include "base/comparable.h"
+#include "routing/server_start.h"
 
 namespace kumquatcart {
 
-// One start of a server, which may start again under the same id.
-struct ServerStart {
-  std::string id;
-  std::int64_t started_ms = 0;  // Unix time; 0 where not given.
-
-  auto Tie() const { return std::tie(this->id, this->started_ms); }
-};
-
 // A failure adds 1 to the score of a server's start and a success halves it.
 // The score also decays exponentially over time. Not thread safe.
 class FailureScore {
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -54,21 +54,30 @@
               /*seed=*/1,
               {[this] {
                  this->group_balancer.AssignFreeSlots();
-                 this->plain_balancer.HandlePermitsChanged();
+                 this->plain_balancer.HandleGateOpened();
                },
                [] {}}),
+      gate(&this->permits,
+           &this->load,
+           &this->limiter,
+           &this->metrics,
+           /*seed=*/1,
+           [this] {
+             this->group_balancer.AssignFreeSlots();
+             this->plain_balancer.HandleGateOpened();
+           }),
       slot_network(&this->loop),
       slots("node", &this->slot_network, &this->metrics, /*first_id=*/1),
       group_balancer([this] { return this->loop.Now(); },
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
-                     &this->limiter,
+                     &this->gate,
                      &this->slots,
                      "zone"),
       plain_balancer(&this->loop,
                      &this->view,
                      ServerLoadCounters{&this->load, &this->unread_tokens},
-                     &this->limiter,
+                     &this->gate,
                      "zone"),
       stall_detector(&this->loop, &this->view, &this->prober),
       shared_retry_budget(RetryLimits{0.2, 100, std::chrono::seconds(10)}) {
@@ -77,6 +86,7 @@
   this->context.prober = &this->prober;
   this->context.pool = &this->pool;
   this->context.limiter = &this->limiter;
+  this->context.gate = &this->gate;
   this->context.group_balancer = &this->group_balancer;
   this->context.plain_balancer = &this->plain_balancer;
   this->context.stall_detector = &this->stall_detector;
@@ -145,9 +155,25 @@
   this->view.SetOpen(record.group, 1, true);
 }
 
+void EntryFixture::CoordinateBy(const std::string& server) {
+  this->slot_network.coordinator = [this, server](const SlotAsk& ask) {
+    this->asked.push_back(ask);
+    SlotReply reply;
+    reply.node = "other";
+    reply.id = ask.id;
+    reply.state = SlotState::kGranted;
+    reply.group = "group." + server;
+    reply.epoch = 1;
+    reply.server = server;
+    this->loop.Spawn(
+        [this, reply](Coroutine) { this->slots.HandleReply(reply); });
+  };
+}
+
 void EntryFixture::StartServer(const BackendServer& server) {
   this->view.PutServer(server, this->loop.Now());
   this->limiter.HandleStart(server.id, server.started_ms);
+  this->gate.HandleStart({server.id, server.started_ms});
 }
 
 void EntryFixture::SetIdleTimeout(Duration idle_timeout) {
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -14,6 +14,7 @@
 #include "entry/group_load_balancer.h"
 #include "entry/group_stall_detector.h"
 #include "entry/plain_load_balancer.h"
+#include "entry/server_gate.h"
 #include "entry/server_limiter.h"
 #include "fakes/loop_server.h"
 #include "net/response_parser.h"
@@ -43,14 +44,24 @@
   EventLoop* const loop;
 };
 
-// The network of a deployment with one node.
+// The network of a deployment with one node, or with one more that coordinates
+// slots.
 class LoopSlotNetwork : public SlotNetwork {
  public:
   explicit LoopSlotNetwork(EventLoop* loop) : loop(loop) {}
 
   MonotonicTime Now() const override { return this->loop->Now(); }
-  std::string FindCoordinator() const override { return "node"; }
-  void Send(const std::string&, const SlotMessage&) override {}
+  std::string FindCoordinator() const override {
+    return this->coordinator ? "other" : "node";
+  }
+  void Send(const std::string&, const SlotMessage& message) override {
+    if (std::holds_alternative<SlotAsk>(message)) {
+      this->coordinator(std::get<SlotAsk>(message));
+    }
+  }
+
+  // Receives what this node asks the other one; null: there is no other.
+  std::function<void(const SlotAsk&)> coordinator;
 
  private:
   EventLoop* const loop;
@@ -112,6 +123,12 @@
     return this->load.LocalCount(id);
   }
 
+  // Lets another node assign slots: all of the group of `server`, whatever it
+  // is asked for.
+  void CoordinateBy(const std::string& server);
+  // What the other node was asked.
+  std::vector<SlotAsk> asked;
+
   // Heads of the requests that servers received, in order.
   std::vector<std::string> received;
   EventLoop loop;
@@ -140,6 +157,7 @@
   MetricRegistry metrics;
   LoopPermitNetwork permits;
   ServerLimiter limiter;
+  ServerGate gate;
   LoopSlotNetwork slot_network;
   SlotClient slots;
   GroupLoadBalancer group_balancer;
--- a/tests/entry/server_backoff_test.cc
+++ b/tests/entry/server_backoff_test.cc
@@ -210,6 +210,40 @@
   CHECK(backoffs.fixture.Call(MakeRequest("GET", "/again/x")).status == 200);
 }
 
+// Guards against a coordinator that assigns a server again and again because
+// its backoff concerns another VM.
+TEST_CASE("A slot at a server that waits is neither asked for nor used") {
+  Backoffs backoffs;
+  Backoffs::Server waiting;
+  Backoffs::Server other;
+  waiting.wait = seconds(60);
+  backoffs.fixture.AddGroup("a", backoffs.Reject(&waiting));
+  backoffs.fixture.AddGroup("b", backoffs.Reject(&other));
+  backoffs.fixture.CoordinateBy("a");
+  const auto answers = backoffs.SendFor("/stream/x", milliseconds(300));
+  CHECK(waiting.received == 1);
+  CHECK(CountStatus(answers, 200) == static_cast<int>(answers.size()));
+  REQUIRE(backoffs.fixture.asked.size() >= 2);
+  CHECK(backoffs.fixture.asked.back().excluded ==
+        std::vector<std::string>{"a"});
+}
+
+// Guards against a Retry-After that leads callers back to a server which still
+// waits, because a second server has no backoff but was tried as well.
+TEST_CASE("Rejected callers return when the first of the servers does") {
+  Backoffs backoffs;
+  Backoffs::Server longer;
+  Backoffs::Server shorter;
+  longer.wait = seconds(60);
+  shorter.wait = seconds(2);
+  backoffs.fixture.AddPlain("a", backoffs.Reject(&longer));
+  backoffs.fixture.AddPlain("b", backoffs.Reject(&shorter));
+  const auto answers = backoffs.SendFor("/again/x", milliseconds(200));
+  CHECK(longer.received == 1);
+  CHECK(shorter.received == 1);
+  CheckRejections(backoffs, shorter, answers);
+}
+
 // Guards against values that are no time and stop a server for ever, or the
 // process.
 TEST_CASE("A wait that is no time is ignored") {
--- a/tests/entry/slot_coordination_test.cc
+++ b/tests/entry/slot_coordination_test.cc
@@ -102,12 +102,15 @@
     this->limiter = std::make_unique<ServerLimiter>(
         this->name, &this->permits, &this->world->metrics, 1,
         ServerLimiter::Listeners{[] {}, [] {}});
+    this->gate = std::make_unique<ServerGate>(&this->permits, this->load.get(),
+                                              this->limiter.get(),
+                                              &this->world->metrics, 1, [] {});
     const std::int64_t first_id = (++this->life) << 24;
     this->client = std::make_unique<SlotClient>(
         this->name, this, &this->world->metrics, first_id);
     this->balancer = std::make_unique<GroupLoadBalancer>(
         [this] { return this->Now(); }, this->view.get(), this->Counts(),
-        this->limiter.get(), this->client.get(), "zone");
+        this->gate.get(), this->client.get(), "zone");
     this->coordinator = std::make_unique<SlotCoordinator>(
         this->name, "zone", this, this->balancer.get(), this->Counts(),
         [] { return true; });
@@ -269,6 +272,7 @@
   std::unique_ptr<ClusterLoad> unread;
   std::unique_ptr<FleetView> view;
   std::unique_ptr<ServerLimiter> limiter;
+  std::unique_ptr<ServerGate> gate;
   std::unique_ptr<SlotClient> client;
   std::unique_ptr<GroupLoadBalancer> balancer;
   std::unique_ptr<SlotCoordinator> coordinator;
