Send no new work to a server that says it is leaving

Callers' requests reached a server that had said in its answers that it leaves, until its entry in the store said so; with the store silent, until it was gone.

FleetView now keeps the start that said so and takes it for draining, whatever its entry says, also after the entry was lost and written again. A later start ends it. So no request, retry or resumed stream of this VM selects it, the head's group takes no new requests here, and the planner, if it is this VM, replaces it.

Not done: peers do not learn it from this VM, and the soak's servers do not say it.

--- a/src/cli/request_story.cc
+++ b/src/cli/request_story.cc
@@ -32,7 +32,8 @@
       event, {"server_known", "server_removed", "server_unreachable",
               "server_reachable", "server_gone", "probe_failed", "group_silent",
               "group_recorded", "group_open", "group_closed", "server_limit",
-              "server_limit_share", "server_backoff", "server_backoff_ended"});
+              "server_limit_share", "server_backoff", "server_backoff_ended",
+              "server_leaving"});
 }
 
 }  // namespace
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -6,6 +6,13 @@
 
 namespace kumquatcart {
 
+namespace {
+
+// A server that is leaving may lose its entry and get it back meanwhile.
+constexpr Duration kLeavingLifetime = std::chrono::seconds(60);
+
+}  // namespace
+
 bool FleetView::AdoptConfig(std::shared_ptr<const RoutingConfig> config) {
   if (this->config != nullptr && config->version <= this->config->version) {
     return false;
@@ -19,7 +26,29 @@
   return true;
 }
 
-void FleetView::PutServer(const BackendServer& server, MonotonicTime now) {
+bool FleetView::SetLeaving(const std::string& id,
+                           std::int64_t started_ms,
+                           MonotonicTime now) {
+  const auto known = this->servers.find(id);
+  if (known == this->servers.end() || known->second.started_ms != started_ms ||
+      known->second.draining) {
+    return false;
+  }
+  this->leaving[id] = {started_ms, now};
+  known->second.draining = true;
+  ++this->change_count;
+  return true;
+}
+
+bool FleetView::IsLeaving(const BackendServer& server) const {
+  const auto found = this->leaving.find(server.id);
+  return found != this->leaving.end() &&
+         found->second.started_ms == server.started_ms;
+}
+
+void FleetView::PutServer(const BackendServer& entry, MonotonicTime now) {
+  BackendServer server = entry;
+  server.draining = entry.draining || this->IsLeaving(entry);
   const auto known = this->servers.find(server.id);
   const bool is_new = known == this->servers.end();
   if (!is_new && server.started_ms < known->second.started_ms) {
@@ -95,6 +124,12 @@
 }
 
 void FleetView::ExpireServers(MonotonicTime now) {
+  for (auto start = this->leaving.begin(); start != this->leaving.end();) {
+    start = this->servers.count(start->first) == 0 &&
+                    now - start->second.known_at > kLeavingLifetime
+                ? this->leaving.erase(start)
+                : std::next(start);
+  }
   for (auto entry = this->pending_removals.begin();
        entry != this->pending_removals.end();) {
     if (entry->second > now) {
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -36,9 +36,16 @@
     return this->config;
   }
 
-  // Adds or updates a server. An entry of an earlier start is ignored. Of two
+  // Adds or updates a server. An entry of an earlier start is ignored, and one
+  // that does not say that its start is leaving does not undo that. Of two
   // servers with one address, the one that started earlier is unreachable.
-  void PutServer(const BackendServer& server, MonotonicTime now);
+  void PutServer(const BackendServer& entry, MonotonicTime now);
+  // Records that a start of a server has said itself that it is leaving; its
+  // entry in the store may not say so yet, or never. Returns whether that is
+  // new.
+  bool SetLeaving(const std::string& id,
+                  std::int64_t started_ms,
+                  MonotonicTime now);
   // Schedules the removal of a server whose entry the store has dropped, for
   // `effective`: entries that expired during a store outage may be renewed.
   void RemoveServer(const std::string& id, MonotonicTime effective);
@@ -110,11 +117,19 @@
   bool IsMember(const std::string& id) const;
   // Marks the former holder of the address of `server`, which may be `server`.
   void MarkFormerHolder(const BackendServer& server, MonotonicTime now);
+  // Whether this start of the server has said that it is leaving.
+  bool IsLeaving(const BackendServer& server) const;
   // Removes unregistered servers that are no longer members of any group.
   void RemoveFormerMembers();
 
   std::shared_ptr<const RoutingConfig> config;
   std::map<std::string, BackendServer> servers;
+  // Starts that have said that they are leaving.
+  struct LeavingStart {
+    std::int64_t started_ms = 0;  // Unix time; 0 where not given.
+    MonotonicTime known_at;
+  };
+  std::map<std::string, LeavingStart> leaving;
   // The server that last started at each address, as far as known.
   std::map<Endpoint, std::string> address_holders;
   std::map<std::string, MonotonicTime> pending_removals;
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -194,6 +194,21 @@
   }
   this->NoteRateLimit();
   this->NoteBackoff();
+  this->NoteLeaving();
+}
+
+void ServerAttempt::NoteLeaving() {
+  const std::string& server = this->slot->ServerId();
+  if (this->head.is_leaving &&
+      this->job->context->view->SetLeaving(server, this->slot->StartedMs(),
+                                           this->job->context->loop->Now())) {
+    this->job->context->metrics->GetCounter("kumquatcart_servers_leaving_total")
+        .Add();
+    LogInfo("server_leaving", {{"id", this->job->request->id},
+                               {"server", server},
+                               {"started_ms", this->slot->StartedMs()},
+                               {"source", "answer"}});
+  }
 }
 
 void ServerAttempt::NoteBackoff() {
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -108,6 +108,7 @@
   void ProcessServerState();
   void NoteRateLimit();
   void NoteBackoff();
+  void NoteLeaving();
   // Whether the answer is passed on event by event. Precondition: its head has
   // been read.
   bool IsStream() const;
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -266,6 +266,7 @@
   head.idle_limit = DecodeIdleLimit(response.Header("Keep-Alive"));
   DecodeRateLimit(response.Header(wire::kServerLimit), &head);
   DecodeBackoff(response.Header(wire::kRetryAfter), &head);
+  head.is_leaving = response.Header(wire::kServerLeaving) == "1";
   return head;
 }
 
--- a/src/platform/caller_codec.h
+++ b/src/platform/caller_codec.h
@@ -57,13 +57,14 @@
   // from this VM; none: it names no time, or zero.
   std::optional<Duration> backoff;
   bool has_invalid_backoff = false;  // It names one that is not a time.
+  bool is_leaving = false;           // The server takes no new work.
 
   auto Tie() const {
     return std::tie(this->status, this->request_id, this->is_signed,
                     this->not_run, this->is_encoded, this->is_event_stream,
                     this->suspected_server, this->idle_limit, this->rate_limit,
                     this->has_invalid_rate_limit, this->backoff,
-                    this->has_invalid_backoff);
+                    this->has_invalid_backoff, this->is_leaving);
   }
 };
 
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -26,6 +26,8 @@
 inline constexpr char kRetryAfter[] = "Retry-After";
 // Requests per second that the server accepts from all entry VMs together.
 inline constexpr char kServerLimit[] = "Server-Limit";
+// "1" in all answers of a server that is leaving.
+inline constexpr char kServerLeaving[] = "Server-Leaving";
 
 // Calls.
 inline constexpr char kReportPath[] = "/api/report";
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -277,6 +277,11 @@
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string WithField(std::string answer, const std::string& field) {
+  answer.insert(answer.find("\r\n") + 2, field + "\r\n");
+  return answer;
+}
+
 LoopServer::Script AnswerWith(
     std::function<std::string(const std::string& head)> answer) {
   return [answer = std::move(answer)](const auto& connection, Waiter* waiter,
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -181,6 +181,9 @@
                        const std::string& status,
                        const std::string& body);
 
+// Inserts a header field into an answer.
+std::string WithField(std::string answer, const std::string& field);
+
 // Returns a script that answers each request with the result of `answer` for
 // its head. An empty result closes the connection.
 LoopServer::Script AnswerWith(
--- a/tests/entry/server_backoff_test.cc
+++ b/tests/entry/server_backoff_test.cc
@@ -27,12 +27,6 @@
   return std::to_string(std::chrono::duration<double>(duration).count());
 }
 
-// Inserts a header field into an answer.
-std::string WithField(std::string answer, const std::string& field) {
-  answer.insert(answer.find("\r\n") + 2, field + "\r\n");
-  return answer;
-}
-
 Duration RetryAfterOf(const CallerAnswer& answer) {
   const std::string_view value = FindHeader(answer.headers, "Retry-After");
   return value.empty() ? Duration{0}
--- a/tests/entry/server_limit_test.cc
+++ b/tests/entry/server_limit_test.cc
@@ -40,12 +40,10 @@
   LoopServer::Script Count(int* count, const std::string* limit) {
     return AnswerWith([count, limit](const std::string& head) {
       ++*count;
-      std::string answer = MakeAnswer(head, "200 OK", "id: 1\ndata: x\n\n");
-      if (!limit->empty()) {
-        answer.insert(answer.find("\r\n") + 2,
-                      "Server-Limit: " + *limit + "\r\n");
-      }
-      return answer;
+      const std::string answer =
+          MakeAnswer(head, "200 OK", "id: 1\ndata: x\n\n");
+      return limit->empty() ? answer
+                            : WithField(answer, "Server-Limit: " + *limit);
     });
   }
 
