Serve peers' requests although one of the coordinator is held back

With the backoffs of servers, a request of the slot coordinator itself that a backoff holds back marked its model as full, so the requests of its peers behind it got no slot until it was rejected. Only a request that may use all groups shows that they are full.

Found by reading; the test fails on the commit before. The order of the queue and its cost without backoffs are as before.

--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -218,7 +218,11 @@
         grant(group->record);
         continue;
       }
-      if (slot_request->query.excluded.empty()) {
+      // Other requests may use groups that this one must not.
+      const bool may_use_all_groups =
+          slot_request->query.excluded.empty() &&
+          (slot_request->is_for_peer || !this->gate->HasRestraints());
+      if (may_use_all_groups) {
         full_models.insert(slot_request->query.model);
       }
     }
@@ -278,7 +282,8 @@
                                      : this->counts.unread->LocalCount(head);
     if (this->counts.requests->Total(head) >= engine->slots) {
       has_full_group = true;
-    } else if (slot_request.is_for_peer || this->gate->IsOpen(head)) {
+    } else if (slot_request.is_for_peer ? !this->gate->IsLimited(head)
+                                        : this->gate->IsOpen(head)) {
       has_slot = true;
     } else {
       const Duration wait = this->gate->EstimateWait(head, ahead);
@@ -392,7 +397,7 @@
       group->record.members.empty() ||
       group->record.members.front() != grant.server ||
       !this->view->Serves(*group) ||
-      !this->gate->TryPass(grant.server, /*is_first_try=*/true)) {
+      !this->gate->TryPass(grant.server, /*is_first_try=*/false)) {
     LogInfo("slot_grant_unusable", {{"group", grant.group},
                                     {"epoch", grant.epoch},
                                     {"server", grant.server}});
--- a/src/entry/server_gate.h
+++ b/src/entry/server_gate.h
@@ -42,6 +42,9 @@
   // Whether the server takes no requests from this VM for some time.
   bool HasBackoff(const std::string& server) const;
 
+  // Whether any server may be restrained.
+  bool HasRestraints() const { return this->backoffs.Size() > 0; }
+
   // Whether the server has a backoff, or has had one and has as many requests
   // of this VM as it may get so soon after.
   bool IsRestrained(const std::string& server) const;
--- a/tests/entry/server_backoff_test.cc
+++ b/tests/entry/server_backoff_test.cc
@@ -222,6 +222,28 @@
         std::vector<std::string>{"a"});
 }
 
+// Guards against a coordinator whose own requests are held back and which then
+// takes the groups for full, although its peers may use them.
+TEST_CASE("A request that is held back does not hold back those of peers") {
+  Backoffs backoffs;
+  Backoffs::Server server;
+  server.wait = kShortWait;
+  EntryFixture& fixture = backoffs.fixture;
+  fixture.AddGroup("a", backoffs.Reject(&server));
+  CHECK(fixture.Call(MakeRequest("GET", "/stream/x")).status == 503);
+  fixture.SendAndDisconnect(MakeRequest("GET", "/stream/x"), kShortWait / 2);
+  fixture.RunFor(kInterval);
+  SlotQuery query;
+  query.service = "models";
+  query.model = "m";
+  query.latest_start = fixture.loop.Now() + seconds(1);
+  query.wait_until = query.latest_start;
+  bool is_granted = false;
+  const SlotRequestPtr request = fixture.context.group_balancer->EnqueueForPeer(
+      query, [&is_granted](const GroupRecord&) { is_granted = true; });
+  CHECK(is_granted);
+}
+
 // Guards against a Retry-After that leads callers back to a server which still
 // waits, because a second server has no backoff but was tried as well.
 TEST_CASE("Rejected callers return when the first of the servers does") {
