--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -97,7 +97,7 @@
     return this->SetOutcome(AttemptOutcome::kCallerGone,
                             "the caller disconnected");
   }
-  // It may have begun while the connection was opened.
+  // A backoff may have begun while the connection was opened.
   if (this->job->context->gate->HasBackoff(this->slot->ServerId())) {
     this->is_held_back = true;
     return this->SetOutcome(AttemptOutcome::kNotRun,
@@ -217,14 +217,14 @@
   if (this->head.has_invalid_backoff) {
     gate.HandleUnreadableBackoff(server.id, this->job->request->id);
   }
-  // Rejections bear no signature. One that another sender has made costs no
-  // more than the time that it names.
   if (!this->head.backoff) {
     if (!this->head.not_run) {
       gate.HandleAccepted(server.id);
     }
     return;
   }
+  // Rejections bear no signature. One that another sender has made costs no
+  // more than the time that it names.
   this->names_backoff = true;
   const BackendServer* known = this->job->context->view->FindServer(server.id);
   if (known == nullptr || known->started_ms == server.started_ms) {
