Log the shared parts of prompts and the events that servers wrote

The parts that other requests may share are decoded from the description of the prompt; a description of another form counts as none (-1). No logic changes.

--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -83,6 +83,10 @@
        {"runs", this->runs},
        {"declined", this->declined},
        {"prompt", this->request.prompt_tokens},
+       {"shared_parts",
+        this->request.has_odd_prompt
+            ? -1
+            : static_cast<int>(this->request.shared_parts.size())},
        {"max_output", this->request.max_output_tokens},
        {"patience_ms", ToMillis(this->request.patience)},
        {"config", this->routes ? this->routes->Config().version : 0},
@@ -357,6 +361,7 @@
                         {"reason", attempt.Reason()},
                         {"answer_framing", this->answer_framing},
                         {"answer_end", this->answer_end},
+                        {"events", attempt.EventsReceived()},
                         {"last_event", this->LastEvent()}});
   }
 }
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -338,6 +338,7 @@
       stop_reason = "the answer holds what is no event of the stream";
       break;
     }
+    ++this->events_received;
     if (verdict == EventVerdict::kForward) {
       this->LogResumptionOnce(event);
       passed += event.text;
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -79,6 +79,8 @@
   std::string AnswerFraming() const;
   // What ended the input of the answer, for logs.
   std::string AnswerEnd() const { return ToString(this->response->End()); }
+  // Number of whole events of the stream that the server has written.
+  int EventsReceived() const { return this->events_received; }
   // After kNotRun: whether the server wants no requests for some time, which is
   // no failure of it.
   bool HasBackoff() const { return this->is_held_back || this->names_backoff; }
@@ -143,6 +145,7 @@
   bool sent_under_limit = false;  // The server's rate limit was known.
   MonotonicTime sent_at;
   bool has_forwarded_events = false;  // Of this attempt.
+  int events_received = 0;
   // The caller's last event when the attempt began, until it is continued.
   std::optional<std::int64_t> resumed_after;
   EventSplitter splitter;
--- a/src/model/caller_request.h
+++ b/src/model/caller_request.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/comparable.h"
+#include "model/prompt_evidence.h"
 #include "net/http_head.h"
 
 namespace kumquatcart {
@@ -23,6 +24,10 @@
   std::string model;   // Empty: names no model.
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
+  // The parts of the prompt that other requests may share; empty if it is not
+  // described, or not in the form that the platform states.
+  PromptParts shared_parts;
+  bool has_odd_prompt = false;  // Described in another form.
   std::optional<std::int64_t> expected_output_tokens;  // The caller's guess.
   std::optional<std::int64_t> resume_after;  // Last event id that it has.
   Duration patience{0};                      // How long the caller waits.
@@ -32,6 +37,7 @@
   auto Tie() const {
     return std::tie(this->id, this->method, this->target, this->host, this->key,
                     this->model, this->prompt_tokens, this->max_output_tokens,
+                    this->shared_parts, this->has_odd_prompt,
                     this->expected_output_tokens, this->resume_after,
                     this->patience, this->forwarded, this->body);
   }
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <set>
@@ -25,6 +26,11 @@
 constexpr char kLateUrgency[] = "8";  // Of 0 to 9; others have 5.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
 
+// Bounds on the description of a prompt; one beyond them is not of the form
+// that the platform states.
+constexpr std::size_t kMaxPromptParts = 64;
+constexpr std::size_t kMaxPromptPartDigits = 32;
+
 // Longest backoff; longer ones are not meant as a time.
 constexpr double kMaxBackoffSeconds = 24 * 3600;
 
@@ -68,8 +74,8 @@
 // that names one of them is not heeded.
 const NameSet& EssentialFields() {
   static const NameSet names = {
-      "Host",         wire::kRequestId,  wire::kModel,     wire::kTokenCounts,
-      "Content-Type", "X-Prompt-Prefix", wire::kLengthHint};
+      "Host",         wire::kRequestId,    wire::kModel,     wire::kTokenCounts,
+      "Content-Type", wire::kPromptPrefix, wire::kLengthHint};
   return names;
 }
 
@@ -114,6 +120,63 @@
   request->max_output_tokens = ParseCount(text.substr(comma + 1)).value_or(0);
 }
 
+// A part of a prompt, `ID:TOKENS` with a hexadecimal id. None if it is not of
+// that form.
+std::optional<PromptPart> ParsePromptPart(std::string_view text) {
+  const std::size_t colon = text.find(':');
+  if (colon == 0 || colon > kMaxPromptPartDigits ||
+      !ParseCount(text.substr(colon + 1))) {
+    return std::nullopt;
+  }
+  PromptPart part(text.substr(0, colon));
+  for (char& c : part) {
+    if (std::isxdigit(static_cast<unsigned char>(c)) == 0) {
+      return std::nullopt;
+    }
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  }
+  return part;
+}
+
+// All parts but the last, which belongs to the request alone. None if the text
+// is not of the form that the platform states, or names a part twice.
+std::optional<PromptParts> ParseSharedParts(std::string_view text) {
+  PromptParts parts;
+  for (;;) {
+    const std::size_t comma = text.find(',');
+    std::string_view entry = text.substr(0, comma);
+    entry.remove_prefix(std::min(entry.find_first_not_of(' '), entry.size()));
+    const std::optional<PromptPart> part = ParsePromptPart(entry);
+    if (!part || parts.size() == kMaxPromptParts) {
+      return std::nullopt;
+    }
+    parts.push_back(*part);
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    text.remove_prefix(comma + 1);
+  }
+  const PromptPart own = parts.back();
+  parts.pop_back();
+  std::sort(parts.begin(), parts.end());
+  const bool names_one_twice =
+      std::adjacent_find(parts.begin(), parts.end()) != parts.end() ||
+      std::binary_search(parts.begin(), parts.end(), own);
+  return names_one_twice ? std::nullopt : std::optional(std::move(parts));
+}
+
+void DecodePromptParts(const HeaderList& headers, CallerRequest* request) {
+  const std::string_view text = FindHeader(headers, wire::kPromptPrefix);
+  if (text.empty()) {
+    return;
+  }
+  std::optional<PromptParts> parts = ParseSharedParts(text);
+  request->has_odd_prompt = !parts;
+  if (parts) {
+    request->shared_parts = std::move(*parts);
+  }
+}
+
 std::string HostWithoutPort(std::string_view host) {
   return std::string(host.substr(0, host.find(':')));
 }
@@ -128,6 +191,7 @@
       ParseCount(FindHeader(headers, wire::kLengthHint));
   request->resume_after = ParseCount(FindHeader(headers, wire::kLastEventId));
   DecodeTokenCounts(FindHeader(headers, wire::kTokenCounts), request);
+  DecodePromptParts(headers, request);
   const std::string_view credentials =
       FindHeader(headers, wire::kAuthorization);
   if (credentials.rfind(kBearer, 0) == 0) {
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -11,6 +11,7 @@
 inline constexpr char kAuthorization[] = "Authorization";
 inline constexpr char kModel[] = "X-Model";
 inline constexpr char kTokenCounts[] = "X-Token-Counts";
+inline constexpr char kPromptPrefix[] = "X-Prompt-Prefix";
 inline constexpr char kLengthHint[] = "X-Length-Hint";
 inline constexpr char kLastEventId[] = "Last-Event-Id";
 inline constexpr char kTenant[] = "X-Tenant";
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -214,6 +214,28 @@
   CHECK(request.patience == std::chrono::seconds(8));
 }
 
+TEST_CASE("The shared parts of a prompt are all but the last") {
+  const auto decode = [](const std::string& prompt) {
+    HeaderList fields{{"Host", "h"}, {"X-Request-Id", "id1"}};
+    fields.push_back({"X-Prompt-Prefix", prompt});
+    return DecodeCallerRequest("POST", "/", fields, "").value();
+  };
+  CHECK(decode("5c1e07A2:800,91bd3f06:410,e4402b7d:250").shared_parts ==
+        PromptParts{"5c1e07a2", "91bd3f06"});
+  CHECK(decode("b:1, a:0, c:2").shared_parts == PromptParts{"a", "b"});
+  CHECK(decode("5c:8").shared_parts.empty());
+  CHECK_FALSE(decode("5c:8").has_odd_prompt);
+  CHECK_FALSE(decode("").has_odd_prompt);
+  for (const char* odd :
+       {",", "a:1,", "a,b:1", "a:,b:1", "a:x,b:1", "a:-1,b:1", "g:1,b:1",
+        ":1,b:1", "a:1,a:1,b:1", "a:1,b:1,A:2", "a:99999999999999999999,b:1",
+        "0123456789abcdef0123456789abcdef0:1,b:1"}) {
+    CAPTURE(odd);
+    CHECK(decode(odd).shared_parts.empty());
+    CHECK(decode(odd).has_odd_prompt);
+  }
+}
+
 TEST_CASE("A server gets the caller's fields but not its key") {
   HeaderList fields = CallerFields();
   fields.push_back({"X-Tenant", "forged"});
