--- a/tools/soak/entry_child.cc
+++ b/tools/soak/entry_child.cc
@@ -38,6 +38,7 @@
                        RunLedger* ledger,
                        LimitLedger* limits,
                        BackoffLedger* backoffs,
+                       PromptLedger* prompts,
                        ChildPlaces places,
                        int number,
                        const TcpEndpoint& store)
@@ -45,6 +46,7 @@
       ledger(ledger),
       limits(limits),
       backoffs(backoffs),
+      prompts(prompts),
       places(std::move(places)),
       name(fmt::format("n{}", number + 1)),
       host(fmt::format("127.0.2.{}", number + 1)),
@@ -106,6 +108,7 @@
   this->ledger->NoteDisturbance(this->host, this->loop->Now());
   this->limits->NoteDisturbance(this->host, this->loop->Now());
   this->backoffs->NoteDisturbance(this->host, this->loop->Now());
+  this->prompts->NoteDisturbance(this->host, this->loop->Now());
 }
 
 void EntryChild::Signal(int number, bool expects_end) {
@@ -120,6 +123,7 @@
     this->disturbed_at = this->loop->Now();
     this->limits->NoteDisturbance(this->host, this->loop->Now());
     this->backoffs->NoteDisturbance(this->host, this->loop->Now());
+    this->prompts->NoteDisturbance(this->host, this->loop->Now());
   }
   // Neither a reload nor a planned stop may cost a request.
   if (number != SIGHUP && number != SIGTERM) {
--- a/tools/soak/entry_child.h
+++ b/tools/soak/entry_child.h
@@ -9,6 +9,7 @@
 
 #include "soak/backoff_ledger.h"
 #include "soak/limit_ledger.h"
+#include "soak/prompt_ledger.h"
 #include "soak/run_ledger.h"
 #include "soak/tcp_proxy.h"
 
@@ -29,6 +30,7 @@
              RunLedger* ledger,
              LimitLedger* limits,
              BackoffLedger* backoffs,
+             PromptLedger* prompts,
              ChildPlaces places,
              int number,
              const TcpEndpoint& store);
@@ -60,6 +62,7 @@
   RunLedger* const ledger;
   LimitLedger* const limits;
   BackoffLedger* const backoffs;
+  PromptLedger* const prompts;
   const ChildPlaces places;
   const std::string name;
   const std::string host;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -55,6 +55,9 @@
   app.add_flag("--rebirths", settings.with_rebirths,
                "Servers start again at their addresses, under the same id or "
                "a new one, and servers of the other service get addresses");
+  app.add_flag("--crashing-prompts", settings.with_crashing_prompts,
+               "Servers end when they begin to answer the prompts of some "
+               "callers, and start again under a new id");
   app.add_flag("--silences", settings.with_silences,
                "The store loses reads in silences, before new versions; "
                "no faults of processes, links or servers");
@@ -73,10 +76,10 @@
     const SoakReport report = kumquatcart::soak::RunSoak(settings);
     std::cout << fmt::format(
         "seed {}: {} faults, {} served, {} refused, {} failed, {} told to "
-        "wait, "
-        "{} broken\n",
+        "wait, {} ended under prompts, {} broken\n",
         settings.seed, report.faults, report.served, report.refused,
-        report.failed, report.told_to_wait, report.broken.size());
+        report.failed, report.told_to_wait, report.ended_under_prompts,
+        report.broken.size());
     for (const std::string& what : report.broken) {
       std::cout << "  " << what << '\n';
     }
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -1,6 +1,7 @@
 #include "soak/server_stand_in.h"
 
 #include <algorithm>
+#include <functional>
 
 #include <fmt/format.h>
 
@@ -24,6 +25,8 @@
 // A leaving server goes on for this long.
 constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
 constexpr int kSlots = 8;
+// Longer than bytes take to arrive.
+constexpr Duration kArrival = std::chrono::milliseconds(10);
 
 // Sends what is queued and closes in order. Returns false, as a server's answer
 // after which its connection is closed.
@@ -313,6 +316,37 @@
   return CloseInOrder(connection, waiter, yield);
 }
 
+bool ServerStandIn::CrashesUnder(const ParsedRequest& request) const {
+  const std::string_view prompt =
+      FindHeader(request.headers, "X-Prompt-Prefix");
+  return this->parts.prompts != nullptr &&
+         prompt.find(kCrashingPart) != std::string_view::npos;
+}
+
+bool ServerStandIn::Crash(AnswerSender* sender,
+                          const std::string& first_event,
+                          TcpConnection* connection,
+                          Waiter* waiter,
+                          Coroutine yield) {
+  // Nothing, a part or all of the first event follows the head.
+  const std::size_t third = std::hash<std::string>()(this->id) % 4;
+  const std::size_t length =
+      std::min(first_event.size(), third * first_event.size() / 3);
+  if (length > 0) {
+    sender->SendPart(first_event.substr(0, length));
+  }
+  while (connection->UnsentBytes() > 0 && !connection->HasEnded()) {
+    waiter->WaitUntil(MonotonicTime::max(), yield);
+  }
+  this->parts.loop->Sleep(kArrival, yield);
+  if (this->alive) {  // It may have ended under another request meanwhile.
+    this->parts.prompts->NoteServerEnd(this->parts.loop->Now());
+    this->Die();
+    this->parts.ended_under_prompt(this);
+  }
+  return false;
+}
+
 AnswerForm ServerStandIn::FormOf(const std::string& request_id) const {
   return this->parts.varies_framing ? DrawAnswerForm(this->id, request_id)
                                     : AnswerForm{};
@@ -458,6 +492,11 @@
   const std::string caller_id(FindHeader(request.headers, "X-Request-Id"));
   const std::string resume(FindHeader(request.headers, "Last-Event-Id"));
   this->NoteRequest(caller_id);
+  const bool crashes = this->CrashesUnder(request);
+  if (crashes) {
+    this->parts.prompts->NoteArrival(this->parts.ledger->EntryOf(caller_id),
+                                     this->parts.loop->Now());
+  }
   for (const std::string& member : this->parts.readiness->NeverReady(served)) {
     this->parts.ledger->Accuse(
         fmt::format("{} ran in {} of which {} was never ready", caller_id,
@@ -500,6 +539,9 @@
     if (!sender.HasBegun()) {
       begin_stream(&sender);
     }
+    if (crashes) {
+      return this->Crash(&sender, unsent, connection, waiter, yield);
+    }
     const std::string next = event_text(event + 1);
     const std::size_t ahead = form.splits_events ? next.size() / 2 : 0;
     sender.SendPart(unsent + next.substr(0, ahead));
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -2,6 +2,7 @@
 #ifndef SOAK_SERVER_STAND_IN_H_
 #define SOAK_SERVER_STAND_IN_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,6 +16,7 @@
 #include "soak/answer_form.h"
 #include "soak/backoff_ledger.h"
 #include "soak/limit_ledger.h"
+#include "soak/prompt_ledger.h"
 #include "soak/readiness_ledger.h"
 #include "soak/run_ledger.h"
 #include "soak/server_entries.h"
@@ -38,6 +40,9 @@
   ReadinessLedger* readiness = nullptr;
   ServerTable* table = nullptr;
   bool varies_framing = false;  // Draws a form for each answer.
+  // With these, it ends under each prompt that has the crashing part.
+  PromptLedger* prompts = nullptr;
+  std::function<void(ServerStandIn*)> ended_under_prompt = nullptr;
 };
 
 // One start of a server, at the address of its VM. For the event loop's thread.
@@ -106,6 +111,14 @@
               TcpConnection* connection,
               Waiter* waiter,
               Coroutine yield);
+  // Whether this server ends when it begins to answer the request.
+  bool CrashesUnder(const ParsedRequest& request) const;
+  // Ends in the middle of the first event, or after it.
+  bool Crash(AnswerSender* sender,
+             const std::string& first_event,
+             TcpConnection* connection,
+             Waiter* waiter,
+             Coroutine yield);
   AnswerForm FormOf(const std::string& request_id) const;
   // Ends a stream that is not whole as `form` says. Returns false.
   bool BreakOff(const AnswerForm& form,
--- a/tools/soak/soak_caller.cc
+++ b/tools/soak/soak_caller.cc
@@ -1,6 +1,7 @@
 #include "soak/soak_caller.h"
 
 #include <algorithm>
+#include <functional>
 
 #include <fmt/format.h>
 
@@ -15,6 +16,8 @@
 // Beyond the patience that the request states: the answer's way back.
 constexpr Duration kSlack = std::chrono::milliseconds(500);
 constexpr Duration kThinking = std::chrono::milliseconds(40);
+// Pause of a caller whose prompts crash servers.
+constexpr Duration kCrashInterval = std::chrono::milliseconds(150);
 // One request in so many is given up midway.
 constexpr int kLeavesOneIn = 25;
 // Share of the idle timeout; the rest of it is for the way of the request.
@@ -78,10 +81,34 @@
       waiter(loop) {}
 
 RequestKind SoakCaller::PickKind() {
+  if (this->rules.crashes_servers) {
+    return RequestKind::kStream;
+  }
   return static_cast<RequestKind>(
       std::uniform_int_distribution<int>(0, 2)(this->generator));
 }
 
+std::string SoakCaller::DescribePrompt(const std::string& id) const {
+  const std::string own = fmt::format("{:x}:60", std::hash<std::string>()(id));
+  return this->rules.crashes_servers
+             ? fmt::format("{}:40,{}:10,{}", kCommonPart, kCrashingPart, own)
+             : fmt::format("{}:40,{}", kCommonPart, own);
+}
+
+void SoakCaller::NotePrompt(RequestKind kind,
+                            MonotonicTime sent_at,
+                            RequestEnd end) {
+  if (this->rules.prompts == nullptr || kind != RequestKind::kStream) {
+    return;
+  }
+  if (this->rules.crashes_servers) {
+    this->rules.prompts->NoteSent(sent_at);
+  } else {
+    this->rules.prompts->NoteSound(this->entry_vm, sent_at,
+                                   end == RequestEnd::kServed);
+  }
+}
+
 bool SoakCaller::PickOldVersion() {
   return this->rules.varies_version &&
          std::uniform_int_distribution<int>(
@@ -108,10 +135,13 @@
     const RequestKind kind = this->PickKind();
     const std::string id = fmt::format("{}-{}", this->name, ++this->asked);
     this->ledger->NoteSent(id, kind, this->entry_vm);
+    const MonotonicTime sent_at = this->loop->Now();
     const RequestEnd end = this->Ask(kind, id, yield);
     this->ledger->NoteEnd(id, end);
+    this->NotePrompt(kind, sent_at, end);
     this->served += end == RequestEnd::kServed ? 1 : 0;
-    this->loop->Sleep(kThinking, yield);
+    this->loop->Sleep(this->rules.crashes_servers ? kCrashInterval : kThinking,
+                      yield);
     if (this->rules.rests && this->connection != nullptr) {
       this->Rest(yield);
     }
@@ -173,6 +203,9 @@
        {"X-Deadline-Ms", std::to_string(ToMillis(kPatience))},
        {"Authorization", std::string("Bearer ") + kCallerKey}},
       ""};
+  if (this->rules.prompts != nullptr && kind == RequestKind::kStream) {
+    request.headers.push_back({"X-Prompt-Prefix", this->DescribePrompt(id)});
+  }
   this->connection->SetWaiter(&this->waiter);
   const bool is_old_version = this->PickOldVersion();
   const std::string text = SerializeRequest(request);
--- a/tools/soak/soak_caller.h
+++ b/tools/soak/soak_caller.h
@@ -8,6 +8,7 @@
 
 #include "net/response_parser.h"
 #include "net/tcp_connection.h"
+#include "soak/prompt_ledger.h"
 #include "soak/run_ledger.h"
 
 namespace kumquatcart::soak {
@@ -32,6 +33,10 @@
   bool rests = false;
   std::function<IdleTimeouts()> idle_timeouts;
   bool varies_version = false;  // Sends some requests with HTTP/1.0.
+  // Given what became of its streams; null: their prompts are not described.
+  PromptLedger* prompts = nullptr;
+  // Sends only streams whose prompts have the crashing part.
+  bool crashes_servers = false;
 };
 
 // Sends one request after the other over connections that it keeps until they
@@ -52,6 +57,10 @@
 
  private:
   RequestKind PickKind();
+  // The parts of the prompt of a stream.
+  std::string DescribePrompt(const std::string& id) const;
+  // Gives the ledger of prompts what became of a stream.
+  void NotePrompt(RequestKind kind, MonotonicTime sent_at, RequestEnd end);
   void Rest(Coroutine yield);
   // Whether the other side has reset the ended connection before this call.
   bool WasReset(Coroutine yield);
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -152,6 +152,7 @@
   IdleSchedule idle(&world, settings.seed);
   RebirthSchedule rebirths(&world, settings.seed);
   SilenceSchedule silences(&world, settings.seed);
+  MonotonicTime calm_from = MonotonicTime::max();
   bool restarts = true;
   bool watches = true;
   world.loop.Spawn([&](Coroutine yield) {
@@ -208,6 +209,7 @@
       world.loop.Sleep(kWatch, yield);
     }
     world.loop.Sleep(kRecovery, yield);
+    calm_from = world.loop.Now();
     CheckEnd(&world, yield);
     watches = false;
     world.StopCallers();
@@ -219,9 +221,11 @@
   world.loop.Run();
   report.broken = world.ledger.Judge();
   for (const std::vector<std::string>& broken :
-       {world.limits.Judge(world.loop.Now()), world.backoffs.Judge()}) {
+       {world.limits.Judge(world.loop.Now()), world.backoffs.Judge(),
+        world.prompts.Judge(calm_from)}) {
     report.broken.insert(report.broken.end(), broken.begin(), broken.end());
   }
+  report.ended_under_prompts = world.prompts.ServerEnds();
   report.told_to_wait = world.backoffs.Rejections();
   report.faults = schedule.Faults();
   report.served = world.ledger.Count(RequestEnd::kServed);
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -15,7 +15,8 @@
   int served = 0;
   int refused = 0;
   int failed = 0;
-  int told_to_wait = 0;  // Rejections with a Retry-After.
+  int told_to_wait = 0;         // Rejections with a Retry-After.
+  int ended_under_prompts = 0;  // Servers.
 };
 
 // Faults for the settings' length, then a calm end in which everything must
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -15,6 +15,13 @@
 constexpr char kPlainService[] = "plain";
 constexpr char kModelService[] = "models";
 constexpr Duration kQuestionTimeout = std::chrono::milliseconds(1500);
+// Callers whose prompts crash servers, and when they begin: the first streams
+// of the others are answered before.
+constexpr int kCrashingCallers = 3;
+constexpr Duration kCrashingCallersDelay = std::chrono::milliseconds(1500);
+// How long a server is away that has ended under a prompt.
+constexpr int kMinAwayMs = 600;
+constexpr int kMaxAwayMs = 1800;
 
 Json MakeRoute(const std::string& path,
                const std::string& kind,
@@ -63,6 +70,7 @@
   for (int i = 0; i < this->settings.entries; ++i) {
     this->entries.push_back(std::make_unique<EntryChild>(
         &this->loop, &this->ledger, &this->limits, &this->backoffs,
+        &this->prompts,
         ChildPlaces{this->settings.program, this->settings.directory}, i,
         this->store_address));
     BOOST_OUTCOME_TRY(this->entries.back()->Prepare());
@@ -71,25 +79,58 @@
   return Ok();
 }
 
+std::unique_ptr<SoakCaller> SoakWorld::MakeCaller(int index,
+                                                  bool crashes_servers) {
+  CallerRules rules{[this] {
+                      const std::size_t pick =
+                          std::uniform_int_distribution<std::size_t>(
+                              0, this->entries.size() - 1)(this->generator);
+                      return this->entries[pick]->Callers();
+                    },
+                    [this] { return this->calling; },
+                    this->settings.with_idle_timeouts,
+                    this->settings.with_idle_timeouts && index % 2 == 1,
+                    [this] { return this->idle; },
+                    this->settings.with_framings};
+  if (this->settings.with_crashing_prompts) {
+    rules.prompts = &this->prompts;
+    rules.crashes_servers = crashes_servers;
+  }
+  return std::make_unique<SoakCaller>(
+      &this->loop, &this->ledger, fmt::format("c{}", index),
+      this->settings.seed * 1000 + static_cast<std::uint64_t>(index), rules);
+}
+
 void SoakWorld::StartCallers() {
   for (int i = 0; i < this->settings.callers; ++i) {
-    this->callers.push_back(std::make_unique<SoakCaller>(
-        &this->loop, &this->ledger, fmt::format("c{}", i),
-        this->settings.seed * 1000 + static_cast<std::uint64_t>(i),
-        CallerRules{
-            [this] {
-              const std::size_t pick =
-                  std::uniform_int_distribution<std::size_t>(
-                      0, this->entries.size() - 1)(this->generator);
-              return this->entries[pick]->Callers();
-            },
-            [this] { return this->calling; }, this->settings.with_idle_timeouts,
-            this->settings.with_idle_timeouts && i % 2 == 1,
-            [this] { return this->idle; }, this->settings.with_framings}));
+    this->callers.push_back(this->MakeCaller(i, /*crashes_servers=*/false));
     this->loop.Spawn([caller = this->callers.back().get()](Coroutine yield) {
       caller->Run(yield);
     });
   }
+  for (int i = 0; this->settings.with_crashing_prompts && i < kCrashingCallers;
+       ++i) {
+    this->crashing_callers.push_back(
+        this->MakeCaller(this->settings.callers + i, /*crashes_servers=*/true));
+    this->loop.Spawn(
+        [this, caller = this->crashing_callers.back().get()](Coroutine yield) {
+          this->loop.Sleep(kCrashingCallersDelay, yield);
+          caller->Run(yield);
+        });
+  }
+}
+
+void SoakWorld::Replace(ServerStandIn* former) {
+  const Duration away =
+      std::chrono::milliseconds(std::uniform_int_distribution<int>(
+          kMinAwayMs, kMaxAwayMs)(this->generator));
+  this->loop.Spawn([this, away, host = former->Host(),
+                    forms_groups = former->FormsGroups()](Coroutine yield) {
+    this->loop.Sleep(away, yield);
+    if (!host->HasServer()) {
+      this->StartServer(host, this->NextServerId(), forms_groups);
+    }
+  });
 }
 
 int SoakWorld::VersionAt(MonotonicTime time) const {
@@ -162,9 +203,12 @@
                             const std::string& id,
                             bool forms_groups) {
   this->servers.push_back(std::make_unique<ServerStandIn>(
-      ServerParts{&this->loop, &this->server_entries, &this->ledger,
-                  &this->limits, &this->backoffs, &this->readiness,
-                  &this->table, this->settings.with_framings},
+      ServerParts{
+          &this->loop, &this->server_entries, &this->ledger, &this->limits,
+          &this->backoffs, &this->readiness, &this->table,
+          this->settings.with_framings,
+          this->settings.with_crashing_prompts ? &this->prompts : nullptr,
+          [this](ServerStandIn* server) { this->Replace(server); }},
       id, forms_groups ? kModelService : kPlainService, forms_groups, host));
   if (this->servers.back()->Start().has_error()) {
     this->ledger.Accuse("a stand-in server could not listen");
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -36,6 +36,8 @@
   bool with_framings = false;
   // Servers start again at their addresses, which others also get.
   bool with_rebirths = false;
+  // Some callers send prompts under which servers end.
+  bool with_crashing_prompts = false;
   // The store loses reads in silences, after which versions are written. Takes
   // the place of the faults of processes, links and servers.
   bool with_silences = false;
@@ -90,11 +92,15 @@
   LimitLedger limits;
   BackoffLedger backoffs;
   ReadinessLedger readiness;
+  PromptLedger prompts;
   StoreStandIn store;
   std::vector<std::unique_ptr<EntryChild>> entries;
   std::vector<std::unique_ptr<SoakCaller>> callers;
 
  private:
+  std::unique_ptr<SoakCaller> MakeCaller(int index, bool crashes_servers);
+  // Starts another server at the VM of one that has ended, after some time.
+  void Replace(ServerStandIn* former);
   HttpResponse Exchange(const TcpEndpoint& address,
                         const std::string& target,
                         const std::string& id,
@@ -104,6 +110,7 @@
   ServerEntries server_entries;
   ServerTable table;
   std::vector<std::unique_ptr<ServerStandIn>> servers;
+  std::vector<std::unique_ptr<SoakCaller>> crashing_callers;
   std::minstd_rand generator;
   TcpEndpoint store_address;
   int version = 0;
