Quarantine parts of prompts that crash servers, on all VMs together

Cause: what a crash teaches about the request was forgotten with it. The server was excluded for that request only, and no part of the program read the parts of the prompt.

Change: an answer that ends soon after its beginning, from a server that then no longer runs, is evidence against the shared parts of its prompt; an answer that gets further clears them. PromptQuarantine holds the evidence of all VMs and decides: a suspected part is tried with one request at a time, and convicted by two trials that end a server; requests with it are then rejected at once, before they take a slot or a retry. VMs send each other the evidence as it arises.

Why it works: the part crashes servers whatever else the request holds, so one sound run clears it, and a server that ends for another reason convicts nothing: its requests are sound when they are tried.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -18,6 +18,7 @@
 class GroupLoadBalancer;
 class GroupStallDetector;
 class PlainLoadBalancer;
+class PromptGuard;
 class ServerGate;
 class ServerLimiter;
 
@@ -34,6 +35,7 @@
   MetricRegistry* metrics = nullptr;
   ServerLimiter* limiter = nullptr;
   ServerGate* gate = nullptr;
+  PromptGuard* prompts = nullptr;
   // Routes of the current configuration; null until one has been read.
   std::shared_ptr<const RouteTable> routes;
   // Whether servers and groups have been read from the store.
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -137,6 +137,12 @@
            &this->metrics,
            std::random_device{}(),
            [this] { this->OnGateOpened(); }),
+      prompt_exchange(&this->engines, &this->peers, &this->digests),
+      prompts(&this->loop,
+              this->settings.node_name,
+              &this->prompt_exchange,
+              &this->metrics,
+              std::random_device{}()),
       shared_retry_budget(BoundsOf(this->settings)),
       slot_exchange(&this->loop,
                     &this->peers,
@@ -233,9 +239,11 @@
   this->context.pool = &this->pool;
   this->context.limiter = &this->limiter;
   this->context.gate = &this->gate;
+  this->context.prompts = &this->prompts;
   this->digests.SetMessageListener([this](const std::string& bytes) {
     return SlotExchange::HandleDatagram(bytes, &this->slots,
                                         &this->slot_coordinator) ||
+           PromptExchange::HandleDatagram(bytes, &this->prompts) ||
            PermitExchange::HandleDatagram(bytes, &this->limiter);
   });
   this->context.group_balancer = &this->group_balancer;
@@ -258,6 +266,7 @@
   this->loop.Spawn([this](Coroutine yield) { this->StartFollowers(yield); });
   this->prober.Start();
   this->stall_detector.Start();
+  this->prompts.Start();
   this->slot_exchange.StartReports(&this->slots);
   this->reconciler.Start();
   this->loop.Spawn([this](Coroutine yield) { this->PublishNodeRecord(yield); });
@@ -440,6 +449,7 @@
     this->limiter.MergeReport(digest.node, *digest.limits);
   }
   this->prober.HandlePeerDigest(digest);
+  this->prompts.HandlePeer(digest.node);
   this->group_balancer.AssignFreeSlots();
 }
 
@@ -474,6 +484,7 @@
     this->UpdateStoreOutage();
     this->view.ExpireServers(now);
     this->slot_coordinator.DropStale();
+    this->prompts.DropStale();
     this->load.DropExpired(now);
     const auto exists = [this](const std::string& server) {
       return this->view.FindServer(server) != nullptr;
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -19,6 +19,8 @@
 #include "entry/peer_loads.h"
 #include "entry/permit_exchange.h"
 #include "entry/plain_load_balancer.h"
+#include "entry/prompt_exchange.h"
+#include "entry/prompt_guard.h"
 #include "entry/record_service.h"
 #include "entry/server_gate.h"
 #include "entry/server_limiter.h"
@@ -100,6 +102,8 @@
   PermitExchange permits;
   ServerLimiter limiter;
   ServerGate gate;
+  PromptExchange prompt_exchange;
+  PromptGuard prompts;
   SharedRetryBudget shared_retry_budget;
   SlotExchange slot_exchange;
   SlotClient slots;
--- /dev/null
+++ b/src/entry/prompt_exchange.cc
@@ -0,0 +1,59 @@
+#include "entry/prompt_exchange.h"
+
+#include "base/logging.h"
+#include "peers/prompt_message.h"
+
+namespace kumquatcart {
+
+namespace {
+
+// Above the time of a report and one packet loss; requests with the same parts
+// wait meanwhile.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
+
+}  // namespace
+
+bool PromptExchange::IsRunning(const BackendServer& server, Coroutine yield) {
+  const Result<EngineReport> report =
+      this->engines->Report(server, kProbeTimeout, yield);
+  // A report that cannot be read comes from a server that runs.
+  return report.has_value() ||
+         report.error().code == ErrorCode::kInvalidArgument;
+}
+
+std::vector<std::string> PromptExchange::Peers() const {
+  std::vector<std::string> nodes;
+  for (const auto& entry : this->peers->Peers()) {
+    nodes.push_back(entry.first);
+  }
+  return nodes;
+}
+
+void PromptExchange::Send(const std::vector<std::string>& nodes,
+                          const PromptEvidence& evidence) {
+  const std::string bytes = EncodePromptEvidence(evidence);
+  for (const std::string& node : nodes) {
+    const auto peer = this->peers->Peers().find(node);
+    if (peer != this->peers->Peers().end()) {
+      this->digests->SendMessage(bytes, peer->second);
+    }
+  }
+}
+
+bool PromptExchange::HandleDatagram(const std::string& bytes,
+                                    PromptGuard* guard) {
+  const std::optional<Result<PromptEvidence>> evidence =
+      DecodePromptEvidence(bytes);
+  if (!evidence) {
+    return false;
+  }
+  if (evidence->has_error()) {
+    LogWarning("prompt_evidence_ignored",
+               {{"reason", evidence->error().message}});
+    return true;
+  }
+  guard->HandleEvidence(evidence->value());
+  return true;
+}
+
+}  // namespace kumquatcart
--- /dev/null
+++ b/src/entry/prompt_guard.h
@@ -0,0 +1,136 @@
+// Keeps requests whose prompts crash servers away from them.
+#ifndef ENTRY_PROMPT_GUARD_H_
+#define ENTRY_PROMPT_GUARD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "base/metrics.h"
+#include "entry/prompt_network.h"
+#include "model/caller_request.h"
+#include "net/waiter.h"
+#include "routing/prompt_quarantine.h"
+
+namespace kumquatcart {
+
+class PromptGuard;
+
+// The right to send one request with suspected parts. Ends with this object.
+class PromptTrial {
+ public:
+  PromptTrial(PromptGuard* guard, std::int64_t id) : guard(guard), id(id) {}
+  ~PromptTrial();
+  PromptTrial(const PromptTrial&) = delete;
+  PromptTrial& operator=(const PromptTrial&) = delete;
+
+ private:
+  PromptGuard* const guard;
+  const std::int64_t id;
+};
+using PromptTrialPtr = std::shared_ptr<PromptTrial>;
+
+// Whether a request may be sent, and if not, the answer to its caller.
+struct PromptPass {
+  bool may_send = true;
+  PromptTrialPtr trial;  // Null unless the request is a trial.
+  Duration retry_after{0};
+  const char* reason = "";
+};
+
+// Applies the quarantine of this VM to its requests, collects evidence from
+// their attempts and shares it with the peers. Not thread safe: used on the
+// event loop's thread.
+class PromptGuard {
+ public:
+  // The referents must outlive this object.
+  PromptGuard(EventLoop* loop,
+              std::string node,
+              PromptNetwork* network,
+              MetricRegistry* metrics,
+              std::uint32_t seed);
+
+  // Starts to repeat the evidence for peers that have missed it.
+  void Start();
+
+  // Called before each attempt. Suspends while a trial of one of the parts is
+  // in progress, until `give_up_at` at the latest or until `has_left` says that
+  // the caller is gone.
+  PromptPass Admit(const CallerRequest& request,
+                   MonotonicTime give_up_at,
+                   const std::function<bool()>& has_left,
+                   Waiter* waiter,
+                   Coroutine yield);
+
+  // Whether a request that was admitted may still be sent. `is_trial`: as the
+  // trial of its parts.
+  bool MaySend(const CallerRequest& request, bool is_trial) const;
+
+  // Whether the request would be rejected for its prompt.
+  bool IsRefused(const CallerRequest& request) const;
+
+  // A server has answered the request soundly, or well past the beginning.
+  void NoteSound(const CallerRequest& request);
+
+  // The answer of `server` ended soon after its beginning. Finds out whether
+  // the server has ended; `trial` lasts until then. `is_complete`: the answer
+  // is whole if the server has not ended.
+  void NoteCutShort(const CallerRequest& request,
+                    const BackendServer& server,
+                    PromptTrialPtr trial,
+                    bool is_complete);
+
+  void HandleEvidence(const PromptEvidence& evidence);
+
+  // A digest of the peer has arrived. One that was silent may have missed
+  // evidence, or has just started.
+  void HandlePeer(const std::string& node);
+
+  void DropStale();
+
+ private:
+  friend class PromptTrial;
+
+  // An answer that was cut short, until it is known why.
+  struct Suspicion {
+    std::string request_id;
+    PromptParts parts;
+    BackendServer server;
+    PromptTrialPtr trial;
+    bool is_complete = false;
+  };
+
+  // Null if all of the parts are known to be sound.
+  PromptTrialPtr BeginTrial(const PromptParts& parts);
+  void EndTrial(std::int64_t id);
+  void Examine(const Suspicion& suspicion, bool was_trial, Coroutine yield);
+  void AddCrash(const Suspicion& suspicion, bool was_trial);
+  // Logs parts whose verdict has changed. `source`: what has changed it.
+  void LogVerdicts(const char* source);
+  // Sends to all peers, immediately or as soon as the minimum time since the
+  // last message has passed.
+  void SendSoon();
+  void SendToAll();
+  void SendToSome(std::size_t count);
+  void RepeatEvidence(Coroutine yield);
+  Duration MinSendInterval() const;
+
+  EventLoop* const loop;
+  const std::string node;
+  PromptNetwork* const network;
+  MetricRegistry* const metrics;
+  std::mt19937_64 generator;
+  PromptQuarantine quarantine;
+  std::map<PromptPart, PartVerdict> logged_verdicts;  // Other than kClear.
+  std::map<std::string, MonotonicTime> peers_heard_at;
+  MonotonicTime changed_at;  // By an observation of this VM.
+  MonotonicTime sent_at;     // To all peers.
+  bool is_send_scheduled = false;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ENTRY_PROMPT_GUARD_H_
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -22,6 +22,9 @@
 constexpr Duration kStopRetryAfter = std::chrono::milliseconds(10);
 // Longest queueing time on routes without a latency target.
 constexpr Duration kDefaultMaxWait = std::chrono::milliseconds(150);
+// Longest time for which a request waits for trials of its prompt: callers of a
+// stream disconnect after two seconds without an event.
+constexpr Duration kMaxTrialWait = std::chrono::milliseconds(1000);
 
 double DrawUniform() {
   static thread_local std::minstd_rand generator{std::random_device{}()};
@@ -54,6 +57,7 @@
   this->job.waiter = waiter;
   this->job.answer = answer;
   this->job.reserve_next = [this] { return this->ReserveNext(); };
+  this->job.may_send = [this] { return this->MaySendPrompt(); };
   this->job.cancel_reservation = [this] { this->CancelReservation(); };
 }
 
@@ -207,7 +211,7 @@
     return true;
   }
   if (!this->HasAttemptLeft(AttemptOutcome::kMayHaveRun, this->runs + 1) ||
-      now >= this->job.AnswerBy() ||
+      now >= this->job.AnswerBy() || !this->MaySendPrompt() ||
       !this->context->shared_retry_budget->HasRetryLeft(this->service, now)) {
     // Holds no slot for a retry that is not allowed: its server could be
     // draining by the time the retry is.
@@ -232,6 +236,22 @@
   this->slot_request = nullptr;
 }
 
+bool RequestForwarder::AdmitPrompt(PromptPass* pass, Coroutine yield) {
+  this->prompt_trial = nullptr;
+  *pass = this->context->prompts->Admit(
+      this->request,
+      std::min(this->context->loop->Now() + kMaxTrialWait,
+               this->job.AnswerBy()),
+      [this] { return this->job.caller->HasEnded(); }, this->job.waiter, yield);
+  this->prompt_trial = std::move(pass->trial);
+  return pass->may_send;
+}
+
+bool RequestForwarder::MaySendPrompt() const {
+  return this->context->prompts->MaySend(this->request,
+                                         this->prompt_trial != nullptr);
+}
+
 SlotResult RequestForwarder::AcquireSlot(Coroutine yield) {
   if (this->reserved_slot != nullptr) {
     SlotResult result;
@@ -276,11 +296,17 @@
     if (this->MayOutlastStop()) {
       return this->RefuseForStop();
     }
-    const SlotResult result = this->AcquireSlot(yield);
+    PromptPass pass;
+    const bool may_send = this->AdmitPrompt(&pass, yield);
+    const SlotResult result =
+        may_send ? this->AcquireSlot(yield) : SlotResult();
     if (this->job.caller->HasEnded()) {
       this->LogRequest(0, "the caller disconnected");
       return false;
     }
+    if (!may_send) {
+      return this->GiveUp(pass.retry_after, pass.reason);
+    }
     if (this->MayOutlastStop()) {  // The stop began in the queue.
       return this->RefuseForStop();
     }
@@ -300,6 +326,7 @@
     if (attempt.IsHeldBack()) {
       continue;  // Nothing was sent, so the next attempt is no retry.
     }
+    this->NoteProgress(*result.slot, outcome, attempt);
     this->NoteAttempt(*result.slot, outcome, attempt);
     switch (outcome) {
       case AttemptOutcome::kDelivered:
@@ -320,6 +347,28 @@
   }
 }
 
+void RequestForwarder::NoteProgress(const ServerSlot& slot,
+                                    AttemptOutcome outcome,
+                                    const ServerAttempt& attempt) {
+  switch (attempt.Progress()) {
+    case AnswerProgress::kSound:
+      this->context->prompts->NoteSound(this->request);
+      break;
+    case AnswerProgress::kCutShort: {
+      BackendServer server;
+      server.id = slot.ServerId();
+      server.started_ms = slot.StartedMs();
+      server.endpoint = slot.Address();
+      this->context->prompts->NoteCutShort(
+          this->request, server, std::move(this->prompt_trial),
+          /*is_complete=*/outcome == AttemptOutcome::kDelivered);
+      break;
+    }
+    case AnswerProgress::kUnknown:
+      break;
+  }
+}
+
 void RequestForwarder::NoteAttempt(const ServerSlot& slot,
                                    AttemptOutcome outcome,
                                    const ServerAttempt& attempt) {
@@ -382,6 +431,9 @@
     return true;  // ReserveNext() took the retry from the budget.
   }
   const MonotonicTime now = this->context->loop->Now();
+  if (this->context->prompts->IsRefused(this->request)) {
+    return false;
+  }
   return this->HasAttemptLeft(outcome, this->runs) &&
          now < this->job.AnswerBy() && !this->job.caller->HasEnded() &&
          this->context->shared_retry_budget->TryTake(this->service, now);
--- a/src/entry/request_forwarder.h
+++ b/src/entry/request_forwarder.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "entry/prompt_guard.h"
 #include "entry/server_attempt.h"
 
 namespace kumquatcart {
@@ -33,6 +34,14 @@
   // has been answered with an error.
   bool ResolveRequest();
   bool RunAttempts(Coroutine yield);
+  // Waits until the prompt may be sent. Returns false if the request must not
+  // be sent, or its caller is gone; `pass` says why.
+  bool AdmitPrompt(PromptPass* pass, Coroutine yield);
+  bool MaySendPrompt() const;
+  // Tells the guard of prompts how far the answer got.
+  void NoteProgress(const ServerSlot& slot,
+                    AttemptOutcome outcome,
+                    const ServerAttempt& attempt);
   SlotResult AcquireSlot(Coroutine yield);
   SlotQuery MakeQuery() const;
   // The latest end of the request if it is sent to healthy servers now.
@@ -77,6 +86,8 @@
   // Of the last attempt's answer, for logs.
   std::string answer_framing;
   std::string answer_end;
+  // Of the current attempt; null unless it is a trial of the prompt.
+  PromptTrialPtr prompt_trial;
   // Latest error answer of a server; sent to the caller when no later attempt
   // succeeds.
   std::optional<BufferedAnswer> last_failure;
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -6,6 +6,7 @@
 #include "base/scope_guard.h"
 #include "entry/entry_constants.h"
 #include "entry/group_stall_detector.h"
+#include "entry/prompt_guard.h"
 #include "entry/server_gate.h"
 #include "entry/server_limiter.h"
 #include "model/socket_address.h"
@@ -15,6 +16,9 @@
 
 namespace {
 
+// Events after which a server is past the beginning of its answer.
+constexpr int kSoundEvents = 3;
+
 // Statuses that imply to a caller that its request was not executed.
 bool ImpliesNotRun(int status) {
   return status == kHttpTooManyRequests || status == kHttpServiceUnavailable ||
@@ -103,6 +107,11 @@
     return this->SetOutcome(AttemptOutcome::kNotRun,
                             "the server takes no requests for a time");
   }
+  if (!this->job->may_send()) {
+    this->is_held_back = true;
+    return this->SetOutcome(AttemptOutcome::kNotRun,
+                            "a part of the prompt is quarantined");
+  }
   this->SendRequest();
   GroupStallDetector& watch = *this->job->context->stall_detector;
   const std::string& group = this->slot->Group();
@@ -113,9 +122,36 @@
   if (!group.empty()) {
     watch.End(group, this->slot->Epoch());
   }
+  this->progress = this->JudgeProgress(outcome);
   return outcome;
 }
 
+AnswerProgress ServerAttempt::JudgeProgress(AttemptOutcome outcome) const {
+  if (!this->head_read || this->head.status != kHttpOk ||
+      !this->head.is_signed || this->AnswersOtherRequest()) {
+    return AnswerProgress::kUnknown;
+  }
+  if (this->events_received >= kSoundEvents) {
+    return AnswerProgress::kSound;
+  }
+  switch (this->response->End()) {
+    case ResponseEnd::kClosed:
+    case ResponseEnd::kReset:
+      return AnswerProgress::kCutShort;
+    case ResponseEnd::kFramed:
+      // A server that fails may still finish the framing.
+      if (outcome == AttemptOutcome::kMayHaveRun) {
+        return AnswerProgress::kCutShort;
+      }
+      return outcome == AttemptOutcome::kDelivered &&
+                     (this->events_received > 0 || !this->IsStream())
+                 ? AnswerProgress::kSound
+                 : AnswerProgress::kUnknown;
+    default:
+      return AnswerProgress::kUnknown;
+  }
+}
+
 AttemptOutcome ServerAttempt::Relay(Coroutine yield) {
   for (;;) {
     const std::optional<AttemptOutcome> outcome = this->Step();
@@ -338,7 +374,9 @@
       stop_reason = "the answer holds what is no event of the stream";
       break;
     }
-    ++this->events_received;
+    if (++this->events_received == kSoundEvents) {
+      this->job->context->prompts->NoteSound(*this->job->request);
+    }
     if (verdict == EventVerdict::kForward) {
       this->LogResumptionOnce(event);
       passed += event.text;
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -32,6 +32,14 @@
 // Lower-case name for logs. Thread safe.
 const char* ToString(AttemptOutcome outcome);
 
+// What an answer shows of the server that wrote it.
+enum class AnswerProgress {
+  kUnknown,
+  // Its input ended soon after it began; the server may have ended.
+  kCutShort,
+  kSound,  // It is whole, or was written well past its beginning.
+};
+
 // An answer of a server that is buffered because a retry may succeed.
 struct BufferedAnswer {
   int status = 0;
@@ -60,6 +68,8 @@
   // Reserves a slot in another group, to replace a group that lost a member.
   // Returns false when no slot is free or no further attempt is allowed.
   std::function<bool()> reserve_next;
+  // Whether the request may still be sent, for all that is known of its prompt.
+  std::function<bool()> may_send;
   // Cancels the queued request for such a slot.
   std::function<void()> cancel_reservation;
 };
@@ -79,13 +89,15 @@
   std::string AnswerFraming() const;
   // What ended the input of the answer, for logs.
   std::string AnswerEnd() const { return ToString(this->response->End()); }
-  // Number of whole events of the stream that the server has written.
-  int EventsReceived() const { return this->events_received; }
   // After kNotRun: whether the server wants no requests for some time, which is
   // no failure of it.
   bool HasBackoff() const { return this->is_held_back || this->names_backoff; }
-  // After kNotRun: whether nothing was sent, because the server's backoff began
-  // after it was selected.
+  // How far the answer got. Precondition: Run() has returned.
+  AnswerProgress Progress() const { return this->progress; }
+  // Number of whole events of the stream that the server has written.
+  int EventsReceived() const { return this->events_received; }
+  // After kNotRun: whether nothing was sent, because the server's backoff or
+  // the quarantine of the prompt began after the server was selected.
   bool IsHeldBack() const { return this->is_held_back; }
   // After kNotRun: the server that the answer names as the cause; may be empty.
   const std::string& SuspectedServer() const { return this->suspected; }
@@ -128,6 +140,8 @@
   // be reused.
   bool MayHaveRunAfterRejection();
   void FinishConnection();
+  // How far the answer of an attempt that ends with `outcome` got.
+  AnswerProgress JudgeProgress(AttemptOutcome outcome) const;
   AttemptOutcome SetOutcome(AttemptOutcome outcome, std::string reason);
 
   AttemptJob* const job;
@@ -146,6 +160,7 @@
   MonotonicTime sent_at;
   bool has_forwarded_events = false;  // Of this attempt.
   int events_received = 0;
+  AnswerProgress progress = AnswerProgress::kUnknown;
   // The caller's last event when the attempt began, until it is continued.
   std::optional<std::int64_t> resumed_after;
   EventSplitter splitter;
--- /dev/null
+++ b/src/routing/prompt_quarantine.h
@@ -0,0 +1,144 @@
+// Parts of prompts that crash servers, as all VMs know them.
+#ifndef ROUTING_PROMPT_QUARANTINE_H_
+#define ROUTING_PROMPT_QUARANTINE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "model/prompt_evidence.h"
+#include "routing/sound_parts.h"
+
+namespace kumquatcart {
+
+// Whether a request may be sent to a server because of its prompt.
+enum class PromptAdmission {
+  kFree,     // No part of it is suspected.
+  kTrial,    // As the only request with its suspected parts.
+  kWait,     // A trial of one of its parts is in progress.
+  kRefused,  // It has the part, or all of the parts, that crash servers.
+};
+
+struct PromptDecision {
+  PromptAdmission admission = PromptAdmission::kFree;
+  PromptPart part;          // The one that decides; empty if kFree.
+  Duration retry_after{0};  // If kRefused: until the next trial.
+
+  auto Tie() const {
+    return std::tie(this->admission, this->part, this->retry_after);
+  }
+};
+
+// How bad the evidence against a part is.
+enum class PartVerdict { kClear, kSuspected, kConvicted };
+
+// Lower-case name for logs. Thread safe.
+const char* ToString(PartVerdict verdict);
+
+// Collects the crashes and the sound runs of all VMs and decides which requests
+// may be sent. A sound run outweighs all crashes before it, since a part that
+// crashes servers does so whatever else the request holds. A suspected part is
+// tried with one request at a time, and convicted when several trials have
+// ended a server; then a trial is repeated after growing intervals. Merging is
+// idempotent and independent of the order, so that VMs with the same evidence
+// decide alike. Does no I/O. Not thread safe.
+class PromptQuarantine {
+ public:
+  PromptDecision Decide(const PromptParts& parts, MonotonicTime now) const;
+
+  PartVerdict VerdictOf(const PromptPart& part) const;
+
+  // Begins a trial of those of the parts that are suspected or had no sound run
+  // yet; it ends at `until` at the latest. Returns its id, or 0 if there are no
+  // such parts.
+  std::int64_t BeginTrial(const PromptParts& parts, MonotonicTime until);
+  void EndTrial(std::int64_t id) { this->own_trials.erase(id); }
+
+  // Notes a sound run. Returns whether one of the parts has crashes, so that
+  // peers should know.
+  bool NoteSound(const PromptParts& parts, MonotonicTime at);
+
+  // Adds a crash that was observed at `at`. Returns false if it is known.
+  bool AddCrash(const PromptCrash& crash, MonotonicTime at);
+
+  // Notes that a request was refused because of `part`, which keeps the
+  // evidence against it.
+  void NoteRefusal(const PromptPart& part, MonotonicTime at);
+
+  // Evidence for the peers of `node`, up to a bound; successive calls report
+  // all in turn, and each the newest crashes.
+  PromptEvidence Export(const std::string& node, MonotonicTime now);
+
+  // What Merge() has found.
+  struct MergeResult {
+    bool has_changed = false;
+    // Crashes that were unknown and have a part with a sound run that the
+    // sender does not know.
+    bool knows_more = false;
+  };
+
+  // Adds the evidence of a peer. Its trials replace those that it sent before.
+  MergeResult Merge(const PromptEvidence& evidence, MonotonicTime now);
+
+  // Drops evidence that is no longer needed.
+  void DropStale(MonotonicTime now);
+
+  // Whether there is nothing to send.
+  bool IsEmpty() const {
+    return this->crashes.empty() && this->own_trials.empty();
+  }
+
+  // All parts that have crashes.
+  std::set<PromptPart> AccusedParts() const;
+
+ private:
+  struct KnownCrash {
+    PromptCrash crash;
+    MonotonicTime at;
+  };
+  struct Trial {
+    PromptParts parts;
+    MonotonicTime until;
+  };
+  // The evidence against a part since its latest sound run.
+  struct PartEvidence {
+    PartVerdict verdict = PartVerdict::kClear;
+    int trials = 0;  // That ended a server.
+    MonotonicTime last_trial_at;
+  };
+
+  PartEvidence EvidenceOf(const PromptPart& part) const;
+  // Whether the evidence against a convicted part applies to a request with
+  // `parts`: it has all suspected parts that were in every such trial.
+  bool Convicts(const PromptPart& part, const PromptParts& parts) const;
+  bool CountsAgainst(const KnownCrash& known, const PromptPart& part) const;
+  // Whether the part is suspected or had no sound run yet.
+  bool IsUnproven(const PromptPart& part) const {
+    return this->VerdictOf(part) != PartVerdict::kClear ||
+           !this->sound_parts.Find(part);
+  }
+  bool HasTrial(const PromptPart& part, MonotonicTime now) const;
+  bool HasConvictedPart(const KnownCrash& known) const;
+  bool IsStale(const KnownCrash& known, MonotonicTime now) const;
+  // Makes room for one more crash.
+  void EvictOne();
+
+  SoundParts sound_parts{kSoundPartsKept};
+  std::deque<KnownCrash> crashes;  // In the order of their arrival.
+  std::map<PromptPart, MonotonicTime> refusals;  // The latest.
+  std::map<std::int64_t, Trial> own_trials;
+  std::int64_t last_trial_id = 0;
+  std::map<std::string, std::map<PromptPart, MonotonicTime>> peer_trials;
+  std::size_t next_export = 0;
+
+  // Bounds the memory at about a megabyte.
+  static constexpr std::size_t kSoundPartsKept = 4096;
+};
+
+}  // namespace kumquatcart
+
+#endif  // ROUTING_PROMPT_QUARANTINE_H_
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -39,6 +39,17 @@
       engines(&this->loop, &this->engine_http),
       store(&this->loop, TcpEndpoint()),
       peers("node", "zone"),
+      digests(
+          &this->loop,
+          &this->peers,
+          [] { return NodeDigest(); },
+          [](const NodeDigest&) {}),
+      prompt_exchange(&this->engines, &this->peers, &this->digests),
+      prompts(&this->loop,
+              "node",
+              &this->prompt_exchange,
+              &this->metrics,
+              /*seed=*/1),
       role(&this->loop, &this->peers, &this->store, "zone"),
       prober(
           &this->loop,
@@ -87,6 +98,7 @@
   this->context.pool = &this->pool;
   this->context.limiter = &this->limiter;
   this->context.gate = &this->gate;
+  this->context.prompts = &this->prompts;
   this->context.group_balancer = &this->group_balancer;
   this->context.plain_balancer = &this->plain_balancer;
   this->context.stall_detector = &this->stall_detector;
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -14,6 +14,8 @@
 #include "entry/group_load_balancer.h"
 #include "entry/group_stall_detector.h"
 #include "entry/plain_load_balancer.h"
+#include "entry/prompt_exchange.h"
+#include "entry/prompt_guard.h"
 #include "entry/server_gate.h"
 #include "entry/server_limiter.h"
 #include "fakes/loop_server.h"
@@ -152,9 +154,12 @@
   EngineClient engines;
   StoreClient store;
   PeerDirectory peers;
+  DigestExchange digests;
+  PromptExchange prompt_exchange;
+  MetricRegistry metrics;
+  PromptGuard prompts;
   PlannerRole role;
   ServerProber prober;
-  MetricRegistry metrics;
   LoopPermitNetwork permits;
   ServerLimiter limiter;
   ServerGate gate;
