Give the answers to probes and orders the limit that they need

Reported by others: a faulty server sends bytes without end, and the machine that called it keeps them. On the request path answers are bounded, one by one and in sum.

--- a/src/entry/entry_constants.h
+++ b/src/entry/entry_constants.h
@@ -57,8 +57,9 @@
 inline constexpr int kMaxSkippedAnswers = 16;
 inline constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
 
-// Largest answer to a probe or order.
-inline constexpr std::size_t kMaxEngineAnswerBytes = 1024 * 1024;
+// Largest answer to a probe or order. A report has a few kilobytes, and probes
+// of all servers may be in progress at once.
+inline constexpr std::size_t kMaxEngineAnswerBytes = 64 * 1024;
 
 // Largest request body that the process's own HTTP services accept from peers
 // and the platform.
--- a/tests/entry/endless_answer_test.cc
+++ b/tests/entry/endless_answer_test.cc
@@ -1,8 +1,14 @@
 // Servers whose bytes are no answer and never end, in a head or in a body.
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+
 #include <catch2/catch.hpp>
 
 #include "entry/answer_buffer_use.h"
 #include "entry/entry_fixture.h"
+#include "net/run_all.h"
 
 namespace kumquatcart {
 namespace {
@@ -140,5 +146,60 @@
   CHECK(total == kMaxAllBufferedAnswerBytes - kMaxBufferedAnswerBytes);
 }
 
+std::size_t ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t pages = 0;
+  file >> pages >> pages;
+  return pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// Guards against reports of servers that are kept for as long as bytes come:
+// probes of all servers may be in progress at once.
+TEST_CASE("Reports without end take little memory") {
+  constexpr std::size_t kProbes = 64;
+  // Of each probe, for the report, the input and what the stand-in has sent.
+  constexpr std::size_t kBytesOfProbe = 512 * 1024;
+  const std::string pieces(64 * 1024, 'x');
+  for (const char* begin :
+       {"", "HTTP/1.1 200 OK\r\nX-", "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n"}) {
+    CAPTURE(begin);
+    EventLoop loop;
+    LoopServer server(
+        &loop, [&](const auto& connection, Waiter* waiter, Coroutine yield) {
+          ReadHead(connection.get(), waiter, yield);
+          connection->Send(begin);
+          while (!connection->HasEnded()) {
+            if (connection->UnsentBytes() == 0) {
+              connection->Send(pieces);
+            }
+            waiter->WaitUntil(MonotonicTime::max(), yield);
+          }
+        });
+    HttpClient client(&loop, kMaxEngineAnswerBytes);
+    EngineClient engines(&loop, &client);
+    BackendServer backend;
+    backend.id = "s";
+    backend.endpoint = Endpoint{"127.0.0.1", server.Address().port()};
+    const std::size_t before = ResidentBytes();
+    std::size_t most = before;
+    std::size_t reports = 0;
+    RunCoroutine(&loop, [&](Coroutine yield) {
+      const std::vector<std::function<void(Coroutine)>> probes(
+          kProbes, [&](Coroutine inner) {
+            const auto report =
+                engines.Report(backend, std::chrono::milliseconds(500), inner);
+            reports += report.has_value() ? 1 : 0;
+            most = std::max(most, ResidentBytes());
+          });
+      RunAll(&loop, probes, yield);
+    });
+    CHECK(reports == 0);
+    CHECK(most - before < kProbes * kBytesOfProbe);
+    loop.UnwindCoroutines();
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- a/tests/entry/prompt_crash_test.cc
+++ b/tests/entry/prompt_crash_test.cc
@@ -49,7 +49,7 @@
 class Crashes {
  public:
   explicit Crashes(Ending ending, int servers = kServers)
-      : ending(std::move(ending)) {
+      : ending(ending) {
     for (int i = 0; i < servers; ++i) {
       this->away_until.push_back(MonotonicTime::min());
       this->fixture.AddGroup("s" + std::to_string(i), this->MakeScript(i));
