Repeat sound runs to the peers, and examine no whole answers in vain

A sound run that clears a part was sent to the peers once; if the datagram was lost, the crash was dropped here and the peers tried the part themselves. It is repeated like a crash now, and a refuted crash is kept for two seconds.

A whole answer that ends with its connection after one or two events made two probes of its server, also when all parts of its prompt were known to be sound and the probes could tell nothing. Verdicts are compared for the log only when evidence was dropped.

Tests of the quarantine and of prompts that crash servers pass; found by reading.

--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -132,12 +132,21 @@
 }
 
 void PromptGuard::NoteSound(const CallerRequest& request) {
-  if (this->quarantine.NoteSound(request.shared_parts, this->loop->Now())) {
-    this->LogVerdicts("own");
-    this->SendSoon();
+  this->NoteSoundParts(request.shared_parts);
+}
+
+void PromptGuard::NoteSoundParts(const PromptParts& parts) {
+  if (this->quarantine.NoteSound(parts, this->loop->Now())) {
+    this->HandleOwnChange();
   }
 }
 
+void PromptGuard::HandleOwnChange() {
+  this->changed_at = this->loop->Now();
+  this->LogVerdicts("own");
+  this->SendSoon();
+}
+
 void PromptGuard::NoteCutShort(const CallerRequest& request,
                                const BackendServer& server,
                                PromptTrialPtr trial,
@@ -146,11 +155,15 @@
     return;
   }
   const bool was_trial = trial != nullptr;
-  // Requests with a part that was never sound wait for the examination.
-  const Suspicion suspicion{
-      request.id, request.shared_parts, server,
-      was_trial ? std::move(trial) : this->BeginTrial(request.shared_parts),
-      is_complete};
+  if (!was_trial) {
+    // Requests with a part that was never sound wait for the examination.
+    trial = this->BeginTrial(request.shared_parts);
+  }
+  if (is_complete && trial == nullptr) {
+    return;  // Nothing could be learnt of parts that are known to be sound.
+  }
+  const Suspicion suspicion{request.id, request.shared_parts, server,
+                            std::move(trial), is_complete};
   this->loop->Spawn([this, suspicion, was_trial](Coroutine yield) {
     this->Examine(suspicion, was_trial, yield);
   });
@@ -166,10 +179,8 @@
   }
   if (!is_running) {
     this->AddCrash(suspicion, was_trial);
-  } else if (suspicion.is_complete &&
-             this->quarantine.NoteSound(suspicion.parts, this->loop->Now())) {
-    this->LogVerdicts("own");
-    this->SendSoon();
+  } else if (suspicion.is_complete) {
+    this->NoteSoundParts(suspicion.parts);
   }
 }
 
@@ -187,9 +198,7 @@
                            {"parts", Join(crash.parts)}});
   this->metrics->GetCounter("kumquatcart_prompt_crashes_total").Add();
   this->quarantine.AddCrash(crash, this->loop->Now());
-  this->changed_at = this->loop->Now();
-  this->LogVerdicts("own");
-  this->SendSoon();
+  this->HandleOwnChange();
 }
 
 void PromptGuard::LogVerdicts(const char* source) {
@@ -254,8 +263,9 @@
 }
 
 void PromptGuard::DropStale() {
-  this->quarantine.DropStale(this->loop->Now());
-  this->LogVerdicts("age");
+  if (this->quarantine.DropStale(this->loop->Now())) {
+    this->LogVerdicts("age");
+  }
 }
 
 Duration PromptGuard::MinSendInterval() const {
--- a/src/entry/prompt_guard.h
+++ b/src/entry/prompt_guard.h
@@ -106,6 +106,9 @@
   // Null if all of the parts are known to be sound.
   PromptTrialPtr BeginTrial(const PromptParts& parts);
   void EndTrial(std::int64_t id);
+  void NoteSoundParts(const PromptParts& parts);
+  // The evidence of this VM has changed by its own observation.
+  void HandleOwnChange();
   void Examine(const Suspicion& suspicion, bool was_trial, Coroutine yield);
   void AddCrash(const Suspicion& suspicion, bool was_trial);
   // Logs parts whose verdict has changed. `source`: what has changed it.
--- a/src/routing/prompt_quarantine.cc
+++ b/src/routing/prompt_quarantine.cc
@@ -22,6 +22,9 @@
 constexpr int kMaxRetrialDoublings = 6;
 // Evidence is dropped when no request with its parts has come for this time.
 constexpr Duration kEvidenceLifetime = std::chrono::minutes(10);
+// A crash that sound runs have refuted is kept for this time, so that these are
+// sent to the peers that know the crash.
+constexpr Duration kRefutedKept = std::chrono::seconds(2);
 constexpr std::size_t kMaxCrashes = 128;
 // A received time is late by the time in transit. Smaller differences are
 // ignored, or times that VMs send to and fro would move on and on.
@@ -54,9 +57,11 @@
 
 bool PromptQuarantine::CountsAgainst(const KnownCrash& known,
                                      const PromptPart& part) const {
+  if (!Contains(known.crash.parts, part)) {
+    return false;
+  }
   const std::optional<MonotonicTime> sound_at = this->sound_parts.Find(part);
-  return Contains(known.crash.parts, part) &&
-         (!sound_at || known.at > *sound_at);
+  return !sound_at || known.at > *sound_at;
 }
 
 PromptQuarantine::PartEvidence PromptQuarantine::EvidenceOf(
@@ -303,15 +308,18 @@
     }
     is_refuted = is_refuted && !this->CountsAgainst(known, part);
   }
-  return is_refuted || needed_at + kEvidenceLifetime <= now;
+  return (is_refuted && known.at + kRefutedKept <= now) ||
+         needed_at + kEvidenceLifetime <= now;
 }
 
-void PromptQuarantine::DropStale(MonotonicTime now) {
-  this->crashes.erase(std::remove_if(this->crashes.begin(), this->crashes.end(),
-                                     [this, now](const KnownCrash& known) {
-                                       return this->IsStale(known, now);
-                                     }),
-                      this->crashes.end());
+bool PromptQuarantine::DropStale(MonotonicTime now) {
+  const auto first_stale =
+      std::remove_if(this->crashes.begin(), this->crashes.end(),
+                     [this, now](const KnownCrash& known) {
+                       return this->IsStale(known, now);
+                     });
+  const bool has_dropped = first_stale != this->crashes.end();
+  this->crashes.erase(first_stale, this->crashes.end());
   const std::set<PromptPart> accused = this->AccusedParts();
   for (auto entry = this->refusals.begin(); entry != this->refusals.end();) {
     entry = accused.count(entry->first) == 0 ? this->refusals.erase(entry)
@@ -324,6 +332,7 @@
                     [now](const auto& trial) { return trial.second <= now; });
     peer = has_ended ? this->peer_trials.erase(peer) : std::next(peer);
   }
+  return has_dropped;
 }
 
 std::set<PromptPart> PromptQuarantine::AccusedParts() const {
--- a/src/routing/prompt_quarantine.h
+++ b/src/routing/prompt_quarantine.h
@@ -84,8 +84,8 @@
   // Adds the evidence of a peer. Its trials replace those that it sent before.
   MergeResult Merge(const PromptEvidence& evidence, MonotonicTime now);
 
-  // Drops evidence that is no longer needed.
-  void DropStale(MonotonicTime now);
+  // Drops evidence that is no longer needed. Returns whether a crash was.
+  bool DropStale(MonotonicTime now);
 
   // Whether there is nothing to send.
   bool IsEmpty() const {
