Log the events of an attempt behind its last event

The test of the log's fields expects last_event directly behind answer_end; the new field stood between them. Format of a test.

--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -410,8 +410,8 @@
                         {"reason", attempt.Reason()},
                         {"answer_framing", this->answer_framing},
                         {"answer_end", this->answer_end},
-                        {"events", attempt.EventsReceived()},
-                        {"last_event", this->LastEvent()}});
+                        {"last_event", this->LastEvent()},
+                        {"events", attempt.EventsReceived()}});
   }
 }
 
--- a/tests/entry/prompt_crash_test.cc
+++ b/tests/entry/prompt_crash_test.cc
@@ -48,8 +48,7 @@
 // answer a prompt with a bad part.
 class Crashes {
  public:
-  explicit Crashes(Ending ending, int servers = kServers)
-      : ending(ending) {
+  explicit Crashes(Ending ending, int servers = kServers) : ending(ending) {
     for (int i = 0; i < servers; ++i) {
       this->away_until.push_back(MonotonicTime::min());
       this->fixture.AddGroup("s" + std::to_string(i), this->MakeScript(i));
