Examine only servers that answer reports

Whether a server has ended is found out by its report. Servers of plain services answer none, so one that broke off answers and went on counted as ended: after three broken answers, requests with the parts of these prompts were rejected (3 of 10 attempts sent). The new test shows it without the change and passes with it; found by reading.

--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -355,6 +355,9 @@
       this->context->prompts->NoteSound(this->request);
       break;
     case AnswerProgress::kCutShort: {
+      if (!this->uses_groups) {
+        break;  // Servers of plain services answer no reports.
+      }
       BackendServer server;
       server.id = slot.ServerId();
       server.started_ms = slot.StartedMs();
--- a/tests/entry/prompt_crash_test.cc
+++ b/tests/entry/prompt_crash_test.cc
@@ -256,5 +256,35 @@
   }
 }
 
+// Guards against plain servers that count as ended because they answer no
+// report: they break off answers and go on.
+TEST_CASE("Broken answers of plain servers hold no prompt back") {
+  EntryFixture fixture;
+  int received = 0;
+  for (const char* id : {"a", "b"}) {
+    fixture.AddPlain(
+        id, [&](const auto& connection, Waiter* waiter, Coroutine yield) {
+          const std::string head = ReadHead(connection.get(), waiter, yield);
+          if (head.rfind("GET /api/report", 0) == 0) {
+            connection->Send(MakeAnswer(head, "404 Not Found", ""));
+          } else if (!head.empty()) {
+            ++received;
+            const std::string answer = MakeAnswer(head, "200 OK", "whole");
+            connection->Send(answer.substr(0, answer.size() - 2));
+          }
+          fixture.loop.Sleep(kWork, yield);
+          connection->Close();
+        });
+  }
+  const std::string request =
+      MakeRequest("GET", "/again/x",
+                  std::string("X-Prompt-Prefix: ") + kBadPrompt + "\r\n");
+  for (int i = 1; i <= 5; ++i) {
+    CHECK(fixture.Call(request).status == 502);
+    CHECK(received == 2 * i);
+    fixture.RunFor(milliseconds(100));
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart
