Name the states of prompt parts in the terms of the field

Suspected and quarantined, in place of the words of a court. The field of prompt_part is state, its value quarantined, and the metric is kumquatcart_prompt_part_states_total; all came with this landing.

--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -143,7 +143,7 @@
 
 void PromptGuard::HandleOwnChange() {
   this->changed_at = this->loop->Now();
-  this->LogVerdicts("own");
+  this->LogStates("own");
   this->SendSoon();
 }
 
@@ -201,32 +201,32 @@
   this->HandleOwnChange();
 }
 
-void PromptGuard::LogVerdicts(const char* source) {
-  std::set<PromptPart> parts = this->quarantine.AccusedParts();
-  for (const auto& entry : this->logged_verdicts) {
+void PromptGuard::LogStates(const char* source) {
+  std::set<PromptPart> parts = this->quarantine.PartsWithCrashes();
+  for (const auto& entry : this->logged_states) {
     parts.insert(entry.first);
   }
   for (const PromptPart& part : parts) {
-    const PartVerdict verdict = this->quarantine.VerdictOf(part);
-    const auto logged = this->logged_verdicts.find(part);
-    const PartVerdict before = logged == this->logged_verdicts.end()
-                                   ? PartVerdict::kClear
-                                   : logged->second;
-    if (verdict == before) {
+    const PartState state = this->quarantine.StateOf(part);
+    const auto logged = this->logged_states.find(part);
+    const PartState before = logged == this->logged_states.end()
+                                 ? PartState::kClear
+                                 : logged->second;
+    if (state == before) {
       continue;
     }
     LogInfo("prompt_part", {{"part", part},
-                            {"verdict", ToString(verdict)},
+                            {"state", ToString(state)},
                             {"before", ToString(before)},
                             {"source", source}});
     this->metrics
-        ->GetCounter("kumquatcart_prompt_part_verdicts_total",
-                     {{"verdict", ToString(verdict)}})
+        ->GetCounter("kumquatcart_prompt_part_states_total",
+                     {{"state", ToString(state)}})
         .Add();
-    if (verdict == PartVerdict::kClear) {
-      this->logged_verdicts.erase(part);
+    if (state == PartState::kClear) {
+      this->logged_states.erase(part);
     } else {
-      this->logged_verdicts[part] = verdict;
+      this->logged_states[part] = state;
     }
   }
 }
@@ -235,7 +235,7 @@
   const PromptQuarantine::MergeResult result =
       this->quarantine.Merge(evidence, this->loop->Now());
   if (result.has_changed) {
-    this->LogVerdicts("peer");
+    this->LogStates("peer");
     if (evidence.is_reply) {
       this->changed_at = this->loop->Now();
       this->SendSoon();
@@ -264,7 +264,7 @@
 
 void PromptGuard::DropStale() {
   if (this->quarantine.DropStale(this->loop->Now())) {
-    this->LogVerdicts("age");
+    this->LogStates("age");
   }
 }
 
--- a/src/entry/prompt_guard.h
+++ b/src/entry/prompt_guard.h
@@ -111,8 +111,8 @@
   void HandleOwnChange();
   void Examine(const Suspicion& suspicion, bool was_trial, Coroutine yield);
   void AddCrash(const Suspicion& suspicion, bool was_trial);
-  // Logs parts whose verdict has changed. `source`: what has changed it.
-  void LogVerdicts(const char* source);
+  // Logs parts whose state has changed. `source`: what has changed it.
+  void LogStates(const char* source);
   // Sends to all peers, immediately or as soon as the minimum time since the
   // last message has passed.
   void SendSoon();
@@ -127,7 +127,7 @@
   MetricRegistry* const metrics;
   std::mt19937_64 generator;
   PromptQuarantine quarantine;
-  std::map<PromptPart, PartVerdict> logged_verdicts;  // Other than kClear.
+  std::map<PromptPart, PartState> logged_states;  // Other than kClear.
   std::map<std::string, MonotonicTime> peers_heard_at;
   MonotonicTime changed_at;  // By an observation of this VM.
   MonotonicTime sent_at;     // To all peers.
--- a/src/routing/prompt_quarantine.cc
+++ b/src/routing/prompt_quarantine.cc
@@ -15,16 +15,16 @@
 constexpr std::size_t kCrashesOfSoundPart = 5;
 // Trials that must have ended a server. One may meet a server that ends for
 // another reason.
-constexpr int kTrialsToConvict = 2;
-// Time from the trial that convicts a part to the next one; it doubles with
+constexpr int kTrialsToQuarantine = 2;
+// Time from the trial that quarantines a part to the next one; it doubles with
 // each further trial.
 constexpr Duration kFirstRetrialInterval = std::chrono::minutes(1);
 constexpr int kMaxRetrialDoublings = 6;
 // Evidence is dropped when no request with its parts has come for this time.
 constexpr Duration kEvidenceLifetime = std::chrono::minutes(10);
-// A crash that sound runs have refuted is kept for this time, so that these are
-// sent to the peers that know the crash.
-constexpr Duration kRefutedKept = std::chrono::seconds(2);
+// A crash that sound runs have made obsolete is kept for this time, so that
+// these are sent to the peers that know the crash.
+constexpr Duration kOutdatedKept = std::chrono::seconds(2);
 constexpr std::size_t kMaxCrashes = 128;
 // A received time is late by the time in transit. Smaller differences are
 // ignored, or times that VMs send to and fro would move on and on.
@@ -50,9 +50,9 @@
 
 }  // namespace
 
-const char* ToString(PartVerdict verdict) {
-  constexpr const char* kNames[] = {"clear", "suspected", "convicted"};
-  return kNames[static_cast<int>(verdict)];
+const char* ToString(PartState state) {
+  constexpr const char* kNames[] = {"clear", "suspected", "quarantined"};
+  return kNames[static_cast<int>(state)];
 }
 
 bool PromptQuarantine::CountsAgainst(const KnownCrash& known,
@@ -87,19 +87,19 @@
                                  ? kCrashesOfSoundPart
                                  : kCrashesOfUnknownPart;
   if (starts.size() + unknown_starts >= needed) {
-    evidence.verdict = evidence.trials >= kTrialsToConvict
-                           ? PartVerdict::kConvicted
-                           : PartVerdict::kSuspected;
+    evidence.state = evidence.trials >= kTrialsToQuarantine
+                         ? PartState::kQuarantined
+                         : PartState::kSuspected;
   }
   return evidence;
 }
 
-PartVerdict PromptQuarantine::VerdictOf(const PromptPart& part) const {
-  return this->EvidenceOf(part).verdict;
+PartState PromptQuarantine::StateOf(const PromptPart& part) const {
+  return this->EvidenceOf(part).state;
 }
 
-bool PromptQuarantine::Convicts(const PromptPart& part,
-                                const PromptParts& parts) const {
+bool PromptQuarantine::AppliesTo(const PromptPart& part,
+                                 const PromptParts& parts) const {
   std::optional<PromptParts> companions;
   for (const KnownCrash& known : this->crashes) {
     if (!known.crash.was_trial || !this->CountsAgainst(known, part)) {
@@ -107,7 +107,7 @@
     }
     PromptParts common;
     for (const PromptPart& other : known.crash.parts) {
-      if (this->VerdictOf(other) != PartVerdict::kClear &&
+      if (this->StateOf(other) != PartState::kClear &&
           (!companions || Contains(*companions, other))) {
         common.push_back(other);
       }
@@ -136,10 +136,10 @@
   PromptDecision decision;
   for (const PromptPart& part : parts) {
     const PartEvidence evidence = this->EvidenceOf(part);
-    if (evidence.verdict == PartVerdict::kConvicted &&
-        this->Convicts(part, parts)) {
+    if (evidence.state == PartState::kQuarantined &&
+        this->AppliesTo(part, parts)) {
       const int doublings =
-          std::min(evidence.trials - kTrialsToConvict, kMaxRetrialDoublings);
+          std::min(evidence.trials - kTrialsToQuarantine, kMaxRetrialDoublings);
       const MonotonicTime next_trial =
           evidence.last_trial_at + kFirstRetrialInterval * (1 << doublings);
       if (now < next_trial) {
@@ -148,7 +148,7 @@
     }
     if (this->HasTrial(part, now) && this->IsUnproven(part)) {
       decision = {PromptAdmission::kWait, part, Duration{0}};
-    } else if (evidence.verdict != PartVerdict::kClear &&
+    } else if (evidence.state != PartState::kClear &&
                decision.admission == PromptAdmission::kFree) {
       decision = {PromptAdmission::kTrial, part, Duration{0}};
     }
@@ -170,16 +170,16 @@
 }
 
 bool PromptQuarantine::NoteSound(const PromptParts& parts, MonotonicTime at) {
-  bool was_accused = false;
+  bool had_crashes = false;
   for (const PromptPart& part : parts) {
-    was_accused =
-        was_accused || std::any_of(this->crashes.begin(), this->crashes.end(),
+    had_crashes =
+        had_crashes || std::any_of(this->crashes.begin(), this->crashes.end(),
                                    [this, &part](const KnownCrash& known) {
                                      return this->CountsAgainst(known, part);
                                    });
     this->sound_parts.Note(part, at);
   }
-  return was_accused;
+  return had_crashes;
 }
 
 bool PromptQuarantine::AddCrash(const PromptCrash& crash, MonotonicTime at) {
@@ -200,17 +200,17 @@
   return true;
 }
 
-bool PromptQuarantine::HasConvictedPart(const KnownCrash& known) const {
+bool PromptQuarantine::HasQuarantinedPart(const KnownCrash& known) const {
   return std::any_of(known.crash.parts.begin(), known.crash.parts.end(),
                      [this](const PromptPart& part) {
-                       return this->VerdictOf(part) == PartVerdict::kConvicted;
+                       return this->StateOf(part) == PartState::kQuarantined;
                      });
 }
 
 void PromptQuarantine::EvictOne() {
   const auto spare = std::find_if(this->crashes.begin(), this->crashes.end(),
                                   [this](const KnownCrash& known) {
-                                    return !this->HasConvictedPart(known);
+                                    return !this->HasQuarantinedPart(known);
                                   });
   this->crashes.erase(spare == this->crashes.end() ? this->crashes.begin()
                                                    : spare);
@@ -282,9 +282,9 @@
                       });
     }
   }
-  const std::set<PromptPart> accused = this->AccusedParts();
+  const std::set<PromptPart> with_crashes = this->PartsWithCrashes();
   for (const auto& [part, age_ms] : evidence.refusal_age_ms) {
-    if (accused.count(part) > 0) {
+    if (with_crashes.count(part) > 0) {
       this->NoteRefusal(part, at(age_ms));
     }
   }
@@ -300,15 +300,15 @@
 bool PromptQuarantine::IsStale(const KnownCrash& known,
                                MonotonicTime now) const {
   MonotonicTime needed_at = known.at;
-  bool is_refuted = true;
+  bool is_outdated = true;
   for (const PromptPart& part : known.crash.parts) {
     const auto refusal = this->refusals.find(part);
     if (refusal != this->refusals.end()) {
       RaiseTo(refusal->second, &needed_at);
     }
-    is_refuted = is_refuted && !this->CountsAgainst(known, part);
+    is_outdated = is_outdated && !this->CountsAgainst(known, part);
   }
-  return (is_refuted && known.at + kRefutedKept <= now) ||
+  return (is_outdated && known.at + kOutdatedKept <= now) ||
          needed_at + kEvidenceLifetime <= now;
 }
 
@@ -320,10 +320,10 @@
                      });
   const bool has_dropped = first_stale != this->crashes.end();
   this->crashes.erase(first_stale, this->crashes.end());
-  const std::set<PromptPart> accused = this->AccusedParts();
+  const std::set<PromptPart> with_crashes = this->PartsWithCrashes();
   for (auto entry = this->refusals.begin(); entry != this->refusals.end();) {
-    entry = accused.count(entry->first) == 0 ? this->refusals.erase(entry)
-                                             : std::next(entry);
+    entry = with_crashes.count(entry->first) == 0 ? this->refusals.erase(entry)
+                                                  : std::next(entry);
   }
   for (auto peer = this->peer_trials.begin();
        peer != this->peer_trials.end();) {
@@ -335,7 +335,7 @@
   return has_dropped;
 }
 
-std::set<PromptPart> PromptQuarantine::AccusedParts() const {
+std::set<PromptPart> PromptQuarantine::PartsWithCrashes() const {
   std::set<PromptPart> parts;
   for (const KnownCrash& known : this->crashes) {
     parts.insert(known.crash.parts.begin(), known.crash.parts.end());
--- a/src/routing/prompt_quarantine.h
+++ b/src/routing/prompt_quarantine.h
@@ -34,15 +34,15 @@
 };
 
 // How bad the evidence against a part is.
-enum class PartVerdict { kClear, kSuspected, kConvicted };
+enum class PartState { kClear, kSuspected, kQuarantined };
 
 // Lower-case name for logs. Thread safe.
-const char* ToString(PartVerdict verdict);
+const char* ToString(PartState state);
 
 // Collects the crashes and the sound runs of all VMs and decides which requests
 // may be sent. A sound run outweighs all crashes before it, since a part that
 // crashes servers does so whatever else the request holds. A suspected part is
-// tried with one request at a time, and convicted when several trials have
+// tried with one request at a time, and quarantined when several trials have
 // ended a server; then a trial is repeated after growing intervals. Merging is
 // idempotent and independent of the order, so that VMs with the same evidence
 // decide alike. Does no I/O. Not thread safe.
@@ -50,7 +50,7 @@
  public:
   PromptDecision Decide(const PromptParts& parts, MonotonicTime now) const;
 
-  PartVerdict VerdictOf(const PromptPart& part) const;
+  PartState StateOf(const PromptPart& part) const;
 
   // Begins a trial of those of the parts that are suspected or had no sound run
   // yet; it ends at `until` at the latest. Returns its id, or 0 if there are no
@@ -93,7 +93,7 @@
   }
 
   // All parts that have crashes.
-  std::set<PromptPart> AccusedParts() const;
+  std::set<PromptPart> PartsWithCrashes() const;
 
  private:
   struct KnownCrash {
@@ -106,23 +106,23 @@
   };
   // The evidence against a part since its latest sound run.
   struct PartEvidence {
-    PartVerdict verdict = PartVerdict::kClear;
+    PartState state = PartState::kClear;
     int trials = 0;  // That ended a server.
     MonotonicTime last_trial_at;
   };
 
   PartEvidence EvidenceOf(const PromptPart& part) const;
-  // Whether the evidence against a convicted part applies to a request with
+  // Whether the evidence against a quarantined part applies to a request with
   // `parts`: it has all suspected parts that were in every such trial.
-  bool Convicts(const PromptPart& part, const PromptParts& parts) const;
+  bool AppliesTo(const PromptPart& part, const PromptParts& parts) const;
   bool CountsAgainst(const KnownCrash& known, const PromptPart& part) const;
   // Whether the part is suspected or had no sound run yet.
   bool IsUnproven(const PromptPart& part) const {
-    return this->VerdictOf(part) != PartVerdict::kClear ||
+    return this->StateOf(part) != PartState::kClear ||
            !this->sound_parts.Find(part);
   }
   bool HasTrial(const PromptPart& part, MonotonicTime now) const;
-  bool HasConvictedPart(const KnownCrash& known) const;
+  bool HasQuarantinedPart(const KnownCrash& known) const;
   bool IsStale(const KnownCrash& known, MonotonicTime now) const;
   // Makes room for one more crash.
   void EvictOne();
--- a/tests/routing/prompt_quarantine_test.cc
+++ b/tests/routing/prompt_quarantine_test.cc
@@ -29,8 +29,8 @@
   return crash;
 }
 
-// A quarantine that has convicted `part` at kStart.
-PromptQuarantine Convict(const PromptParts& parts) {
+// A quarantine that has quarantined `part` at kStart.
+PromptQuarantine Quarantine(const PromptParts& parts) {
   PromptQuarantine quarantine;
   quarantine.AddCrash(MakeCrash(1, parts, false), kStart);
   quarantine.AddCrash(MakeCrash(2, parts, true), kStart);
@@ -44,7 +44,7 @@
   return quarantine.Decide(parts, now).admission;
 }
 
-TEST_CASE("A part is suspected after a crash and convicted by two trials") {
+TEST_CASE("A part is suspected after a crash and quarantined by two trials") {
   PromptQuarantine quarantine;
   CHECK(Admission(quarantine, {"a"}) == PromptAdmission::kFree);
   quarantine.AddCrash(MakeCrash(1, {"a"}, false), kStart);
@@ -59,9 +59,9 @@
   CHECK(decision.retry_after == minutes(1));
 }
 
-// Guards against many servers that end at once, for another reason, and convict
-// what their requests have in common.
-TEST_CASE("Crashes without trials convict nothing") {
+// Guards against many servers that end at once, for another reason, and
+// quarantine what their requests have in common.
+TEST_CASE("Crashes without trials quarantine nothing") {
   PromptQuarantine quarantine;
   for (std::uint64_t id = 1; id <= 30; ++id) {
     quarantine.AddCrash(MakeCrash(id, {"a"}, false), kStart);
@@ -116,10 +116,10 @@
   CHECK(Admission(quarantine, {"b"}) == PromptAdmission::kWait);
 }
 
-// Guards against a part that had no sound run yet and is convicted because it
+// Guards against a part that had no sound run yet and is quarantined because it
 // came with the one that crashes servers.
-TEST_CASE("A convicted companion is tried in a request of its own") {
-  PromptQuarantine quarantine = Convict({"a", "b"});
+TEST_CASE("A quarantined companion is tried in a request of its own") {
+  PromptQuarantine quarantine = Quarantine({"a", "b"});
   CHECK(Admission(quarantine, {"a", "b"}) == PromptAdmission::kRefused);
   CHECK(Admission(quarantine, {"a", "b", "c"}) == PromptAdmission::kRefused);
   CHECK(Admission(quarantine, {"a", "c"}) == PromptAdmission::kTrial);
@@ -128,8 +128,8 @@
   CHECK(Admission(quarantine, {"b"}) == PromptAdmission::kRefused);
 }
 
-TEST_CASE("A convicted part is tried again after growing intervals") {
-  PromptQuarantine quarantine = Convict({"a"});
+TEST_CASE("A quarantined part is tried again after growing intervals") {
+  PromptQuarantine quarantine = Quarantine({"a"});
   MonotonicTime at = kStart;
   Duration interval = minutes(1);
   for (std::uint64_t id = 4; id < 9; ++id) {
@@ -142,27 +142,27 @@
   }
 }
 
-TEST_CASE("A verdict holds while requests come and ends when none has") {
-  PromptQuarantine quarantine = Convict({"a"});
+TEST_CASE("A state holds while requests come and ends when none has") {
+  PromptQuarantine quarantine = Quarantine({"a"});
   const MonotonicTime refused_at = kStart + minutes(9);
   quarantine.NoteRefusal("a", refused_at);
   quarantine.DropStale(refused_at + minutes(10) - milliseconds(1));
-  CHECK(quarantine.VerdictOf("a") == PartVerdict::kConvicted);
+  CHECK(quarantine.StateOf("a") == PartState::kQuarantined);
   quarantine.DropStale(refused_at + minutes(10));
-  CHECK(quarantine.VerdictOf("a") == PartVerdict::kClear);
+  CHECK(quarantine.StateOf("a") == PartState::kClear);
   CHECK(quarantine.IsEmpty());
 }
 
-// Guards against callers that make a VM forget a verdict by many new parts.
-TEST_CASE("A flood of unknown parts does not displace a verdict") {
-  PromptQuarantine quarantine = Convict({"a"});
+// Guards against callers that make a VM forget a state by many new parts.
+TEST_CASE("A flood of unknown parts does not displace a state") {
+  PromptQuarantine quarantine = Quarantine({"a"});
   for (std::uint64_t id = 10; id < 5000; ++id) {
     const std::string part = "f" + std::to_string(id);
     quarantine.AddCrash(MakeCrash(id, {part}, false), kStart);
     quarantine.NoteSound({part}, kStart + milliseconds(1));
   }
-  CHECK(quarantine.VerdictOf("a") == PartVerdict::kConvicted);
-  CHECK(quarantine.AccusedParts().size() <= 128);
+  CHECK(quarantine.StateOf("a") == PartState::kQuarantined);
+  CHECK(quarantine.PartsWithCrashes().size() <= 128);
 }
 
 // Guards against times that grow with each exchange, so that an old sound run
@@ -183,8 +183,8 @@
     now += milliseconds(20);
     first.Merge(reply, now);
   }
-  CHECK(first.VerdictOf("a") == PartVerdict::kSuspected);
-  CHECK(second.VerdictOf("a") == PartVerdict::kSuspected);
+  CHECK(first.StateOf("a") == PartState::kSuspected);
+  CHECK(second.StateOf("a") == PartState::kSuspected);
 }
 
 // Lets all of them send to all others several times, in the order of `steps`.
@@ -238,12 +238,12 @@
     for (const PromptParts& asked :
          {PromptParts{"a"}, PromptParts{"b"}, PromptParts{"a", "c"},
           PromptParts{"a", "b", "c", "d"}}) {
-      const bool is_accused = std::any_of(
+      const bool has_crashes = std::any_of(
           asked.begin(), asked.end(), [&all](const PromptPart& part) {
-            return all.AccusedParts().count(part) > 0;
+            return all.PartsWithCrashes().count(part) > 0;
           });
       for (const PromptQuarantine& vm : vms) {
-        if (is_accused) {
+        if (has_crashes) {
           RC_ASSERT(vm.Decide(asked, kStart) == all.Decide(asked, kStart));
         }
       }
