Leave datagrams of other kinds to their decoders

The decoder of permit messages took every tagged datagram for its own and gave an error for those of another kind, against its own comment; messages of the quarantine reached theirs only because it was asked first. It gives none now, as the decoder of slot messages does. The new test fails without the change.

--- a/src/peers/permit_message.cc
+++ b/src/peers/permit_message.cc
@@ -72,7 +72,7 @@
     if (tag == kReplyTag) {
       return DecodeReply(*json);
     }
-    return MakeError(ErrorCode::kInvalidArgument, "unknown message " + tag);
+    return std::nullopt;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
                      std::string("permit message: ") + error.what());
--- a/src/peers/permit_message.h
+++ b/src/peers/permit_message.h
@@ -49,7 +49,7 @@
 // Encodes as CBOR. Thread safe.
 std::string EncodePermitMessage(const PermitMessage& message);
 
-// None if `bytes` is not a permit message, such as a digest. Errors:
+// None if `bytes` is a message of another kind, such as a digest. Errors:
 // kInvalidArgument for one that is malformed. Thread safe.
 std::optional<Result<PermitMessage>> DecodePermitMessage(
     const std::string& bytes);
--- a/tests/peers/prompt_message_test.cc
+++ b/tests/peers/prompt_message_test.cc
@@ -42,6 +42,12 @@
       EncodePermitMessage(PermitReply{"n", 1, "s", true, 1, 0, 1, 1})));
 }
 
+// Guards against a decoder that takes each datagram with a tag for its own, so
+// that those of other kinds never reach theirs.
+TEST_CASE("Evidence about prompts is no permit message") {
+  CHECK_FALSE(DecodePermitMessage(EncodePromptEvidence(MakeEvidence())));
+}
+
 // Guards against a peer whose times overflow, or whose trial holds requests
 // back for good.
 TEST_CASE("Numbers of evidence about prompts are bounded") {
