--- a/src/entry/permit_exchange.cc
+++ b/src/entry/permit_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/logging.h"
+#include "entry/datagram_dispatch.h"
 
 namespace kumquatcart {
 
@@ -67,18 +68,10 @@
 
 bool PermitExchange::HandleDatagram(const std::string& bytes,
                                     ServerLimiter* limiter) {
-  const std::optional<Result<PermitMessage>> message =
-      DecodePermitMessage(bytes);
-  if (!message) {
-    return false;
-  }
-  if (message->has_error()) {
-    LogWarning("permit_message_ignored",
-               {{"reason", message->error().message}});
-    return true;
-  }
-  limiter->HandleMessage(message->value());
-  return true;
+  return DispatchDatagram(DecodePermitMessage(bytes), "permit_message_ignored",
+                          [limiter](const PermitMessage& message) {
+                            limiter->HandleMessage(message);
+                          });
 }
 
 }  // namespace kumquatcart
--- a/src/entry/prompt_exchange.cc
+++ b/src/entry/prompt_exchange.cc
@@ -1,6 +1,6 @@
 #include "entry/prompt_exchange.h"
 
-#include "base/logging.h"
+#include "entry/datagram_dispatch.h"
 #include "peers/prompt_message.h"
 
 namespace kumquatcart {
@@ -42,18 +42,11 @@
 
 bool PromptExchange::HandleDatagram(const std::string& bytes,
                                     PromptGuard* guard) {
-  const std::optional<Result<PromptEvidence>> evidence =
-      DecodePromptEvidence(bytes);
-  if (!evidence) {
-    return false;
-  }
-  if (evidence->has_error()) {
-    LogWarning("prompt_evidence_ignored",
-               {{"reason", evidence->error().message}});
-    return true;
-  }
-  guard->HandleEvidence(evidence->value());
-  return true;
+  return DispatchDatagram(DecodePromptEvidence(bytes),
+                          "prompt_evidence_ignored",
+                          [guard](const PromptEvidence& evidence) {
+                            guard->HandleEvidence(evidence);
+                          });
 }
 
 }  // namespace kumquatcart
--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -117,18 +117,20 @@
   }
 }
 
+PromptAdmission PromptGuard::AdmissionOf(const CallerRequest& request) const {
+  return this->quarantine.Decide(request.shared_parts, this->loop->Now())
+      .admission;
+}
+
 bool PromptGuard::MaySend(const CallerRequest& request, bool is_trial) const {
-  const PromptAdmission admission =
-      this->quarantine.Decide(request.shared_parts, this->loop->Now())
-          .admission;
+  const PromptAdmission admission = this->AdmissionOf(request);
   // The request's own trial makes others wait.
   return admission == PromptAdmission::kFree ||
          (is_trial && admission != PromptAdmission::kRefused);
 }
 
 bool PromptGuard::IsRefused(const CallerRequest& request) const {
-  return this->quarantine.Decide(request.shared_parts, this->loop->Now())
-             .admission == PromptAdmission::kRefused;
+  return this->AdmissionOf(request) == PromptAdmission::kRefused;
 }
 
 void PromptGuard::NoteSound(const CallerRequest& request) {
@@ -241,10 +243,7 @@
       this->SendSoon();
     }
   }
-  const auto peers = static_cast<double>(this->network->Peers().size());
-  if (result.knows_more && !evidence.is_reply &&
-      std::bernoulli_distribution(std::min(
-          1.0, kExpectedReplies / std::max(1.0, peers)))(this->generator)) {
+  if (result.knows_more && !evidence.is_reply && this->DrawsReply()) {
     PromptEvidence reply =
         this->quarantine.Export(this->node, this->loop->Now());
     reply.is_reply = true;
@@ -252,6 +251,12 @@
   }
 }
 
+bool PromptGuard::DrawsReply() {
+  const auto peers = static_cast<double>(this->network->Peers().size());
+  return std::bernoulli_distribution(
+      std::min(1.0, kExpectedReplies / std::max(1.0, peers)))(this->generator);
+}
+
 void PromptGuard::HandlePeer(const std::string& peer) {
   const MonotonicTime now = this->loop->Now();
   const auto [heard, is_new] = this->peers_heard_at.try_emplace(peer, now);
--- a/src/entry/prompt_guard.h
+++ b/src/entry/prompt_guard.h
@@ -103,6 +103,7 @@
     bool is_complete = false;
   };
 
+  PromptAdmission AdmissionOf(const CallerRequest& request) const;
   // Null if all of the parts are known to be sound.
   PromptTrialPtr BeginTrial(const PromptParts& parts);
   void EndTrial(std::int64_t id);
@@ -111,6 +112,8 @@
   void HandleOwnChange();
   void Examine(const Suspicion& suspicion, bool was_trial, Coroutine yield);
   void AddCrash(const Suspicion& suspicion, bool was_trial);
+  // Whether this VM is among the few that answer a crash.
+  bool DrawsReply();
   // Logs parts whose state has changed. `source`: what has changed it.
   void LogStates(const char* source);
   // Sends to all peers, immediately or as soon as the minimum time since the
--- a/src/entry/slot_exchange.cc
+++ b/src/entry/slot_exchange.cc
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "base/logging.h"
+#include "entry/datagram_dispatch.h"
 
 namespace kumquatcart {
 
@@ -61,16 +62,11 @@
 bool SlotExchange::HandleDatagram(const std::string& bytes,
                                   SlotClient* client,
                                   SlotCoordinator* coordinator) {
-  const std::optional<Result<SlotMessage>> message = DecodeSlotMessage(bytes);
-  if (!message) {
-    return false;
-  }
-  if (message->has_error()) {
-    LogWarning("slot_message_ignored", {{"reason", message->error().message}});
-    return true;
-  }
-  std::visit(MessageDispatcher{client, coordinator}, message->value());
-  return true;
+  return DispatchDatagram(
+      DecodeSlotMessage(bytes), "slot_message_ignored",
+      [client, coordinator](const SlotMessage& message) {
+        std::visit(MessageDispatcher{client, coordinator}, message);
+      });
 }
 
 void SlotExchange::StartReports(SlotClient* client) {
