--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -255,9 +255,14 @@
   }
   this->ApplyRecords(batch.value());
   this->SetSynced("peer");
+  const auto removals =
+      std::count_if(batch.value().records.begin(), batch.value().records.end(),
+                    [](const TopicRecord& record) { return !record.value; });
   LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
                             {"from", from},
                             {"end", this->end},
+                            {"records", batch.value().records.size()},
+                            {"removals", removals},
                             {"peer", address},
                             {"ms", elapsed_ms}});
   return true;
