--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -494,7 +494,10 @@
     this->pool.CloseUnusable();
     this->engine_http.PruneIdle();
     this->record_client.PruneIdle();
-    this->shared_retry_budget.SetNodeCount(this->peers.CountLiveNodes(now));
+    const int nodes = this->peers.CountLiveNodes(now);
+    if (this->shared_retry_budget.SetNodeCount(nodes)) {
+      LogInfo("retry_budget_shared", {{"nodes", nodes}});
+    }
     this->group_balancer.SetNodeCount(this->peers.CountLiveNodes(now));
     const auto written =
         std::filesystem::last_write_time(this->settings_path, error);
--- a/src/routing/shared_retry_budget.h
+++ b/src/routing/shared_retry_budget.h
@@ -2,6 +2,7 @@
 #ifndef ROUTING_SHARED_RETRY_BUDGET_H_
 #define ROUTING_SHARED_RETRY_BUDGET_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -24,8 +25,12 @@
   explicit SharedRetryBudget(RetryLimits bounds) : bounds(bounds) {}
 
   // Sets the number of entry VMs that share the base; values below 1 count
-  // as 1.
-  void SetNodeCount(int nodes) { this->nodes = nodes > 0 ? nodes : 1; }
+  // as 1. Returns whether the number has changed.
+  bool SetNodeCount(int nodes) {
+    const int before = this->nodes;
+    this->nodes = std::max(nodes, 1);
+    return this->nodes != before;
+  }
 
   // Records a request for `service` that this entry VM accepted.
   void NoteRequest(const std::string& service, MonotonicTime now);
