End only the exchange at a message that announces or sends too much

Cause: the body type of the parser reserved the announced length, and trailer sections, chunk framing and single fields had no limit of ours, for which the library throws. No handler stood between one exchange and the event loop.

Change: bodies take memory as they arrive; the framing of a chunk and a trailer section end at 16 KB; bodies in progress of one HttpClient together at 32 MB; a boundary ends the exchange, request, session or datagram in which input or a lack of resources throws, with one log line and a count. Broken invariants still end the process.

--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -6,6 +6,7 @@
 #include "entry/entry_constants.h"
 #include "entry/request_forwarder.h"
 #include "entry/request_reader.h"
+#include "net/failure_boundary.h"
 #include "net/http_status.h"
 #include "platform/caller_codec.h"
 
@@ -98,14 +99,14 @@
   }
 }
 
-// Handles one request. Returns false if the connection must be closed because
+// Forwards one request. Returns false if the connection must be closed because
 // the answer is incomplete.
-bool HandleRequest(EntryContext* context,
-                   RequestReadResult* outcome,
-                   TcpConnection* connection,
-                   Waiter* waiter,
-                   AnswerSender* answer,
-                   Coroutine yield) {
+bool ForwardRequest(EntryContext* context,
+                    RequestReadResult* outcome,
+                    TcpConnection* connection,
+                    Waiter* waiter,
+                    AnswerSender* answer,
+                    Coroutine yield) {
   ParsedRequest& read = outcome->request;
   Result<CallerRequest> request =
       DecodeCallerRequest(std::move(read.method), std::move(read.target),
@@ -122,6 +123,30 @@
       .Run(yield);
 }
 
+// As ForwardRequest(). A request whose handling fails is answered with 502,
+// since it may have run.
+bool HandleRequest(EntryContext* context,
+                   RequestReadResult* outcome,
+                   TcpConnection* connection,
+                   Waiter* waiter,
+                   AnswerSender* answer,
+                   Coroutine yield) {
+  bool is_answered = false;
+  if (ContainFailure(context->loop, "request", [&] {
+        is_answered =
+            ForwardRequest(context, outcome, connection, waiter, answer, yield);
+      })) {
+    return is_answered;
+  }
+  if (answer->HasBegun()) {
+    return false;
+  }
+  LogInfo("request_rejected", {{"status", kHttpBadGateway},
+                               {"reason", "the request cannot be handled"}});
+  answer->SendWhole(kHttpBadGateway, {}, {});
+  return true;
+}
+
 // Serves requests until the connection must be closed. With kClose, input after
 // the last request stays unread, since a caller may send it again only if it
 // was not read.
@@ -170,16 +195,18 @@
                  Waiter* waiter,
                  Coroutine yield) {
   connection->SetWaiter(waiter);
-  switch (ServeRequests(context, connection.get(), waiter, yield)) {
-    case SessionEnd::kClose:
-      break;
-    case SessionEnd::kLinger:
-      Linger(context, connection.get(), waiter, yield);
-      break;
-    case SessionEnd::kReset:
-      WaitUntilSent(context, connection.get(), waiter, yield);
-      break;
-  }
+  ContainFailure(context->loop, "session", [&] {
+    switch (ServeRequests(context, connection.get(), waiter, yield)) {
+      case SessionEnd::kClose:
+        break;
+      case SessionEnd::kLinger:
+        Linger(context, connection.get(), waiter, yield);
+        break;
+      case SessionEnd::kReset:
+        WaitUntilSent(context, connection.get(), waiter, yield);
+        break;
+    }
+  });
   connection->SetWaiter(nullptr);
   connection->Close();
 }
--- a/src/entry/request_reader.cc
+++ b/src/entry/request_reader.cc
@@ -3,16 +3,16 @@
 #include <algorithm>
 #include <optional>
 
-#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+
+#include "net/message_parsing.h"
 
 namespace kumquatcart {
 
 namespace {
 
 namespace http = boost::beast::http;
-using Parser = http::request_parser<http::string_body>;
+using Parser = http::request_parser<ReceivedBody>;
 
 // Protocol version as the parser states it.
 constexpr unsigned kHttp11 = 11;
@@ -55,7 +55,6 @@
   explicit IncrementalParser(const CallerLimits& limits) {
     this->parser.header_limit(limits.header_bytes);
     this->parser.body_limit(limits.body_bytes);
-    this->parser.eager(true);
   }
 
   // Consumes the input of `connection`. Returns no value while the request is
@@ -64,10 +63,12 @@
     while (!connection->Input().empty() && !this->parser.is_done()) {
       const std::string_view input = connection->Input();
       boost::system::error_code error;
-      const std::size_t used = this->parser.put(
-          boost::asio::buffer(input.data(), input.size()), error);
+      const std::size_t used = ParseSection(&this->parser, input, &error);
+      if (!error && used == 0 && input.size() >= kReadPauseThresholdBytes) {
+        error = http::error::header_limit;  // No more of the section is read.
+      }
       connection->Consume(used);
-      if (error && error != http::error::need_more) {
+      if (error) {
         return ClassifyError(error);
       }
       if (used == 0) {
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -10,6 +10,7 @@
 #include "entry/server_gate.h"
 #include "entry/server_limiter.h"
 #include "model/socket_address.h"
+#include "net/failure_boundary.h"
 #include "net/http_status.h"
 
 namespace kumquatcart {
@@ -89,6 +90,22 @@
       this->connection->Close();
     }
   });
+  AttemptOutcome outcome = AttemptOutcome::kNotRun;
+  return ContainFailure(this->job->context->loop, "server_attempt",
+                        [&] { outcome = this->RunExchange(yield); })
+             ? outcome
+             : this->EndAfterFailure();
+}
+
+AttemptOutcome ServerAttempt::EndAfterFailure() {
+  this->job->progress.NoteFailure();
+  return this->SetOutcome(this->sent_at == MonotonicTime{}
+                              ? AttemptOutcome::kNotRun
+                              : AttemptOutcome::kMayHaveRun,
+                          "the exchange could not be handled");
+}
+
+AttemptOutcome ServerAttempt::RunExchange(Coroutine yield) {
   if (!this->OpenConnection(yield)) {
     if (!this->slot->Group().empty()) {
       this->job->context->prober->ReportSuspected({this->slot->ServerId()});
@@ -118,10 +135,12 @@
   if (!group.empty()) {
     watch.Begin(group, this->slot->Epoch());
   }
+  const ScopeGuard end_watch([this, &watch, &group] {
+    if (!group.empty()) {
+      watch.End(group, this->slot->Epoch());
+    }
+  });
   const AttemptOutcome outcome = this->Relay(yield);
-  if (!group.empty()) {
-    watch.End(group, this->slot->Epoch());
-  }
   this->progress = this->JudgeProgress(outcome);
   return outcome;
 }
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -103,6 +103,10 @@
   const std::string& SuspectedServer() const { return this->suspected; }
 
  private:
+  // Opens a connection, sends the request and relays the answer.
+  AttemptOutcome RunExchange(Coroutine yield);
+  // Outcome after a failure that ended the exchange wherever it was.
+  AttemptOutcome EndAfterFailure();
   bool OpenConnection(Coroutine yield);
   void SendRequest();
   AttemptOutcome Relay(Coroutine yield);
@@ -156,8 +160,8 @@
   AnswerBufferUse buffer_use;
   bool is_held_back = false;
   bool names_backoff = false;
-  bool sent_under_limit = false;  // The server's rate limit was known.
-  MonotonicTime sent_at;
+  bool sent_under_limit = false;      // The server's rate limit was known.
+  MonotonicTime sent_at;              // Zero: nothing was sent.
   bool has_forwarded_events = false;  // Of this attempt.
   int events_received = 0;
   AnswerProgress progress = AnswerProgress::kUnknown;
--- a/src/entry/simple_http_server.cc
+++ b/src/entry/simple_http_server.cc
@@ -2,6 +2,7 @@
 
 #include "entry/answer_sender.h"
 #include "entry/entry_constants.h"
+#include "net/failure_boundary.h"
 
 namespace kumquatcart {
 
@@ -60,16 +61,21 @@
     tcp::socket socket(this->loop->Context());
     this->acceptor.accept(socket, error);
     if (!error) {
-      this->accept(std::move(socket));
+      this->HandleAccepted(std::move(socket));
     }
   }
 }
 
+void TcpListener::HandleAccepted(tcp::socket socket) {
+  ContainFailure(this->loop, "accept",
+                 [this, &socket] { this->accept(std::move(socket)); });
+}
+
 void TcpListener::AcceptNext() {
   this->acceptor.async_accept(
       [this](const boost::system::error_code& error, tcp::socket socket) {
         if (!error) {
-          this->accept(std::move(socket));
+          this->HandleAccepted(std::move(socket));
         }
         if (this->stopped) {
           return;
@@ -94,25 +100,33 @@
                [this](tcp::socket socket) { this->Serve(std::move(socket)); }) {
 }
 
+void SimpleHttpServer::ServeRequests(TcpConnection* connection,
+                                     Waiter* waiter,
+                                     Coroutine yield) {
+  RequestReader reader(this->loop, connection, waiter, ServiceLimits);
+  const bool should_close = false;
+  for (;;) {
+    const RequestReadResult outcome = reader.Read(&should_close, yield);
+    if (outcome.result != RequestReadStatus::kRequest) {
+      return;
+    }
+    AnswerSender sender(connection, outcome.request.method == "HEAD");
+    const SimpleHttpResponse answer = this->handle(outcome.request, yield);
+    sender.SendWhole(answer.status, {}, answer.body);
+    if (!outcome.request.keeps_connection) {
+      return;
+    }
+  }
+}
+
 void SimpleHttpServer::Serve(tcp::socket socket) {
   const auto connection = TcpConnection::Adopt(this->loop, std::move(socket));
   this->loop->Spawn([this, connection](Coroutine yield) {
     Waiter waiter(this->loop);
     connection->SetWaiter(&waiter);
-    RequestReader reader(this->loop, connection.get(), &waiter, ServiceLimits);
-    const bool should_close = false;
-    for (;;) {
-      const RequestReadResult outcome = reader.Read(&should_close, yield);
-      if (outcome.result != RequestReadStatus::kRequest) {
-        break;
-      }
-      AnswerSender sender(connection.get(), outcome.request.method == "HEAD");
-      const SimpleHttpResponse answer = this->handle(outcome.request, yield);
-      sender.SendWhole(answer.status, {}, answer.body);
-      if (!outcome.request.keeps_connection) {
-        break;
-      }
-    }
+    ContainFailure(this->loop, "service_request", [&] {
+      this->ServeRequests(connection.get(), &waiter, yield);
+    });
     connection->FinishSending();
     this->loop->Sleep(kAcceptPause, yield);
     connection->SetWaiter(nullptr);
--- a/src/entry/simple_http_server.h
+++ b/src/entry/simple_http_server.h
@@ -34,6 +34,7 @@
  private:
   void AcceptNext();
   void AcceptBacklog();
+  void HandleAccepted(boost::asio::ip::tcp::socket socket);
 
   EventLoop* const loop;
   const Accept accept;
@@ -57,6 +58,10 @@
 
  private:
   void Serve(boost::asio::ip::tcp::socket socket);
+  // Answers requests until the connection must be closed.
+  void ServeRequests(TcpConnection* connection,
+                     Waiter* waiter,
+                     Coroutine yield);
 
   EventLoop* const loop;
   const Handler handle;
--- a/src/entry/stream_progress.h
+++ b/src/entry/stream_progress.h
@@ -35,9 +35,12 @@
   // Records that events were forwarded at `now`.
   void NoteForwarded(MonotonicTime now);
 
+  // Records that it is unknown which of the accepted events were forwarded.
+  void NoteFailure() { this->has_failed = true; }
+
   // Whether another attempt can continue the stream: the latest event that was
-  // forwarded, if any, has an id.
-  bool CanResume() const { return !this->ends_without_id; }
+  // forwarded, if any, is known and has an id.
+  bool CanResume() const { return !this->ends_without_id && !this->has_failed; }
   // Whether the attempt has sent an event that the caller did not have.
   bool HasNewEvents() const { return this->has_new_events; }
   // Whether the events of the attempt stop before the latest one that the
@@ -63,6 +66,7 @@
   std::optional<std::int64_t> resume_after;
   Step step = Step::kUnknown;  // Of all events so far.
   bool ends_without_id = false;
+  bool has_failed = false;
 
   // Of the attempt.
   bool is_joining = false;  // It has not continued the caller's stream yet.
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -27,7 +27,8 @@
   // Monotonic time.
   MonotonicTime Now() const { return std::chrono::steady_clock::now(); }
 
-  // Starts a coroutine. An uncaught exception in `body` ends the process.
+  // Starts a coroutine. An uncaught exception in `body` ends the process; see
+  // failure_boundary.h.
   void Spawn(std::function<void(Coroutine)> body);
 
   // Suspends the calling coroutine for `duration`.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/scope_guard.h"
+#include "net/failure_boundary.h"
 
 namespace kumquatcart {
 
@@ -75,6 +76,21 @@
 }
 
 HttpResponse HttpClient::Run(const Call& call, Coroutine yield) {
+  HttpResponse reply = FailedReply(ExchangeResult::kNotSent);
+  bool is_sent = false;
+  if (!ContainFailure(this->loop, "http_exchange", [&] {
+        this->RunExchange(call, &reply, &is_sent, yield);
+      })) {
+    reply = FailedReply(is_sent ? ExchangeResult::kNoAnswer
+                                : ExchangeResult::kNotSent);
+  }
+  return reply;
+}
+
+void HttpClient::RunExchange(const Call& call,
+                             HttpResponse* reply,
+                             bool* is_sent,
+                             Coroutine yield) {
   Waiter waiter(this->loop);
   ConnectionPtr connection =
       call.max_idle ? this->pool.TakeIdle(call.endpoint, *call.max_idle)
@@ -82,12 +98,17 @@
   const bool is_reused = connection != nullptr;
   if (!is_reused) {
     connection = std::make_shared<TcpConnection>(this->loop);
-    if (!connection->Connect(call.endpoint, call.deadline, &waiter, yield)) {
-      connection->SetWaiter(nullptr);
-      return FailedReply(ExchangeResult::kNotSent);
-    }
+  }
+  ScopeGuard close([&connection] {
+    connection->SetWaiter(nullptr);
+    connection->Close();
+  });
+  if (!is_reused &&
+      !connection->Connect(call.endpoint, call.deadline, &waiter, yield)) {
+    return;
   }
   connection->SetWaiter(&waiter);
+  *is_sent = true;
   connection->Send(
       SerializeRequest(WithHostHeader(*call.request, call.endpoint)));
   PendingRead read{this->loop->Now(), connection.get()};
@@ -95,19 +116,16 @@
   if (call.request->method == "GET") {
     this->pending_reads.insert(&read);
   }
-  HttpResponse reply;
   const bool is_reusable =
-      this->Receive(call, is_reused, &waiter, connection.get(), &reply, yield);
-  reply.on_kept_connection = is_reused;
-  reply.was_abandoned = read.is_abandoned;
-  connection->SetWaiter(nullptr);
+      this->Receive(call, is_reused, &waiter, connection.get(), reply, yield);
+  reply->on_kept_connection = is_reused;
+  reply->was_abandoned = read.is_abandoned;
   if (is_reusable) {
+    close.Dismiss();
+    connection->SetWaiter(nullptr);
     this->pool.ReturnConnection(call.endpoint, std::move(connection),
                                 kPoolIdleTimeout);
-  } else {
-    connection->Close();
   }
-  return reply;
 }
 
 int HttpClient::AbandonReads(MonotonicTime sent_before) {
@@ -164,16 +182,28 @@
                                      TcpConnection* connection,
                                      ResponseParser* response,
                                      Coroutine yield) {
-  ResponseState state = response->ParseAvailable(connection);
+  std::size_t buffered = 0;  // Of this response, as counted in the sum.
+  const ScopeGuard guard(
+      [this, &buffered] { this->buffered_body_bytes -= buffered; });
   bool in_time = true;
-  while (state == ResponseState::kIncomplete && in_time) {
-    in_time = waiter->WaitUntil(deadline, yield);
-    state = response->ParseAvailable(connection);
-    if (response->BufferedBodyBytes() > this->max_body_bytes) {
-      state = ResponseState::kParseFailed;
+  for (;;) {
+    const ResponseState state = response->ParseAvailable(connection);
+    this->buffered_body_bytes += response->BufferedBodyBytes() - buffered;
+    buffered = response->BufferedBodyBytes();
+    if (!this->MayBuffer(buffered)) {
+      return ResponseState::kParseFailed;
+    }
+    if (state != ResponseState::kIncomplete || !in_time) {
+      return state;
     }
+    in_time = waiter->WaitUntil(deadline, yield);
   }
-  return state;
+}
+
+bool HttpClient::MayBuffer(std::size_t body_bytes) const {
+  return body_bytes <= this->max_body_bytes &&
+         (body_bytes <= kSmallResponseBodyBytes ||
+          this->buffered_body_bytes <= kMaxAllResponseBodyBytes);
 }
 
 }  // namespace kumquatcart
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -48,7 +48,9 @@
 // thread.
 class HttpClient {
  public:
-  // Responses with more than `max_body_bytes` of body count as invalid.
+  // Responses with more than `max_body_bytes` of body count as invalid, and so
+  // do large ones while the responses in progress exceed
+  // kMaxAllResponseBodyBytes.
   explicit HttpClient(EventLoop* loop,
                       std::size_t max_body_bytes = kMaxResponseBodyBytes)
       : loop(loop), max_body_bytes(max_body_bytes), pool(loop) {}
@@ -110,6 +112,11 @@
   };
 
   HttpResponse Run(const Call& call, Coroutine yield);
+  // Sets `is_sent` before the first byte of the request is sent.
+  void RunExchange(const Call& call,
+                   HttpResponse* reply,
+                   bool* is_sent,
+                   Coroutine yield);
   // Waits for the response to the call's request, which has been sent. Returns
   // whether the connection can be reused.
   bool Receive(const Call& call,
@@ -124,9 +131,12 @@
                            TcpConnection* connection,
                            ResponseParser* response,
                            Coroutine yield);
+  // Whether a body with `body_bytes` so far may grow further.
+  bool MayBuffer(std::size_t body_bytes) const;
 
   EventLoop* const loop;
   const std::size_t max_body_bytes;
+  std::size_t buffered_body_bytes = 0;  // Of the exchanges in progress.
   ConnectionPool pool;
   std::set<PendingRead*> pending_reads;
 };
--- a/src/net/loop_monitor.cc
+++ b/src/net/loop_monitor.cc
@@ -42,6 +42,27 @@
   }
 }
 
+void LoopMonitor::NoteFailure(const char* exchange,
+                              const std::string& cause,
+                              MonotonicTime now) {
+  if (this->metrics != nullptr) {
+    this->metrics
+        ->GetCounter("kumquatcart_failed_exchanges_total",
+                     {{"exchange", exchange}})
+        .Add();
+  }
+  if (this->last_failure_report != MonotonicTime{} &&
+      now - this->last_failure_report < kReportInterval) {
+    ++this->unreported_failures;
+    return;
+  }
+  LogError("exchange_failed", {{"exchange", exchange},
+                               {"cause", cause},
+                               {"unreported", this->unreported_failures}});
+  this->last_failure_report = now;
+  this->unreported_failures = 0;
+}
+
 void LoopMonitor::Report(Duration lateness, MonotonicTime now) {
   if (now - this->last_report < kReportInterval) {
     ++this->unreported;
--- a/src/net/loop_monitor.h
+++ b/src/net/loop_monitor.h
@@ -1,7 +1,9 @@
-// Measures what holds up an event loop.
+// Measures what holds up an event loop, and counts failures on it.
 #ifndef NET_LOOP_MONITOR_H_
 #define NET_LOOP_MONITOR_H_
 
+#include <string>
+
 #include "base/clock.h"
 #include "base/metrics.h"
 
@@ -28,6 +30,13 @@
                 Duration duration,
                 MonotonicTime now);
 
+  // Logs that handling `exchange`, such as "request", failed because of
+  // `cause`, and counts it. Lines are limited to one per second for each
+  // process; the next one states the number of those left out.
+  void NoteFailure(const char* exchange,
+                   const std::string& cause,
+                   MonotonicTime now);
+
  private:
   struct LongestStep {
     const char* name = "";
@@ -41,6 +50,8 @@
   LongestStep longest_step;
   MonotonicTime last_report;
   int unreported = 0;  // Delays since the last line.
+  MonotonicTime last_failure_report;
+  int unreported_failures = 0;
 };
 
 // Measures the enclosing block as a step. Precondition: the block does not
--- a/src/net/net_constants.h
+++ b/src/net/net_constants.h
@@ -26,9 +26,17 @@
 // Interim responses (1xx) that may precede a response.
 inline constexpr int kMaxInterimResponses = 16;
 
+// Largest framing of a chunk with its extensions, and largest trailer section.
+inline constexpr std::size_t kMaxChunkFramingBytes = 16 * 1024;
+
 // Largest response body that an HttpClient accepts unless told otherwise.
 inline constexpr std::size_t kMaxResponseBodyBytes = 16 * 1024 * 1024;
 
+// Largest sum of the bodies that one HttpClient has received in part. At it,
+// only small ones are accepted.
+inline constexpr std::size_t kMaxAllResponseBodyBytes = 32 * 1024 * 1024;
+inline constexpr std::size_t kSmallResponseBodyBytes = 64 * 1024;
+
 // TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged before the
 // kernel drops the connection. Longer than the retransmissions on a lossy link,
 // shorter than the shortest caller deadline.
--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -3,16 +3,12 @@
 #include <cstdint>
 #include <limits>
 
-#include <boost/asio/buffer.hpp>
-
 #include "net/net_constants.h"
 
 namespace kumquatcart {
 
 namespace {
 
-namespace http = boost::beast::http;
-
 // Maximum accepted size of a response head.
 constexpr std::uint32_t kResponseHeadLimitBytes = 64 * 1024;
 
@@ -34,7 +30,6 @@
   // Without any limit the parser of Boost 1.74 rejects a length whose head
   // arrives alone.
   this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-  this->parser->eager(true);
   this->parser->skip(this->without_body);
 }
 
@@ -73,10 +68,9 @@
   while (!connection->Input().empty()) {
     const std::string_view input = connection->Input();
     boost::system::error_code error;
-    const std::size_t used = this->parser->put(
-        boost::asio::buffer(input.data(), input.size()), error);
+    const std::size_t used = ParseSection(&*this->parser, input, &error);
     connection->Consume(used);
-    if (error && error != http::error::need_more) {
+    if (error) {
       return ResponseState::kParseFailed;
     }
     if (this->parser->is_done()) {
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -7,9 +7,9 @@
 #include <string_view>
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "net/http_head.h"
+#include "net/message_parsing.h"
 #include "net/tcp_connection.h"
 
 namespace kumquatcart {
@@ -64,8 +64,7 @@
   std::string TakeBody();
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
   void ResetParser();
   ResponseState ParseInput(TcpConnection* connection);
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "net/failure_boundary.h"
 #include "net/net_constants.h"
 
 namespace kumquatcart {
@@ -93,7 +94,10 @@
           self->MarkEnded(/*by_error=*/true);
           return;
         }
-        self->ReadInput();
+        if (!ContainFailure(self->loop, "input",
+                            [&self] { self->ReadInput(); })) {
+          self->MarkEnded(/*by_error=*/true);
+        }
       });
 }
 
@@ -152,12 +156,13 @@
   if (this->closed || this->failed) {
     return;
   }
-  this->unsent += bytes.size();
+  const std::size_t size = bytes.size();
   if (this->queued.empty()) {
     this->queued = std::move(bytes);
   } else {
     this->queued += bytes;
   }
+  this->unsent += size;
   this->WriteNext();
 }
 
--- a/src/peers/digest_exchange.cc
+++ b/src/peers/digest_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "base/logging.h"
 #include "model/socket_address.h"
+#include "net/failure_boundary.h"
 
 namespace kumquatcart {
 
@@ -104,7 +105,8 @@
           return;
         }
         if (!error) {  // Other errors: an earlier datagram met a closed port.
-          this->HandleDatagram(size);
+          ContainFailure(this->loop, "datagram",
+                         [this, size] { this->HandleDatagram(size); });
         }
         this->Receive();
       });
--- a/tests/net/response_parser_test.cc
+++ b/tests/net/response_parser_test.cc
@@ -1,5 +1,7 @@
 #include "net/response_parser.h"
 
+#include <cstdint>
+
 #include <catch2/catch.hpp>
 
 #include "fakes/loop_server.h"
@@ -88,6 +90,49 @@
   CHECK(parsed.body == "ab");
 }
 
+// Guards against a process that ends for want of memory, or reserves it, at one
+// response that announces more than it sends.
+TEST_CASE("A response that announces more than it sends is broken") {
+  for (int exponent = 4; exponent < 64; ++exponent) {
+    for (const int offset : {-1, 0, 1}) {
+      const std::uint64_t length = (std::uint64_t{1} << exponent) + offset;
+      CAPTURE(length);
+      CHECK(ParseFromClosingServer(
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+                    "\r\n\r\nbooked",
+                false)
+                .state == ResponseState::kParseFailed);
+    }
+  }
+}
+
+// A response in one chunk, whose framing has an extension and a trailer field
+// of `extension` and `trailer` bytes.
+std::string ChunkedResponse(std::size_t extension, std::size_t trailer) {
+  return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6;x=" +
+         std::string(extension, 'e') +
+         "\r\nbooked\r\n0\r\nX-Odd: " + std::string(trailer, 'y') + "\r\n\r\n";
+}
+
+// Guards against a process that ends at one response: the parser throws for a
+// trailer field beyond its own limit.
+TEST_CASE("A response with long chunk framing is broken") {
+  constexpr std::size_t kPart = kMaxChunkFramingBytes / 2;
+  const ParsedResponse parsed =
+      ParseFromClosingServer(ChunkedResponse(kPart, kPart), false);
+  CHECK(parsed.state == ResponseState::kComplete);
+  CHECK(parsed.body == "booked");
+  for (const std::size_t size :
+       {kMaxChunkFramingBytes, 2 * kMaxChunkFramingBytes, std::size_t{65'533},
+        std::size_t{65'536}, std::size_t{70'000}, std::size_t{200'000}}) {
+    CAPTURE(size);
+    CHECK(ParseFromClosingServer(ChunkedResponse(size, 1), false).state ==
+          ResponseState::kParseFailed);
+    CHECK(ParseFromClosingServer(ChunkedResponse(1, size), false).state ==
+          ResponseState::kParseFailed);
+  }
+}
+
 TEST_CASE("An interim response is skipped before the final one") {
   const ParsedResponse parsed = ParseFromClosingServer(
       "HTTP/1.1 100 Continue\r\n\r\n"
