Name the keys that are left to peers that ask for an earlier time

Cause: a process that had just started answered its peers for the time before its start, of which it knew only the keys that were left. A peer that was some records behind took over its end and never saw the removal. On related paths: an older answer brought a removed key back, a list after deleted records began a new history unnoticed, keys whose record cannot be read counted as removed, and a list that breaks off counted as whole.

Change: TopicReplica knows from which offset on it has seen everything. For an earlier one it lists the keys that exist, by name, and the peer finds what went; batches that end before the own end are ignored. TopicFollower reads and sends as before.

Evidence: topic_fetched states records and removals since; the case showed two peers that got 2 of 3 and 3 of 4 records and no removal from the process that had synced at 220.

--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -1,10 +1,9 @@
 #include "control/topic_follower.h"
 
 #include <algorithm>
-#include <set>
-#include <vector>
 
 #include "base/logging.h"
+#include "net/failure_boundary.h"
 
 namespace kumquatcart {
 
@@ -60,7 +59,7 @@
         this->loop->Sleep(kFirstRecordsPollInterval, yield);
         continue;
       }
-      const std::int64_t before = this->end;
+      const std::int64_t before = this->End();
       const bool read = this->synced && !this->records_expired
                             ? this->ReadMore(this->settings.read_wait, yield)
                             : this->ReadNewest(yield);
@@ -68,7 +67,7 @@
         this->loop->Sleep(
             this->store->IsReachable() ? kRetryPause : kUnreachableRetryPause,
             yield);
-      } else if (this->end != before) {
+      } else if (this->End() != before) {
         this->loop->Sleep(this->role->ReadsStore(1)
                               ? this->settings.batch_pause
                               : this->settings.standby_pause,
@@ -94,110 +93,68 @@
   if (!this->synced) {
     this->synced = true;
     LogInfo("topic_synced", {{"topic", ToString(this->settings.topic)},
-                             {"end", this->end},
+                             {"end", this->End()},
                              {"source", source}});
   }
 }
 
 bool TopicFollower::ReadNewest(Coroutine yield) {
-  const Result<TopicBatch> batch =
-      this->store->ReadNewest(this->settings.topic, yield);
+  const Result<TopicBatch> batch = this->TryRead(
+      [&] { return this->store->ReadNewest(this->settings.topic, yield); });
   if (batch.has_error()) {
     LogWarning("topic_read_failed", {{"topic", ToString(this->settings.topic)},
                                      {"reason", batch.error().message}});
     return false;
   }
-  this->ApplySnapshot(batch.value());
+  this->Merge(batch.value());
   this->records_expired = false;
   this->SetSynced("store");
   return true;
 }
 
-void TopicFollower::ApplySnapshot(const TopicBatch& batch) {
-  const LoopStep step(this->loop->Monitor(), "apply_records",
-                      ToString(this->settings.topic));
-  std::set<std::string> listed;
-  for (const TopicRecord& record : batch.records) {
-    listed.insert(record.key);
-    this->ApplyRecord(record);
-  }
-  // A key that the store no longer lists has been removed, unless its known
-  // record is newer than the batch.
-  std::vector<std::string> dropped;
-  for (const auto& [key, record] : this->newest) {
-    if (listed.count(key) == 0 && record.value && record.offset < batch.end) {
-      dropped.push_back(key);
-    }
-  }
-  for (const std::string& key : dropped) {
-    this->newest[key] = TopicRecord{key, std::nullopt, batch.end - 1};
-    this->apply(this->newest[key]);
-  }
-  this->SetEnd(batch.end);
-}
-
-void TopicFollower::SetEnd(std::int64_t new_end) {
-  if (new_end > this->end) {
-    this->end = new_end;
-    this->behind_since = MonotonicTime{};
-  }
+Result<TopicBatch> TopicFollower::TryRead(
+    const std::function<Result<TopicBatch>()>& read) {
+  Result<TopicBatch> batch =
+      MakeError(ErrorCode::kUnavailable, "the response cannot be handled");
+  ContainFailure(this->loop, "topic_read", [&] { batch = read(); });
+  return batch;
 }
 
-void TopicFollower::ApplyRecords(const TopicBatch& batch) {
+void TopicFollower::Merge(const TopicBatch& batch) {
   const LoopStep step(this->loop->Monitor(), "apply_records",
                       ToString(this->settings.topic));
-  for (const TopicRecord& record : batch.records) {
-    this->ApplyRecord(record);
-  }
-  this->SetEnd(batch.end);
-}
-
-TopicBatch TopicFollower::RecordsSince(std::int64_t from) const {
-  TopicBatch batch;
-  batch.end = this->end;
-  for (const auto& entry : this->newest) {
-    if (entry.second.offset >= from) {
-      batch.records.push_back(entry.second);
-    }
+  const std::int64_t before = this->End();
+  this->replica.Merge(batch);
+  if (this->End() > before) {
+    this->behind_since = MonotonicTime{};
   }
-  std::sort(batch.records.begin(), batch.records.end(),
-            [](const TopicRecord& left, const TopicRecord& right) {
-              return left.offset < right.offset;
-            });
-  return batch;
 }
 
 bool TopicFollower::ReadMore(Duration wait, Coroutine yield) {
   const MonotonicTime started = this->loop->Now();
-  const Result<TopicBatch> batch =
-      this->store->ReadSince(this->settings.topic, this->end, wait, yield);
+  const Result<TopicBatch> batch = this->TryRead([&] {
+    return this->store->ReadSince(this->settings.topic, this->End(), wait,
+                                  yield);
+  });
   if (batch.has_error()) {
     if (batch.error().code == ErrorCode::kExpired) {
-      LogInfo("topic_records_expired",
-              {{"topic", ToString(this->settings.topic)}, {"from", this->end}});
+      LogInfo(
+          "topic_records_expired",
+          {{"topic", ToString(this->settings.topic)}, {"from", this->End()}});
       this->records_expired = true;
       return true;
     }
     LogWarning("topic_read_failed",
                {{"topic", ToString(this->settings.topic)},
-                {"end", this->end},
+                {"end", this->End()},
                 {"ms", ToMillis(this->loop->Now() - started)},
                 {"reason", batch.error().message}});
     return false;
   }
-  this->ApplyRecords(batch.value());
+  this->Merge(batch.value());
   return true;
 }
 
-void TopicFollower::ApplyRecord(const TopicRecord& record) {
-  const auto known = this->newest.find(record.key);
-  if (known != this->newest.end() && known->second.offset >= record.offset) {
-    return;
-  }
-  this->newest[record.key] = record;
-  this->apply(record);
-}
-
 bool TopicFollower::MayFetch(bool is_near) const {
   const MonotonicTime now = this->loop->Now();
   return now >= this->next_fetch_at &&
@@ -208,7 +165,7 @@
 void TopicFollower::HandlePeerEnd(const TcpEndpoint& peer,
                                   std::int64_t peer_end,
                                   bool is_near) {
-  if (peer_end <= this->end || this->catching_up ||
+  if (peer_end <= this->End() || this->catching_up ||
       this->started_at == MonotonicTime{} ||
       (!this->synced && this->ReadsStore())) {
     return;
@@ -224,7 +181,7 @@
     if (this->ReadsStore()) {
       this->loop->Sleep(kPendingReadGrace, yield);
     }
-    if (this->end < peer_end && !this->FetchMore(peer, peer_end, yield) &&
+    if (this->End() < peer_end && !this->FetchMore(peer, peer_end, yield) &&
         this->synced) {
       this->ReadMissing(yield);
     }
@@ -236,8 +193,9 @@
                               std::int64_t peer_end,
                               Coroutine yield) {
   const MonotonicTime started = this->loop->Now();
-  const std::int64_t from = this->end;
-  const Result<TopicBatch> batch = this->fetch(peer, from, yield);
+  const std::int64_t from = this->End();
+  const Result<TopicBatch> batch =
+      this->TryRead([&] { return this->fetch(peer, from, yield); });
   const auto elapsed_ms = ToMillis(this->loop->Now() - started);
   const std::string address = peer.address().to_string();
   this->next_fetch_at = this->loop->Now() + this->settings.batch_pause;
@@ -253,16 +211,17 @@
     return batch.error().code == ErrorCode::kExhausted &&
            this->loop->Now() - this->behind_since < kStoreDelay;
   }
-  this->ApplyRecords(batch.value());
+  this->Merge(batch.value());
   this->SetSynced("peer");
   const auto removals =
       std::count_if(batch.value().records.begin(), batch.value().records.end(),
                     [](const TopicRecord& record) { return !record.value; });
   LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
                             {"from", from},
-                            {"end", this->end},
+                            {"end", this->End()},
                             {"records", batch.value().records.size()},
                             {"removals", removals},
+                            {"lists_keys", batch.value().other_keys ? 1 : 0},
                             {"peer", address},
                             {"ms", elapsed_ms}});
   return true;
@@ -275,11 +234,11 @@
     return;
   }
   this->missing_read_at = now;
-  const std::int64_t from = this->end;
+  const std::int64_t from = this->End();
   if (this->CatchUp(kMissingReadWait, yield)) {
     LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
                               {"from", from},
-                              {"end", this->end},
+                              {"end", this->End()},
                               {"peer", "store"},
                               {"ms", ToMillis(this->loop->Now() - now)}});
   }
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -4,10 +4,10 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
 
 #include "control/planner_role.h"
+#include "control/topic_replica.h"
 #include "platform/store_client.h"
 
 namespace kumquatcart {
@@ -32,8 +32,7 @@
 // event loop's thread.
 class TopicFollower {
  public:
-  // A record without a value means that the key was removed.
-  using Apply = std::function<void(const TopicRecord&)>;
+  using Apply = TopicReplica::Apply;
   // Requests the topic's records from offset `from` on from a peer.
   using FetchFromPeer =
       std::function<Result<TopicBatch>(const TcpEndpoint& peer,
@@ -51,7 +50,7 @@
         settings(settings),
         role(role),
         fetch(std::move(fetch)),
-        apply(std::move(apply)) {}
+        replica(std::move(apply)) {}
 
   // Starts following the topic until the process ends.
   void Start();
@@ -60,7 +59,7 @@
   bool IsSynced() const { return this->synced; }
 
   // The offset after the last one seen.
-  std::int64_t End() const { return this->end; }
+  std::int64_t End() const { return this->replica.End(); }
 
   // Handles a peer's report that it has seen the topic up to `peer_end`. If
   // this process does not read the store, it requests the missing records from
@@ -73,8 +72,11 @@
                      std::int64_t peer_end,
                      bool is_near);
 
-  // Returns the newest record of each key from offset `from` on, for a peer.
-  TopicBatch RecordsSince(std::int64_t from) const;
+  // Returns the newest record of each key from offset `from` on, for a peer;
+  // see TopicReplica.
+  TopicBatch RecordsSince(std::int64_t from) const {
+    return this->replica.RecordsSince(from);
+  }
 
   // Reads the available records without waiting for more. Returns false on
   // failure.
@@ -99,26 +101,23 @@
   // Whether this process, which does not read the store, may request records
   // now.
   bool MayFetch(bool is_near) const;
-  void SetEnd(std::int64_t new_end);
-  void ApplySnapshot(const TopicBatch& batch);
-  void ApplyRecords(const TopicBatch& batch);
-  void ApplyRecord(const TopicRecord& record);
+  // Calls `read`. A failure to handle the response fails the read.
+  Result<TopicBatch> TryRead(const std::function<Result<TopicBatch>()>& read);
+  void Merge(const TopicBatch& batch);
 
   EventLoop* const loop;
   StoreClient* const store;
   const FollowerSettings settings;
   const PlannerRole* const role;
   const FetchFromPeer fetch;
-  const Apply apply;
+  TopicReplica replica;
   bool synced = false;
   MonotonicTime started_at;  // Zero: not started.
   bool records_expired = false;
   bool catching_up = false;
-  std::int64_t end = 0;
   MonotonicTime behind_since;  // Zero: as far as known, not.
   MonotonicTime next_fetch_at;
-  MonotonicTime missing_read_at;              // Last attempt of ReadMissing.
-  std::map<std::string, TopicRecord> newest;  // By key, with removed keys.
+  MonotonicTime missing_read_at;  // Last attempt of ReadMissing.
 };
 
 }  // namespace kumquatcart
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -60,8 +60,15 @@
              : Json(nullptr),
          record.offset}));
   }
-  const std::vector<std::uint8_t> bytes =
-      Json::to_cbor(Json::array({batch.end, std::move(records)}));
+  Json other_keys;
+  if (batch.other_keys) {
+    other_keys = Json::array();
+    for (const std::string& key : *batch.other_keys) {
+      other_keys.push_back(Json::binary({key.begin(), key.end()}));
+    }
+  }
+  const std::vector<std::uint8_t> bytes = Json::to_cbor(
+      Json::array({batch.end, std::move(records), std::move(other_keys)}));
   return std::string(bytes.begin(), bytes.end());
 }
 
@@ -81,6 +88,16 @@
       record.offset = row.at(2).get<std::int64_t>();
       batch.records.push_back(std::move(record));
     }
+    // A batch of an earlier version of this program has no such part and may
+    // lack removals, so it is malformed.
+    const Json& other_keys = json.at(2);
+    if (!other_keys.is_null()) {
+      batch.other_keys.emplace();
+      for (const Json& item : other_keys) {
+        const auto& key = item.get_binary();
+        batch.other_keys->emplace_back(key.begin(), key.end());
+      }
+    }
     return batch;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -150,6 +150,7 @@
 
 struct NewestPage {
   std::vector<TopicRecord> records;
+  std::vector<std::string> unreadable_keys;
   std::string last_key;  // Of an item that may be malformed; the next page
                          // begins after it.
   std::int64_t end = 0;
@@ -172,8 +173,10 @@
 // keep back the others.
 void AddItem(const Json& item, NewestPage* page) {
   std::string reason;
+  std::optional<std::string> key;
   try {
-    page->last_key = item.at("key").get<std::string>();
+    key = item.at("key").get<std::string>();
+    page->last_key = *key;
     Result<TopicRecord> record = DecodeItem(item);
     if (record.has_value()) {
       page->records.push_back(std::move(record.value()));
@@ -183,6 +186,9 @@
   } catch (const Json::exception& error) {
     reason = error.what();
   }
+  if (key) {
+    page->unreadable_keys.push_back(*key);
+  }
   LogWarning("record_ignored", {{"key", page->last_key}, {"reason", reason}});
 }
 
@@ -330,6 +336,7 @@
 
 Result<TopicBatch> StoreClient::ReadNewest(StoreTopic topic, Coroutine yield) {
   TopicBatch batch;
+  batch.other_keys.emplace();
   std::string after;
   for (bool first = true, more = true; more; first = false) {
     std::string target = fmt::format("{}?topic={}&part=0", wire::kLogNewestPath,
@@ -338,7 +345,7 @@
       target += "&after=" + EncodeQueryValue(after);
     }
     const HttpResponse reply = this->Call(Get(std::move(target)), yield);
-    if (reply.HasResponseStatus(kHttpNotFound)) {
+    if (first && reply.HasResponseStatus(kHttpNotFound)) {
       return batch;  // Nobody has written to the topic yet.
     }
     if (!reply.HasResponseStatus(kHttpOk)) {
@@ -350,8 +357,14 @@
     if (first) {
       batch.end = page.end;
     }
-    more = page.has_more && !page.last_key.empty() && page.last_key != after;
+    if (page.has_more && (page.last_key.empty() || page.last_key == after)) {
+      return Unreadable("a page after which none can be requested");
+    }
+    more = page.has_more;
     after = page.last_key;
+    batch.other_keys->insert(batch.other_keys->end(),
+                             page.unreadable_keys.begin(),
+                             page.unreadable_keys.end());
     for (TopicRecord& record : page.records) {
       batch.records.push_back(std::move(record));
     }
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -38,8 +38,13 @@
 struct TopicBatch {
   std::vector<TopicRecord> records;
   std::int64_t end = 0;
+  // Set if removals may be missing in `records`: the keys that exist without a
+  // record in the batch. Keys in neither do not exist.
+  std::optional<std::vector<std::string>> other_keys = std::nullopt;
 
-  auto Tie() const { return std::tie(this->records, this->end); }
+  auto Tie() const {
+    return std::tie(this->records, this->end, this->other_keys);
+  }
 };
 
 // Key of the configuration in the operator's topic.
@@ -59,9 +64,10 @@
     this->list_relays = std::move(list_relays);
   }
 
-  // The newest record of every key. The pages are no snapshot: continue with
-  // ReadSince from the result's end. Errors: kUnavailable, kTimeout,
-  // kInvalidArgument for an answer that cannot be read.
+  // The newest record of every key. Keys whose record cannot be read are listed
+  // in `other_keys`. The pages are no snapshot: continue with ReadSince from
+  // the result's end. Errors: kUnavailable, kTimeout, kInvalidArgument for an
+  // answer that cannot be read.
   Result<TopicBatch> ReadNewest(StoreTopic topic, Coroutine yield);
 
   // Records from offset `from` on, after waiting up to `wait` for the first.
--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -304,6 +304,31 @@
         std::vector<TopicRecord>{{"c", "1", 2}, {"b", std::nullopt, 3}});
 }
 
+// Guards against requests to a server that was removed: a process that had just
+// started answered for the time before its start, of which it knows only what
+// was left.
+TEST_CASE("A removal from before the start of a peer is not missed") {
+  FollowerFixture f;
+  f.store.Put(kTopic, "a", "1");
+  f.store.Put(kTopic, "b", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.BecomeNonReader();
+
+  FollowerFixture peer;
+  peer.store.Put(kTopic, "a", "1");
+  peer.store.Put(kTopic, "b", "1");
+  peer.store.Put(kTopic, "a", "");
+  peer.store.Put(kTopic, "c", "1");
+  peer.follower.Start();
+  peer.RunUntil([&] { return peer.follower.IsSynced(); });
+
+  f.peer_batch = peer.follower.RecordsSince(f.follower.End());
+  f.ReportPeerUntilEnd(4);
+  CHECK(f.values == std::map<std::string, std::string>{
+                        {"a", "(dropped)"}, {"b", "1"}, {"c", "1"}});
+}
+
 TEST_CASE(
     "A failed append condition is a conflict, a refused append is "
     "unavailable") {
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -149,7 +149,14 @@
   const Result<TopicBatch> decoded = DecodeTopicBatch(EncodeTopicBatch(batch));
   REQUIRE(decoded.has_value());
   CHECK(decoded.value() == batch);
+  for (const std::vector<std::string>& keys :
+       {std::vector<std::string>{}, {"a", std::string("b\0\xff", 3)}}) {
+    batch.other_keys = keys;
+    CHECK(DecodeTopicBatch(EncodeTopicBatch(batch)).value() == batch);
+  }
   CHECK(DecodeTopicBatch("x").has_error());
+  // From a version that does not say whether removals are missing.
+  CHECK(DecodeTopicBatch("\x82\x01\x80").has_error());
 }
 
 TEST_CASE("Only well-formed record queries are decoded") {
