Let the earlier of two removals of a server hold

Cause: RemoveServer kept the time that was scheduled first, also if the new one is earlier.

Evidence: "The earlier of two removals of a server holds" failed on the old logic (built on a copy as a trial) and passes now, in both orders.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -119,7 +119,9 @@
 
 void FleetView::RemoveServer(const std::string& id, MonotonicTime effective) {
   if (this->servers.count(id) > 0) {
-    this->pending_removals.emplace(id, effective);
+    MonotonicTime& scheduled =
+        this->pending_removals.emplace(id, effective).first->second;
+    scheduled = std::min(scheduled, effective);
   }
 }
 
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -47,7 +47,8 @@
                   std::int64_t started_ms,
                   MonotonicTime now);
   // Schedules the removal of a server whose entry the store has dropped, for
-  // `effective`: entries that expired during a store outage may be renewed.
+  // `effective`: entries that expired during a store outage may be renewed. An
+  // earlier removal that is scheduled already holds.
   void RemoveServer(const std::string& id, MonotonicTime effective);
   // Executes the removals that are due. Group members that still answer are
   // kept as unregistered servers.
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -128,6 +128,20 @@
   CHECK(view.FindServer("a") != nullptr);
 }
 
+// Guards against requests to a server that has ended: a later removal, for a
+// spoilt entry, was scheduled already when the store removed the entry.
+TEST_CASE("The earlier of two removals of a server holds") {
+  for (const bool is_earlier_first : {true, false}) {
+    FleetView view = MakeOpenGroup();
+    const MonotonicTime earlier = kStart + std::chrono::seconds(1);
+    const MonotonicTime later = kStart + std::chrono::seconds(4);
+    view.RemoveServer("a", is_earlier_first ? earlier : later);
+    view.RemoveServer("a", is_earlier_first ? later : earlier);
+    view.ExpireServers(earlier);
+    CHECK(view.AvailabilityOf("a") == ServerAvailability::kLeaving);
+  }
+}
+
 TEST_CASE("An entry of an earlier start is ignored") {
   FleetView view;
   BackendServer server = Server("a");
