Reject requests whose service has left the configuration while they wait

Cause: a request that waits for the slot coordinator, or in the queue, outlives the version that routed it; EstimateWait used the engine of its service unchecked.

--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -314,6 +314,13 @@
     const SlotRequest& slot_request,
     SlotResult* rejection) {
   const SlotQuery& query = slot_request.query;
+  if (this->FindEngine(query.service) == nullptr) {
+    // The caller's next try is routed by the newer version.
+    rejection->held_back_by.clear();
+    rejection->retry_after = kMinForwardRetryAfter;
+    rejection->reason = "the service has left the configuration";
+    return std::nullopt;
+  }
   const MonotonicTime now = this->now();
   const WaitEstimate expected = this->EstimateWait(slot_request);
   std::uniform_real_distribution<double> uniform(0, 1);
@@ -439,8 +446,11 @@
           is_held_back ? std::min(*deadline, this->now() + kHoldRecheckInterval)
                        : *deadline,
           yield);
-      // A reply of the coordinator may have shown that the wait is too long.
-      if (is_held_back && !slot_request->IsGranted() &&
+      // A reply of the coordinator may have shown that the wait is too long,
+      // and a new version of the configuration may have ended the service.
+      const bool may_be_vain =
+          is_held_back || this->FindEngine(query.service) == nullptr;
+      if (may_be_vain && !slot_request->IsGranted() &&
           !this->DecideWait(*slot_request, &result)) {
         return result;
       }
--- a/src/entry/group_load_balancer.h
+++ b/src/entry/group_load_balancer.h
@@ -105,8 +105,8 @@
   SlotRequestPtr EnqueueForPeer(const SlotQuery& query,
                                 SlotRequest::Grant grant);
 
-  // Rejects the request if its expected wait is too long. Otherwise returns the
-  // time until which it may wait.
+  // Rejects the request if its expected wait is too long, or its service has
+  // left the configuration. Otherwise returns the time until which it may wait.
   std::optional<MonotonicTime> DecideWait(const SlotRequest& slot_request,
                                           SlotResult* rejection);
 
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -182,6 +182,12 @@
   };
 }
 
+void EntryFixture::LoseSlotRequests() {
+  this->slot_network.coordinator = [this](const SlotAsk& ask) {
+    this->asked.push_back(ask);
+  };
+}
+
 void EntryFixture::StartServer(const BackendServer& server) {
   this->view.PutServer(server, this->loop.Now());
   this->limiter.HandleStart(server.id, server.started_ms);
@@ -192,6 +198,22 @@
   RoutingConfig config = *this->view.Config();
   ++config.version;
   config.limits.idle_timeout = idle_timeout;
+  this->AdoptConfig(config);
+}
+
+void EntryFixture::RemoveService(const std::string& service) {
+  RoutingConfig config = *this->view.Config();
+  ++config.version;
+  config.services.erase(service);
+  for (RouteRule& route : config.routes) {
+    if (route.services.front().service == service) {
+      route.services = {{"plain", 1}};
+    }
+  }
+  this->AdoptConfig(config);
+}
+
+void EntryFixture::AdoptConfig(const RoutingConfig& config) {
   this->view.AdoptConfig(std::make_shared<const RoutingConfig>(config));
   this->context.routes =
       std::make_shared<const RouteTable>(this->view.Config());
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -100,6 +100,10 @@
   // Puts a new version of the configuration in force.
   void SetIdleTimeout(Duration idle_timeout);
 
+  // The same with a version that no longer lists `service`, whose routes lead
+  // to the plain service.
+  void RemoveService(const std::string& service);
+
   // Where the entry VM accepts callers.
   TcpEndpoint EntryAddress() const { return this->entry_server->Address(); }
 
@@ -128,6 +132,8 @@
   // Lets another node assign slots: all of the group of `server`, whatever it
   // is asked for.
   void CoordinateBy(const std::string& server);
+  // Lets another node assign slots that never answers.
+  void LoseSlotRequests();
   // What the other node was asked.
   std::vector<SlotAsk> asked;
 
@@ -142,6 +148,8 @@
            const std::string& service,
            LoopServer::Script script);
   void ApplyConfig();
+  // Puts `config`, of a higher version, in force.
+  void AdoptConfig(const RoutingConfig& config);
   // Sends `request` on a new connection and calls `read_input` whenever input
   // may have arrived, until the connection ends.
   void Exchange(const std::string& request,
