Keep restarts and absent VMs from renewing the base of the retry budget

Cause: each process divided the base by the VMs that it saw alive, one until peers were heard, and each start began with an unused share, although its predecessor had used it in the same window.

Change: in its first window a process uses nothing of the base, and the base is divided by all VMs that are announced or sent a digest within ten minutes, reachable or not.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -30,6 +30,10 @@
 // Time from the stop signal until idle connections are closed. Callers who then
 // open new connections are directed to other VMs.
 constexpr Duration kStopIdleCloseDelay = std::chrono::milliseconds(2100);
+// Time after which an entry VM that sends no digests is taken for gone. Until
+// then it may be cut off from this one, or about to start again, and keeps its
+// share of the retry budget.
+constexpr Duration kMaxNodeAbsence = std::chrono::minutes(10);
 // Part of the stop's grace period in which no server is waited for, and part of
 // that in which the last answers are sent.
 constexpr Duration kStopGraceMargin = std::chrono::milliseconds(500);
@@ -143,7 +147,7 @@
               &this->prompt_exchange,
               &this->metrics,
               std::random_device{}()),
-      shared_retry_budget(BoundsOf(this->settings)),
+      shared_retry_budget(BoundsOf(this->settings), this->started_at),
       slot_exchange(&this->loop,
                     &this->peers,
                     &this->digests,
@@ -473,6 +477,18 @@
       this->peers.IsStoreDown(this->store.IsReachable(), now), now);
 }
 
+void EntryProcess::ShareRetryBudget(MonotonicTime now) {
+  if (!this->nodes_topic.IsSynced()) {
+    return;
+  }
+  const int nodes = this->peers.CountNodesSince(
+      now - kMaxNodeAbsence,
+      /*include_silent=*/now - this->started_at < kMaxNodeAbsence);
+  if (this->shared_retry_budget.SetNodeCount(nodes)) {
+    LogInfo("retry_budget_shared", {{"nodes", nodes}});
+  }
+}
+
 void EntryProcess::RunMaintenance(Coroutine yield) {
   std::error_code error;
   auto settings_time =
@@ -494,10 +510,7 @@
     this->pool.CloseUnusable();
     this->engine_http.PruneIdle();
     this->record_client.PruneIdle();
-    const int nodes = this->peers.CountLiveNodes(now);
-    if (this->shared_retry_budget.SetNodeCount(nodes)) {
-      LogInfo("retry_budget_shared", {{"nodes", nodes}});
-    }
+    this->ShareRetryBudget(now);
     this->group_balancer.SetNodeCount(this->peers.CountLiveNodes(now));
     const auto written =
         std::filesystem::last_write_time(this->settings_path, error);
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -66,6 +66,8 @@
   void OnFleetChanged();
   void OnGateOpened();
   void UpdateStoreOutage();
+  // Counts the entry VMs that may use the retry budget.
+  void ShareRetryBudget(MonotonicTime now);
   void WaitForSignal();
   void ReloadSettings(const char* cause);
   void Stop(Coroutine yield);
@@ -83,6 +85,7 @@
   ProcessSettings settings;
   const std::string settings_path;
   EventLoop loop;
+  const MonotonicTime started_at = this->loop.Now();
   boost::asio::signal_set signals;
   MetricRegistry metrics;
   StoreClient store;
--- a/src/routing/shared_retry_budget.cc
+++ b/src/routing/shared_retry_budget.cc
@@ -24,13 +24,19 @@
   counts.requests.push_back(now);
 }
 
+double SharedRetryBudget::BaseShare(MonotonicTime now) const {
+  return this->nodes > 0 && now >= this->base_usable_at
+             ? this->bounds.base / this->nodes
+             : 0;
+}
+
 bool SharedRetryBudget::HasRetryLeft(const std::string& service,
                                      MonotonicTime now) {
   Counts& counts = this->by_service[service];
   this->DropExpired(&counts, now);
   const double allowed =
       kUsableFraction *
-      (this->bounds.base / this->nodes +
+      (this->BaseShare(now) +
        this->bounds.ratio * static_cast<double>(counts.requests.size()));
   return static_cast<double>(counts.retries.size()) + 1 <= allowed;
 }
--- a/src/routing/shared_retry_budget.h
+++ b/src/routing/shared_retry_budget.h
@@ -2,7 +2,6 @@
 #ifndef ROUTING_SHARED_RETRY_BUDGET_H_
 #define ROUTING_SHARED_RETRY_BUDGET_H_
 
-#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -19,16 +18,21 @@
 };
 
 // Retry budget over a sliding window: the bound holds in every interval of the
-// window's length. Not thread safe.
+// window's length, over all entry VMs and all starts of their processes. Not
+// thread safe.
 class SharedRetryBudget {
  public:
-  explicit SharedRetryBudget(RetryLimits bounds) : bounds(bounds) {}
+  // `started`: when this process started. In the first window after it, nothing
+  // of the base is used, since the former process on this VM may have used it.
+  SharedRetryBudget(RetryLimits bounds, MonotonicTime started)
+      : bounds(bounds), base_usable_at(started + bounds.window) {}
 
-  // Sets the number of entry VMs that share the base; values below 1 count
-  // as 1. Returns whether the number has changed.
+  // Sets the number of entry VMs that may use the base, whether or not this one
+  // reaches them. Until then, nothing of the base is used. Returns whether the
+  // number has changed. Precondition: `nodes` is at least 1.
   bool SetNodeCount(int nodes) {
     const int before = this->nodes;
-    this->nodes = std::max(nodes, 1);
+    this->nodes = nodes;
     return this->nodes != before;
   }
 
@@ -48,9 +52,12 @@
   };
 
   void DropExpired(Counts* counts, MonotonicTime now) const;
+  // This entry VM's share of the base.
+  double BaseShare(MonotonicTime now) const;
 
   const RetryLimits bounds;
-  int nodes = 1;
+  const MonotonicTime base_usable_at;
+  int nodes = 0;  // 0: unknown.
   std::map<std::string, Counts> by_service;
 };
 
