Release what an idle connection has sent or received

Cause: a connection kept the bytes of its last write, up to a whole request body, while it was idle in the pool, up to 32 for each server; and the capacity of its input buffer.

Change: both are released. An assignment of an empty string would keep the memory, so it is swapped.

--- a/src/net/net_constants.h
+++ b/src/net/net_constants.h
@@ -23,6 +23,10 @@
 // a fast sender cannot exhaust the memory of the process.
 inline constexpr std::size_t kReadPauseThresholdBytes = 128 * 1024;
 
+// Memory that a connection keeps for input while it has none. Enough for most
+// heads.
+inline constexpr std::size_t kMaxIdleInputBytes = 4 * 1024;
+
 // Interim responses (1xx) that may precede a response.
 inline constexpr int kMaxInterimResponses = 16;
 
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -142,6 +142,9 @@
   this->consumed += count;
   if (this->consumed == this->input.size()) {
     this->input.clear();
+    if (this->input.capacity() > kMaxIdleInputBytes) {
+      this->input.shrink_to_fit();
+    }
     this->consumed = 0;
   } else if (this->consumed > kReadChunkBytes) {
     this->input.erase(0, this->consumed);
@@ -198,6 +201,8 @@
           return;
         }
         self->unsent -= self->writing.size();
+        // An idle connection holds no memory. An assignment would keep it.
+        std::string().swap(self->writing);
         self->WriteNext();
         if (self->unsent == 0) {
           self->NotifyWaiter();
--- a/tests/net/tcp_connection_test.cc
+++ b/tests/net/tcp_connection_test.cc
@@ -1,10 +1,13 @@
 #include "net/tcp_connection.h"
 
+#include <malloc.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <catch2/catch.hpp>
 
 #include "fakes/loop_server.h"
+#include "net/net_constants.h"
 
 namespace kumquatcart {
 namespace {
@@ -37,6 +40,47 @@
   CHECK(error == boost::asio::error::connection_reset);
 }
 
+// Memory that the process has allocated, in bytes.
+std::size_t AllocatedBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+// Guards against a process that exceeds its memory after a burst of uploads:
+// idle connections to servers kept the bodies that were sent on them.
+TEST_CASE("An idle connection holds no memory for what it has transferred") {
+  constexpr std::size_t kBodyBytes = 4 * 1024 * 1024;
+  EventLoop loop;
+  std::size_t received = 0;
+  const LoopServer server(
+      &loop, [&](const auto& connection, Waiter* waiter, Coroutine yield) {
+        while (received < kBodyBytes) {
+          waiter->WaitUntil(TestDeadline(&loop), yield);
+          received += connection->Input().size();
+          connection->Consume(connection->Input().size());
+        }
+        connection->Send("done");
+        while (!connection->HasEnded()) {
+          waiter->WaitUntil(TestDeadline(&loop), yield);
+        }
+      });
+  RunCoroutine(&loop, [&](Coroutine yield) {
+    Waiter waiter(&loop);
+    const auto connection = std::make_shared<TcpConnection>(&loop);
+    REQUIRE(connection->Connect(server.Address(), TestDeadline(&loop), &waiter,
+                                yield));
+    const std::size_t before = AllocatedBytes();
+    connection->Send(std::string(kBodyBytes, 'x'));
+    while (connection->Input().empty() || connection->UnsentBytes() > 0) {
+      REQUIRE(waiter.WaitUntil(TestDeadline(&loop), yield));
+    }
+    connection->Consume(connection->Input().size());
+    CHECK(AllocatedBytes() < before + kReadPauseThresholdBytes);
+    connection->SetWaiter(nullptr);
+    connection->Close();
+  });
+}
+
 TEST_CASE("A connection that resets on close ends in order once all is sent") {
   EventLoop loop;
   const std::string whole(1024 * 1024, 'x');
