--- a/tests/entry/service_removed_test.cc
+++ b/tests/entry/service_removed_test.cc
@@ -7,10 +7,9 @@
 namespace kumquatcart {
 namespace {
 
-const char kStreamRequest[] =
-    "GET /stream/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id1\r\n"
-    "X-Deadline-Ms: 4000\r\nX-Model: m\r\nAuthorization: Bearer key\r\n"
-    "Connection: close\r\n\r\n";
+std::string StreamRequest() {
+  return MakeRequest("GET", "/stream/x");
+}
 
 LoopServer::Script StaySilent(EntryFixture* fixture) {
   return [fixture](const auto& connection, Waiter* waiter, Coroutine yield) {
@@ -35,7 +34,7 @@
     fixture->RemoveService("models");
     removed_at = fixture->loop.Now();
   });
-  std::string answer = fixture->SendRequest(kStreamRequest);
+  std::string answer = fixture->SendRequest(StreamRequest());
   *duration = fixture->loop.Now() - removed_at;
   return answer;
 }
@@ -62,7 +61,7 @@
   EntryFixture fixture;
   fixture.AddGroup("a", StaySilent(&fixture));
   for (int i = 0; i < 4; ++i) {  // Fills all slots of the group.
-    fixture.SendAndDisconnect(kStreamRequest, std::chrono::seconds(3));
+    fixture.SendAndDisconnect(StreamRequest(), std::chrono::seconds(3));
   }
   fixture.RunFor(std::chrono::milliseconds(30));
   CHECK(fixture.received.size() == 4);
