Log why a request was denied, and how old the configuration is that denied it

The incident's hypotheses differ in what a denied request shows: a version that was not read (old version, long since the topic was read), one that was read and not adopted (old version, just read), a request that is not recognised (newest version). The request line had the version only. No change of logic.

--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -124,6 +124,7 @@
   const LoopStep step(this->loop->Monitor(), "apply_records",
                       ToString(this->settings.topic));
   const std::int64_t before = this->End();
+  this->last_read_at = this->loop->Now();
   this->replica.Merge(batch);
   if (this->End() > before) {
     this->behind_since = MonotonicTime{};
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -61,6 +61,10 @@
   // The offset after the last one seen.
   std::int64_t End() const { return this->replica.End(); }
 
+  // When the store or a peer last answered a read of the topic, whether or not
+  // there was anything new; zero: never.
+  MonotonicTime LastReadAt() const { return this->last_read_at; }
+
   // Handles a peer's report that it has seen the topic up to `peer_end`. If
   // this process does not read the store, it requests the missing records from
   // the peer. Peers of other failure domains, and the store, are asked only if
@@ -113,6 +117,7 @@
   TopicReplica replica;
   bool synced = false;
   MonotonicTime started_at;  // Zero: not started.
+  MonotonicTime last_read_at;
   bool records_expired = false;
   bool catching_up = false;
   MonotonicTime behind_since;  // Zero: as far as known, not.
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -112,7 +112,8 @@
       DecodeCallerRequest(std::move(read.method), std::move(read.target),
                           read.headers, std::move(read.body));
   if (request.has_error()) {
-    LogInfo("request_rejected", {{"reason", request.error().message}});
+    LogInfo("request_rejected",
+            {{"status", kHttpBadRequest}, {"reason", request.error().message}});
     answer->SendWhole(kHttpBadRequest, {}, {});
     return true;
   }
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -40,6 +40,10 @@
   std::shared_ptr<const RouteTable> routes;
   // Whether servers and groups have been read from the store.
   std::function<bool()> has_fleet_state = [] { return true; };
+  // When the topic of the configuration was last read; zero: never.
+  std::function<MonotonicTime()> config_read_at = [] {
+    return MonotonicTime{};
+  };
   // Set once the process is shutting down: connections close after the request
   // in progress.
   bool is_stopping = false;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -256,6 +256,9 @@
   this->context.shared_retry_budget = &this->shared_retry_budget;
   this->context.metrics = &this->metrics;
   this->context.has_fleet_state = [this] { return this->HasFleetState(); };
+  this->context.config_read_at = [this] {
+    return this->operator_topic.LastReadAt();
+  };
 }
 
 Status EntryProcess::Start() {
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -133,6 +133,23 @@
   this->routes = this->context->routes;
 }
 
+void RequestForwarder::Deny(int status, const char* reason) {
+  const MonotonicTime read_at = this->context->config_read_at();
+  const Duration age = this->context->loop->Now() - read_at;
+  LogInfo("request_denied",
+          {{"id", this->request.id},
+           {"status", status},
+           {"reason", reason},
+           {"host", this->request.host},
+           {"config", this->routes->Config().version},
+           {"config_read_ms_ago",
+            read_at == MonotonicTime{} ? -1 : ToMillis(age)}});
+  this->context->metrics
+      ->GetCounter("kumquatcart_denied_requests_total", {{"reason", reason}})
+      .Add();
+  this->RespondWithError(status, Duration{0}, reason);
+}
+
 bool RequestForwarder::ResolveRequest() {
   if (this->routes == nullptr) {
     this->RespondWithError(kHttpServiceUnavailable, kNoConfigRetryAfter,
@@ -142,14 +159,17 @@
   this->job.route =
       this->routes->Match(this->request.host, this->request.target);
   if (this->job.route == nullptr) {
-    this->RespondWithError(kHttpNotFound, Duration{0}, "no route matches");
+    this->Deny(kHttpNotFound, this->routes->HasHost(this->request.host)
+                                  ? "no route of the host has the path"
+                                  : "no route has the host");
     return false;
   }
   const RoutingConfig& config = this->routes->Config();
   if (config.needs_keys && !this->job.route->is_public) {
     const KeyHolder* holder = this->routes->FindKeyHolder(this->request.key);
     if (holder == nullptr) {
-      this->RespondWithError(kHttpUnauthorized, Duration{0}, "unknown API key");
+      this->Deny(kHttpUnauthorized,
+                 this->request.key.empty() ? "no API key" : "unknown API key");
       return false;
     }
     this->job.organisation = holder->organisation;
--- a/src/entry/request_forwarder.h
+++ b/src/entry/request_forwarder.h
@@ -33,6 +33,8 @@
   // Determines route, organisation and service. Returns false when the request
   // has been answered with an error.
   bool ResolveRequest();
+  // Answers a request that the configuration does not allow.
+  void Deny(int status, const char* reason);
   bool RunAttempts(Coroutine yield);
   // Waits until the prompt may be sent. Returns false if the request must not
   // be sent, or its caller is gone; `pass` says why.
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -25,6 +25,11 @@
   const RouteRule* Match(const std::string& host,
                          const std::string& target) const;
 
+  // Whether any route has the host.
+  bool HasHost(const std::string& host) const {
+    return this->by_host.count(host) > 0;
+  }
+
   // Returns the holder of the API key `key`, or null if the key is unknown.
   const KeyHolder* FindKeyHolder(const std::string& key) const;
 
--- a/tests/entry/answer_framing_test.cc
+++ b/tests/entry/answer_framing_test.cc
@@ -1,13 +1,9 @@
 // Answers of servers in every framing, broken off at every place, as callers of
 // both protocol versions get them.
-#include <unistd.h>
-
-#include <cstdio>
-#include <sstream>
-
 #include <catch2/catch.hpp>
 
 #include "entry/entry_fixture.h"
+#include "fakes/captured_log.h"
 
 namespace kumquatcart {
 namespace {
@@ -347,42 +343,6 @@
   }
 }
 
-// Collects what is written to standard error, to which tests log.
-class CapturedLog {
- public:
-  CapturedLog() : file(std::tmpfile()), stderr_copy(dup(STDERR_FILENO)) {
-    dup2(fileno(this->file), STDERR_FILENO);
-  }
-  ~CapturedLog() {
-    dup2(this->stderr_copy, STDERR_FILENO);
-    close(this->stderr_copy);
-    std::fclose(this->file);
-  }
-  CapturedLog(const CapturedLog&) = delete;
-  CapturedLog& operator=(const CapturedLog&) = delete;
-
-  // Whether a line of `event` holds all of `fields`.
-  bool HasLine(const std::string& event, const std::string& fields) const {
-    std::rewind(this->file);
-    std::string text;
-    for (int c = std::fgetc(this->file); c != EOF; c = std::fgetc(this->file)) {
-      text.push_back(static_cast<char>(c));
-    }
-    std::istringstream lines(text);
-    for (std::string line; std::getline(lines, line);) {
-      if (line.find("event=" + event + " id=id1 ") != std::string::npos &&
-          line.find(fields) != std::string::npos) {
-        return true;
-      }
-    }
-    return false;
-  }
-
- private:
-  std::FILE* const file;
-  const int stderr_copy;
-};
-
 // Guards against an incident whose log does not tell a whole stream from a
 // broken one.
 TEST_CASE("The log says how an answer was framed, how it ended and where") {
