Read a store that answers late, by time limits that follow its answers

Callers saw proper requests refused with 404 and 401, and moved routes served by the former service, for as long as the store answers every call but later than 1.5 s (0.5 s for a VM that takes the store for lost).

Cause: the time limits of reads were fixed. A read that is given up is sent again with the same limit, or a shorter one, and fails for the same reason; nothing tells a slow store from a silent one, and the reads of other topics are given up with it. Class: a retry under the same limit as the attempt that ran into it.

A read that is given up now waits on for the first bytes of its answer. They show that the store is slow, not silent, and how slow: reads then may take twice that time. In a silence no late answer comes, so that lost reads are detected as soon as before.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -2,6 +2,7 @@
 #ifndef NET_HTTP_CLIENT_H_
 #define NET_HTTP_CLIENT_H_
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -44,6 +45,13 @@
   }
 };
 
+// A request whose response began to arrive after its deadline.
+struct LateResponse {
+  TcpEndpoint endpoint;
+  std::string target;
+  Duration elapsed{0};  // From the request to the first bytes.
+};
+
 // Sends requests over pooled connections. Must be used on the event loop's
 // thread.
 class HttpClient {
@@ -83,6 +91,14 @@
                               Duration max_idle,
                               Coroutine yield);
 
+  // Lets GET requests whose deadline has passed wait on for a response, which
+  // is dropped. `listener` then tells a slow endpoint from a silent one.
+  // Precondition: this client outlives the event loop's coroutines.
+  using LateListener = std::function<void(const LateResponse&)>;
+  void SetLateListener(LateListener listener) {
+    this->late_listener = std::move(listener);
+  }
+
   // Closes the pooled connections to `endpoint`.
   void CloseIdle(const TcpEndpoint& endpoint) {
     this->pool.CloseIdle(endpoint);
@@ -131,6 +147,10 @@
                            TcpConnection* connection,
                            ResponseParser* response,
                            Coroutine yield);
+  // Waits on for the response on `connection`, which is closed then.
+  void AwaitLateResponse(const Call& call,
+                         MonotonicTime sent_at,
+                         ConnectionPtr connection);
   // Whether a body with `body_bytes` so far may grow further.
   bool MayBuffer(std::size_t body_bytes) const;
 
@@ -139,6 +159,8 @@
   std::size_t buffered_body_bytes = 0;  // Of the exchanges in progress.
   ConnectionPool pool;
   std::set<PendingRead*> pending_reads;
+  LateListener late_listener;
+  int late_waits = 0;  // Requests that wait for a late response.
 };
 
 }  // namespace kumquatcart
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -18,11 +18,16 @@
 
 namespace {
 
-// A store that is up answers in some ten milliseconds, a slow one within half a
-// second.
+// A store that is up answers in some ten milliseconds, a slow one mostly within
+// half a second.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
-// Time beyond its wait that a waiting read may take.
-constexpr Duration kReadSlack = std::chrono::milliseconds(500);
+// Time beyond its wait that a read may take: twice the time that answers have
+// taken, within these bounds. A lost read is detected only after it.
+constexpr Duration kMinReadSlack = std::chrono::milliseconds(500);
+constexpr Duration kMaxReadSlack = std::chrono::milliseconds(8000);
+constexpr int kSlackPerAnswerTime = 2;
+// Part of the answer time that outlasts an answer that took less.
+constexpr int kAnswerTimeDivisor = 2;
 constexpr char kWaitParameter[] = "&wait_ms=";
 // Largest body asked of one read.
 constexpr int kReadKilobytes = 1024;
@@ -89,17 +94,17 @@
                      kWaitParameter, ToMillis(wait));
 }
 
-// Longest time that a call with this target takes.
-Duration TimeLimitOf(const std::string& target) {
+// How long a call with this target waits at the store; none if it does not say.
+std::optional<Duration> WaitOf(const std::string& target) {
   const std::size_t at = target.find(kWaitParameter);
   if (at == std::string::npos) {
-    return kCallTimeout;
+    return std::nullopt;
   }
   std::int64_t wait_ms = 0;
   const char* end = target.data() + target.size();
   std::from_chars(target.data() + at + std::string_view(kWaitParameter).size(),
                   end, wait_ms);
-  return std::chrono::milliseconds(wait_ms) + kReadSlack;
+  return std::chrono::milliseconds(wait_ms);
 }
 
 OutgoingRequest Get(std::string target) {
@@ -219,7 +224,34 @@
 }
 
 StoreClient::StoreClient(EventLoop* loop, TcpEndpoint store)
-    : loop(loop), store(std::move(store)), client(loop) {}
+    : loop(loop), store(std::move(store)), client(loop) {
+  this->client.SetLateListener([this](const LateResponse& late) {
+    this->NoteAnswerTime(late.target, late.elapsed);
+    LogInfo("store_answer_late",
+            {{"call", late.target},
+             {"via", late.endpoint == this->store
+                         ? "store"
+                         : late.endpoint.address().to_string()},
+             {"ms", ToMillis(late.elapsed)},
+             {"answer_ms", ToMillis(this->answer_time)}});
+  });
+}
+
+Duration StoreClient::TimeLimitOf(const std::string& target) const {
+  const Duration slack = std::clamp(kSlackPerAnswerTime * this->answer_time,
+                                    kMinReadSlack, kMaxReadSlack);
+  const std::optional<Duration> wait = WaitOf(target);
+  return wait ? *wait + slack : std::max(kCallTimeout, slack);
+}
+
+void StoreClient::NoteAnswerTime(const std::string& target, Duration elapsed) {
+  const Duration wait = WaitOf(target).value_or(Duration{0});
+  if (wait > Duration{0} && elapsed <= wait) {
+    return;  // A record came meanwhile; how long its answer took is unknown.
+  }
+  this->answer_time =
+      std::max(elapsed - wait, this->answer_time / kAnswerTimeDivisor);
+}
 
 bool StoreClient::IsStoreCall(const std::string& target) {
   return target.rfind(wire::kLogReadPath, 0) == 0 ||
@@ -231,12 +263,15 @@
                                const OutgoingRequest& request,
                                Coroutine yield) {
   const MonotonicTime sent_at = this->loop->Now();
-  const MonotonicTime deadline = sent_at + TimeLimitOf(request.target);
+  const MonotonicTime deadline = sent_at + this->TimeLimitOf(request.target);
   HttpResponse reply =
       request.method == "GET"
           ? this->client.Exchange(endpoint, request, deadline, kMaxIdle, yield)
           : this->client.ExchangeOnNewConnection(endpoint, request, deadline,
                                                  yield);
+  if (reply.result == ExchangeResult::kAnswered && request.method == "GET") {
+    this->NoteAnswerTime(request.target, this->loop->Now() - sent_at);
+  }
   if (IsRefusal(reply)) {
     LogWarning(
         "store_call_failed",
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -88,7 +88,8 @@
                               Coroutine yield);
 
   // Passes a call on to the store unchanged, also for a peer. Takes at most one
-  // second, or for a read half a second more than it asks the store to wait.
+  // second, or for a read half a second more than it asks the store to wait;
+  // longer while answers of the store take longer.
   HttpResponse PassOn(const OutgoingRequest& request, Coroutine yield);
 
   // Whether `target` is a call that PassOn takes.
@@ -120,6 +121,10 @@
   std::optional<HttpResponse> CallRelay(const OutgoingRequest& request,
                                         Coroutine yield);
   void NoteReachability(const HttpResponse& reply, MonotonicTime sent_at);
+  // Adjusts the time limits of reads to an answer that took `elapsed`.
+  void NoteAnswerTime(const std::string& target, Duration elapsed);
+  // Longest time that a call with this target may take.
+  Duration TimeLimitOf(const std::string& target) const;
   // Ends the reads that were sent before `sent_before`, so that they are sent
   // again: their answers are probably lost.
   void AbandonReads(MonotonicTime sent_before);
@@ -130,7 +135,10 @@
   RelayList list_relays;
   std::size_t next_relay = 0;
   bool reachable = true;
-  bool was_silent = false;              // Since the store was reachable.
+  bool was_silent = false;  // Since the store was reachable.
+  // Time that answers take beyond the wait that a read asks for: a decaying
+  // maximum.
+  Duration answer_time{0};
   MonotonicTime direct_at;              // Last direct call.
   MonotonicTime answered_call_sent_at;  // Of direct calls, the latest one.
 };
--- a/tests/fakes/loop_store.h
+++ b/tests/fakes/loop_store.h
@@ -26,6 +26,9 @@
                   if (this->reads_wait) {
                     this->AwaitRecords(request, loop, yield);
                   }
+                  if (this->answer_delay > Duration{0}) {
+                    loop->Sleep(this->answer_delay, yield);
+                  }
                   if (this->is_silent || this->silences != silences_before) {
                     loop->Sleep(kLostAnswerTime, yield);
                   }
@@ -57,6 +60,8 @@
   // Whether reads wait for a record as long as their callers ask for. Without,
   // they are answered at once.
   bool reads_wait = false;
+  // By how much every answer is late.
+  Duration answer_delay{0};
   // In a silence no call is answered, and those that are waiting are lost:
   // their connections stay open, but return nothing further.
   void BeginSilence() {
