Compare hosts without case and port

Callers saw 404 for a proper request whose Host field is written in capitals, and for every request to a route whose host the operator wrote with a port or in capitals; an IPv6 host was cut at its first colon. A 404 of this kind comes from every VM at all times and is no different, to a caller, from a configuration that is not in force.

Cause: bytes were compared where RFC 9110 (section 4.2.3) compares meanings. Both sides now go through NormalizeHost(). Two Host fields stay refused.

request_forms_test fails on ("404" for H and H:80, none of the others) and passes now.

--- a/src/model/caller_request.h
+++ b/src/model/caller_request.h
@@ -19,7 +19,7 @@
   std::string id;  // Of this attempt of the caller; empty where none was sent.
   std::string method;
   std::string target;  // Path and query, as sent.
-  std::string host;    // Without port.
+  std::string host;    // As NormalizeHost() returns it.
   std::string key;     // Bearer key; empty where none was sent.
   std::string model;   // Empty: names no model.
   std::int64_t prompt_tokens = 0;
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include "base/ids.h"
+#include "net/http_field_values.h"
 #include "net/http_status.h"
 #include "platform/wire_names.h"
 
@@ -177,13 +178,9 @@
   }
 }
 
-std::string HostWithoutPort(std::string_view host) {
-  return std::string(host.substr(0, host.find(':')));
-}
-
 void DecodeFields(const HeaderList& headers, CallerRequest* request) {
   request->id = std::string(FindHeader(headers, wire::kRequestId));
-  request->host = HostWithoutPort(FindHeader(headers, "Host"));
+  request->host = NormalizeHost(FindHeader(headers, "Host"));
   request->model = std::string(FindHeader(headers, wire::kModel));
   request->patience = std::chrono::milliseconds(
       ParseCount(FindHeader(headers, wire::kDeadline)).value_or(0));
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "net/http_field_values.h"
+
 namespace kumquatcart {
 
 namespace {
@@ -19,7 +21,7 @@
 RouteTable::RouteTable(std::shared_ptr<const RoutingConfig> config)
     : config(std::move(config)) {
   for (const RouteRule& route : this->config->routes) {
-    this->by_host[route.host].push_back(&route);
+    this->by_host[NormalizeHost(route.host)].push_back(&route);
   }
   for (auto& entry : this->by_host) {
     std::stable_sort(entry.second.begin(), entry.second.end(), HasLongerPrefix);
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -21,11 +21,11 @@
 
   // Returns the route of `host` with the longest prefix of the path of
   // `target`, or null if none matches. The query string is not part of the
-  // path.
+  // path. Precondition: `host` has the form that NormalizeHost() returns.
   const RouteRule* Match(const std::string& host,
                          const std::string& target) const;
 
-  // Whether any route has the host.
+  // Whether any route has the host, as NormalizeHost() returns it.
   bool HasHost(const std::string& host) const {
     return this->by_host.count(host) > 0;
   }
--- /dev/null
+++ b/tests/entry/request_forms_test.cc
@@ -0,0 +1,46 @@
+// Forms of a proper request that differ in bytes and not in meaning (RFC 9110,
+// RFC 9112), and forms that must stay refused.
+#include <catch2/catch.hpp>
+
+#include "entry/entry_fixture.h"
+
+namespace kumquatcart {
+namespace {
+
+// One entry VM with a plain server, which serves /again/.
+struct Forms {
+  Forms() {
+    this->fixture.AddPlain("a", AnswerWith([this](const std::string& head) {
+                             this->fixture.received.push_back(head);
+                             return MakeAnswer(head, "200 OK", "a");
+                           }));
+  }
+
+  // The status that the request gets which is MakeRequest's with `from`
+  // replaced by `to`.
+  std::string StatusOf(const std::string& from, const std::string& to) {
+    std::string request = MakeRequest("GET", "/again/x");
+    const std::size_t at = request.find(from);
+    REQUIRE(at != std::string::npos);
+    request.replace(at, from.size(), to);
+    const std::string answer = this->fixture.SendRequest(request);
+    return answer.substr(answer.find(' ') + 1, 3);
+  }
+
+  EntryFixture fixture;
+};
+
+// Guards against 404 for a request whose host is written with other cases than
+// the route's, or with a port.
+TEST_CASE("A request's host is compared without case and port") {
+  Forms forms;
+  for (const char* host : {"h", "H", "h:8080", "H:80"}) {
+    CAPTURE(host);
+    CHECK(forms.StatusOf("Host: h", std::string("Host: ") + host) == "200");
+  }
+  CHECK(forms.StatusOf("Host: h", "Host: [h]:80") == "404");
+  CHECK(forms.StatusOf("Host: h", "Host: h\r\nHost: h") == "400");
+}
+
+}  // namespace
+}  // namespace kumquatcart
--- a/tests/routing/route_table_test.cc
+++ b/tests/routing/route_table_test.cc
@@ -33,6 +33,20 @@
   CHECK(table.Match("x", "/a/b/c") == nullptr);
 }
 
+// Guards against routes that no request matches, since the operator writes a
+// host in capitals or with a port.
+TEST_CASE("A route's host is compared without case and port") {
+  RoutingConfig config;
+  config.routes = {MakeRoute("capitals", "Host.Example", "/a/"),
+                   MakeRoute("port", "host.example:8080", "/a/b/"),
+                   MakeRoute("address", "[2001:DB8::1]:80", "/a/")};
+  const RouteTable table(std::make_shared<const RoutingConfig>(config));
+  CHECK(table.Match("host.example", "/a/x")->name == "capitals");
+  CHECK(table.Match("host.example", "/a/b/x")->name == "port");
+  CHECK(table.Match("[2001:db8::1]", "/a/x")->name == "address");
+  CHECK_FALSE(table.HasHost("[2001"));
+}
+
 TEST_CASE("The query string is not part of the path") {
   const RouteTable table = MakeTable();
   CHECK(table.Match("h", "/x?/a/b/") == nullptr);
