Compare the scheme of a key without case

Callers saw 401 for a known key behind "bearer" or "BEARER", or behind two spaces. RFC 9110 (section 11.1) has schemes without case, and one or more spaces behind them. The same cause in the product's own interface: both now use BearerToken().

request_forms_test fails on (401 for four of five forms) and passes now; other schemes and keys in other cases stay refused.

--- a/src/gateway/caller_identity.cc
+++ b/src/gateway/caller_identity.cc
@@ -5,13 +5,12 @@
 #include <utility>
 
 #include "gateway/gateway_constants.h"
+#include "net/http_field_values.h"
 
 namespace kumquatcart {
 
 namespace {
 
-constexpr std::string_view kBearerPrefix = "Bearer ";
-
 Error MakeUnknownServiceError(const ServiceName& service) {
   return MakeError(ErrorCode::kNotFound,
                    "unknown service '" + service.value + "'");
@@ -40,14 +39,11 @@
     return MakeError(ErrorCode::kPermissionDenied,
                      "header Authorization is missing");
   }
-  const bool well_formed =
-      authorization.compare(0, kBearerPrefix.size(), kBearerPrefix) == 0 &&
-      authorization.size() <= kBearerPrefix.size() + kMaxIdentifierBytes;
-  if (!well_formed) {
+  const std::string token(BearerToken(authorization));
+  if (token.empty() || token.size() > kMaxIdentifierBytes) {
     return MakeError(ErrorCode::kPermissionDenied,
                      "header Authorization must be 'Bearer <token>'");
   }
-  const std::string token = authorization.substr(kBearerPrefix.size());
   const auto found = this->by_token_digest.find(Sha256Hex(token));
   if (found == this->by_token_digest.end()) {
     return MakeError(ErrorCode::kPermissionDenied,
--- a/src/net/http_field_values.cc
+++ b/src/net/http_field_values.cc
@@ -4,6 +4,8 @@
 
 #include <boost/algorithm/string/case_conv.hpp>
 
+#include "net/http_head.h"
+
 namespace kumquatcart {
 
 std::string NormalizeHost(std::string_view authority) {
@@ -15,4 +17,15 @@
                                          std::locale::classic());
 }
 
+std::string_view BearerToken(std::string_view credentials) {
+  const std::size_t scheme_end = credentials.find(' ');
+  if (scheme_end == std::string_view::npos ||
+      !EqualsIgnoringCase(credentials.substr(0, scheme_end), "bearer")) {
+    return {};
+  }
+  const std::size_t token = credentials.find_first_not_of(' ', scheme_end);
+  return token == std::string_view::npos ? std::string_view()
+                                         : credentials.substr(token);
+}
+
 }  // namespace kumquatcart
--- a/src/net/http_field_values.h
+++ b/src/net/http_field_values.h
@@ -12,6 +12,10 @@
 // address. Thread safe.
 std::string NormalizeHost(std::string_view authority);
 
+// The token of bearer credentials, the value of an Authorization field; empty
+// if there is none or they are of another scheme. Thread safe.
+std::string_view BearerToken(std::string_view credentials);
+
 }  // namespace kumquatcart
 
 #endif  // NET_HTTP_FIELD_VALUES_H_
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr char kBearer[] = "Bearer ";
-
 // How long an idle connection to a server is kept where its answer does not
 // say; the page on servers states no default.
 constexpr Duration kDefaultIdleLimit = std::chrono::seconds(2);
@@ -189,11 +187,8 @@
   request->resume_after = ParseCount(FindHeader(headers, wire::kLastEventId));
   DecodeTokenCounts(FindHeader(headers, wire::kTokenCounts), request);
   DecodePromptParts(headers, request);
-  const std::string_view credentials =
-      FindHeader(headers, wire::kAuthorization);
-  if (credentials.rfind(kBearer, 0) == 0) {
-    request->key = std::string(credentials.substr(sizeof(kBearer) - 1));
-  }
+  request->key =
+      std::string(BearerToken(FindHeader(headers, wire::kAuthorization)));
 }
 
 bool HasManyHosts(const HeaderList& headers) {
--- a/tests/entry/request_forms_test.cc
+++ b/tests/entry/request_forms_test.cc
@@ -42,5 +42,24 @@
   CHECK(forms.StatusOf("Host: h", "Host: h\r\nHost: h") == "400");
 }
 
+// Guards against 401 for a known key whose scheme is written with other cases,
+// or with more than one space behind it.
+TEST_CASE("The scheme of a key is compared without case") {
+  Forms forms;
+  const std::string sent = "Authorization: Bearer key";
+  for (const char* credentials : {"Bearer key", "bearer key", "BEARER key",
+                                  "Bearer  key", "bearer   key"}) {
+    CAPTURE(credentials);
+    CHECK(forms.StatusOf(sent, std::string("Authorization: ") + credentials) ==
+          "200");
+  }
+  for (const char* credentials :
+       {"Bearer", "Bearer other", "Bearer Key", "Bearerkey", "Basic key"}) {
+    CAPTURE(credentials);
+    CHECK(forms.StatusOf(sent, std::string("Authorization: ") + credentials) ==
+          "401");
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart
