Accept targets in absolute form

Callers saw 400 for a target like http://host/path, which a server must accept (RFC 9112, section 3.2.2). The path goes on to backend servers as before, in origin form. A target that names another host than the Host field, or a user, stays refused, since servers read the Host field only.

request_forms_test fails on (400) and passes now.

--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -108,9 +108,8 @@
                     AnswerSender* answer,
                     Coroutine yield) {
   ParsedRequest& read = outcome->request;
-  Result<CallerRequest> request =
-      DecodeCallerRequest(std::move(read.method), std::move(read.target),
-                          read.headers, std::move(read.body));
+  Result<CallerRequest> request = DecodeCallerRequest(
+      std::move(read.method), read.target, read.headers, std::move(read.body));
   if (request.has_error()) {
     LogInfo("request_rejected",
             {{"status", kHttpBadRequest}, {"reason", request.error().message}});
--- a/src/model/caller_request.h
+++ b/src/model/caller_request.h
@@ -18,7 +18,7 @@
 struct CallerRequest {
   std::string id;  // Of this attempt of the caller; empty where none was sent.
   std::string method;
-  std::string target;  // Path and query, as sent.
+  std::string target;  // Path and query, as sent, in origin form.
   std::string host;    // As NormalizeHost() returns it.
   std::string key;     // Bearer key; empty where none was sent.
   std::string model;   // Empty: names no model.
--- a/src/net/http_field_values.h
+++ b/src/net/http_field_values.h
@@ -2,8 +2,10 @@
 #ifndef NET_HTTP_FIELD_VALUES_H_
 #define NET_HTTP_FIELD_VALUES_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace kumquatcart {
 
@@ -16,6 +18,19 @@
 // if there is none or they are of another scheme. Thread safe.
 std::string_view BearerToken(std::string_view credentials);
 
+// The target of a request, apart.
+struct RequestTarget {
+  std::string authority;  // Empty where the target names none.
+  std::string path;       // With the query; begins with a slash.
+
+  auto Tie() const { return std::tie(this->authority, this->path); }
+};
+
+// Takes a target in origin form, `/path?query`, or in absolute form,
+// `http://host:port/path?query`, apart. None for any other form, and for an
+// authority that names a user. Thread safe.
+std::optional<RequestTarget> ParseTarget(std::string_view target);
+
 }  // namespace kumquatcart
 
 #endif  // NET_HTTP_FIELD_VALUES_H_
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -258,10 +258,11 @@
 }  // namespace
 
 Result<CallerRequest> DecodeCallerRequest(std::string method,
-                                          std::string target,
+                                          const std::string& target,
                                           const HeaderList& headers,
                                           std::string body) {
-  if (target.empty() || target.front() != '/') {
+  std::optional<RequestTarget> parsed = ParseTarget(target);
+  if (!parsed) {
     return MakeError(ErrorCode::kInvalidArgument, "target is no path");
   }
   if (HasManyHosts(headers)) {
@@ -269,9 +270,15 @@
   }
   CallerRequest request;
   request.method = std::move(method);
-  request.target = std::move(target);
+  request.target = std::move(parsed->path);
   request.body = std::move(body);
   DecodeFields(headers, &request);
+  // Servers get the Host field, which must not lead elsewhere than the target.
+  if (!parsed->authority.empty() &&
+      NormalizeHost(parsed->authority) != request.host) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "the target names another host");
+  }
   if (request.id.empty()) {
     return MakeError(ErrorCode::kInvalidArgument, "no request id");
   }
--- a/src/platform/caller_codec.h
+++ b/src/platform/caller_codec.h
@@ -17,7 +17,7 @@
 // Decodes a request whose framing was already read. Errors: kInvalidArgument
 // for a request that no server could be given. Thread safe.
 Result<CallerRequest> DecodeCallerRequest(std::string method,
-                                          std::string target,
+                                          const std::string& target,
                                           const HeaderList& headers,
                                           std::string body);
 
--- a/tests/entry/request_forms_test.cc
+++ b/tests/entry/request_forms_test.cc
@@ -61,5 +61,28 @@
   }
 }
 
+// Guards against 400 for a target in absolute form, which servers must accept,
+// and against one that names another host than the Host field.
+TEST_CASE("A target in absolute form is accepted") {
+  Forms forms;
+  for (const char* target :
+       {"http://h/again/x", "HTTP://H:80/again/x", "https://h/again/x"}) {
+    CAPTURE(target);
+    REQUIRE(forms.StatusOf("/again/x", target) == "200");
+    CHECK(forms.fixture.received.back().rfind("GET /again/x HTTP/1.1\r\n", 0) ==
+          0);
+  }
+  CHECK(forms.StatusOf("/again/x", "http://h/again/x?q=http://g/") == "200");
+  CHECK(forms.StatusOf("/again/x", "http://h") == "404");
+  const std::size_t sent = forms.fixture.received.size();
+  for (const char* target :
+       {"http://other/again/x", "http://u@h/again/x", "http:///again/x",
+        "http://h/again/x#f", "ftp://h/again/x", "h:80", "*", "again/x"}) {
+    CAPTURE(target);
+    CHECK(forms.StatusOf("/again/x", target) == "400");
+  }
+  CHECK(forms.fixture.received.size() == sent);
+}
+
 }  // namespace
 }  // namespace kumquatcart
