Drop an empty line before a request

Callers that send an empty line behind a body saw 400 for the next request on the connection, or for nothing at all. RFC 9112 (section 2.2) has servers ignore at least one. A connection on which only that line arrives stays idle, so that no answer is sent that no request asked for. A second empty line, or a bare CR, is refused as before.

--- a/src/entry/request_reader.cc
+++ b/src/entry/request_reader.cc
@@ -116,13 +116,27 @@
   return kNames[static_cast<int>(cause)];
 }
 
+bool RequestReader::HasRequestInput() {
+  constexpr std::string_view kLineEnd = "\r\n";
+  if (!this->has_dropped_line &&
+      this->connection->Input().substr(0, kLineEnd.size()) == kLineEnd) {
+    this->has_dropped_line = true;
+    this->connection->Consume(kLineEnd.size());
+  }
+  const std::string_view input = this->connection->Input();
+  const bool may_be_empty_line =
+      !this->has_dropped_line && input == kLineEnd.substr(0, 1);
+  return !input.empty() && !may_be_empty_line;
+}
+
 std::optional<IdleCloseCause> RequestReader::WaitForFirstByte(
     const bool* should_close,
     Coroutine yield) {
   MonotonicTime idle_since = this->loop->Now();
   MonotonicTime deadline = idle_since;
   bool was_sending = false;
-  while (this->connection->Input().empty()) {
+  this->has_dropped_line = false;
+  while (!this->HasRequestInput()) {
     // The caller becomes idle when it has the last answer.
     const bool is_sending = this->connection->UnsentBytes() > 0;
     if (is_sending || was_sending) {
@@ -132,7 +146,8 @@
     deadline = std::max(deadline, idle_since + this->limits().idle_timeout);
     const bool must_close =
         !is_sending && (*should_close || this->loop->Now() >= deadline);
-    if (must_close && this->connection->ReadPending()) {
+    if (must_close && this->connection->ReadPending() &&
+        this->HasRequestInput()) {
       break;
     }
     if (this->connection->HasEnded()) {
--- a/src/entry/request_reader.h
+++ b/src/entry/request_reader.h
@@ -66,8 +66,11 @@
   RequestReadResult Read(const bool* should_close, Coroutine yield);
 
  private:
-  // Returns why the connection must be closed, or nothing once input is
-  // available.
+  // Whether input of a request has arrived. Drops one empty line before it,
+  // which some callers send after a body (RFC 9112, section 2.2).
+  bool HasRequestInput();
+  // Returns why the connection must be closed, or nothing once input of a
+  // request is available.
   std::optional<IdleCloseCause> WaitForFirstByte(const bool* should_close,
                                                  Coroutine yield);
 
@@ -75,6 +78,7 @@
   TcpConnection* const connection;
   Waiter* const waiter;
   const LimitsSource limits;
+  bool has_dropped_line = false;  // Before the next request.
 };
 
 }  // namespace kumquatcart
--- a/tests/entry/request_forms_test.cc
+++ b/tests/entry/request_forms_test.cc
@@ -84,5 +84,26 @@
   CHECK(forms.fixture.received.size() == sent);
 }
 
+// Guards against 400 for an empty line before a request, and against its
+// passing for the beginning of one.
+TEST_CASE("One empty line before a request is dropped") {
+  Forms forms;
+  CHECK(forms.StatusOf("GET ", "\r\nGET ") == "200");
+  CHECK(forms.StatusOf("GET ", "\r\n\r\nGET ") == "400");
+  CHECK(forms.StatusOf("GET ", "\rGET ") == "400");
+  CHECK(forms.StatusOf("GET ", "\r\n GET ") == "400");
+}
+
+// Guards against an answer that no request asked for, to a caller that sends an
+// empty line after a body and rests.
+TEST_CASE("A connection on which only an empty line arrives is idle") {
+  Forms forms;
+  forms.fixture.SetIdleTimeout(std::chrono::milliseconds(300));
+  for (const char* bytes : {"\r", "\r\n"}) {
+    CAPTURE(bytes);
+    CHECK(forms.fixture.SendRequest(bytes).empty());
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart
