Take no stall of the own process for a slow store

A process that is suspended while a read is pending reads its answer after the deadline, and would allow later reads that time twice over: lost reads would hide versions for seconds longer. Found by reading; not shown by a run.

--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -269,8 +269,11 @@
           ? this->client.Exchange(endpoint, request, deadline, kMaxIdle, yield)
           : this->client.ExchangeOnNewConnection(endpoint, request, deadline,
                                                  yield);
-  if (reply.result == ExchangeResult::kAnswered && request.method == "GET") {
-    this->NoteAnswerTime(request.target, this->loop->Now() - sent_at);
+  // An answer that is read after its deadline has waited for this process.
+  const MonotonicTime now = this->loop->Now();
+  if (reply.result == ExchangeResult::kAnswered && request.method == "GET" &&
+      now <= deadline) {
+    this->NoteAnswerTime(request.target, now - sent_at);
   }
   if (IsRefusal(reply)) {
     LogWarning(
