Use the late answers of a store instead of longer time limits

A read keeps the time limit that it had, and its caller goes on when that has passed; but the read itself goes on for up to 5 s, and the records that it then brings are merged. Nothing is detected later than before, nothing is sent more often, and a lost read costs what it cost. Reads that are given up together are no longer closed, only no longer waited for. At most 32 reads go on.

--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -43,6 +43,9 @@
 
 void TopicFollower::Start() {
   this->started_at = this->loop->Now();
+  this->store->SetTakeLate(
+      this->settings.topic,
+      [this](const TopicBatch& batch) { this->TakeLate(batch); });
   this->loop->Spawn([this](Coroutine yield) {
     for (bool was_reader = false;;) {
       const bool is_reader = this->ReadsStore();
@@ -98,6 +101,17 @@
   }
 }
 
+void TopicFollower::TakeLate(const TopicBatch& batch) {
+  if (batch.end < this->End()) {
+    return;
+  }
+  this->Merge(batch);
+  if (batch.other_keys) {
+    this->records_expired = false;
+    this->SetSynced("store");
+  }
+}
+
 bool TopicFollower::ReadNewest(Coroutine yield) {
   const Result<TopicBatch> batch = this->TryRead(
       [&] { return this->store->ReadNewest(this->settings.topic, yield); });
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -91,6 +91,8 @@
   // Whether the first records should come from a peer rather than the store.
   bool ExpectsFirstRecords(bool is_reader) const;
   void SetSynced(const char* source);
+  // Merges what a read has returned that had failed already.
+  void TakeLate(const TopicBatch& batch);
   bool ReadNewest(Coroutine yield);
   bool ReadMore(Duration wait, Coroutine yield);
   bool CatchUp(Duration wait, Coroutine yield);
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -26,6 +26,9 @@
 // stream disconnect after two seconds without an event.
 constexpr Duration kMaxTrialWait = std::chrono::milliseconds(1000);
 
+// Bounds a log line; longer than any host name.
+constexpr std::size_t kMaxLoggedHostBytes = 255;
+
 double DrawUniform() {
   static thread_local std::minstd_rand generator{std::random_device{}()};
   return std::uniform_real_distribution<double>(0, 1)(generator);
@@ -140,7 +143,7 @@
           {{"id", this->request.id},
            {"status", status},
            {"reason", reason},
-           {"host", this->request.host},
+           {"host", this->request.host.substr(0, kMaxLoggedHostBytes)},
            {"config", this->routes->Config().version},
            {"config_read_ms_ago",
             read_at == MonotonicTime{} ? -1 : ToMillis(age)}});
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -17,10 +17,6 @@
 // Responses to other requests that one exchange skips.
 constexpr int kMaxSkippedResponses = 4;
 
-// Bounds on the requests that wait for a late response, and on how long.
-constexpr int kMaxLateWaits = 8;
-constexpr std::chrono::seconds kMaxLateWait{10};
-
 OutgoingRequest WithHostHeader(OutgoingRequest request,
                                const TcpEndpoint& endpoint) {
   if (FindHeader(request.headers, "Host").empty()) {
@@ -115,21 +111,9 @@
   *is_sent = true;
   connection->Send(
       SerializeRequest(WithHostHeader(*call.request, call.endpoint)));
-  PendingRead read{this->loop->Now(), connection.get()};
-  const ScopeGuard guard([this, &read] { this->pending_reads.erase(&read); });
-  if (call.request->method == "GET") {
-    this->pending_reads.insert(&read);
-  }
   const bool is_reusable =
       this->Receive(call, is_reused, &waiter, connection.get(), reply, yield);
   reply->on_kept_connection = is_reused;
-  reply->was_abandoned = read.is_abandoned;
-  if (reply->result == ExchangeResult::kTimedOut && this->late_listener &&
-      call.request->method == "GET" && this->late_waits < kMaxLateWaits) {
-    close.Dismiss();
-    this->AwaitLateResponse(call, read.sent_at, std::move(connection));
-    return;
-  }
   if (is_reusable) {
     close.Dismiss();
     connection->SetWaiter(nullptr);
@@ -138,43 +122,6 @@
   }
 }
 
-void HttpClient::AwaitLateResponse(const Call& call,
-                                   MonotonicTime sent_at,
-                                   ConnectionPtr connection) {
-  ++this->late_waits;
-  this->loop->Spawn([this, sent_at, connection = std::move(connection),
-                     late = LateResponse{call.endpoint, call.request->target}](
-                        Coroutine yield) mutable {
-    Waiter waiter(this->loop);
-    connection->SetWaiter(&waiter);
-    const ScopeGuard guard([this, &connection] {
-      connection->SetWaiter(nullptr);
-      connection->Close();
-      --this->late_waits;
-    });
-    const MonotonicTime deadline = sent_at + kMaxLateWait;
-    while (connection->Input().empty() && !connection->HasEnded() &&
-           waiter.WaitUntil(deadline, yield)) {
-    }
-    if (!connection->Input().empty()) {
-      late.elapsed = this->loop->Now() - sent_at;
-      this->late_listener(late);
-    }
-  });
-}
-
-int HttpClient::AbandonReads(MonotonicTime sent_before) {
-  int count = 0;
-  for (PendingRead* read : this->pending_reads) {
-    if (read->sent_at < sent_before && !read->connection->HasEnded()) {
-      read->is_abandoned = true;
-      read->connection->Abort();
-      ++count;
-    }
-  }
-  return count;
-}
-
 bool HttpClient::Receive(const Call& call,
                          bool is_reused,
                          Waiter* waiter,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -2,9 +2,7 @@
 #ifndef NET_HTTP_CLIENT_H_
 #define NET_HTTP_CLIENT_H_
 
-#include <functional>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "net/connection_pool.h"
@@ -32,8 +30,6 @@
   int status = 0;
   HeaderList headers;
   std::string body;
-  // Whether AbandonReads() ended the exchange.
-  bool was_abandoned = false;
   // Body bytes received before a failure.
   std::size_t partial_body_bytes = 0;
   // Whether the connection had carried earlier requests.
@@ -45,13 +41,6 @@
   }
 };
 
-// A request whose response began to arrive after its deadline.
-struct LateResponse {
-  TcpEndpoint endpoint;
-  std::string target;
-  Duration elapsed{0};  // From the request to the first bytes.
-};
-
 // Sends requests over pooled connections. Must be used on the event loop's
 // thread.
 class HttpClient {
@@ -91,14 +80,6 @@
                               Duration max_idle,
                               Coroutine yield);
 
-  // Lets GET requests whose deadline has passed wait on for a response, which
-  // is dropped. `listener` then tells a slow endpoint from a silent one.
-  // Precondition: this client outlives the event loop's coroutines.
-  using LateListener = std::function<void(const LateResponse&)>;
-  void SetLateListener(LateListener listener) {
-    this->late_listener = std::move(listener);
-  }
-
   // Closes the pooled connections to `endpoint`.
   void CloseIdle(const TcpEndpoint& endpoint) {
     this->pool.CloseIdle(endpoint);
@@ -107,18 +88,7 @@
   // Closes pooled connections that can no longer be reused.
   void PruneIdle() { this->pool.CloseUnusable(); }
 
-  // Ends the GET requests in progress that were sent before `sent_before`, with
-  // kNoAnswer. Returns their number.
-  int AbandonReads(MonotonicTime sent_before);
-
  private:
-  // A GET request that has been sent and is not answered yet.
-  struct PendingRead {
-    MonotonicTime sent_at;
-    TcpConnection* connection = nullptr;
-    bool is_abandoned = false;
-  };
-
   struct Call {
     TcpEndpoint endpoint;
     const OutgoingRequest* request = nullptr;
@@ -147,10 +117,6 @@
                            TcpConnection* connection,
                            ResponseParser* response,
                            Coroutine yield);
-  // Waits on for the response on `connection`, which is closed then.
-  void AwaitLateResponse(const Call& call,
-                         MonotonicTime sent_at,
-                         ConnectionPtr connection);
   // Whether a body with `body_bytes` so far may grow further.
   bool MayBuffer(std::size_t body_bytes) const;
 
@@ -158,9 +124,6 @@
   const std::size_t max_body_bytes;
   std::size_t buffered_body_bytes = 0;  // Of the exchanges in progress.
   ConnectionPool pool;
-  std::set<PendingRead*> pending_reads;
-  LateListener late_listener;
-  int late_waits = 0;  // Requests that wait for a late response.
 };
 
 }  // namespace kumquatcart
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
 #include <string_view>
 #include <utility>
 
@@ -10,6 +11,8 @@
 
 #include "base/json.h"
 #include "base/logging.h"
+#include "base/scope_guard.h"
+#include "net/failure_boundary.h"
 #include "net/http_status.h"
 #include "platform/platform_constants.h"
 #include "platform/wire_names.h"
@@ -18,16 +21,16 @@
 
 namespace {
 
-// A store that is up answers in some ten milliseconds, a slow one mostly within
-// half a second.
+// A store that is up answers in some ten milliseconds, a slow one within half a
+// second.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
-// Time beyond its wait that a read may take: twice the time that answers have
-// taken, within these bounds. A lost read is detected only after it.
-constexpr Duration kMinReadSlack = std::chrono::milliseconds(500);
-constexpr Duration kMaxReadSlack = std::chrono::milliseconds(8000);
-constexpr int kSlackPerAnswerTime = 2;
-// Part of the answer time that outlasts an answer that took less.
-constexpr int kAnswerTimeDivisor = 2;
+// Time beyond its wait that a waiting read may take.
+constexpr Duration kReadSlack = std::chrono::milliseconds(500);
+// Longest time for which a read goes on, so that a store that answers late is
+// read too, and bound on the reads that do so. A silent one has some 27 in
+// progress: one in 1.5 s for each topic, and the same at a relay.
+constexpr Duration kLateReadTime = std::chrono::seconds(5);
+constexpr int kMaxLateReads = 32;
 constexpr char kWaitParameter[] = "&wait_ms=";
 // Largest body asked of one read.
 constexpr int kReadKilobytes = 1024;
@@ -94,17 +97,17 @@
                      kWaitParameter, ToMillis(wait));
 }
 
-// How long a call with this target waits at the store; none if it does not say.
-std::optional<Duration> WaitOf(const std::string& target) {
+// Longest time that a call with this target takes.
+Duration TimeLimitOf(const std::string& target) {
   const std::size_t at = target.find(kWaitParameter);
   if (at == std::string::npos) {
-    return std::nullopt;
+    return kCallTimeout;
   }
   std::int64_t wait_ms = 0;
   const char* end = target.data() + target.size();
   std::from_chars(target.data() + at + std::string_view(kWaitParameter).size(),
                   end, wait_ms);
-  return std::chrono::milliseconds(wait_ms);
+  return std::chrono::milliseconds(wait_ms) + kReadSlack;
 }
 
 OutgoingRequest Get(std::string target) {
@@ -224,67 +227,114 @@
 }
 
 StoreClient::StoreClient(EventLoop* loop, TcpEndpoint store)
-    : loop(loop), store(std::move(store)), client(loop) {
-  this->client.SetLateListener([this](const LateResponse& late) {
-    this->NoteAnswerTime(late.target, late.elapsed);
-    LogInfo("store_answer_late",
-            {{"call", late.target},
-             {"via", late.endpoint == this->store
-                         ? "store"
-                         : late.endpoint.address().to_string()},
-             {"ms", ToMillis(late.elapsed)},
-             {"answer_ms", ToMillis(this->answer_time)}});
-  });
+    : loop(loop), store(std::move(store)), client(loop) {}
+
+bool StoreClient::IsStoreCall(const std::string& target) {
+  return target.rfind(wire::kLogReadPath, 0) == 0 ||
+         target.rfind(wire::kLogNewestPath, 0) == 0 ||
+         target.rfind(wire::kLogAppendPath, 0) == 0;
 }
 
-Duration StoreClient::TimeLimitOf(const std::string& target) const {
-  const Duration slack = std::clamp(kSlackPerAnswerTime * this->answer_time,
-                                    kMinReadSlack, kMaxReadSlack);
-  const std::optional<Duration> wait = WaitOf(target);
-  return wait ? *wait + slack : std::max(kCallTimeout, slack);
+// A read that goes on when its caller no longer waits for it.
+struct StoreClient::PendingRead {
+  MonotonicTime sent_at;
+  Waiter* caller = nullptr;  // Null once the caller no longer waits.
+  std::optional<HttpResponse> reply;
+  bool is_abandoned = false;
+};
+
+StoreClient::StoreReply StoreClient::SendRead(const TcpEndpoint& endpoint,
+                                              const OutgoingRequest& request,
+                                              MonotonicTime deadline,
+                                              const HandleLate& handle_late,
+                                              Coroutine yield) {
+  Waiter waiter(this->loop);
+  const auto read = std::make_shared<PendingRead>();
+  read->sent_at = this->loop->Now();
+  read->caller = &waiter;
+  this->awaited_reads.insert(read.get());
+  const ScopeGuard guard([this, &read] {
+    this->awaited_reads.erase(read.get());
+    read->caller = nullptr;
+  });
+  const bool goes_on =
+      handle_late != nullptr && this->reads_in_progress < kMaxLateReads;
+  const MonotonicTime end =
+      goes_on ? std::max(deadline, read->sent_at + kLateReadTime) : deadline;
+  this->loop->Spawn(
+      [this, read, endpoint, request, end, handle_late](Coroutine inner) {
+        ++this->reads_in_progress;
+        const ScopeGuard count([this] { --this->reads_in_progress; });
+        read->reply =
+            this->client.Exchange(endpoint, request, end, kMaxIdle, inner);
+        if (read->caller != nullptr) {
+          read->caller->Notify();
+        } else {
+          this->HandleLateAnswer(request, *read, handle_late);
+        }
+      });
+  while (!read->reply && !read->is_abandoned &&
+         waiter.WaitUntil(deadline, yield)) {
+  }
+  if (!read->reply && !read->is_abandoned) {
+    this->loop->Yield(yield);  // The answer may be there, and unread.
+  }
+  StoreReply reply;
+  if (read->reply) {
+    reply.response = *read->reply;
+    return reply;
+  }
+  reply.response.result = read->is_abandoned ? ExchangeResult::kNoAnswer
+                                             : ExchangeResult::kTimedOut;
+  reply.was_abandoned = read->is_abandoned;
+  return reply;
 }
 
-void StoreClient::NoteAnswerTime(const std::string& target, Duration elapsed) {
-  const Duration wait = WaitOf(target).value_or(Duration{0});
-  if (wait > Duration{0} && elapsed <= wait) {
-    return;  // A record came meanwhile; how long its answer took is unknown.
+void StoreClient::HandleLateAnswer(const OutgoingRequest& request,
+                                   const PendingRead& read,
+                                   const HandleLate& handle_late) {
+  if (handle_late == nullptr || !read.reply->HasResponseStatus(kHttpOk)) {
+    return;
   }
-  this->answer_time =
-      std::max(elapsed - wait, this->answer_time / kAnswerTimeDivisor);
+  LogInfo("store_answer_late",
+          {{"call", request.target},
+           {"ms", ToMillis(this->loop->Now() - read.sent_at)}});
+  ContainFailure(this->loop, "late_read",
+                 [&] { handle_late(read.reply->body); });
 }
 
-bool StoreClient::IsStoreCall(const std::string& target) {
-  return target.rfind(wire::kLogReadPath, 0) == 0 ||
-         target.rfind(wire::kLogNewestPath, 0) == 0 ||
-         target.rfind(wire::kLogAppendPath, 0) == 0;
+void StoreClient::TakeLateBatch(StoreTopic topic,
+                                const Result<TopicBatch>& batch) const {
+  const auto taker = this->late_takers.find(topic);
+  if (taker != this->late_takers.end() && batch.has_value()) {
+    taker->second(batch.value());
+  }
 }
 
-HttpResponse StoreClient::Send(const TcpEndpoint& endpoint,
-                               const OutgoingRequest& request,
-                               Coroutine yield) {
+StoreClient::StoreReply StoreClient::Send(const TcpEndpoint& endpoint,
+                                          const OutgoingRequest& request,
+                                          const HandleLate& handle_late,
+                                          Coroutine yield) {
   const MonotonicTime sent_at = this->loop->Now();
-  const MonotonicTime deadline = sent_at + this->TimeLimitOf(request.target);
-  HttpResponse reply =
-      request.method == "GET"
-          ? this->client.Exchange(endpoint, request, deadline, kMaxIdle, yield)
-          : this->client.ExchangeOnNewConnection(endpoint, request, deadline,
-                                                 yield);
-  // An answer that is read after its deadline has waited for this process.
-  const MonotonicTime now = this->loop->Now();
-  if (reply.result == ExchangeResult::kAnswered && request.method == "GET" &&
-      now <= deadline) {
-    this->NoteAnswerTime(request.target, now - sent_at);
-  }
-  if (IsRefusal(reply)) {
+  const MonotonicTime deadline = sent_at + TimeLimitOf(request.target);
+  StoreReply reply;
+  if (request.method == "GET") {
+    reply = this->SendRead(endpoint, request, deadline, handle_late, yield);
+  } else {
+    reply.response = this->client.ExchangeOnNewConnection(endpoint, request,
+                                                          deadline, yield);
+  }
+  const HttpResponse& response = reply.response;
+  if (IsRefusal(response)) {
     LogWarning(
         "store_call_failed",
         {{"call", request.target},
          {"via",
           endpoint == this->store ? "store" : endpoint.address().to_string()},
-         {"kept_connection", reply.on_kept_connection ? 1 : 0},
+         {"kept_connection", response.on_kept_connection ? 1 : 0},
          {"abandoned", reply.was_abandoned ? 1 : 0},
-         {"result", ToString(reply.result)},
-         {"status", reply.status},
+         {"result", ToString(response.result)},
+         {"status", response.status},
          {"ms", ToMillis(this->loop->Now() - sent_at)}});
   }
   return reply;
@@ -292,15 +342,21 @@
 
 HttpResponse StoreClient::PassOn(const OutgoingRequest& request,
                                  Coroutine yield) {
+  return this->CallDirectly(request, /*handle_late=*/nullptr, yield);
+}
+
+HttpResponse StoreClient::CallDirectly(const OutgoingRequest& request,
+                                       const HandleLate& handle_late,
+                                       Coroutine yield) {
   const MonotonicTime sent_at = this->loop->Now();
-  HttpResponse reply = this->Send(this->store, request, yield);
+  StoreReply reply = this->Send(this->store, request, handle_late, yield);
   this->NoteReachability(reply, sent_at);
-  return reply;
+  return std::move(reply.response);
 }
 
-void StoreClient::NoteReachability(const HttpResponse& reply,
+void StoreClient::NoteReachability(const StoreReply& reply,
                                    MonotonicTime sent_at) {
-  if (!IsRefusal(reply)) {
+  if (!IsRefusal(reply.response)) {
     this->answered_call_sent_at =
         std::max(this->answered_call_sent_at, sent_at);
     if (!this->reachable) {
@@ -315,7 +371,7 @@
   if (reply.was_abandoned) {
     return;
   }
-  if (reply.result == ExchangeResult::kTimedOut) {
+  if (reply.response.result == ExchangeResult::kTimedOut) {
     // Others that were sent about as early share its fate.
     this->AbandonReads(this->loop->Now() - kCallTimeout);
   }
@@ -323,16 +379,23 @@
     return;
   }
   this->was_silent =
-      this->was_silent || reply.result == ExchangeResult::kTimedOut;
+      this->was_silent || reply.response.result == ExchangeResult::kTimedOut;
   if (this->reachable) {
     this->reachable = false;
-    LogWarning("store_lost",
-               {{"result", ToString(reply.result)}, {"status", reply.status}});
+    LogWarning("store_lost", {{"result", ToString(reply.response.result)},
+                              {"status", reply.response.status}});
   }
 }
 
 void StoreClient::AbandonReads(MonotonicTime sent_before) {
-  const int count = this->client.AbandonReads(sent_before);
+  int count = 0;
+  for (PendingRead* read : this->awaited_reads) {
+    if (read->sent_at < sent_before && !read->reply && !read->is_abandoned) {
+      read->is_abandoned = true;
+      read->caller->Notify();
+      ++count;
+    }
+  }
   if (count > 0) {
     LogInfo("store_reads_abandoned", {{"count", count}});
   }
@@ -343,7 +406,8 @@
       !this->reachable && this->loop->Now() - this->direct_at < kDirectInterval;
   bool relay_refused = false;
   if (asks_relay_first) {
-    std::optional<HttpResponse> relayed = this->CallRelay(call.request, yield);
+    std::optional<HttpResponse> relayed =
+        this->CallRelay(call.request, call.handle_late, yield);
     if (relayed && !IsRefusal(*relayed)) {
       return *std::move(relayed);
     }
@@ -351,17 +415,19 @@
   }
   this->direct_at = this->loop->Now();
   HttpResponse reply =
-      this->PassOn(this->reachable ? call.request : call.without_wait, yield);
+      this->CallDirectly(this->reachable ? call.request : call.without_wait,
+                         call.handle_late, yield);
   if (!IsRefusal(reply) || relay_refused || this->reachable) {
     return reply;
   }
   std::optional<HttpResponse> relayed =
-      this->CallRelay(call.without_wait, yield);
+      this->CallRelay(call.without_wait, call.handle_late, yield);
   return !relayed || IsRefusal(*relayed) ? reply : *std::move(relayed);
 }
 
 std::optional<HttpResponse> StoreClient::CallRelay(
     const OutgoingRequest& request,
+    const HandleLate& handle_late,
     Coroutine yield) {
   const std::vector<TcpEndpoint> relays =
       this->list_relays ? this->list_relays() : std::vector<TcpEndpoint>();
@@ -369,12 +435,21 @@
     return std::nullopt;
   }
   const TcpEndpoint& relay = relays[this->next_relay++ % relays.size()];
-  return this->Send(relay, request, yield);
+  return this->Send(relay, request, handle_late, yield).response;
 }
 
 Result<TopicBatch> StoreClient::ReadNewest(StoreTopic topic, Coroutine yield) {
   TopicBatch batch;
   batch.other_keys.emplace();
+  // Only a topic of one page is whole with a late answer.
+  const HandleLate handle_late = [this, topic](const std::string& body) {
+    const Result<NewestPage> page = DecodeNewestPage(body);
+    if (page.has_value() && !page.value().has_more) {
+      this->TakeLateBatch(topic,
+                          TopicBatch{page.value().records, page.value().end,
+                                     page.value().unreadable_keys});
+    }
+  };
   std::string after;
   for (bool first = true, more = true; more; first = false) {
     std::string target = fmt::format("{}?topic={}&part=0", wire::kLogNewestPath,
@@ -382,7 +457,9 @@
     if (!first) {
       target += "&after=" + EncodeQueryValue(after);
     }
-    const HttpResponse reply = this->Call(Get(std::move(target)), yield);
+    const OutgoingRequest request = Get(std::move(target));
+    const HttpResponse reply = this->Call(
+        {request, request, first ? handle_late : HandleLate()}, yield);
     if (first && reply.HasResponseStatus(kHttpNotFound)) {
       return batch;  // Nobody has written to the topic yet.
     }
@@ -415,8 +492,11 @@
                                           Duration wait,
                                           Coroutine yield) {
   const HttpResponse reply =
-      this->Call(StoreCall{Get(ReadTarget(topic, from, wait)),
-                           Get(ReadTarget(topic, from, Duration{0}))},
+      this->Call({Get(ReadTarget(topic, from, wait)),
+                  Get(ReadTarget(topic, from, Duration{0})),
+                  [this, topic, from](const std::string& body) {
+                    this->TakeLateBatch(topic, DecodeRecords(body, from));
+                  }},
                  yield);
   if (reply.HasResponseStatus(kHttpGone)) {
     return MakeError(ErrorCode::kExpired, "the records were dropped");
@@ -444,7 +524,7 @@
     request.target += fmt::format("&at={}", *at);
   }
   request.body = EncodeRecord(key, value);
-  const HttpResponse reply = this->Call(request, yield);
+  const HttpResponse reply = this->Call({request, request}, yield);
   if (reply.HasResponseStatus(kHttpPreconditionFailed)) {
     return MakeError(ErrorCode::kConflict, "the topic ends elsewhere");
   }
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -64,6 +66,13 @@
     this->list_relays = std::move(list_relays);
   }
 
+  // Takes what reads of `topic` return later than their time limit, when they
+  // have failed already. The batch may hold known records.
+  using TakeLate = std::function<void(const TopicBatch& batch)>;
+  void SetTakeLate(StoreTopic topic, TakeLate take_late) {
+    this->late_takers[topic] = std::move(take_late);
+  }
+
   // The newest record of every key. Keys whose record cannot be read are listed
   // in `other_keys`. The pages are no snapshot: continue with ReadSince from
   // the result's end. Errors: kUnavailable, kTimeout, kInvalidArgument for an
@@ -88,8 +97,7 @@
                               Coroutine yield);
 
   // Passes a call on to the store unchanged, also for a peer. Takes at most one
-  // second, or for a read half a second more than it asks the store to wait;
-  // longer while answers of the store take longer.
+  // second, or for a read half a second more than it asks the store to wait.
   HttpResponse PassOn(const OutgoingRequest& request, Coroutine yield);
 
   // Whether `target` is a call that PassOn takes.
@@ -100,45 +108,64 @@
   bool IsReachable() const { return this->reachable; }
 
  private:
+  // Handles the body of an answer that came too late for its caller.
+  using HandleLate = std::function<void(const std::string& body)>;
   // A call, and what is sent instead while it is unknown whether the store
   // answers: the same, without waiting for records.
   struct StoreCall {
     OutgoingRequest request;
     OutgoingRequest without_wait;
+    HandleLate handle_late = nullptr;  // Null: late answers are dropped.
   };
+  // What a call has brought.
+  struct StoreReply {
+    HttpResponse response;
+    bool was_abandoned = false;  // By AbandonReads().
+  };
+  struct PendingRead;
 
   // Sends one call. Writes get a connection of their own, so that the answer to
   // an earlier call never counts as that of a write.
-  HttpResponse Send(const TcpEndpoint& endpoint,
-                    const OutgoingRequest& request,
-                    Coroutine yield);
+  StoreReply Send(const TcpEndpoint& endpoint,
+                  const OutgoingRequest& request,
+                  const HandleLate& handle_late,
+                  Coroutine yield);
+  // Waits for the answer to a read until `deadline`. The read goes on for some
+  // time after it if `handle_late` is not null.
+  StoreReply SendRead(const TcpEndpoint& endpoint,
+                      const OutgoingRequest& request,
+                      MonotonicTime deadline,
+                      const HandleLate& handle_late,
+                      Coroutine yield);
+  void HandleLateAnswer(const OutgoingRequest& request,
+                        const PendingRead& read,
+                        const HandleLate& handle_late);
   HttpResponse Call(const StoreCall& call, Coroutine yield);
-  // The same for a call that does not wait at the store.
-  HttpResponse Call(const OutgoingRequest& request, Coroutine yield) {
-    return this->Call(StoreCall{request, request}, yield);
-  }
+  // Sends a call to the store itself.
+  HttpResponse CallDirectly(const OutgoingRequest& request,
+                            const HandleLate& handle_late,
+                            Coroutine yield);
   // None: there is no relay.
   std::optional<HttpResponse> CallRelay(const OutgoingRequest& request,
+                                        const HandleLate& handle_late,
                                         Coroutine yield);
-  void NoteReachability(const HttpResponse& reply, MonotonicTime sent_at);
-  // Adjusts the time limits of reads to an answer that took `elapsed`.
-  void NoteAnswerTime(const std::string& target, Duration elapsed);
-  // Longest time that a call with this target may take.
-  Duration TimeLimitOf(const std::string& target) const;
-  // Ends the reads that were sent before `sent_before`, so that they are sent
-  // again: their answers are probably lost.
+  void NoteReachability(const StoreReply& reply, MonotonicTime sent_at);
+  // Hands what a late answer holds on to those who follow the topic.
+  void TakeLateBatch(StoreTopic topic, const Result<TopicBatch>& batch) const;
+  // Ends the wait for reads that were sent before `sent_before`, so that they
+  // are sent again: their answers are probably lost.
   void AbandonReads(MonotonicTime sent_before);
 
   EventLoop* const loop;
   const TcpEndpoint store;
   HttpClient client;
   RelayList list_relays;
+  std::map<StoreTopic, TakeLate> late_takers;
+  std::set<PendingRead*> awaited_reads;
+  int reads_in_progress = 0;  // Those that nobody awaits any more included.
   std::size_t next_relay = 0;
   bool reachable = true;
-  bool was_silent = false;  // Since the store was reachable.
-  // Time that answers take beyond the wait that a read asks for: a decaying
-  // maximum.
-  Duration answer_time{0};
+  bool was_silent = false;              // Since the store was reachable.
   MonotonicTime direct_at;              // Last direct call.
   MonotonicTime answered_call_sent_at;  // Of direct calls, the latest one.
 };
