Play versions that move, split and drop routes and rotate keys in the soak

A watcher at each VM asks about what the four newest versions changed; ConfigLedger judges the answers. Without the flag draws and configurations stay as they were.

--- a/tests/soak/server_stand_in_test.cc
+++ b/tests/soak/server_stand_in_test.cc
@@ -26,7 +26,7 @@
 class Servers {
  public:
   std::shared_ptr<ServerHost> AddHost() {
-    auto host = std::make_shared<ServerHost>(&this->loop);
+    auto host = std::make_shared<ServerHost>(&this->loop, "zone");
     REQUIRE(host->Start().has_value());
     return host;
   }
--- a/tools/soak/entry_child.cc
+++ b/tools/soak/entry_child.cc
@@ -11,6 +11,7 @@
 
 #include "base/json.h"
 #include "base/logging.h"
+#include "soak/failure_domains.h"
 #include "soak/loopback.h"
 
 namespace kumquatcart::soak {
@@ -50,6 +51,7 @@
       places(std::move(places)),
       name(fmt::format("n{}", number + 1)),
       host(fmt::format("127.0.2.{}", number + 1)),
+      failure_domain(FailureDomainOf(number, this->places.failure_domains)),
       store(store) {}
 
 EntryChild::~EntryChild() {
@@ -65,11 +67,15 @@
   const TcpEndpoint link = FreeLoopbackAddress(this->loop, kPlatformHost);
   this->store_link = std::make_unique<TcpProxy>(this->loop, this->store);
   BOOST_OUTCOME_TRY(this->store_link->Start(link));
+  Json domains = Json::object();
+  for (int i = 0; i < this->places.failure_domains; ++i) {
+    domains[FailureDomainOf(i, this->places.failure_domains)] = "region";
+  }
   const Json settings{
       {"node_name", this->name},
       {"ip", this->host},
-      {"zone", "zone"},
-      {"zones", {{"zone", "region"}}},
+      {"zone", this->failure_domain},
+      {"zones", domains},
       {"listen",
        {{"front", TextOf(this->callers)}, {"ready", TextOf(this->readiness)}}},
       {"inner_ports", {FirstPeerPort(), FirstPeerPort() + kPortsOfSoak - 1}},
@@ -103,6 +109,7 @@
           nullptr);
     _exit(127);
   }
+  ++this->starts;
   this->ending = false;
   this->disturbed_at = this->loop->Now();
   this->ledger->NoteDisturbance(this->host, this->loop->Now());
--- a/tools/soak/entry_child.h
+++ b/tools/soak/entry_child.h
@@ -19,6 +19,7 @@
 struct ChildPlaces {
   std::string program;
   std::string directory;  // Exists; settings and logs go there.
+  int failure_domains = 1;
 };
 
 // Starts, signals and reaps the process; only ever its own, by its id. For the
@@ -50,6 +51,7 @@
 
   bool IsRunning() const { return this->pid > 0; }
   bool IsStopping() const { return this->ending; }
+  int Starts() const { return this->starts; }
   TcpProxy& StoreLink() { return *this->store_link; }
   // The last start or signal but a reload.
   MonotonicTime DisturbedAt() const { return this->disturbed_at; }
@@ -66,11 +68,13 @@
   const ChildPlaces places;
   const std::string name;
   const std::string host;
+  const std::string failure_domain;
   const TcpEndpoint store;
   TcpEndpoint callers;
   TcpEndpoint readiness;
   std::unique_ptr<TcpProxy> store_link;
   pid_t pid = 0;
+  int starts = 0;
   bool ending = false;
   MonotonicTime told_at;
   MonotonicTime disturbed_at;
--- a/tools/soak/fault_schedule.cc
+++ b/tools/soak/fault_schedule.cc
@@ -18,8 +18,11 @@
 
 }  // namespace
 
-FaultSchedule::FaultSchedule(SoakWorld* world, std::uint64_t seed)
+FaultSchedule::FaultSchedule(SoakWorld* world,
+                             std::uint64_t seed,
+                             bool harms_answers)
     : world(world),
+      harms_answers(harms_answers),
       generator(static_cast<std::minstd_rand::result_type>(
           (seed * 7919 + 13) % 2147483646 + 1)) {}
 
@@ -31,10 +34,13 @@
   return std::chrono::milliseconds(this->Draw(low_ms, high_ms));
 }
 
-LinkState FaultSchedule::DrawHarm() {
+LinkState FaultSchedule::DrawHarm(bool of_answers) {
   constexpr LinkState kHarms[] = {LinkState::kDelayed, LinkState::kRefused,
-                                  LinkState::kSilent, LinkState::kSilentBack};
-  return kHarms[this->Draw(0, 3)];
+                                  LinkState::kSilent,  LinkState::kSilentBack,
+                                  LinkState::kSlow,    LinkState::kSilentOpen};
+  constexpr int kLast = static_cast<int>(std::size(kHarms)) - 1;
+  constexpr int kLastOfOthers = 3;
+  return kHarms[this->Draw(0, of_answers ? kLast : kLastOfOthers)];
 }
 
 EntryChild& FaultSchedule::DrawEntry() {
@@ -59,16 +65,22 @@
 
 void FaultSchedule::Run(MonotonicTime end, Coroutine yield) {
   constexpr Fault kFaults[] = {
-      &FaultSchedule::KillEntry,      &FaultSchedule::StopEntry,
-      &FaultSchedule::PauseEntry,     &FaultSchedule::ReloadEntry,
+      &FaultSchedule::KillEntry, &FaultSchedule::StopEntry,
+      &FaultSchedule::PauseEntry, &FaultSchedule::ReloadEntry,
       &FaultSchedule::KillAllEntries, &FaultSchedule::HarmStore,
-      &FaultSchedule::HarmStoreLink,  &FaultSchedule::HarmServerLink,
-      &FaultSchedule::KillServer,     &FaultSchedule::KillServer,
-      &FaultSchedule::DrainServer,    &FaultSchedule::ChangeConfig};
+      &FaultSchedule::HarmStoreLink, &FaultSchedule::HarmServerLink,
+      &FaultSchedule::KillServer, &FaultSchedule::KillServer,
+      &FaultSchedule::DrainServer, &FaultSchedule::ChangeConfig,
+      // With harms of answers only, so that each of them comes often enough.
+      &FaultSchedule::HarmStoreLink, &FaultSchedule::HarmStoreLink,
+      &FaultSchedule::HarmStoreLink, &FaultSchedule::HarmStoreLink,
+      &FaultSchedule::HarmStoreLink, &FaultSchedule::HarmStoreLink};
   constexpr int kLast = static_cast<int>(std::size(kFaults)) - 1;
+  constexpr int kLastOfOthers = 11;
   EventLoop& loop = this->world->loop;
   while (loop.Now() < end) {
-    const Fault fault = kFaults[this->Draw(0, kLast)];
+    const Fault fault =
+        kFaults[this->Draw(0, this->harms_answers ? kLast : kLastOfOthers)];
     ++this->faults;
     ++this->in_progress;
     loop.Spawn([this, fault](Coroutine inner) {
@@ -137,7 +149,7 @@
 
 void FaultSchedule::HarmStoreLink(Coroutine yield) {
   EntryChild& entry = this->DrawEntry();
-  const LinkState harm = this->DrawHarm();
+  const LinkState harm = this->DrawHarm(this->harms_answers);
   this->Note(fmt::format("store link of {} {}", entry.Name(), ToString(harm)));
   entry.StoreLink().SetState(harm);
   this->world->loop.Sleep(this->DrawTime(500, 4000), yield);
@@ -149,7 +161,7 @@
   if (server == nullptr) {
     return;
   }
-  const LinkState harm = this->DrawHarm();
+  const LinkState harm = this->DrawHarm(false);
   this->Note(fmt::format("link of {} {}", server->Id(), ToString(harm)));
   server->Link().SetState(harm);
   this->world->backoffs.NoteLinkChange(server->Id(), this->world->loop.Now());
--- a/tools/soak/fault_schedule.h
+++ b/tools/soak/fault_schedule.h
@@ -12,7 +12,9 @@
 // For the event loop's thread.
 class FaultSchedule {
  public:
-  FaultSchedule(SoakWorld* world, std::uint64_t seed);
+  // `harms_answers`: harms of the ways to the store include late answers and
+  // open connections that are silent for good.
+  FaultSchedule(SoakWorld* world, std::uint64_t seed, bool harms_answers);
 
   // Begins faults until `end`, then waits until all have passed.
   void Run(MonotonicTime end, Coroutine yield);
@@ -36,13 +38,14 @@
 
   int Draw(int low, int high);
   Duration DrawTime(int low_ms, int high_ms);
-  LinkState DrawHarm();
+  LinkState DrawHarm(bool of_answers);
   EntryChild& DrawEntry();
   // Null when there is none to spare.
   ServerStandIn* DrawServer();
   void Note(const std::string& what) const;
 
   SoakWorld* const world;
+  const bool harms_answers;
   std::minstd_rand generator;
   int faults = 0;
   int in_progress = 0;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -61,6 +61,9 @@
   app.add_flag("--silences", settings.with_silences,
                "The store loses reads in silences, before new versions; "
                "no faults of processes, links or servers");
+  app.add_flag("--config-changes", settings.with_config_changes,
+               "Versions move, split and drop routes and rotate keys, over "
+               "three failure domains and paths with late answers");
   app.add_flag("--verbose", verbose, "Prints each fault as it begins");
   CLI11_PARSE(app, argc, argv);
   kumquatcart::ConfigureLogging(
@@ -76,10 +79,10 @@
     const SoakReport report = kumquatcart::soak::RunSoak(settings);
     std::cout << fmt::format(
         "seed {}: {} faults, {} served, {} refused, {} failed, {} told to "
-        "wait, {} ended under prompts, {} broken\n",
+        "wait, {} ended under prompts, {} bound to versions, {} broken\n",
         settings.seed, report.faults, report.served, report.refused,
         report.failed, report.told_to_wait, report.ended_under_prompts,
-        report.broken.size());
+        report.config_answers, report.broken.size());
     for (const std::string& what : report.broken) {
       std::cout << "  " << what << '\n';
     }
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -33,6 +33,12 @@
   return found == this->entries.end() ? std::string() : found->second.entry;
 }
 
+std::vector<std::string> RunLedger::RunsOf(const std::string& id) const {
+  const auto found = this->entries.find(id);
+  return found == this->entries.end() ? std::vector<std::string>()
+                                      : found->second.runs;
+}
+
 void RunLedger::NoteRun(const std::string& id, const std::string& server) {
   this->entries[id].runs.push_back(server);
 }
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -29,6 +29,8 @@
                 const std::string& entry_vm = {});
   // The entry VM of a request; empty if no caller sent it.
   std::string EntryOf(const std::string& id) const;
+  // The servers that have run it so far, in order.
+  std::vector<std::string> RunsOf(const std::string& id) const;
   void NoteRun(const std::string& id, const std::string& server);
   void NoteEnd(const std::string& id, RequestEnd end);
   // The process of `entry_vm` starts, is killed, paused or continued.
--- a/tools/soak/server_host.h
+++ b/tools/soak/server_host.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "soak/tcp_proxy.h"
 
@@ -27,7 +28,8 @@
 // has the address at a time. For the event loop's thread.
 class ServerHost {
  public:
-  explicit ServerHost(EventLoop* loop) : loop(loop) {}
+  ServerHost(EventLoop* loop, std::string failure_domain)
+      : loop(loop), failure_domain(std::move(failure_domain)) {}
 
   // Takes an address, at which nothing answers yet. Errors: kUnavailable.
   Status Start();
@@ -44,6 +46,7 @@
 
   TcpProxy& Link() { return *this->proxy; }
   const TcpEndpoint& Address() const { return this->address; }
+  const std::string& FailureDomain() const { return this->failure_domain; }
 
   void Stage(const std::string& model) { this->staged_models.insert(model); }
   const std::set<std::string>& StagedModels() const {
@@ -54,6 +57,7 @@
 
  private:
   EventLoop* const loop;
+  const std::string failure_domain;
   TcpEndpoint address;
   std::unique_ptr<TcpProxy> proxy;
   std::function<void()> reconnected;  // Null: no server has the address.
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -210,13 +210,13 @@
   json["service"] = this->service;
   json["address"] = this->host->Address().address().to_string() + ":" +
                     std::to_string(this->host->Address().port());
-  json["zone"] = "zone";
+  json["zone"] = this->host->FailureDomain();
   json["version"] = "v1";
   json["slots"] = kSlots;
   json["state"] = this->draining ? "draining" : "ready";
   json["cold_left_ms"] = 0;
   if (this->forms_groups) {
-    json["domain"] = "zone-d0";
+    json["domain"] = this->host->FailureDomain() + "-d0";
   }
   this->parts.entries->Write(this->id, this->started_ms, json.dump());
 }
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -87,6 +87,7 @@
   TcpProxy& Link() { return this->host->Link(); }
   const std::shared_ptr<ServerHost>& Host() const { return this->host; }
   const std::string& Id() const { return this->id; }
+  const std::string& Service() const { return this->service; }
 
  private:
   struct Membership {
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -1,12 +1,12 @@
 #include "soak/soak_run.h"
 
 #include <csignal>
-#include <optional>
 
 #include <fmt/format.h>
 
 #include "net/http_status.h"
 #include "soak/backoff_schedule.h"
+#include "soak/config_schedule.h"
 #include "soak/fault_schedule.h"
 #include "soak/idle_schedule.h"
 #include "soak/limit_schedule.h"
@@ -34,26 +34,14 @@
 constexpr Duration kLastAnswers = std::chrono::seconds(4);
 constexpr Duration kStopTime = std::chrono::seconds(8);
 
-// Whether the store, the process and the link between them have all been sound
-// since `time`.
-bool WasCalmSince(const SoakWorld& world,
-                  EntryChild* entry,
-                  MonotonicTime time) {
-  const std::optional<MonotonicTime> store = world.store.SoundSince();
-  const std::optional<MonotonicTime> link = entry->StoreLink().SoundSince();
-  return store && *store <= time && link && *link <= time &&
-         entry->DisturbedAt() <= time && entry->IsRunning() &&
-         !entry->IsStopping();
-}
-
 // Accuses a process that does not have a version although nothing has kept it
 // from reading that for long enough.
 void CheckInForce(SoakWorld* world, EntryChild* entry, Coroutine yield) {
   const MonotonicTime due_at = world->loop.Now() - kInForceTime;
   const int due = world->VersionAt(due_at);
-  if (due > 0 && WasCalmSince(*world, entry, due_at) &&
+  if (due > 0 && world->WasCalmSince(entry, due_at) &&
       world->AskRoute(*entry, due, yield) == kHttpNotFound &&
-      WasCalmSince(*world, entry, due_at)) {
+      world->WasCalmSince(entry, due_at)) {
     world->ledger.Accuse(fmt::format("{} does not have version {} after {} ms",
                                      entry->Name(), due,
                                      ToMillis(kInForceTime)));
@@ -146,7 +134,8 @@
     report.broken.push_back(started.error().message);
     return report;
   }
-  FaultSchedule schedule(&world, settings.seed);
+  FaultSchedule schedule(&world, settings.seed, settings.with_config_changes);
+  ConfigSchedule configs(&world, settings.seed);
   LimitSchedule limits(&world, settings.seed);
   BackoffSchedule backoffs(&world, settings.seed);
   IdleSchedule idle(&world, settings.seed);
@@ -165,11 +154,14 @@
     world.loop.Sleep(kSettling, yield);
     world.StartCallers();
     for (const auto& entry : world.entries) {
-      world.loop.Spawn(
-          [&world, &watches, child = entry.get()](Coroutine inner) {
-            WatchConfig(&world, child, world.entries.size() <= kStoreReaders,
-                        &watches, inner);
-          });
+      world.loop.Spawn([&, child = entry.get()](Coroutine inner) {
+        if (settings.with_config_changes) {
+          configs.Watch(child, &watches, inner);
+          return;
+        }
+        WatchConfig(&world, child, world.entries.size() <= kStoreReaders,
+                    &watches, inner);
+      });
     }
     const MonotonicTime end = world.loop.Now() + settings.length;
     for (const bool forms_groups : {false, true}) {
@@ -184,6 +176,9 @@
         }
       });
     }
+    if (settings.with_config_changes) {
+      world.loop.Spawn([&, end](Coroutine inner) { configs.Run(end, inner); });
+    }
     if (settings.with_idle_timeouts) {
       world.loop.Spawn([&, end](Coroutine inner) { idle.Run(end, inner); });
     }
@@ -222,10 +217,11 @@
   report.broken = world.ledger.Judge();
   for (const std::vector<std::string>& broken :
        {world.limits.Judge(world.loop.Now()), world.backoffs.Judge(),
-        world.prompts.Judge(calm_from)}) {
+        world.prompts.Judge(calm_from), world.config_ledger.Judge()}) {
     report.broken.insert(report.broken.end(), broken.begin(), broken.end());
   }
   report.ended_under_prompts = world.prompts.ServerEnds();
+  report.config_answers = world.config_ledger.Bound();
   report.told_to_wait = world.backoffs.Rejections();
   report.faults = schedule.Faults();
   report.served = world.ledger.Count(RequestEnd::kServed);
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -17,6 +17,8 @@
   int failed = 0;
   int told_to_wait = 0;         // Rejections with a Retry-After.
   int ended_under_prompts = 0;  // Servers.
+  // Answers that were bound to versions of the configuration.
+  int config_answers = 0;
 };
 
 // Faults for the settings' length, then a calm end in which everything must
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -1,10 +1,12 @@
 #include "soak/soak_world.h"
 
 #include <algorithm>
+#include <optional>
 
 #include <fmt/format.h>
 
 #include "net/http_status.h"
+#include "soak/failure_domains.h"
 #include "soak/loopback.h"
 
 namespace kumquatcart::soak {
@@ -13,7 +15,9 @@
 
 constexpr char kServersTopic[] = "keyed.servers";
 constexpr char kPlainService[] = "plain";
+constexpr char kOtherPlainService[] = "plain-2";
 constexpr char kModelService[] = "models";
+constexpr int kSpreadDomains = 3;  // Failure domains, with changes of routes.
 constexpr Duration kQuestionTimeout = std::chrono::milliseconds(1500);
 // Callers whose prompts crash servers, and when they begin: the first streams
 // of the others are answered before.
@@ -41,10 +45,6 @@
   return route;
 }
 
-std::string VersionPath(int version) {
-  return fmt::format("/v{}/", version);
-}
-
 }  // namespace
 
 SoakWorld::SoakWorld(const SoakSettings& settings)
@@ -55,13 +55,14 @@
         this->store.Put(kServersTopic, id, value);
       }),
       generator(static_cast<std::minstd_rand::result_type>(
-          settings.seed % 2147483646 + 1)) {}
+          settings.seed % 2147483646 + 1)),
+      plan(settings.seed, {kPlainService, kOtherPlainService}, kCallerKey) {}
 
 Status SoakWorld::Start() {
   this->store_address = FreeLoopbackAddress(&this->loop, kPlatformHost);
   BOOST_OUTCOME_TRY(this->store.Start(this->store_address));
   this->ChangeConfig();
-  for (int i = 0; i < this->settings.plain_servers; ++i) {
+  for (int i = 0; i < this->PlainServers(); ++i) {
     this->AddServer(false);
   }
   for (int i = 0; i < this->settings.engines; ++i) {
@@ -71,8 +72,9 @@
     this->entries.push_back(std::make_unique<EntryChild>(
         &this->loop, &this->ledger, &this->limits, &this->backoffs,
         &this->prompts,
-        ChildPlaces{this->settings.program, this->settings.directory}, i,
-        this->store_address));
+        ChildPlaces{this->settings.program, this->settings.directory,
+                    this->FailureDomains()},
+        i, this->store_address));
     BOOST_OUTCOME_TRY(this->entries.back()->Prepare());
     this->entries.back()->Launch();
   }
@@ -139,20 +141,70 @@
       std::upper_bound(written.begin(), written.end(), time) - written.begin());
 }
 
-int SoakWorld::ChangeConfig() {
-  ++this->version;
-  this->versions_written_at.push_back(this->loop.Now());
+int SoakWorld::FailureDomains() const {
+  return this->settings.with_config_changes ? kSpreadDomains : 1;
+}
+
+int SoakWorld::PlainServers() const {
+  return this->settings.plain_servers *
+         (this->settings.with_config_changes ? 2 : 1);
+}
+
+std::string SoakWorld::PlainServiceToFill() const {
+  int more_of_first = 0;
+  for (const ServerStandIn* server : this->Servers(false)) {
+    more_of_first += server->Service() == kPlainService ? 1 : -1;
+  }
+  return this->settings.with_config_changes && more_of_first > 0
+             ? kOtherPlainService
+             : kPlainService;
+}
+
+std::string SoakWorld::ServiceOf(const std::string& server) const {
+  const auto found =
+      std::find_if(this->servers.begin(), this->servers.end(),
+                   [&](const auto& one) { return one->Id() == server; });
+  return found == this->servers.end() ? std::string() : (*found)->Service();
+}
+
+Json SoakWorld::MakeRoutes(const ConfigVersion& drawn) const {
   Json routes{MakeRoute("/once/", "non_idempotent", kPlainService),
               MakeRoute("/again/", "idempotent", kPlainService),
               MakeRoute("/stream/", "streaming", kModelService)};
-  for (int added = 1; added <= this->version; ++added) {
+  for (int added = 1;
+       added <= this->version && !this->settings.with_config_changes; ++added) {
     routes.push_back(
         MakeRoute(VersionPath(added), "idempotent", kPlainService));
   }
+  for (const auto& [path, weights] : drawn.routes) {
+    Json route = MakeRoute(path, "idempotent", weights.begin()->first.c_str());
+    for (const auto& [service, weight] : weights) {
+      route["traffic_split"].push_back(
+          {{"service", service}, {"weight", weight}});
+    }
+    if (weights.size() == 1) {
+      route.erase("traffic_split");
+    } else {
+      route.erase("service");
+    }
+    routes.push_back(std::move(route));
+  }
   for (int unused = 0; unused < this->settings.unused_routes; ++unused) {
     routes.push_back(MakeRoute(fmt::format("/unused/{}/", unused), "idempotent",
                                kPlainService));
   }
+  return routes;
+}
+
+int SoakWorld::ChangeConfig() {
+  ++this->version;
+  this->versions_written_at.push_back(this->loop.Now());
+  ConfigVersion drawn;
+  drawn.keys.insert(kCallerKey);
+  if (this->settings.with_config_changes) {
+    drawn = this->plan.MakeNext(this->loop.Now());
+    this->config_ledger.NoteVersion(drawn);
+  }
   const Json engine{{"slots", 8},
                     {"step_ms", 4},
                     {"per_seq_ms", 0.1},
@@ -168,20 +220,23 @@
                        {"pace", 1.0},
                        {"load_s", 0.9},
                        {"warm_s", 0.2}}}}};
-  const Json config{
-      {"version", this->version},
-      {"routes", routes},
-      {"services",
-       {{{"name", kPlainService}, {"max_connections", 100}},
-        {{"name", kModelService},
-         {"max_connections", 100},
-         {"engine", engine}}}},
-      {"limits",
-       {{"max_header_bytes", 16384},
-        {"max_body_bytes", 65536},
-        {"header_timeout_ms", 3000},
-        {"idle_timeout_ms", ToMillis(this->idle.newest)}}},
-      {"tenants", {{{"name", "org"}, {"api_keys", {kCallerKey}}}}}};
+  Json config{{"version", this->version},
+              {"routes", this->MakeRoutes(drawn)},
+              {"services",
+               {{{"name", kPlainService}, {"max_connections", 100}},
+                {{"name", kModelService},
+                 {"max_connections", 100},
+                 {"engine", engine}}}},
+              {"limits",
+               {{"max_header_bytes", 16384},
+                {"max_body_bytes", 65536},
+                {"header_timeout_ms", 3000},
+                {"idle_timeout_ms", ToMillis(this->idle.newest)}}},
+              {"tenants", {{{"name", "org"}, {"api_keys", drawn.keys}}}}};
+  if (this->settings.with_config_changes) {
+    config["services"].push_back(
+        {{"name", kOtherPlainService}, {"max_connections", 100}});
+  }
   this->store.Put("keyed.op", "config", config.dump());
   return this->version;
 }
@@ -191,7 +246,8 @@
 }
 
 void SoakWorld::AddServer(bool forms_groups) {
-  const auto host = std::make_shared<ServerHost>(&this->loop);
+  const auto host = std::make_shared<ServerHost>(
+      &this->loop, FailureDomainOf(this->hosts++, this->FailureDomains()));
   if (host->Start().has_error()) {
     this->ledger.Accuse("the VM of a server has no address");
     return;
@@ -209,7 +265,8 @@
           this->settings.with_framings,
           this->settings.with_crashing_prompts ? &this->prompts : nullptr,
           [this](ServerStandIn* server) { this->Replace(server); }},
-      id, forms_groups ? kModelService : kPlainService, forms_groups, host));
+      id, forms_groups ? kModelService : this->PlainServiceToFill(),
+      forms_groups, host));
   if (this->servers.back()->Start().has_error()) {
     this->ledger.Accuse("a stand-in server could not listen");
   }
@@ -238,7 +295,7 @@
 
 int SoakWorld::SpareServers(bool forms_groups) const {
   return static_cast<int>(this->Servers(forms_groups).size()) -
-         (forms_groups ? this->settings.engines : this->settings.plain_servers);
+         (forms_groups ? this->settings.engines : this->PlainServers());
 }
 
 void SoakWorld::KeepProcesses(bool restarts) {
@@ -253,6 +310,7 @@
 HttpResponse SoakWorld::Exchange(const TcpEndpoint& address,
                                  const std::string& target,
                                  const std::string& id,
+                                 const std::string& key,
                                  Coroutine yield) {
   HttpClient client(&this->loop);
   return client.Exchange(
@@ -263,7 +321,7 @@
           {{"Host", kRouteHost},
            {"X-Request-Id", id},
            {"X-Deadline-Ms", std::to_string(ToMillis(kQuestionTimeout))},
-           {"Authorization", std::string("Bearer ") + kCallerKey}},
+           {"Authorization", "Bearer " + key}},
           ""},
       this->loop.Now() + kQuestionTimeout, Duration{0}, yield);
 }
@@ -271,16 +329,51 @@
 int SoakWorld::AskRoute(const EntryChild& entry,
                         int asked_version,
                         Coroutine yield) {
-  const std::string id = fmt::format("q{}", ++this->questions);
-  this->ledger.NoteSent(id, RequestKind::kIdempotent,
-                        entry.Callers().address().to_string());
+  const std::string id = this->NextQuestion(entry);
   const HttpResponse reply = this->Exchange(
-      entry.Callers(), VersionPath(asked_version) + "x", id, yield);
+      entry.Callers(), VersionPath(asked_version) + "x", id, kCallerKey, yield);
   return reply.result == ExchangeResult::kAnswered ? reply.status : 0;
 }
 
+ConfigAnswer SoakWorld::AskQuestion(const EntryChild& entry,
+                                    const ConfigQuestion& question,
+                                    Coroutine yield) {
+  ConfigAnswer answer;
+  answer.process = fmt::format("{} start {}", entry.Name(), entry.Starts());
+  answer.request_id = this->NextQuestion(entry);
+  answer.question = question;
+  answer.sent_at = this->loop.Now();
+  const HttpResponse reply =
+      this->Exchange(entry.Callers(), question.path + "x", answer.request_id,
+                     question.key, yield);
+  answer.ended_at = this->loop.Now();
+  if (reply.result == ExchangeResult::kAnswered) {
+    answer.status = reply.status;
+  }
+  for (const std::string& server : this->ledger.RunsOf(answer.request_id)) {
+    answer.services.push_back(this->ServiceOf(server));
+  }
+  return answer;
+}
+
+std::string SoakWorld::NextQuestion(const EntryChild& entry) {
+  std::string id = fmt::format("q{}", ++this->questions);
+  this->ledger.NoteSent(id, RequestKind::kIdempotent,
+                        entry.Callers().address().to_string());
+  return id;
+}
+
+bool SoakWorld::WasCalmSince(EntryChild* entry, MonotonicTime time) const {
+  const std::optional<MonotonicTime> store_since = this->store.SoundSince();
+  const std::optional<MonotonicTime> link = entry->StoreLink().SoundSince();
+  return store_since && *store_since <= time && link && *link <= time &&
+         entry->DisturbedAt() <= time && entry->IsRunning() &&
+         !entry->IsStopping();
+}
+
 bool SoakWorld::IsReady(const EntryChild& entry, Coroutine yield) {
-  return this->Exchange(entry.Readiness(), "/api/ready", "ready", yield)
+  return this
+      ->Exchange(entry.Readiness(), "/api/ready", "ready", kCallerKey, yield)
       .HasResponseStatus(kHttpOk);
 }
 
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "net/http_client.h"
+#include "soak/config_ledger.h"
+#include "soak/config_plan.h"
 #include "soak/entry_child.h"
 #include "soak/server_stand_in.h"
 #include "soak/soak_caller.h"
@@ -41,6 +43,9 @@
   // The store loses reads in silences, after which versions are written. Takes
   // the place of the faults of processes, links and servers.
   bool with_silences = false;
+  // Versions move, split and drop routes and rotate keys; VMs are spread over
+  // failure domains, and their ways to the store are harmed in more ways.
+  bool with_config_changes = false;
 };
 
 // The idle timeout of the first version.
@@ -85,6 +90,14 @@
   // Asks for a route that came with `version`, at one process, and returns the
   // status; 0 for no answer.
   int AskRoute(const EntryChild& entry, int version, Coroutine yield);
+  // Asks one process what a version has changed. Leaves `in_touch` to the
+  // caller.
+  ConfigAnswer AskQuestion(const EntryChild& entry,
+                           const ConfigQuestion& question,
+                           Coroutine yield);
+  // Whether the store, the process and the link between them have all been
+  // sound since `time`.
+  bool WasCalmSince(EntryChild* entry, MonotonicTime time) const;
   bool IsReady(const EntryChild& entry, Coroutine yield);
 
   EventLoop loop;
@@ -93,6 +106,7 @@
   BackoffLedger backoffs;
   ReadinessLedger readiness;
   PromptLedger prompts;
+  ConfigLedger config_ledger;
   StoreStandIn store;
   std::vector<std::unique_ptr<EntryChild>> entries;
   std::vector<std::unique_ptr<SoakCaller>> callers;
@@ -101,9 +115,19 @@
   std::unique_ptr<SoakCaller> MakeCaller(int index, bool crashes_servers);
   // Starts another server at the VM of one that has ended, after some time.
   void Replace(ServerStandIn* former);
+  int FailureDomains() const;
+  int PlainServers() const;
+  // The plain service with the fewest servers.
+  std::string PlainServiceToFill() const;
+  std::string ServiceOf(const std::string& server) const;
+  // An id for a question that `entry` is asked.
+  std::string NextQuestion(const EntryChild& entry);
+  // Routes and keys of the next version.
+  Json MakeRoutes(const ConfigVersion& drawn) const;
   HttpResponse Exchange(const TcpEndpoint& address,
                         const std::string& target,
                         const std::string& id,
+                        const std::string& key,
                         Coroutine yield);
 
   const SoakSettings settings;
@@ -116,7 +140,9 @@
   int version = 0;
   std::vector<MonotonicTime> versions_written_at;  // From version 1 on.
   IdleTimeouts idle{kFirstIdleTimeout, kFirstIdleTimeout};
+  ConfigPlan plan;
   int servers_started = 0;
+  int hosts = 0;
   int questions = 0;
   bool calling = true;
 };
