Do not take a topic for read when a peer lacks what it reported

Callers saw 503 from a VM that had said it was ready: it knew no server. A VM that had its records already could miss newer ones for as long as peers reported them and answered without them.

Cause: FetchMore counted every answer of a peer as success, whatever it held. A peer that starts again between its digest and the question answers from offset 0 (or from less than it reported). The VM then counted as synced at that offset, did not read the store and reported readiness; and a VM that was synced never asked the store. Class: an answer is taken for the thing that was asked for.

A fetch now succeeds only if the topic's end reaches what the peer reported. Otherwise the records that came are merged, and it counts like a rejection: another peer is asked, and the store after the usual time. A VM that is not synced reads the store as it does when peers go on rejecting its requests.

--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -214,19 +214,28 @@
   const auto elapsed_ms = ToMillis(this->loop->Now() - started);
   const std::string address = peer.address().to_string();
   this->next_fetch_at = this->loop->Now() + this->settings.batch_pause;
-  if (batch.has_error()) {
+  if (batch.has_value()) {
+    this->Merge(batch.value());
+  }
+  if (batch.has_error() || this->End() < peer_end) {
+    if (this->behind_since == MonotonicTime{}) {
+      this->behind_since = this->loop->Now();  // Some of the records came.
+    }
+    const Error error =
+        batch.has_error()
+            ? batch.error()
+            : MakeError(ErrorCode::kExhausted, "the peer lacks the records");
     LogWarning("topic_behind_peers", {{"topic", ToString(this->settings.topic)},
-                                      {"end", from},
+                                      {"end", this->End()},
                                       {"peer_end", peer_end},
                                       {"peer", address},
                                       {"ms", elapsed_ms},
-                                      {"reason", batch.error().message}});
+                                      {"reason", error.message}});
     // Another peer is asked first, unless this one is unreachable, which may be
     // the fault of this VM's link.
-    return batch.error().code == ErrorCode::kExhausted &&
+    return error.code == ErrorCode::kExhausted &&
            this->loop->Now() - this->behind_since < kStoreDelay;
   }
-  this->Merge(batch.value());
   this->SetSynced("peer");
   const auto removals =
       std::count_if(batch.value().records.begin(), batch.value().records.end(),
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -96,9 +96,10 @@
   bool ReadNewest(Coroutine yield);
   bool ReadMore(Duration wait, Coroutine yield);
   bool CatchUp(Duration wait, Coroutine yield);
-  // Requests the records from `end` on from a peer that has them up to
-  // `peer_end`. Returns whether the store need not be asked: on success, and
-  // while other peers may still return them.
+  // Requests the records from `end` on from a peer that has reported them up to
+  // `peer_end`; one that has started again since may lack them. Returns whether
+  // the store need not be asked: on success, and while other peers may still
+  // return them.
   bool FetchMore(const TcpEndpoint& peer,
                  std::int64_t peer_end,
                  Coroutine yield);
--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -329,6 +329,50 @@
                         {"a", "(dropped)"}, {"b", "1"}, {"c", "1"}});
 }
 
+// Guards against a VM that says it is ready without servers: a peer that starts
+// again between its digest and the question has fewer records than it reported.
+TEST_CASE("A VM is not synced by a peer that lacks what it reported") {
+  for (const std::int64_t peer_end : {0, 1}) {
+    CAPTURE(peer_end);
+    FollowerFixture f;
+    f.store.Put(kTopic, "a", "1");
+    f.store.Put(kTopic, "b", "1");
+    f.BecomeNonReader();
+    f.peer_batch.end = peer_end;
+    if (peer_end > 0) {
+      f.peer_batch.records = {{"a", "1", 0}};
+    }
+    f.follower.Start();
+    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
+    f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(100)] {
+      return f.loop.Now() > stop;
+    });
+    CHECK(f.fetches == 1);
+    CHECK(!f.follower.IsSynced());
+    f.RunUntil([&] { return f.follower.IsSynced(); });
+    f.RunUntil([&] { return f.follower.IsSynced(); });
+    CHECK(f.follower.IsSynced());
+    CHECK(f.values ==
+          std::map<std::string, std::string>{{"a", "1"}, {"b", "1"}});
+  }
+}
+
+// Guards against records that are never read while peers that start again and
+// again report them.
+TEST_CASE("Records that a peer lacks are read from the store") {
+  FollowerFixture f;
+  f.store.Put(kTopic, "a", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.BecomeNonReader();
+  f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(600)] {
+    return f.loop.Now() > stop;  // A read in progress ends.
+  });
+  f.store.Put(kTopic, "b", "1");
+  f.ReportPeerUntilEnd(2);
+  CHECK(f.values["b"] == "1");
+}
+
 TEST_CASE(
     "A failed append condition is a conflict, a refused append is "
     "unavailable") {
