--- a/src/net/http_field_values.h
+++ b/src/net/http_field_values.h
@@ -18,7 +18,7 @@
 // if there is none or they are of another scheme. Thread safe.
 std::string_view BearerToken(std::string_view credentials);
 
-// The target of a request, apart.
+// The parts of a request's target.
 struct RequestTarget {
   std::string authority;  // Empty where the target names none.
   std::string path;       // With the query; begins with a slash.
@@ -26,9 +26,9 @@
   auto Tie() const { return std::tie(this->authority, this->path); }
 };
 
-// Takes a target in origin form, `/path?query`, or in absolute form,
-// `http://host:port/path?query`, apart. None for any other form, and for an
-// authority that names a user. Thread safe.
+// Splits a target in origin form, `/path?query`, or in absolute form,
+// `http://host:port/path?query`. None for any other form, and for an authority
+// that names a user. Thread safe.
 std::optional<RequestTarget> ParseTarget(std::string_view target);
 
 }  // namespace kumquatcart
