--- a/src/entry/simple_http_server.cc
+++ b/src/entry/simple_http_server.cc
@@ -112,7 +112,7 @@
     }
     AnswerSender sender(connection, outcome.request.method == "HEAD");
     const SimpleHttpResponse answer = this->handle(outcome.request, yield);
-    sender.SendWhole(answer.status, {}, answer.body);
+    sender.SendWhole(answer.status, answer.headers, answer.body);
     if (!outcome.request.keeps_connection) {
       return;
     }
--- a/src/entry/simple_http_server.h
+++ b/src/entry/simple_http_server.h
@@ -8,12 +8,14 @@
 #include "base/outcome.h"
 #include "entry/request_reader.h"
 #include "net/event_loop.h"
+#include "net/http_head.h"
 
 namespace kumquatcart {
 
 struct SimpleHttpResponse {
   int status = 0;
   std::string body;
+  HeaderList headers = {};
 };
 
 // Calls `accept` with each connection accepted on `listen`. Must be used on the
