Let the soak's store come back from an older copy

In a drill the store may lose what it acknowledged in the last seconds. The stand-in had no such fault: it never lost a record, named no era, and a read from beyond the end waited. It now forgets records younger than a given age, raises Store-Era, gives offsets out again and answers 410 from beyond the end. While it is away it refuses every call, also those that wait. It also counts calls, so that a soak can say how many there are in a second.

--- a/tools/soak/store_stand_in.cc
+++ b/tools/soak/store_stand_in.cc
@@ -62,6 +62,10 @@
   return found == query.end() ? 0 : std::stoll(found->second);
 }
 
+bool IsAppend(const ParsedRequest& request) {
+  return request.target.rfind("/api/log-append", 0) == 0;
+}
+
 }  // namespace
 
 const char* ToString(StoreFault fault) {
@@ -70,8 +74,9 @@
   return kNames[static_cast<int>(fault)];
 }
 
-StoreStandIn::StoreStandIn(EventLoop* loop)
+StoreStandIn::StoreStandIn(EventLoop* loop, bool names_era)
     : loop(loop),
+      names_era(names_era),
       service(loop, [this](const ParsedRequest& request, Coroutine yield) {
         return this->Answer(request, yield);
       }) {}
@@ -79,7 +84,7 @@
 void StoreStandIn::Put(const std::string& topic,
                        const std::string& key,
                        const std::optional<std::string>& value) {
-  this->topics[topic].push_back(Record{key, value});
+  this->topics[topic].push_back({key, value, this->loop->Now()});
 }
 
 void StoreStandIn::SetFault(StoreFault next) {
@@ -88,13 +93,40 @@
   this->changed_at = this->loop->Now();
 }
 
+void StoreStandIn::SetAway(bool next) {
+  this->away = next;
+  this->changed_at = this->loop->Now();
+}
+
+StoreStandIn::Topics StoreStandIn::RollBack(Duration age) {
+  const MonotonicTime copied_at = this->loop->Now() - age;
+  Topics lost;
+  for (auto& [topic, records] : this->topics) {
+    const auto first = std::find_if(records.begin(), records.end(),
+                                    [copied_at](const StoreRecord& record) {
+                                      return record.written_at > copied_at;
+                                    });
+    lost[topic].assign(first, records.end());
+    records.erase(first, records.end());
+  }
+  ++this->era;
+  return lost;
+}
+
 SimpleHttpResponse StoreStandIn::Answer(const ParsedRequest& request,
                                         Coroutine yield) {
+  this->calls.Note(this->loop->Now());
   const int silences_before = this->silences;
   const bool is_lost = this->fault == StoreFault::kSilent;
   SimpleHttpResponse answer =
       is_lost ? SimpleHttpResponse{} : this->Handle(request, yield);
-  if (is_lost || this->silences != silences_before) {
+  if (this->names_era) {
+    answer.headers.push_back({"Store-Era", std::to_string(this->era)});
+  }
+  const bool loses_answer = this->fault == StoreFault::kLosesAnswers &&
+                            answer.status != kHttpServiceUnavailable &&
+                            IsAppend(request);
+  if (is_lost || loses_answer || this->silences != silences_before) {
     this->loop->Sleep(kLostAnswer, yield);
   }
   return answer;
@@ -102,16 +134,12 @@
 
 SimpleHttpResponse StoreStandIn::Handle(const ParsedRequest& request,
                                         Coroutine yield) {
-  if (this->fault == StoreFault::kRefuses) {
+  if (this->fault == StoreFault::kRefuses || this->away) {
     return {kHttpServiceUnavailable, ""};
   }
   const Query query = ParseQuery(request.target);
-  if (request.target.rfind("/api/log-append", 0) == 0) {
-    SimpleHttpResponse answer = this->Append(query, request.body);
-    if (this->fault == StoreFault::kLosesAnswers) {
-      this->loop->Sleep(kLostAnswer, yield);
-    }
-    return answer;
+  if (IsAppend(request)) {
+    return this->Append(query, request.body);
   }
   if (request.target.rfind("/api/log-newest", 0) == 0) {
     return this->Newest(query);
@@ -124,7 +152,7 @@
 
 SimpleHttpResponse StoreStandIn::Append(const Query& query,
                                         const std::string& body) {
-  std::vector<Record>& records = this->topics[query.at("topic")];
+  std::vector<StoreRecord>& records = this->topics[query.at("topic")];
   const auto at = query.find("at");
   if (at != query.end() &&
       std::stoll(at->second) != static_cast<std::int64_t>(records.size())) {
@@ -135,7 +163,8 @@
     return {kHttpBadRequest, ""};
   }
   const std::size_t key_size = static_cast<unsigned char>(body[kHead - 1]);
-  Record record{body.substr(kHead, key_size), std::nullopt};
+  StoreRecord record{body.substr(kHead, key_size), std::nullopt,
+                     this->loop->Now()};
   if (body.size() > kHead + key_size) {
     record.value = body.substr(kHead + key_size);
   }
@@ -145,12 +174,19 @@
 }
 
 SimpleHttpResponse StoreStandIn::Read(const Query& query, Coroutine yield) {
-  const std::vector<Record>& records = this->topics[query.at("topic")];
+  const std::vector<StoreRecord>& records = this->topics[query.at("topic")];
   const auto from = static_cast<std::size_t>(NumberIn(query, "from"));
   const MonotonicTime until =
       this->loop->Now() + std::chrono::milliseconds(NumberIn(query, "wait_ms"));
+  if (from > records.size()) {
+    return {kHttpGone, Json{{"first", 0}}.dump()};
+  }
+  const std::int64_t era_before = this->era;
   while (records.size() <= from && this->loop->Now() < until) {
     this->loop->Sleep(kPoll, yield);
+    if (this->away || this->era != era_before) {
+      return {kHttpServiceUnavailable, ""};
+    }
   }
   std::string body = BigEndian(records.size(), 8) + BigEndian(0, 8);
   for (std::size_t i = from; i < records.size(); ++i) {
@@ -164,7 +200,7 @@
 
 SimpleHttpResponse StoreStandIn::Newest(const Query& query) {
   std::map<std::string, Json> items;
-  const std::vector<Record>& records = this->topics[query.at("topic")];
+  const std::vector<StoreRecord>& records = this->topics[query.at("topic")];
   for (std::size_t i = 0; i < records.size(); ++i) {
     if (records[i].value) {
       items[records[i].key] = Json{{"key", records[i].key},
--- a/tools/soak/store_stand_in.h
+++ b/tools/soak/store_stand_in.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "entry/simple_http_server.h"
+#include "soak/store_calls.h"
 
 namespace kumquatcart::soak {
 
@@ -24,11 +25,20 @@
 // Lower-case name for logs. Thread safe.
 const char* ToString(StoreFault fault);
 
+struct StoreRecord {
+  std::string key;
+  std::optional<std::string> value;  // None: the key was dropped.
+  MonotonicTime written_at;
+};
+
 // Keeps the topics whose names begin with "keyed."; offsets have no gaps. For
 // the event loop's thread.
 class StoreStandIn {
  public:
-  explicit StoreStandIn(EventLoop* loop);
+  using Topics = std::map<std::string, std::vector<StoreRecord>>;
+
+  // `names_era`: whether its answers carry the era.
+  explicit StoreStandIn(EventLoop* loop, bool names_era = true);
 
   // Errors: kUnavailable.
   Status Start(const TcpEndpoint& listen) {
@@ -43,17 +53,23 @@
 
   void SetFault(StoreFault next);
 
-  // Since when no fault has lasted; none while one does.
+  // While it is away it refuses every call, whatever the fault.
+  void SetAway(bool next);
+  // Forgets what was written in the last `age`, and raises the era by one.
+  // Returns the forgotten records of each topic, in order.
+  Topics RollBack(Duration age);
+
+  // Since when no fault has lasted and it has not been away; none otherwise.
   std::optional<MonotonicTime> SoundSince() const {
-    return this->fault == StoreFault::kNone ? std::optional(this->changed_at)
-                                            : std::nullopt;
+    return this->fault == StoreFault::kNone && !this->away
+               ? std::optional(this->changed_at)
+               : std::nullopt;
   }
 
+  // Those of the processes, in all.
+  const StoreCalls& Calls() const { return this->calls; }
+
  private:
-  struct Record {
-    std::string key;
-    std::optional<std::string> value;
-  };
   using Query = std::map<std::string, std::string>;
 
   SimpleHttpResponse Answer(const ParsedRequest& request, Coroutine yield);
@@ -63,10 +79,14 @@
   SimpleHttpResponse Newest(const Query& query);
 
   EventLoop* const loop;
+  const bool names_era;
   SimpleHttpServer service;
-  std::map<std::string, std::vector<Record>> topics;
+  Topics topics;
+  StoreCalls calls;
+  std::int64_t era = 1;
+  bool away = false;
   StoreFault fault = StoreFault::kNone;
-  MonotonicTime changed_at;  // Of the fault.
+  MonotonicTime changed_at;  // Of the fault, or of being away.
   int silences = 0;          // Begun so far.
 };
 
