--- a/tests/soak/readiness_ledger_test.cc
+++ b/tests/soak/readiness_ledger_test.cc
@@ -28,5 +28,21 @@
   CHECK(ledger.NeverReady({"g", 3, {"a", "b", "c"}}).size() == 3);
 }
 
+// Guards against an epoch that is given out again after the store has lost the
+// record of the first group.
+TEST_CASE("Another group that opens with an epoch is found") {
+  const GroupFormation formation{"g", 3, {"a", "b"}};
+  ReadinessLedger ledger;
+  CHECK_FALSE(ledger.NoteOpen(formation));
+  CHECK_FALSE(ledger.NoteOpen(formation));
+  CHECK_FALSE(ledger.NoteOpen({"h", 4, {"c", "d"}}));
+  for (const GroupFormation& other : {GroupFormation{"h", 3, {"c", "d"}},
+                                      GroupFormation{"g", 3, {"a", "c"}}}) {
+    const auto found = ledger.NoteOpen(other);
+    REQUIRE(found);
+    CHECK(found->Tie() == formation.Tie());
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart::soak
--- a/tools/soak/config_ledger.cc
+++ b/tools/soak/config_ledger.cc
@@ -27,6 +27,7 @@
 
 void ConfigLedger::NoteVersion(const ConfigVersion& version) {
   this->versions.push_back(version);
+  this->history.NoteConfirmed(version.number, version.confirmed_at);
 }
 
 void ConfigLedger::NoteAnswer(const ConfigAnswer& answer) {
@@ -34,12 +35,12 @@
 }
 
 int ConfigLedger::Bound() const {
-  return static_cast<int>(std::count_if(
-      this->answers.begin(), this->answers.end(),
-      [this](const ConfigAnswer& answer) {
-        return answer.in_touch && !HandlingsOf(answer).empty() &&
-               this->NewestBefore(answer.sent_at - kPropagation) > 0;
-      }));
+  return static_cast<int>(
+      std::count_if(this->answers.begin(), this->answers.end(),
+                    [this](const ConfigAnswer& answer) {
+                      return answer.in_touch && !HandlingsOf(answer).empty() &&
+                             this->DueAt(answer.sent_at) > 0;
+                    }));
 }
 
 std::vector<ConfigLedger::Handling> ConfigLedger::HandlingsOf(
@@ -61,12 +62,8 @@
   return handling ? serves && route->second.count(*handling) > 0 : !serves;
 }
 
-int ConfigLedger::NewestBefore(MonotonicTime time) const {
-  const auto next = std::find_if(this->versions.begin(), this->versions.end(),
-                                 [time](const ConfigVersion& version) {
-                                   return version.confirmed_at >= time;
-                                 });
-  return next == this->versions.begin() ? 0 : std::prev(next)->number;
+int ConfigLedger::DueAt(MonotonicTime time) const {
+  return this->history.NewestHeld(time - kPropagation, time);
 }
 
 std::optional<int> ConfigLedger::FindVersion(const ConfigAnswer& answer,
@@ -94,8 +91,7 @@
       shown_before = std::max(shown_before, earlier.version);
     }
   }
-  const int due =
-      answer.in_touch ? this->NewestBefore(answer.sent_at - kPropagation) : 0;
+  const int due = answer.in_touch ? this->DueAt(answer.sent_at) : 0;
   const std::optional<int> version =
       this->FindVersion(answer, handling, std::max(shown_before, due));
   if (version) {
--- a/tools/soak/config_ledger.h
+++ b/tools/soak/config_ledger.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "soak/config_version.h"
+#include "soak/version_history.h"
 
 namespace kumquatcart::soak {
 
@@ -36,6 +37,8 @@
  public:
   // Precondition: versions come in order.
   void NoteVersion(const ConfigVersion& version);
+  // The store loses versions, and acknowledges some of them again.
+  VersionHistory& History() { return this->history; }
   // Precondition: the answers of one process come in the order of their ends,
   // and the process has not stopped or ended meanwhile.
   void NoteAnswer(const ConfigAnswer& answer);
@@ -61,8 +64,9 @@
   static bool Allows(const ConfigVersion& version,
                      const ConfigQuestion& question,
                      const Handling& handling);
-  // The newest version confirmed before `time`; 0 if none was.
-  int NewestBefore(MonotonicTime time) const;
+  // The newest version that must be in force when a request is sent at `time`
+  // by a process in touch; 0 if none must.
+  int DueAt(MonotonicTime time) const;
   // The oldest version from `first` on that handles the question so and was
   // confirmed before the answer ended; none if there is none.
   std::optional<int> FindVersion(const ConfigAnswer& answer,
@@ -74,6 +78,7 @@
                 std::vector<std::string>* broken) const;
 
   std::vector<ConfigVersion> versions;
+  VersionHistory history;
   std::vector<ConfigAnswer> answers;
 };
 
--- a/tools/soak/entry_child.cc
+++ b/tools/soak/entry_child.cc
@@ -118,6 +118,12 @@
   this->prompts->NoteDisturbance(this->host, this->loop->Now());
 }
 
+void EntryChild::ReachStore(bool reaches) {
+  constexpr int kClosedPort = 1;
+  this->store_link->SetTarget(
+      reaches ? this->store : TcpEndpoint(this->store.address(), kClosedPort));
+}
+
 void EntryChild::Signal(int number, bool expects_end) {
   if (this->pid <= 0) {
     return;
--- a/tools/soak/entry_child.h
+++ b/tools/soak/entry_child.h
@@ -53,6 +53,9 @@
   bool IsStopping() const { return this->ending; }
   int Starts() const { return this->starts; }
   TcpProxy& StoreLink() { return *this->store_link; }
+  // Whether the store is reached over the link, whatever the link's state. A
+  // change cuts its connections.
+  void ReachStore(bool reaches);
   // The last start or signal but a reload.
   MonotonicTime DisturbedAt() const { return this->disturbed_at; }
   const TcpEndpoint& Callers() const { return this->callers; }
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -64,6 +64,13 @@
   app.add_flag("--config-changes", settings.with_config_changes,
                "Versions move, split and drop routes and rotate keys, over "
                "three failure domains and paths with late answers");
+  app.add_flag("--rollbacks", settings.with_rollbacks,
+               "The store comes back from older copies of itself, and servers "
+               "leave for long");
+  app.add_flag("!--no-eras", settings.names_era,
+               "Answers of the store do not name its era");
+  app.add_flag("--calm", settings.is_calm,
+               "No faults but those of the other flags");
   app.add_flag("--verbose", verbose, "Prints each fault as it begins");
   CLI11_PARSE(app, argc, argv);
   kumquatcart::ConfigureLogging(
@@ -83,6 +90,11 @@
         settings.seed, report.faults, report.served, report.refused,
         report.failed, report.told_to_wait, report.ended_under_prompts,
         report.config_answers, report.broken.size());
+    if (settings.with_rollbacks) {
+      std::cout << fmt::format(
+          "  {} rollbacks, most calls of the store in a second {}, median {}\n",
+          report.rollbacks, report.most_store_calls, report.median_store_calls);
+    }
     for (const std::string& what : report.broken) {
       std::cout << "  " << what << '\n';
     }
--- a/tools/soak/readiness_ledger.cc
+++ b/tools/soak/readiness_ledger.cc
@@ -22,4 +22,11 @@
   return missing;
 }
 
+std::optional<GroupFormation> ReadinessLedger::NoteOpen(
+    const GroupFormation& formation) {
+  const GroupFormation& first =
+      this->opened.emplace(formation.epoch, formation).first->second;
+  return first.Tie() == formation.Tie() ? std::nullopt : std::optional(first);
+}
+
 }  // namespace kumquatcart::soak
--- a/tools/soak/readiness_ledger.h
+++ b/tools/soak/readiness_ledger.h
@@ -3,6 +3,8 @@
 #define SOAK_READINESS_LEDGER_H_
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -30,6 +32,10 @@
   // is not among them.
   std::vector<std::string> NeverReady(const GroupFormation& formation) const;
 
+  // A group opens. Returns another one that has opened with its epoch, if there
+  // is one.
+  std::optional<GroupFormation> NoteOpen(const GroupFormation& formation);
+
  private:
   using Key = std::tuple<std::string,               // Group.
                          std::int64_t,              // Epoch.
@@ -37,6 +43,7 @@
                          std::string>;  // The member that was ready.
 
   std::set<Key> ready;
+  std::map<std::int64_t, GroupFormation> opened;  // The first of each epoch.
 };
 
 }  // namespace kumquatcart::soak
--- a/tools/soak/server_entries.cc
+++ b/tools/soak/server_entries.cc
@@ -18,4 +18,12 @@
   this->put(id, std::nullopt);
 }
 
+bool ServerEntries::RemoveAgain(const std::string& id) {
+  if (this->writers.count(id) > 0) {
+    return false;
+  }
+  this->put(id, std::nullopt);
+  return true;
+}
+
 }  // namespace kumquatcart::soak
--- a/tools/soak/server_entries.h
+++ b/tools/soak/server_entries.h
@@ -29,6 +29,10 @@
   // Removes the entry, unless another start has written it since or it is gone.
   void Lapse(const std::string& id, std::int64_t started_ms);
 
+  // Removes an entry that is to be gone, after the store lost its removal.
+  // Returns whether it is.
+  bool RemoveAgain(const std::string& id);
+
  private:
   const Put put;
   std::map<std::string, std::int64_t> writers;  // By server id.
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -11,6 +11,7 @@
 #include "soak/idle_schedule.h"
 #include "soak/limit_schedule.h"
 #include "soak/rebirth_schedule.h"
+#include "soak/rollback_schedule.h"
 #include "soak/silence_schedule.h"
 
 namespace kumquatcart::soak {
@@ -28,6 +29,12 @@
 // Time after which a process that reads the store, and that nothing disturbs,
 // has a version: longer than the platform's bound of 2 s.
 constexpr Duration kInForceTime = std::chrono::milliseconds(3000);
+// Time after which such a process has a server's report that it leaves.
+constexpr Duration kReportTime = std::chrono::milliseconds(3000);
+// Calls of the store that are too many, for each process and second, over any
+// time of that length.
+constexpr int kStormCalls = 40;
+constexpr Duration kStormTime = std::chrono::seconds(2);
 // With more processes, some depend on others for their records.
 constexpr std::size_t kStoreReaders = 4;
 // Time until every request has ended: longer than callers wait.
@@ -38,7 +45,7 @@
 // from reading that for long enough.
 void CheckInForce(SoakWorld* world, EntryChild* entry, Coroutine yield) {
   const MonotonicTime due_at = world->loop.Now() - kInForceTime;
-  const int due = world->VersionAt(due_at);
+  const int due = world->VersionSince(due_at);
   if (due > 0 && world->WasCalmSince(entry, due_at) &&
       world->AskRoute(*entry, due, yield) == kHttpNotFound &&
       world->WasCalmSince(entry, due_at)) {
@@ -81,6 +88,33 @@
   }
 }
 
+void WatchDrains(SoakWorld* world, const bool* goes_on, Coroutine yield) {
+  while (*goes_on) {
+    world->loop.Sleep(kWatch, yield);
+    const MonotonicTime since = world->loop.Now() - kReportTime;
+    for (const auto& entry : world->entries) {
+      if (world->WasCalmSince(entry.get(), since)) {
+        world->drains.NoteInTouch(entry->Callers().address().to_string(),
+                                  since);
+      }
+    }
+  }
+}
+
+void CheckCalls(const SoakSettings& settings,
+                const StoreCalls& calls,
+                SoakReport* report) {
+  report->most_store_calls = calls.MostWithin(std::chrono::seconds(1));
+  report->median_store_calls = calls.MedianPerSecond();
+  const int most = calls.MostWithin(kStormTime);
+  if (settings.with_rollbacks &&
+      std::chrono::seconds(1) * most >
+          kStormCalls * settings.entries * kStormTime) {
+    report->broken.push_back(fmt::format(
+        "storm: {} calls of the store in {} ms", most, ToMillis(kStormTime)));
+  }
+}
+
 void CheckEnd(SoakWorld* world, Coroutine yield) {
   int asked = 0;
   int served = 0;
@@ -141,6 +175,7 @@
   IdleSchedule idle(&world, settings.seed);
   RebirthSchedule rebirths(&world, settings.seed);
   SilenceSchedule silences(&world, settings.seed);
+  RollbackSchedule rollbacks(&world, settings.seed);
   MonotonicTime calm_from = MonotonicTime::max();
   bool restarts = true;
   bool watches = true;
@@ -196,11 +231,22 @@
         is_reborn = true;
       });
     }
+    bool is_restored = !settings.with_rollbacks;
+    if (settings.with_rollbacks) {
+      world.loop.Spawn(
+          [&](Coroutine inner) { WatchDrains(&world, &watches, inner); });
+      world.loop.Spawn(
+          [&, end](Coroutine inner) { rollbacks.DrainServers(end, inner); });
+      world.loop.Spawn([&, end](Coroutine inner) {
+        rollbacks.Run(end, inner);
+        is_restored = true;
+      });
+    }
     // Other faults start processes again, which read all records anew.
-    if (!settings.with_silences) {
+    if (!settings.with_silences && !settings.is_calm) {
       schedule.Run(end, yield);
     }
-    while (!is_reborn || !is_sound) {
+    while (!is_reborn || !is_sound || !is_restored || world.loop.Now() < end) {
       world.loop.Sleep(kWatch, yield);
     }
     world.loop.Sleep(kRecovery, yield);
@@ -217,9 +263,12 @@
   report.broken = world.ledger.Judge();
   for (const std::vector<std::string>& broken :
        {world.limits.Judge(world.loop.Now()), world.backoffs.Judge(),
-        world.prompts.Judge(calm_from), world.config_ledger.Judge()}) {
+        world.prompts.Judge(calm_from), world.config_ledger.Judge(),
+        world.drains.Judge()}) {
     report.broken.insert(report.broken.end(), broken.begin(), broken.end());
   }
+  CheckCalls(settings, world.store.Calls(), &report);
+  report.rollbacks = rollbacks.Rollbacks();
   report.ended_under_prompts = world.prompts.ServerEnds();
   report.config_answers = world.config_ledger.Bound();
   report.told_to_wait = world.backoffs.Rejections();
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -19,6 +19,9 @@
   int ended_under_prompts = 0;  // Servers.
   // Answers that were bound to versions of the configuration.
   int config_answers = 0;
+  int rollbacks = 0;         // Of the store.
+  int most_store_calls = 0;  // In any second.
+  int median_store_calls = 0;
 };
 
 // Faults for the settings' length, then a calm end in which everything must
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -2,9 +2,12 @@
 #ifndef SOAK_SOAK_WORLD_H_
 #define SOAK_SOAK_WORLD_H_
 
+#include <deque>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/http_client.h"
@@ -46,6 +49,13 @@
   // Versions move, split and drop routes and rotate keys; VMs are spread over
   // failure domains, and their ways to the store are harmed in more ways.
   bool with_config_changes = false;
+  // The store comes back from older copies of itself, and servers leave for
+  // long.
+  bool with_rollbacks = false;
+  bool names_era = true;  // Whether answers of the store do.
+  // No faults of processes, links, servers and the store but those of the
+  // settings above.
+  bool is_calm = false;
 };
 
 // The idle timeout of the first version.
@@ -64,8 +74,27 @@
   // Writes a new configuration, with one route more; returns its version.
   int ChangeConfig();
   int Version() const { return this->version; }
-  // The newest version that was written at `time` or before; 0 if none was.
-  int VersionAt(MonotonicTime time) const;
+  // The newest version that was written before `time` and that the store still
+  // has; 0 if there is none.
+  int VersionSince(MonotonicTime time) {
+    return this->config_ledger.History().NewestHeld(time, this->loop.Now());
+  }
+  // While the store is away it refuses every call, or with `cuts_links` no
+  // connection reaches it.
+  void SetStoreAway(bool is_away, bool cuts_links);
+  // The store goes back to what it had `age` before. Returns the servers whose
+  // entries it lost. The operator is to write all lost versions again, or the
+  // newest alone, before its next one.
+  std::set<std::string> RollStoreBack(Duration age, bool newest_only);
+  // Versions that are still to be written again.
+  int LostVersions() const {
+    return static_cast<int>(this->lost_versions.size());
+  }
+  // Writes the oldest lost version again, if there is one.
+  void RewriteVersion();
+  // Writes a server's entry again as it is now, or its removal. An entry of a
+  // server that has ended stays until it lapses.
+  void RewriteEntry(const std::string& server);
   // The idle timeout of the next version.
   void SetIdleTimeout(Duration timeout) {
     this->idle = {timeout, this->idle.newest};
@@ -105,6 +134,7 @@
   LimitLedger limits;
   BackoffLedger backoffs;
   ReadinessLedger readiness;
+  DrainLedger drains;
   PromptLedger prompts;
   ConfigLedger config_ledger;
   StoreStandIn store;
@@ -138,7 +168,8 @@
   std::minstd_rand generator;
   TcpEndpoint store_address;
   int version = 0;
-  std::vector<MonotonicTime> versions_written_at;  // From version 1 on.
+  // Numbers and contents, in order.
+  std::deque<std::pair<int, std::string>> lost_versions;
   IdleTimeouts idle{kFirstIdleTimeout, kFirstIdleTimeout};
   ConfigPlan plan;
   int servers_started = 0;
