--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -120,6 +120,11 @@
                                      {"reason", batch.error().message}});
     return false;
   }
+  if (batch.value().end < this->End()) {
+    LogWarning("topic_ends_early", {{"topic", ToString(this->settings.topic)},
+                                    {"end", this->End()},
+                                    {"store_end", batch.value().end}});
+  }
   this->Merge(batch.value());
   this->records_expired = false;
   this->SetSynced("store");
@@ -153,9 +158,10 @@
   });
   if (batch.has_error()) {
     if (batch.error().code == ErrorCode::kExpired) {
-      LogInfo(
-          "topic_records_expired",
-          {{"topic", ToString(this->settings.topic)}, {"from", this->End()}});
+      LogInfo("topic_records_expired",
+              {{"topic", ToString(this->settings.topic)},
+               {"from", this->End()},
+               {"reason", batch.error().message}});
       this->records_expired = true;
       return true;
     }
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -230,6 +230,7 @@
                      return this->HandlePeerRequest(request, yield);
                    }) {
   this->loop.Monitor()->SetMetrics(&this->metrics);
+  this->store.SetMetrics(&this->metrics);
   this->store.SetRelays([this] {
     std::vector<TcpEndpoint> relays;
     for (const Endpoint& peer : this->peers.FindStoreRelays(this->loop.Now())) {
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -325,6 +325,7 @@
                                                           deadline, yield);
   }
   const HttpResponse& response = reply.response;
+  this->CountCall(request, response);
   if (IsRefusal(response)) {
     LogWarning(
         "store_call_failed",
@@ -340,6 +341,21 @@
   return reply;
 }
 
+void StoreClient::CountCall(const OutgoingRequest& request,
+                            const HttpResponse& response) const {
+  if (this->metrics == nullptr) {
+    return;
+  }
+  const std::string kind = request.target.substr(0, request.target.find('?'));
+  const std::string result = response.result == ExchangeResult::kAnswered
+                                 ? std::to_string(response.status)
+                                 : ToString(response.result);
+  this->metrics
+      ->GetCounter("kumquatcart_store_calls_total",
+                   {{"call", kind}, {"result", result}})
+      .Add();
+}
+
 HttpResponse StoreClient::PassOn(const OutgoingRequest& request,
                                  Coroutine yield) {
   return this->CallDirectly(request, /*handle_late=*/nullptr, yield);
@@ -499,7 +515,10 @@
                   }},
                  yield);
   if (reply.HasResponseStatus(kHttpGone)) {
-    return MakeError(ErrorCode::kExpired, "the records were dropped");
+    return MakeError(ErrorCode::kExpired,
+                     fmt::format("the store answers {}, era \"{}\"",
+                                 reply.body.substr(0, kLoggedBodyBytes),
+                                 FindHeader(reply.headers, wire::kStoreEra)));
   }
   if (reply.HasResponseStatus(kHttpNotFound)) {
     return TopicBatch{{}, from};
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <vector>
 
+#include "base/metrics.h"
 #include "base/outcome.h"
 #include "net/http_client.h"
 
@@ -58,6 +59,10 @@
  public:
   StoreClient(EventLoop* loop, TcpEndpoint store);
 
+  // Counts the calls in `metrics`, by kind and result. Precondition: `metrics`
+  // outlives the client.
+  void SetMetrics(MetricRegistry* registry) { this->metrics = registry; }
+
   // Lists the entry VMs that pass calls on to the store, asked in turn after a
   // direct call failed. Their order should differ from VM to VM, since the
   // store may refuse many VMs at once.
@@ -149,6 +154,8 @@
   std::optional<HttpResponse> CallRelay(const OutgoingRequest& request,
                                         const HandleLate& handle_late,
                                         Coroutine yield);
+  void CountCall(const OutgoingRequest& request,
+                 const HttpResponse& response) const;
   void NoteReachability(const StoreReply& reply, MonotonicTime sent_at);
   // Hands what a late answer holds on to those who follow the topic.
   void TakeLateBatch(StoreTopic topic, const Result<TopicBatch>& batch) const;
@@ -159,6 +166,7 @@
   EventLoop* const loop;
   const TcpEndpoint store;
   HttpClient client;
+  MetricRegistry* metrics = nullptr;  // Null: calls are not counted.
   RelayList list_relays;
   std::map<StoreTopic, TakeLate> late_takers;
   std::set<PendingRead*> awaited_reads;
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -30,6 +30,10 @@
 // "1" in all answers of a server that is leaving.
 inline constexpr char kServerLeaving[] = "Server-Leaving";
 
+// Rises by one each time the store comes back from an older copy of itself; in
+// all answers of the store.
+inline constexpr char kStoreEra[] = "Store-Era";
+
 // Calls.
 inline constexpr char kReportPath[] = "/api/report";
 inline constexpr char kOrderPath[] = "/api/order";
