--- a/tests/fakes/loop_store.h
+++ b/tests/fakes/loop_store.h
@@ -3,6 +3,7 @@
 #ifndef FAKES_LOOP_STORE_H_
 #define FAKES_LOOP_STORE_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,7 +33,11 @@
                   if (this->is_silent || this->silences != silences_before) {
                     loop->Sleep(kLostAnswerTime, yield);
                   }
-                  return this->Answer(request);
+                  SimpleHttpResponse answer = this->Answer(request);
+                  if (this->era) {
+                    answer.headers.push_back({"Store-Era", *this->era});
+                  }
+                  return answer;
                 }) {
     if (this->service.Start(this->address).has_error()) {
       std::abort();
@@ -57,6 +62,23 @@
     this->first[topic] = this->topics[topic].size();
   }
 
+  using Topics = std::map<std::string, std::vector<std::string>>;
+
+  // The topics as they are now, for a later call of ComeBackFrom.
+  Topics Copy() const { return this->topics; }
+
+  // Loses what was written since `copy` was made. Offsets are given out again,
+  // and reads from offsets that are not there get 410.
+  void ComeBackFrom(Topics copy) { this->topics = std::move(copy); }
+
+  // What all answers say in Store-Era; none: no such header.
+  std::optional<std::string> era;
+  // Reads of newest records and since an offset, by topic.
+  std::map<std::string, int> newest_reads;
+  std::map<std::string, int> reads;
+  // Whether a topic that nobody has written to gets 404.
+  bool has_missing_topics = false;
+
   // Whether reads wait for a record as long as their callers ask for. Without,
   // they are answered at once.
   bool reads_wait = false;
@@ -93,6 +115,11 @@
     }
     const std::vector<std::string>& records =
         this->topics[Parameter(request.target, "topic")];
+    // Not waited for: errors are answered at once.
+    if (std::stoul(Parameter(request.target, "from")) > records.size() ||
+        (this->has_missing_topics && records.empty())) {
+      return;
+    }
     const std::size_t from = std::stoul(Parameter(request.target, "from"));
     const MonotonicTime deadline =
         loop->Now() + std::chrono::milliseconds(std::stoi(wait));
@@ -117,12 +144,20 @@
       return {*this->refusal, ""};
     }
     const std::string topic = Parameter(request.target, "topic");
+    const bool is_append = request.target.rfind("/api/log-append", 0) == 0;
+    const bool is_newest = request.target.rfind("/api/log-newest", 0) == 0;
+    if (!is_append) {
+      ++(is_newest ? this->newest_reads : this->reads)[topic];
+    }
+    if (this->has_missing_topics && !is_append && this->topics[topic].empty()) {
+      return {404, ""};
+    }
     std::vector<std::string>& records = this->topics[topic];
-    if (request.target.rfind("/api/log-newest", 0) == 0) {
+    if (is_newest) {
       return {200,
               this->Newest(topic, Decode(Parameter(request.target, "after")))};
     }
-    if (request.target.rfind("/api/log-append", 0) == 0) {
+    if (is_append) {
       const std::string at = Parameter(request.target, "at");
       if (!at.empty() && std::stoul(at) != records.size()) {
         return {412, Json{{"end", records.size()}}.dump()};
@@ -133,16 +168,28 @@
           Json{{"offset", records.size() - 1}, {"end", records.size()}}.dump()};
     }
     const std::size_t from = std::stoul(Parameter(request.target, "from"));
-    if (from < this->first[topic]) {
+    if (from < this->first[topic] || from > records.size()) {
       return {410, Json{{"first", this->first[topic]}}.dump()};
     }
-    std::string body(16, '\0');
+    std::string body =
+        BigEndian(records.size()) + BigEndian(this->first[topic]);
     for (std::size_t i = from; i < records.size(); ++i) {
       body += records[i];
     }
     return {200, body};
   }
 
+  // The eight bytes of an offset.
+  static std::string BigEndian(std::uint64_t number) {
+    constexpr int kHighestByteShift = 56;
+    constexpr int kByteBits = 8;
+    std::string bytes;
+    for (int shift = kHighestByteShift; shift >= 0; shift -= kByteBits) {
+      bytes.push_back(static_cast<char>(number >> shift));
+    }
+    return bytes;
+  }
+
   // Replaces the escapes of a query's value.
   static std::string Decode(const std::string& value) {
     constexpr std::size_t kEscapeDigits = 2;
@@ -208,7 +255,7 @@
   const TcpEndpoint address;
   bool is_silent = false;
   int silences = 0;  // Begun so far.
-  std::map<std::string, std::vector<std::string>> topics;
+  Topics topics;
   std::map<std::string, std::size_t> first;
   SimpleHttpServer service;
 };
