Pause reads of a topic by progress, not by answers

Cause: Start() paused after a failure or after progress only. A 410 counts as an answer, so do the newest records that end before the known end, and a 404 of a topic that nobody has written to; each led to the next call at once. The same in ReadMissing, once for each digest of a peer.

Now an answer that brings nothing new, and was not waited for, is followed by a pause that doubles from 0.1 to 1 s, whatever the answer. Its log lines are limited to one a second with the number left out.

--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -36,11 +36,32 @@
 constexpr Duration kFirstFetchDelay = std::chrono::milliseconds(2500);
 // Interval at which such a process checks whether it has received them.
 constexpr Duration kFirstRecordsPollInterval = std::chrono::milliseconds(50);
+// Pauses between reads that bring nothing, although they were not waited for.
+constexpr Duration kShortestIdlePause = std::chrono::milliseconds(100);
+constexpr Duration kLongestIdlePause = std::chrono::seconds(1);
+// Shortest time between log lines on records that the store does not have.
+constexpr Duration kExpiredLogInterval = std::chrono::seconds(1);
 // Time for the pending read to return records that a peer has seen already.
 constexpr Duration kPendingReadGrace = std::chrono::milliseconds(150);
 
 }  // namespace
 
+TopicFollower::TopicFollower(EventLoop* loop,
+                             StoreClient* store,
+                             FollowerSettings settings,
+                             const PlannerRole* role,
+                             FetchFromPeer fetch,
+                             Apply apply)
+    : loop(loop),
+      store(store),
+      settings(settings),
+      role(role),
+      fetch(std::move(fetch)),
+      replica(std::move(apply)),
+      reads(kShortestIdlePause, kLongestIdlePause),
+      missing_reads(kShortestIdlePause, kLongestIdlePause),
+      expired_log(kExpiredLogInterval) {}
+
 void TopicFollower::Start() {
   this->started_at = this->loop->Now();
   this->store->SetTakeLate(
@@ -63,18 +84,28 @@
         continue;
       }
       const std::int64_t before = this->End();
+      const MonotonicTime started = this->loop->Now();
       const bool read = this->synced && !this->records_expired
                             ? this->ReadMore(this->settings.read_wait, yield)
                             : this->ReadNewest(yield);
+      const bool advanced = this->End() != before;
+      // An answer is no progress: without new records, only one that was waited
+      // for costs no call too many.
+      const bool waited =
+          this->loop->Now() - started >= this->settings.read_wait / 2;
+      const Duration idle_pause = this->reads.NextPause(advanced || waited);
       if (!read) {
-        this->loop->Sleep(
-            this->store->IsReachable() ? kRetryPause : kUnreachableRetryPause,
-            yield);
-      } else if (this->End() != before) {
+        this->loop->Sleep(std::max(idle_pause, this->store->IsReachable()
+                                                   ? kRetryPause
+                                                   : kUnreachableRetryPause),
+                          yield);
+      } else if (advanced) {
         this->loop->Sleep(this->role->ReadsStore(1)
                               ? this->settings.batch_pause
                               : this->settings.standby_pause,
                           yield);
+      } else if (idle_pause > Duration{0}) {
+        this->loop->Sleep(idle_pause, yield);
       }
     }
   });
@@ -121,9 +152,12 @@
     return false;
   }
   if (batch.value().end < this->End()) {
-    LogWarning("topic_ends_early", {{"topic", ToString(this->settings.topic)},
-                                    {"end", this->End()},
-                                    {"store_end", batch.value().end}});
+    if (const auto suppressed = this->expired_log.Pass(this->loop->Now())) {
+      LogWarning("topic_ends_early", {{"topic", ToString(this->settings.topic)},
+                                      {"end", this->End()},
+                                      {"store_end", batch.value().end},
+                                      {"suppressed", *suppressed}});
+    }
   }
   this->Merge(batch.value());
   this->records_expired = false;
@@ -158,10 +192,13 @@
   });
   if (batch.has_error()) {
     if (batch.error().code == ErrorCode::kExpired) {
-      LogInfo("topic_records_expired",
-              {{"topic", ToString(this->settings.topic)},
-               {"from", this->End()},
-               {"reason", batch.error().message}});
+      if (const auto suppressed = this->expired_log.Pass(this->loop->Now())) {
+        LogInfo("topic_records_expired",
+                {{"topic", ToString(this->settings.topic)},
+                 {"from", this->End()},
+                 {"reason", batch.error().message},
+                 {"suppressed", *suppressed}});
+      }
       this->records_expired = true;
       return true;
     }
@@ -259,13 +296,17 @@
 
 void TopicFollower::ReadMissing(Coroutine yield) {
   const MonotonicTime now = this->loop->Now();
-  if (!this->store->IsReachable() &&
-      now - this->missing_read_at < kUnreachableReadInterval) {
+  if (now - this->missing_read_at <
+      std::max(this->missing_read_pause, this->store->IsReachable()
+                                             ? Duration{0}
+                                             : kUnreachableReadInterval)) {
     return;
   }
   this->missing_read_at = now;
   const std::int64_t from = this->End();
-  if (this->CatchUp(kMissingReadWait, yield)) {
+  const bool read = this->CatchUp(kMissingReadWait, yield);
+  this->missing_read_pause = this->missing_reads.NextPause(this->End() != from);
+  if (read) {
     LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
                               {"from", from},
                               {"end", this->End()},
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <string>
 
+#include "base/log_limiter.h"
+#include "base/progress_pacer.h"
 #include "control/planner_role.h"
 #include "control/topic_replica.h"
 #include "platform/store_client.h"
@@ -44,13 +46,7 @@
                 FollowerSettings settings,
                 const PlannerRole* role,
                 FetchFromPeer fetch,
-                Apply apply)
-      : loop(loop),
-        store(store),
-        settings(settings),
-        role(role),
-        fetch(std::move(fetch)),
-        replica(std::move(apply)) {}
+                Apply apply);
 
   // Starts following the topic until the process ends.
   void Start();
@@ -126,6 +122,11 @@
   MonotonicTime behind_since;  // Zero: as far as known, not.
   MonotonicTime next_fetch_at;
   MonotonicTime missing_read_at;  // Last attempt of ReadMissing.
+  // Pause between attempts that bring nothing.
+  Duration missing_read_pause{0};
+  ProgressPacer reads;
+  ProgressPacer missing_reads;
+  LogLimiter expired_log;
 };
 
 }  // namespace kumquatcart
