--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -8,7 +8,8 @@
 
 namespace {
 
-// A server that is leaving may lose its entry and get it back meanwhile.
+// A server that is leaving may lose its entry and get it back meanwhile; the
+// store's older copies show entries of some seconds before.
 constexpr Duration kLeavingLifetime = std::chrono::seconds(60);
 
 }  // namespace
@@ -36,6 +37,7 @@
   }
   this->leaving[id] = {started_ms, now};
   known->second.draining = true;
+  this->statements[id].statement.draining = true;
   ++this->change_count;
   return true;
 }
@@ -46,6 +48,36 @@
          found->second.started_ms == server.started_ms;
 }
 
+bool FleetView::IsOutdated(const BackendServer& entry,
+                           bool is_from_copy) const {
+  const auto known = this->statements.find(entry.id);
+  if (known == this->statements.end() || entry.started_ms == 0 ||
+      known->second.statement.started_ms == 0) {
+    return false;
+  }
+  const Statement& newest = known->second.statement;
+  const Statement stated{entry.started_ms, entry.orders_accepted,
+                         entry.draining || this->IsLeaving(entry),
+                         /*is_removed=*/false};
+  return stated < Statement{newest.started_ms, newest.orders_accepted,
+                            newest.draining, newest.is_removed && is_from_copy};
+}
+
+bool FleetView::IsNews(const BackendServer& entry, bool is_removed) const {
+  const auto known = this->statements.find(entry.id);
+  return known == this->statements.end() ||
+         known->second.statement < Statement{entry.started_ms,
+                                             entry.orders_accepted,
+                                             entry.draining, is_removed};
+}
+
+void FleetView::NoteRemoved(const BackendServer& entry, MonotonicTime now) {
+  this->NoteStatement(entry.id,
+                      {entry.started_ms, entry.orders_accepted, entry.draining,
+                       /*is_removed=*/true},
+                      now);
+}
+
 void FleetView::PutServer(const BackendServer& entry, MonotonicTime now) {
   BackendServer server = entry;
   server.draining = entry.draining || this->IsLeaving(entry);
@@ -78,6 +110,10 @@
                              known->second.started_ms != server.started_ms ||
                              known->second.endpoint != server.endpoint;
   this->servers[server.id] = server;
+  this->NoteStatement(server.id,
+                      {server.started_ms, server.orders_accepted,
+                       server.draining, /*is_removed=*/false},
+                      now);
   ++this->change_count;
   if (is_new_holder) {
     this->MarkFormerHolder(server, now);
@@ -132,6 +168,13 @@
                 ? this->leaving.erase(start)
                 : std::next(start);
   }
+  for (auto known = this->statements.begin();
+       known != this->statements.end();) {
+    known = known->second.statement.is_removed &&
+                    now - known->second.known_at > kLeavingLifetime
+                ? this->statements.erase(known)
+                : std::next(known);
+  }
   for (auto entry = this->pending_removals.begin();
        entry != this->pending_removals.end();) {
     if (entry->second > now) {
@@ -141,6 +184,9 @@
     const bool is_member = this->IsMember(entry->first);
     LogInfo("server_removed",
             {{"server", entry->first}, {"member", is_member ? 1 : 0}});
+    KnownStatement& known = this->statements[entry->first];
+    known.statement.is_removed = true;
+    known.known_at = now;
     if (is_member && this->IsReachable(entry->first)) {
       this->unregistered.insert(entry->first);
     } else {
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "base/clock.h"
 #include "control/group_planner.h"
@@ -40,6 +41,16 @@
   // that does not say that its start is leaving does not undo that. Of two
   // servers with one address, the one that started earlier is unreachable.
   void PutServer(const BackendServer& entry, MonotonicTime now);
+  // Whether `entry` is older than what is known of its server: of an earlier
+  // start, or of the same one with fewer orders accepted, or not leaving any
+  // more. `is_from_copy`: the entry of a start counts as older than its
+  // removal, too. False for servers that do not state their start.
+  bool IsOutdated(const BackendServer& entry, bool is_from_copy) const;
+  // Whether what `entry` says, or its removal, is news of its server.
+  bool IsNews(const BackendServer& entry, bool is_removed) const;
+  // Records that the entry was removed, as a peer knows.
+  void NoteRemoved(const BackendServer& entry, MonotonicTime now);
+
   // Records that a start of a server has said itself that it is leaving; its
   // entry in the store may not say so yet, or never. Returns whether that is
   // new.
@@ -131,6 +142,28 @@
     MonotonicTime known_at;
   };
   std::map<std::string, LeavingStart> leaving;
+  // The latest statement of a server, kept for some time after its removal.
+  struct Statement {
+    std::int64_t started_ms = 0;
+    std::int64_t orders_accepted = 0;
+    bool draining = false;
+    bool is_removed = false;
+
+    auto Tie() const {
+      return std::tie(this->started_ms, this->orders_accepted, this->draining,
+                      this->is_removed);
+    }
+  };
+  struct KnownStatement {
+    Statement statement;
+    MonotonicTime known_at;  // Its removal, if it is removed.
+  };
+  void NoteStatement(const std::string& id,
+                     const Statement& statement,
+                     MonotonicTime now) {
+    this->statements[id] = {statement, now};
+  }
+  std::map<std::string, KnownStatement> statements;
   // The server that last started at each address, as far as known.
   std::map<Endpoint, std::string> address_holders;
   std::map<std::string, MonotonicTime> pending_removals;
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -41,6 +41,8 @@
 constexpr Duration kLongestIdlePause = std::chrono::seconds(1);
 // Shortest time between log lines on records that the store does not have.
 constexpr Duration kExpiredLogInterval = std::chrono::seconds(1);
+// Number of peers whose retained records are requested in each era.
+constexpr std::size_t kRetainedRequests = 3;
 // Time for the pending read to return records that a peer has seen already.
 constexpr Duration kPendingReadGrace = std::chrono::milliseconds(150);
 
@@ -51,13 +53,14 @@
                              FollowerSettings settings,
                              const PlannerRole* role,
                              FetchFromPeer fetch,
-                             Apply apply)
+                             Apply apply,
+                             ContentRules rules)
     : loop(loop),
       store(store),
       settings(settings),
       role(role),
       fetch(std::move(fetch)),
-      replica(std::move(apply)),
+      replica(std::move(apply), std::move(rules)),
       reads(kShortestIdlePause, kLongestIdlePause),
       missing_reads(kShortestIdlePause, kLongestIdlePause),
       expired_log(kExpiredLogInterval) {}
@@ -83,12 +86,12 @@
         this->loop->Sleep(kFirstRecordsPollInterval, yield);
         continue;
       }
-      const std::int64_t before = this->End();
+      const TopicPosition before = this->Position();
       const MonotonicTime started = this->loop->Now();
-      const bool read = this->synced && !this->records_expired
-                            ? this->ReadMore(this->settings.read_wait, yield)
-                            : this->ReadNewest(yield);
-      const bool advanced = this->End() != before;
+      const bool read = this->NeedsNewest()
+                            ? this->ReadNewest(yield)
+                            : this->ReadMore(this->settings.read_wait, yield);
+      const bool advanced = this->Position() != before;
       // An answer is no progress: without new records, only one that was waited
       // for costs no call too many.
       const bool waited =
@@ -111,6 +114,10 @@
   });
 }
 
+bool TopicFollower::NeedsNewest() const {
+  return !this->synced || this->records_expired || !this->IsCurrent();
+}
+
 bool TopicFollower::ReadsStore() const {
   return this->role->ReadsStore(this->settings.readers);
 }
@@ -133,7 +140,7 @@
 }
 
 void TopicFollower::TakeLate(const TopicBatch& batch) {
-  if (batch.end < this->End()) {
+  if (batch.Position() < this->Position()) {
     return;
   }
   this->Merge(batch);
@@ -144,20 +151,26 @@
 }
 
 bool TopicFollower::ReadNewest(Coroutine yield) {
-  const Result<TopicBatch> batch = this->TryRead(
+  const TopicPosition known = this->Position();
+  Result<TopicBatch> batch = this->TryRead(
       [&] { return this->store->ReadNewest(this->settings.topic, yield); });
   if (batch.has_error()) {
     LogWarning("topic_read_failed", {{"topic", ToString(this->settings.topic)},
                                      {"reason", batch.error().message}});
     return false;
   }
-  if (batch.value().end < this->End()) {
+  if (batch.value().Position() < known && batch.value().era == known.era) {
     if (const auto suppressed = this->expired_log.Pass(this->loop->Now())) {
       LogWarning("topic_ends_early", {{"topic", ToString(this->settings.topic)},
-                                      {"end", this->End()},
+                                      {"era", known.era},
+                                      {"end", known.offset},
                                       {"store_end", batch.value().end},
                                       {"suppressed", *suppressed}});
     }
+    if (!this->store->NoteLostRecords(known.era)) {
+      return false;
+    }
+    batch.value().era = this->store->Era();
   }
   this->Merge(batch.value());
   this->records_expired = false;
@@ -176,29 +189,37 @@
 void TopicFollower::Merge(const TopicBatch& batch) {
   const LoopStep step(this->loop->Monitor(), "apply_records",
                       ToString(this->settings.topic));
-  const std::int64_t before = this->End();
+  const TopicPosition before = this->Position();
   this->last_read_at = this->loop->Now();
   this->replica.Merge(batch);
-  if (this->End() > before) {
+  if (this->Position().era != before.era) {
+    this->records_expired = false;
+    LogInfo("topic_read_anew", {{"topic", ToString(this->settings.topic)},
+                                {"from_era", before.era},
+                                {"from_end", before.offset},
+                                {"era", this->Position().era},
+                                {"end", this->End()},
+                                {"records", batch.records.size()},
+                                {"retained", this->Retained().size()}});
+  }
+  if (this->Position() > before) {
     this->behind_since = MonotonicTime{};
   }
 }
 
 bool TopicFollower::ReadMore(Duration wait, Coroutine yield) {
   const MonotonicTime started = this->loop->Now();
+  const TopicPosition from = this->Position();
   const Result<TopicBatch> batch = this->TryRead([&] {
     return this->store->ReadSince(this->settings.topic, this->End(), wait,
                                   yield);
   });
   if (batch.has_error()) {
     if (batch.error().code == ErrorCode::kExpired) {
-      if (const auto suppressed = this->expired_log.Pass(this->loop->Now())) {
-        LogInfo("topic_records_expired",
-                {{"topic", ToString(this->settings.topic)},
-                 {"from", this->End()},
-                 {"reason", batch.error().message},
-                 {"suppressed", *suppressed}});
-      }
+      LogInfo("topic_records_expired",
+              {{"topic", ToString(this->settings.topic)},
+               {"from", this->End()},
+               {"reason", batch.error().message}});
       this->records_expired = true;
       return true;
     }
@@ -209,7 +230,10 @@
                 {"reason", batch.error().message}});
     return false;
   }
-  this->Merge(batch.value());
+  // Records of a later era are not those that follow `from`.
+  if (batch.value().era == from.era) {
+    this->Merge(batch.value());
+  }
   return true;
 }
 
@@ -221,9 +245,9 @@
 }
 
 void TopicFollower::HandlePeerEnd(const TcpEndpoint& peer,
-                                  std::int64_t peer_end,
+                                  TopicPosition peer_end,
                                   bool is_near) {
-  if (peer_end <= this->End() || this->catching_up ||
+  if (peer_end <= this->Position() || this->catching_up ||
       this->started_at == MonotonicTime{} ||
       (!this->synced && this->ReadsStore())) {
     return;
@@ -239,8 +263,8 @@
     if (this->ReadsStore()) {
       this->loop->Sleep(kPendingReadGrace, yield);
     }
-    if (this->End() < peer_end && !this->FetchMore(peer, peer_end, yield) &&
-        this->synced) {
+    if (this->Position() < peer_end &&
+        !this->FetchMore(peer, peer_end, yield) && this->synced) {
       this->ReadMissing(yield);
     }
     this->catching_up = false;
@@ -248,10 +272,10 @@
 }
 
 bool TopicFollower::FetchMore(const TcpEndpoint& peer,
-                              std::int64_t peer_end,
+                              TopicPosition peer_end,
                               Coroutine yield) {
   const MonotonicTime started = this->loop->Now();
-  const std::int64_t from = this->End();
+  const TopicPosition from = this->Position();
   const Result<TopicBatch> batch =
       this->TryRead([&] { return this->fetch(peer, from, yield); });
   const auto elapsed_ms = ToMillis(this->loop->Now() - started);
@@ -260,7 +284,7 @@
   if (batch.has_value()) {
     this->Merge(batch.value());
   }
-  if (batch.has_error() || this->End() < peer_end) {
+  if (batch.has_error() || this->Position() < peer_end) {
     if (this->behind_since == MonotonicTime{}) {
       this->behind_since = this->loop->Now();  // Some of the records came.
     }
@@ -269,8 +293,10 @@
             ? batch.error()
             : MakeError(ErrorCode::kExhausted, "the peer lacks the records");
     LogWarning("topic_behind_peers", {{"topic", ToString(this->settings.topic)},
+                                      {"era", from.era},
                                       {"end", this->End()},
-                                      {"peer_end", peer_end},
+                                      {"peer_era", peer_end.era},
+                                      {"peer_end", peer_end.offset},
                                       {"peer", address},
                                       {"ms", elapsed_ms},
                                       {"reason", error.message}});
@@ -284,7 +310,7 @@
       std::count_if(batch.value().records.begin(), batch.value().records.end(),
                     [](const TopicRecord& record) { return !record.value; });
   LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
-                            {"from", from},
+                            {"from", from.offset},
                             {"end", this->End()},
                             {"records", batch.value().records.size()},
                             {"removals", removals},
@@ -294,6 +320,37 @@
   return true;
 }
 
+void TopicFollower::HandlePeerRetained(const TcpEndpoint& peer,
+                                       StoreEra peer_era) {
+  if (this->retained_era != peer_era) {
+    this->retained_era = peer_era;
+    this->retained_peers.clear();
+  }
+  if (this->Position().era != peer_era || this->catching_up || !this->synced ||
+      this->retained_peers.size() == kRetainedRequests ||
+      !this->retained_peers.insert(peer).second) {
+    return;
+  }
+  this->catching_up = true;
+  this->loop->Spawn([this, peer](Coroutine yield) {
+    const Result<TopicBatch> batch =
+        this->TryRead([&] { return this->fetch(peer, kRetainedOnly, yield); });
+    this->catching_up = false;
+    if (batch.has_error()) {
+      LogWarning("retained_records_failed",
+                 {{"topic", ToString(this->settings.topic)},
+                  {"peer", peer.address().to_string()},
+                  {"reason", batch.error().message}});
+      return;
+    }
+    this->Merge(batch.value());
+    LogInfo("retained_records_fetched",
+            {{"topic", ToString(this->settings.topic)},
+             {"peer", peer.address().to_string()},
+             {"records", batch.value().retained.size()}});
+  });
+}
+
 void TopicFollower::ReadMissing(Coroutine yield) {
   const MonotonicTime now = this->loop->Now();
   if (now - this->missing_read_at <
@@ -303,12 +360,13 @@
     return;
   }
   this->missing_read_at = now;
-  const std::int64_t from = this->End();
+  const TopicPosition from = this->Position();
   const bool read = this->CatchUp(kMissingReadWait, yield);
-  this->missing_read_pause = this->missing_reads.NextPause(this->End() != from);
+  this->missing_read_pause =
+      this->missing_reads.NextPause(this->Position() != from);
   if (read) {
     LogInfo("topic_fetched", {{"topic", ToString(this->settings.topic)},
-                              {"from", from},
+                              {"from", from.offset},
                               {"end", this->End()},
                               {"peer", "store"},
                               {"ms", ToMillis(this->loop->Now() - now)}});
@@ -320,10 +378,10 @@
 }
 
 bool TopicFollower::CatchUp(Duration wait, Coroutine yield) {
-  if (!this->records_expired && !this->ReadMore(wait, yield)) {
+  if (!this->NeedsNewest() && !this->ReadMore(wait, yield)) {
     return false;
   }
-  return !this->records_expired || this->ReadNewest(yield);
+  return !this->NeedsNewest() || this->ReadNewest(yield);
 }
 
 }  // namespace kumquatcart
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 
 #include "base/log_limiter.h"
@@ -38,7 +40,7 @@
   // Requests the topic's records from offset `from` on from a peer.
   using FetchFromPeer =
       std::function<Result<TopicBatch>(const TcpEndpoint& peer,
-                                       std::int64_t from,
+                                       TopicPosition from,
                                        Coroutine yield)>;
 
   TopicFollower(EventLoop* loop,
@@ -46,7 +48,8 @@
                 FollowerSettings settings,
                 const PlannerRole* role,
                 FetchFromPeer fetch,
-                Apply apply);
+                Apply apply,
+                ContentRules rules = {});
 
   // Starts following the topic until the process ends.
   void Start();
@@ -56,6 +59,26 @@
 
   // The offset after the last one seen.
   std::int64_t End() const { return this->replica.End(); }
+  // The same with its era.
+  TopicPosition Position() const { return this->replica.Position(); }
+
+  // Whether the topic has been read completely in the store's present era.
+  bool IsCurrent() const {
+    return this->synced && this->replica.Position().era == this->store->Era();
+  }
+
+  // The store's newest record of `key`, or its removal. Null: there is none.
+  const TopicRecord* Find(const std::string& key) const {
+    return this->replica.Find(key);
+  }
+
+  // See TopicReplica.
+  void DropRetainedRemovals() { this->replica.DropRetainedRemovals(); }
+
+  // What is newer by its content than the store's records, by key.
+  const std::map<std::string, RetainedRecord>& Retained() const {
+    return this->replica.Retained();
+  }
 
   // When the store or a peer last answered a read of the topic, whether or not
   // there was anything new; zero: never.
@@ -69,12 +92,17 @@
   // soon, for example because the connection is dead. `is_near`: whether the
   // peer is in the same failure domain.
   void HandlePeerEnd(const TcpEndpoint& peer,
-                     std::int64_t peer_end,
+                     TopicPosition peer_end,
                      bool is_near);
 
-  // Returns the newest record of each key from offset `from` on, for a peer;
-  // see TopicReplica.
-  TopicBatch RecordsSince(std::int64_t from) const {
+  // Requests the records that a peer retains since the store has lost them.
+  // Some peers are asked in each era, once each, after the topic was read in
+  // it.
+  void HandlePeerRetained(const TcpEndpoint& peer, StoreEra peer_era);
+
+  // Returns the newest record of each key from `from` on, for a peer; see
+  // TopicReplica.
+  TopicBatch RecordsSince(TopicPosition from) const {
     return this->replica.RecordsSince(from);
   }
 
@@ -86,6 +114,9 @@
   bool ReadsStore() const;
   // Whether the first records should come from a peer rather than the store.
   bool ExpectsFirstRecords(bool is_reader) const;
+  // Whether the records that follow the last one are not in the store, so that
+  // the newest of each key must be read.
+  bool NeedsNewest() const;
   void SetSynced(const char* source);
   // Merges what a read has returned that had failed already.
   void TakeLate(const TopicBatch& batch);
@@ -97,7 +128,7 @@
   // the store need not be asked: on success, and while other peers may still
   // return them.
   bool FetchMore(const TcpEndpoint& peer,
-                 std::int64_t peer_end,
+                 TopicPosition peer_end,
                  Coroutine yield);
   // Reads records that are known to exist, unless the store has just failed.
   void ReadMissing(Coroutine yield);
@@ -127,6 +158,8 @@
   ProgressPacer reads;
   ProgressPacer missing_reads;
   LogLimiter expired_log;
+  StoreEra retained_era = -1;  // Of the retained records requested last.
+  std::set<TcpEndpoint> retained_peers;  // Asked in that era.
 };
 
 }  // namespace kumquatcart
--- a/src/control/topic_replica.cc
+++ b/src/control/topic_replica.cc
@@ -4,10 +4,28 @@
 #include <utility>
 #include <vector>
 
+#include "base/logging.h"
+
 namespace kumquatcart {
 
+namespace {
+
+// Bounds the memory of removed keys; an older copy of the store shows those of
+// some seconds.
+constexpr std::size_t kMaxRemovedValues = 2048;
+
+}  // namespace
+
 void TopicReplica::Merge(const TopicBatch& batch) {
-  if (batch.end <= this->end) {
+  if (batch.era > this->era && batch.other_keys) {
+    this->BeginEra(batch);
+    this->MergeRetained(batch.retained);
+    return;
+  }
+  if (batch.era == this->era) {
+    this->MergeRetained(batch.retained);
+  }
+  if (batch.era != this->era || batch.end <= this->end) {
     return;
   }
   for (const TopicRecord& record : batch.records) {
@@ -25,15 +43,124 @@
 }
 
 void TopicReplica::MergeRecord(const TopicRecord& record) {
-  const auto known = this->newest.find(record.key);
-  if (known != this->newest.end() && known->second.offset >= record.offset) {
+  TopicRecord& known = this->newest[record.key];
+  if (!known.key.empty() && known.offset >= record.offset) {
     return;
   }
   this->unread_keys.erase(record.key);
-  this->newest[record.key] = record;
+  const TopicRecord former = std::exchange(known, record);
+  if (this->IsOutdated(record, /*is_from_copy=*/false)) {
+    LogInfo(
+        "record_outdated",
+        {{"key", record.key}, {"era", this->era}, {"offset", record.offset}});
+    this->Retain(record.key, former.value);
+    return;
+  }
+  this->retained.erase(record.key);
+  if (record.value) {
+    this->removed_values.erase(record.key);
+  } else if (former.value) {
+    if (this->removed_values.size() == kMaxRemovedValues) {
+      this->removed_values.erase(this->removed_values.begin());
+    }
+    this->removed_values[record.key] = *former.value;
+  }
   this->apply(record);
 }
 
+void TopicReplica::BeginEra(const TopicBatch& batch) {
+  const std::map<std::string, TopicRecord> former =
+      std::exchange(this->newest, {});
+  this->unread_keys.clear();
+  this->era = batch.era;
+  this->end = batch.end;
+  this->history_start = batch.end;
+  for (const TopicRecord& record : batch.records) {
+    this->newest[record.key] = record;
+    const auto known = former.find(record.key);
+    if (this->IsOutdated(record, /*is_from_copy=*/true)) {
+      LogInfo(
+          "record_outdated",
+          {{"key", record.key}, {"era", this->era}, {"offset", record.offset}});
+      this->Retain(record.key,
+                   known == former.end() ? std::nullopt : known->second.value);
+      continue;
+    }
+    this->retained.erase(record.key);
+    if (known == former.end() || known->second.value != record.value) {
+      this->apply(record);
+    }
+  }
+  for (const std::string& key : *batch.other_keys) {
+    if (this->newest.count(key) == 0) {
+      this->unread_keys.insert(key);
+    }
+  }
+  for (const auto& [key, record] : former) {
+    if (record.value && this->newest.count(key) == 0 &&
+        this->unread_keys.count(key) == 0) {
+      this->Retain(key, record.value);
+      if (this->rules.handle_lost) {
+        this->rules.handle_lost(key);
+      }
+    }
+  }
+}
+
+bool TopicReplica::IsOutdated(const TopicRecord& record,
+                              bool is_from_copy) const {
+  return this->rules.is_outdated && record.value &&
+         this->rules.is_outdated(record, is_from_copy);
+}
+
+void TopicReplica::Retain(const std::string& key,
+                          const std::optional<std::string>& value) {
+  // What is retained already is newer than any record of the store since.
+  if (this->retained.count(key) > 0) {
+    return;
+  }
+  const auto last = this->removed_values.find(key);
+  if (value) {
+    this->retained[key] = {key, *value, /*is_removed=*/false};
+  } else if (last != this->removed_values.end()) {
+    this->retained[key] = {key, last->second, /*is_removed=*/true};
+  }
+}
+
+void TopicReplica::MergeRetained(const std::vector<RetainedRecord>& records) {
+  for (const RetainedRecord& record : records) {
+    if (this->rules.apply_retained && this->rules.apply_retained(record)) {
+      this->retained[record.key] = record;
+      if (!record.is_removed && this->newest.count(record.key) == 0 &&
+          this->rules.handle_lost) {
+        this->rules.handle_lost(record.key);
+      }
+    }
+  }
+}
+
+void TopicReplica::DropRetainedRemovals() {
+  for (auto record = this->retained.begin(); record != this->retained.end();) {
+    if (!record->second.is_removed) {
+      ++record;
+      continue;
+    }
+    const TopicRecord* present = this->Find(record->first);
+    if (present != nullptr && present->value) {
+      LogInfo("retained_removal_dropped", {{"key", present->key},
+                                           {"era", this->era},
+                                           {"offset", present->offset}});
+      this->apply(*present);
+    }
+    record = this->retained.erase(record);
+  }
+}
+
+const TopicRecord* TopicReplica::Find(const std::string& key) const {
+  const auto found = this->newest.find(key);
+  return found == this->newest.end() ? nullptr : &found->second;
+}
+
 void TopicReplica::RemoveUnlisted(const TopicBatch& batch) {
   std::set<std::string> listed(batch.other_keys->begin(),
                                batch.other_keys->end());
@@ -58,15 +185,26 @@
   }
 }
 
-TopicBatch TopicReplica::RecordsSince(std::int64_t from) const {
+TopicBatch TopicReplica::RecordsSince(TopicPosition from) const {
   TopicBatch batch;
+  batch.era = this->era;
+  if (from == kRetainedOnly) {
+    for (const auto& entry : this->retained) {
+      batch.retained.push_back(entry.second);
+    }
+    return batch;
+  }
   batch.end = this->end;
-  if (from < this->history_start) {
+  const std::int64_t first = from.era == this->era ? from.offset : 0;
+  if (from.era != this->era || first < this->history_start) {
     batch.other_keys.emplace(this->unread_keys.begin(),
                              this->unread_keys.end());
+    for (const auto& entry : this->retained) {
+      batch.retained.push_back(entry.second);
+    }
   }
   for (const auto& [key, record] : this->newest) {
-    if (record.offset >= from) {
+    if (record.offset >= first) {
       batch.records.push_back(record);
     } else if (batch.other_keys && record.value) {
       batch.other_keys->push_back(key);
--- a/src/entry/config_loader.cc
+++ b/src/entry/config_loader.cc
@@ -38,7 +38,8 @@
       continue;
     }
     const auto is_older = [&record](const ConfigRecord& other) {
-      return other.offset < record.offset;
+      return other.position.era == record.position.era &&
+             other.position < record.position;
     };
     this->pending.erase(
         std::remove_if(this->pending.begin(), this->pending.end(), is_older),
@@ -55,8 +56,8 @@
     }
   });
   if (config.has_error()) {
-    LogError("config_unreadable",
-             {{"offset", record.offset}, {"reason", config.error().message}});
+    LogError("config_unreadable", {{"offset", record.position.offset},
+                                   {"reason", config.error().message}});
     return false;
   }
   return this->adopt(std::move(config.value()));
--- a/src/entry/config_loader.h
+++ b/src/entry/config_loader.h
@@ -2,7 +2,6 @@
 #ifndef ENTRY_CONFIG_LOADER_H_
 #define ENTRY_CONFIG_LOADER_H_
 
-#include <cstdint>
 #include <functional>
 #include <string>
 #include <tuple>
@@ -10,21 +9,22 @@
 
 #include "model/routing_config.h"
 #include "net/event_loop.h"
+#include "platform/topic_batch.h"
 
 namespace kumquatcart {
 
 // A version of the configuration as the store holds it.
 struct ConfigRecord {
   std::string text;
-  std::int64_t offset = 0;
+  TopicPosition position;
 
-  auto Tie() const { return std::tie(this->text, this->offset); }
+  auto Tie() const { return std::tie(this->text, this->position); }
 };
 
 // Decodes one version at a time in a coroutine, which lets the loop handle
 // other events after each `max_step`. Of versions that arrive during a decode
-// the newest is decoded next; the others are dropped once it is adopted. Must
-// be used on the event loop's thread.
+// the last one is decoded next; those of the same era before it are dropped
+// once it is adopted. Must be used on the event loop's thread.
 class ConfigLoader {
  public:
   // Returns whether the version is in force now.
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -7,6 +7,7 @@
 
 #include "base/logging.h"
 #include "base/scope_guard.h"
+#include "control/content_rules.h"
 #include "control/group_record_codec.h"
 #include "control/node_record_codec.h"
 #include "entry/caller_session.h"
@@ -69,6 +70,16 @@
 // Delay between attempts to publish the node record of this process.
 constexpr Duration kNodeRecordRetryDelay = std::chrono::milliseconds(500);
 
+// Time in which the platform removes the entries of servers that are gone.
+constexpr Duration kStaleEntryTime = std::chrono::milliseconds(5000);
+// Time over which the entry VMs write their node records again.
+constexpr int kMaxNodeRecordDelayMs = 2000;
+// Time after the start in which announced peers are awaited.
+constexpr Duration kPeerIntroductionTime = std::chrono::milliseconds(1000);
+
+// In a digest: the topic has not been read in the digest's era.
+constexpr std::int64_t kNotRead = -1;
+
 // Far from those of earlier processes of the node.
 std::int64_t DrawFirstSlotId() {
   constexpr unsigned kIdsPerProcessBits = 24;
@@ -179,24 +190,37 @@
                     [this](RoutingConfig config) {
                       return this->AdoptConfig(std::move(config));
                     }),
-      operator_topic(&this->loop,
-                     &this->store,
-                     OperatorTopicSettings(this->settings),
-                     &this->role,
-                     this->MakePeerFetcher(StoreTopic::kOperator),
-                     [this](const TopicRecord& r) { this->ApplyConfig(r); }),
-      servers_topic(&this->loop,
-                    &this->store,
-                    ServersTopicSettings(this->settings),
-                    &this->role,
-                    this->MakePeerFetcher(StoreTopic::kServers),
-                    [this](const TopicRecord& r) { this->ApplyServer(r); }),
-      groups_topic(&this->loop,
-                   &this->store,
-                   kGroupsTopic,
-                   &this->role,
-                   this->MakePeerFetcher(StoreTopic::kGroups),
-                   [this](const TopicRecord& r) { this->ApplyGroup(r); }),
+      operator_topic(
+          &this->loop,
+          &this->store,
+          OperatorTopicSettings(this->settings),
+          &this->role,
+          this->MakePeerFetcher(StoreTopic::kOperator),
+          [this](const TopicRecord& r) { this->ApplyConfig(r); },
+          ConfigContentRules(&this->view,
+                             [this](const std::string& text) {
+                               this->config_loader.Load({text, kRetainedOnly});
+                             })),
+      servers_topic(
+          &this->loop,
+          &this->store,
+          ServersTopicSettings(this->settings),
+          &this->role,
+          this->MakePeerFetcher(StoreTopic::kServers),
+          [this](const TopicRecord& r) { this->ApplyServer(r); },
+          ServerContentRules(
+              &this->loop,
+              &this->store,
+              &this->view,
+              [this](const TopicRecord& r) { this->ApplyServer(r); })),
+      groups_topic(
+          &this->loop,
+          &this->store,
+          kGroupsTopic,
+          &this->role,
+          this->MakePeerFetcher(StoreTopic::kGroups),
+          [this](const TopicRecord& r) { this->ApplyGroup(r); },
+          GroupContentRules(&this->view)),
       nodes_topic(&this->loop,
                   &this->store,
                   kNodesTopic,
@@ -231,6 +255,7 @@
                    }) {
   this->loop.Monitor()->SetMetrics(&this->metrics);
   this->store.SetMetrics(&this->metrics);
+  this->store.SetEraListener([this] { this->OnEraChanged(); });
   this->store.SetRelays([this] {
     std::vector<TcpEndpoint> relays;
     for (const Endpoint& peer : this->peers.FindStoreRelays(this->loop.Now())) {
@@ -307,7 +332,41 @@
   if (record.key != ConfigurationKey() || !record.value) {
     return;
   }
-  this->config_loader.Load({*record.value, record.offset});
+  this->config_loader.Load(
+      {*record.value, {this->operator_topic.Position().era, record.offset}});
+}
+
+void EntryProcess::OnEraChanged() {
+  const StoreEra era = this->store.Era();
+  this->digests.SendToAll();
+  if (!this->store.EraChangedAt()) {
+    return;
+  }
+  this->loop.Spawn(
+      [this, era](Coroutine yield) { this->RestoreNodeRecord(era, yield); });
+  this->loop.Spawn([this, era](Coroutine yield) {
+    this->loop.Sleep(kStaleEntryTime, yield);
+    if (this->store.Era() == era) {
+      this->servers_topic.DropRetainedRemovals();
+    }
+  });
+}
+
+void EntryProcess::RestoreNodeRecord(StoreEra era, Coroutine yield) {
+  std::random_device entropy;
+  std::minstd_rand generator(entropy());
+  this->loop.Sleep(std::chrono::milliseconds(std::uniform_int_distribution<int>(
+                       0, kMaxNodeRecordDelayMs)(generator)),
+                   yield);
+  while (!this->nodes_topic.IsCurrent()) {
+    this->loop.Sleep(kNodeRecordRetryDelay, yield);
+  }
+  const TopicRecord* record = this->nodes_topic.Find(this->settings.node_name);
+  if (this->store.Era() == era &&
+      (record == nullptr || record->value != this->NodeRecordValue())) {
+    LogInfo("node_record_restored", {{"era", era}});
+    this->PublishNodeRecord(yield);
+  }
 }
 
 bool EntryProcess::AdoptConfig(RoutingConfig config) {
@@ -392,14 +451,16 @@
                       node.value().endpoint, node.value().cores);
 }
 
+std::string EntryProcess::NodeRecordValue() const {
+  return EncodeNodeRecord({this->settings.peers, this->settings.failure_domain,
+                           this->settings.cores});
+}
+
 void EntryProcess::PublishNodeRecord(Coroutine yield) {
-  const std::string value =
-      EncodeNodeRecord({this->settings.peers, this->settings.failure_domain,
-                        this->settings.cores});
   for (;;) {
     const Result<std::int64_t> offset =
-        this->store.Append(StoreTopic::kNodes, this->settings.node_name, value,
-                           std::nullopt, yield);
+        this->store.Append(StoreTopic::kNodes, this->settings.node_name,
+                           this->NodeRecordValue(), std::nullopt, yield);
     if (offset.has_value()) {
       return;
     }
@@ -419,8 +480,14 @@
   digest.has_traffic = this->view.HasTraffic();
   digest.config_version =
       this->view.Config() ? this->view.Config()->version : 0;
-  digest.topic_ends = {this->operator_topic.End(), this->servers_topic.End(),
-                       this->groups_topic.End(), this->nodes_topic.End()};
+  digest.store_era = this->store.Era();
+  for (const TopicFollower* follower : this->Followers()) {
+    const TopicPosition end = follower->Position();
+    digest.topic_ends.push_back(end.era == digest.store_era ? end.offset
+                                                            : kNotRead);
+    digest.retained_records.push_back(
+        static_cast<int>(follower->Retained().size()));
+  }
   const MonotonicTime now = this->loop.Now();
   this->peer_loads.Report(this->digests.Schedule().IsCollector(now), now,
                           &digest);
@@ -441,11 +508,8 @@
   const PeerState& peer = this->peers.Peers().at(digest.node);
   const TcpEndpoint address = ToTcpEndpoint(peer.endpoint);
   const bool is_near = peer.failure_domain == this->settings.failure_domain;
-  const std::vector<TopicFollower*> followers = this->Followers();
-  for (std::size_t i = 0;
-       i < std::min(followers.size(), digest.topic_ends.size()); ++i) {
-    followers[i]->HandlePeerEnd(address, digest.topic_ends[i], is_near);
-  }
+  this->has_heard_peer = true;
+  this->HandlePeerTopics(digest, address, is_near);
   if (digest.has_traffic) {
     this->view.MarkTrafficStarted();
   }
@@ -461,6 +525,30 @@
   this->group_balancer.AssignFreeSlots();
 }
 
+void EntryProcess::HandlePeerTopics(const NodeDigest& digest,
+                                    const TcpEndpoint& peer,
+                                    bool is_near) {
+  this->store.NotePeerEra(digest.store_era);
+  const std::vector<TopicFollower*> followers = this->Followers();
+  for (std::size_t i = 0;
+       i < std::min(followers.size(), digest.topic_ends.size()); ++i) {
+    if (digest.topic_ends[i] != kNotRead) {
+      followers[i]->HandlePeerEnd(
+          peer, {digest.store_era, digest.topic_ends[i]}, is_near);
+    }
+  }
+  const std::int64_t version =
+      this->view.Config() ? this->view.Config()->version : 0;
+  for (std::size_t i = 0;
+       i < std::min(followers.size(), digest.retained_records.size()); ++i) {
+    const bool has_news = followers[i] != &this->operator_topic ||
+                          digest.config_version > version;
+    if (digest.retained_records[i] > 0 && has_news) {
+      followers[i]->HandlePeerRetained(peer, digest.store_era);
+    }
+  }
+}
+
 void EntryProcess::OnFleetChanged() {
   const LoopStep step(this->loop.Monitor(), "fleet_changed");
   this->digests.SendChange();
@@ -514,6 +602,10 @@
     this->pool.CloseUnusable();
     this->engine_http.PruneIdle();
     this->record_client.PruneIdle();
+    if (const auto changed_at = this->store.EraChangedAt()) {
+      this->metrics.GetGauge("kumquatcart_store_era_age_seconds")
+          .Set(std::chrono::duration<double>(now - *changed_at).count());
+    }
     this->ShareRetryBudget(now);
     this->group_balancer.SetNodeCount(this->peers.CountLiveNodes(now));
     const auto written =
@@ -603,14 +695,23 @@
   return this->servers_topic.IsSynced() && this->groups_topic.IsSynced();
 }
 
+bool EntryProcess::AwaitsPeers() const {
+  const MonotonicTime now = this->loop.Now();
+  return !this->has_heard_peer &&
+         now - this->started_at<
+                   kPeerIntroductionTime&& this->peers.CountNodesSince(
+                       now, /*include_silent=*/true)> 1;
+}
+
 SimpleHttpResponse EntryProcess::AnswerReadiness() const {
   const bool ready = !this->context.is_stopping &&
-                     this->context.routes != nullptr && this->HasFleetState();
+                     this->context.routes != nullptr && this->HasFleetState() &&
+                     !this->AwaitsPeers();
   return SimpleHttpResponse{ready ? kHttpOk : kHttpServiceUnavailable, ""};
 }
 
 TopicFollower::FetchFromPeer EntryProcess::MakePeerFetcher(StoreTopic topic) {
-  return [this, topic](const TcpEndpoint& peer, std::int64_t from,
+  return [this, topic](const TcpEndpoint& peer, TopicPosition from,
                        Coroutine yield) {
     return this->record_client.Fetch(peer, RecordQuery{topic, from}, yield);
   };
@@ -643,7 +744,8 @@
                                   : kHttpGatewayTimeout,
                               ""};
   }
-  return SimpleHttpResponse{reply.status, reply.body};
+  return SimpleHttpResponse{reply.status, reply.body,
+                            StoreClient::FieldsToPassOn(reply)};
 }
 
 }  // namespace kumquatcart
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -59,8 +59,16 @@
   void ApplyServer(const TopicRecord& record);
   void ApplyGroup(const TopicRecord& record);
   void ApplyNode(const TopicRecord& record);
+  void OnEraChanged();
+  // Writes the node record of this process again if the store has lost it.
+  void RestoreNodeRecord(StoreEra era, Coroutine yield);
   NodeDigest ComposeDigest();
   void HandleDigest(const NodeDigest& digest);
+  // Follows what a peer's digest says of the store's topics.
+  void HandlePeerTopics(const NodeDigest& digest,
+                        const TcpEndpoint& peer,
+                        bool is_near);
+  std::string NodeRecordValue() const;
   void PublishNodeRecord(Coroutine yield);
   void RunMaintenance(Coroutine yield);
   void OnFleetChanged();
@@ -73,6 +81,9 @@
   void Stop(Coroutine yield);
   void AcceptCaller(boost::asio::ip::tcp::socket socket);
   bool HasFleetState() const;
+  // Whether announced peers, which may know of later versions than an older
+  // copy of the store shows, have not been heard since the start.
+  bool AwaitsPeers() const;
   SimpleHttpResponse AnswerReadiness() const;
   SimpleHttpResponse HandlePeerRequest(const ParsedRequest& request,
                                        Coroutine yield);
@@ -127,6 +138,7 @@
   SimpleHttpServer peer_service;
   EntryContext context;
   std::set<Waiter*> sessions;
+  bool has_heard_peer = false;
 };
 
 }  // namespace kumquatcart
--- a/src/entry/record_service.cc
+++ b/src/entry/record_service.cc
@@ -24,7 +24,7 @@
 
 SimpleHttpResponse RecordService::Answer(StoreTopic topic,
                                          const TopicFollower& follower,
-                                         std::int64_t from,
+                                         TopicPosition from,
                                          MonotonicTime now) {
   const MetricLabels labels{{"topic", ToString(topic)}};
   this->metrics->GetCounter("kumquatcart_peer_record_requests_total", labels)
@@ -42,7 +42,7 @@
   sent.Add(body.size());
   if (body.size() >= kMinLoggedBytes) {
     LogInfo("records_sent", {{"topic", ToString(topic)},
-                             {"from", from},
+                             {"from", from.offset},
                              {"end", follower.End()},
                              {"bytes", body.size()},
                              {"total_bytes", sent.Value()}});
--- a/src/entry/record_service.h
+++ b/src/entry/record_service.h
@@ -18,11 +18,11 @@
   // `link_bytes_per_second`: bandwidth of this VM's link.
   RecordService(MetricRegistry* metrics, double link_bytes_per_second);
 
-  // Returns the records of `follower`, which follows `topic`, from offset
-  // `from` on; status 429 if the limit is reached at `now`.
+  // Returns the records of `follower`, which follows `topic`, from `from` on;
+  // status 429 if the limit is reached at `now`.
   SimpleHttpResponse Answer(StoreTopic topic,
                             const TopicFollower& follower,
-                            std::int64_t from,
+                            TopicPosition from,
                             MonotonicTime now);
 
  private:
--- a/src/model/backend_server.h
+++ b/src/model/backend_server.h
@@ -49,12 +49,14 @@
   std::string loaded_model;                // Empty: none.
   std::vector<std::string> staged_models;  // In its VM's memory.
   std::optional<GroupMembership> membership;
+  std::int64_t orders_accepted = 0;  // Since its start.
 
   auto Tie() const {
     return std::tie(this->id, this->service, this->endpoint,
                     this->failure_domain, this->fabric_domain, this->started_ms,
                     this->slots, this->draining, this->loaded_model,
-                    this->staged_models, this->membership);
+                    this->staged_models, this->membership,
+                    this->orders_accepted);
   }
 };
 
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -34,6 +34,10 @@
 constexpr std::size_t kDomainLoadsIndex = 15;
 constexpr std::size_t kClusterLoadIndex = 16;
 
+// Positions of what only nodes send whose store has come back from a copy.
+constexpr std::size_t kStoreEraIndex = 17;
+constexpr std::size_t kRetainedRecordsIndex = 18;
+
 std::vector<ServerLimit> DecodeLimits(const Json& json) {
   std::vector<ServerLimit> limits;
   for (const Json& row : json) {
@@ -84,6 +88,13 @@
     json.push_back(Json::array(
         {digest.cluster_load->in_flight, digest.cluster_load->unread}));
   }
+  if (digest.store_era > 0) {
+    while (json.size() < kStoreEraIndex) {
+      json.push_back(nullptr);
+    }
+    json.push_back(digest.store_era);
+    json.push_back(digest.retained_records);
+  }
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -111,15 +122,25 @@
     if (json.size() > kLimitsIndex && !json.at(kLimitsIndex).is_null()) {
       digest.limits = DecodeLimits(json.at(kLimitsIndex));
     }
-    if (json.size() > kDomainLoadsIndex) {
+    if (json.size() > kDomainLoadsIndex &&
+        !json.at(kDomainLoadsIndex).is_null()) {
       digest.domain_loads = DecodeDomainLoads(json.at(kDomainLoadsIndex));
     }
-    if (json.size() > kClusterLoadIndex) {
+    if (json.size() > kClusterLoadIndex &&
+        !json.at(kClusterLoadIndex).is_null()) {
       const Json& load = json.at(kClusterLoadIndex);
       digest.cluster_load =
           ClusterLoadReport{load.at(0).get<std::map<std::string, int>>(),
                             load.at(1).get<std::map<std::string, int>>()};
     }
+    if (json.size() > kRetainedRecordsIndex) {
+      digest.store_era = json.at(kStoreEraIndex).get<StoreEra>();
+      digest.retained_records =
+          json.at(kRetainedRecordsIndex).get<std::vector<int>>();
+    }
+    if (digest.store_era < 0) {
+      return MakeError(ErrorCode::kInvalidArgument, "digest: negative era");
+    }
     return digest;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/peers/node_digest.h
+++ b/src/peers/node_digest.h
@@ -12,6 +12,7 @@
 #include "base/comparable.h"
 #include "base/outcome.h"
 #include "model/server_limit.h"
+#include "platform/topic_batch.h"
 
 namespace kumquatcart {
 
@@ -54,7 +55,8 @@
   bool reaches_store = true;
   bool has_traffic = false;  // Has received requests from callers.
   std::int64_t config_version = 0;
-  std::vector<std::int64_t> topic_ends;  // Indexed by StoreTopic.
+  // Indexed by StoreTopic. Negative: not read in `store_era` yet.
+  std::vector<std::int64_t> topic_ends;
   std::map<std::string, int> in_flight;  // Requests of this node by server.
   std::map<std::string, int> unread;     // Their unprocessed prompt tokens.
   std::vector<std::string> unreachable;  // Servers that did not respond.
@@ -66,14 +68,18 @@
   // Only from collectors, to other collectors and to other nodes.
   std::vector<DomainLoad> domain_loads;
   std::optional<ClusterLoadReport> cluster_load;
+  StoreEra store_era = 0;  // Of `topic_ends`.
+  // Number of records by StoreTopic that are newer than those of the store,
+  // which has lost them. Empty: none.
+  std::vector<int> retained_records;
 
   auto Tie() const {
-    return std::tie(this->node, this->failure_domain, this->interval_ms,
-                    this->is_stopping, this->reaches_store, this->has_traffic,
-                    this->config_version, this->topic_ends, this->in_flight,
-                    this->unread, this->unreachable, this->suspected_servers,
-                    this->groups, this->limits, this->domain_loads,
-                    this->cluster_load);
+    return std::tie(
+        this->node, this->failure_domain, this->interval_ms, this->is_stopping,
+        this->reaches_store, this->has_traffic, this->config_version,
+        this->topic_ends, this->in_flight, this->unread, this->unreachable,
+        this->suspected_servers, this->groups, this->limits, this->domain_loads,
+        this->cluster_load, this->store_era, this->retained_records);
   }
 };
 
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view kPath = "/peer/records/";
+// In place of an era.
+constexpr std::string_view kRetained = "retained";
 
 // Removes a non-negative number and an optional slash after it from the front
 // of `text`.
@@ -29,11 +31,21 @@
   return number;
 }
 
+// Positions in an encoded batch.
+constexpr std::size_t kEraIndex = 3;
+constexpr std::size_t kRetainedIndex = 4;
+
+std::string ToText(const Json::binary_t& bytes) {
+  return {bytes.begin(), bytes.end()};
+}
+
 }  // namespace
 
 std::string EncodeRecordQuery(const RecordQuery& query) {
-  return fmt::format("{}{}/{}", kPath, static_cast<int>(query.topic),
-                     query.from);
+  return fmt::format(
+      "{}{}/{}/{}", kPath, static_cast<int>(query.topic), query.from.offset,
+      query.from == kRetainedOnly ? std::string(kRetained)
+                                  : std::to_string(query.from.era));
 }
 
 std::optional<RecordQuery> DecodeRecordQuery(const std::string& target) {
@@ -44,10 +56,18 @@
   rest.remove_prefix(kPath.size());
   const std::optional<std::int64_t> topic = ConsumeNumber(&rest);
   const std::optional<std::int64_t> from = ConsumeNumber(&rest);
-  if (!topic || !from || *topic >= kStoreTopicCount || !rest.empty()) {
+  // A node of an earlier version states no era.
+  std::optional<StoreEra> era = 0;
+  if (rest == kRetained) {
+    era = kRetainedOnly.era;
+    rest = {};
+  } else if (!rest.empty()) {
+    era = ConsumeNumber(&rest);
+  }
+  if (!topic || !from || !era || *topic >= kStoreTopicCount || !rest.empty()) {
     return std::nullopt;
   }
-  return RecordQuery{static_cast<StoreTopic>(*topic), *from};
+  return RecordQuery{static_cast<StoreTopic>(*topic), {*era, *from}};
 }
 
 std::string EncodeTopicBatch(const TopicBatch& batch) {
@@ -67,8 +87,16 @@
       other_keys.push_back(Json::binary({key.begin(), key.end()}));
     }
   }
+  Json retained = Json::array();
+  for (const RetainedRecord& record : batch.retained) {
+    retained.push_back(
+        Json::array({Json::binary({record.key.begin(), record.key.end()}),
+                     Json::binary({record.value.begin(), record.value.end()}),
+                     record.is_removed}));
+  }
   const std::vector<std::uint8_t> bytes = Json::to_cbor(
-      Json::array({batch.end, std::move(records), std::move(other_keys)}));
+      Json::array({batch.end, std::move(records), std::move(other_keys),
+                   batch.era, std::move(retained)}));
   return std::string(bytes.begin(), bytes.end());
 }
 
@@ -98,6 +126,18 @@
         batch.other_keys->emplace_back(key.begin(), key.end());
       }
     }
+    if (json.size() <= kEraIndex) {
+      return batch;  // Of a node of an earlier version.
+    }
+    batch.era = json.at(kEraIndex).get<StoreEra>();
+    for (const Json& row : json.at(kRetainedIndex)) {
+      batch.retained.push_back({ToText(row.at(0).get_binary()),
+                                ToText(row.at(1).get_binary()),
+                                row.at(2).get<bool>()});
+    }
+    if (batch.era < 0 || batch.end < 0) {
+      return MakeError(ErrorCode::kInvalidArgument, "records: negative place");
+    }
     return batch;
   } catch (const Json::exception& error) {
     return MakeError(ErrorCode::kInvalidArgument,
--- a/src/peers/record_exchange.h
+++ b/src/peers/record_exchange.h
@@ -8,14 +8,15 @@
 #include <tuple>
 
 #include "base/outcome.h"
-#include "platform/store_client.h"
+#include "platform/topic_batch.h"
 
 namespace kumquatcart {
 
-// Request for the records of a topic, starting at an offset.
+// Request for the records of a topic, starting at a position, or for the
+// retained ones only.
 struct RecordQuery {
   StoreTopic topic = StoreTopic::kOperator;
-  std::int64_t from = 0;
+  TopicPosition from;
 
   auto Tie() const { return std::tie(this->topic, this->from); }
 };
--- a/src/platform/config_decoder.cc
+++ b/src/platform/config_decoder.cc
@@ -139,6 +139,7 @@
 }
 
 constexpr char kRoutesField[] = "routes";
+constexpr char kVersionField[] = "version";
 
 // Decodes each route as soon as it is parsed and drops its JSON value. Routes
 // are all that grows with a configuration.
@@ -171,11 +172,77 @@
   bool in_routes = false;
 };
 
+// Ends the parse of a document at its version.
+class VersionFinder : public nlohmann::json_sax<Json> {
+ public:
+  std::optional<std::int64_t> Version() const { return this->version; }
+
+  bool null() override { return this->TakeValue(std::nullopt); }
+  bool boolean(bool /*value*/) override {
+    return this->TakeValue(std::nullopt);
+  }
+  bool number_integer(number_integer_t value) override {
+    return this->TakeValue(value);
+  }
+  bool number_unsigned(number_unsigned_t value) override {
+    return this->TakeValue(static_cast<std::int64_t>(value));
+  }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return this->TakeValue(std::nullopt);
+  }
+  bool string(string_t& /*value*/) override {
+    return this->TakeValue(std::nullopt);
+  }
+  bool binary(binary_t& /*value*/) override {
+    return this->TakeValue(std::nullopt);
+  }
+  bool start_object(std::size_t /*elements*/) override {
+    ++this->depth;
+    return this->TakeValue(std::nullopt);
+  }
+  bool key(string_t& name) override {
+    this->at_version = this->depth == 1 && name == kVersionField;
+    return true;
+  }
+  bool end_object() override {
+    --this->depth;
+    return true;
+  }
+  bool start_array(std::size_t /*elements*/) override {
+    ++this->depth;
+    return this->TakeValue(std::nullopt);
+  }
+  bool end_array() override {
+    --this->depth;
+    return true;
+  }
+  bool parse_error(std::size_t /*position*/,
+                   const std::string& /*last_token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    return false;
+  }
+
+ private:
+  // Returns whether the parse goes on.
+  bool TakeValue(std::optional<std::int64_t> value) {
+    if (!this->at_version) {
+      return true;
+    }
+    this->version = value;
+    return false;
+  }
+
+  std::optional<std::int64_t> version;
+  int depth = 0;
+  bool at_version = false;  // The next value is that of the version.
+};
+
 RoutingConfig Decode(const std::string& text,
                      const std::function<void()>& after_route) {
   RoutingConfig config;
   const Json json = Json::parse(text, RouteParser(&config.routes, after_route));
-  config.version = json.at("version").get<std::int64_t>();
+  config.version = json.at(kVersionField).get<std::int64_t>();
   for (const Json& route : json.at(kRoutesField)) {
     config.routes.push_back(DecodeRoute(route));  // Fails: not an object.
   }
@@ -201,4 +268,10 @@
   }
 }
 
+std::optional<std::int64_t> FindConfigVersion(const std::string& text) {
+  VersionFinder finder;
+  Json::sax_parse(text, &finder);
+  return finder.Version();
+}
+
 }  // namespace kumquatcart
--- a/src/platform/config_decoder.h
+++ b/src/platform/config_decoder.h
@@ -2,7 +2,9 @@
 #ifndef PLATFORM_CONFIG_DECODER_H_
 #define PLATFORM_CONFIG_DECODER_H_
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "base/outcome.h"
@@ -16,6 +18,10 @@
     const std::string& text,
     const std::function<void()>& after_route = [] {});
 
+// Returns the version that the configuration `text` states, without decoding
+// the rest; none if there is none. Thread safe.
+std::optional<std::int64_t> FindConfigVersion(const std::string& text);
+
 }  // namespace kumquatcart
 
 #endif  // PLATFORM_CONFIG_DECODER_H_
--- a/src/platform/server_decoder.cc
+++ b/src/platform/server_decoder.cc
@@ -197,7 +197,8 @@
   }
   server.slots = static_cast<int>(slots);
   BOOST_OUTCOME_TRY(TextAt(json, "version"));
-  BOOST_OUTCOME_TRY(CountAt(json, "seq"));
+  BOOST_OUTCOME_TRY(orders_accepted, CountAt(json, "seq"));
+  server.orders_accepted = orders_accepted;
   BOOST_OUTCOME_TRY(CheckMillisAt(json, "cold_left_ms"));
   BOOST_OUTCOME_TRY(started_ms, OptionalCountAt(json, "born", kMaxUnixMillis));
   server.started_ms = started_ms;
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -39,6 +39,12 @@
 constexpr Duration kDirectInterval = std::chrono::seconds(1);
 constexpr Duration kMaxIdle = std::chrono::seconds(2);
 
+// Shortest time between log lines of answers that were dropped.
+constexpr Duration kDroppedAnswerLogInterval = std::chrono::seconds(1);
+// Nearly 32 years of a change each second; far below where numbers derived from
+// an era would overflow.
+constexpr StoreEra kMaxEra = 1'000'000'000;
+
 // Part of an unexpected answer's body that goes into the log.
 constexpr std::size_t kLoggedBodyBytes = 80;
 
@@ -227,7 +233,10 @@
 }
 
 StoreClient::StoreClient(EventLoop* loop, TcpEndpoint store)
-    : loop(loop), store(std::move(store)), client(loop) {}
+    : loop(loop),
+      store(std::move(store)),
+      client(loop),
+      dropped_answers(kDroppedAnswerLogInterval) {}
 
 bool StoreClient::IsStoreCall(const std::string& target) {
   return target.rfind(wire::kLogReadPath, 0) == 0 ||
@@ -238,6 +247,7 @@
 // A read that goes on when its caller no longer waits for it.
 struct StoreClient::PendingRead {
   MonotonicTime sent_at;
+  StoreEra sent_in = 0;
   Waiter* caller = nullptr;  // Null once the caller no longer waits.
   std::optional<HttpResponse> reply;
   bool is_abandoned = false;
@@ -251,6 +261,7 @@
   Waiter waiter(this->loop);
   const auto read = std::make_shared<PendingRead>();
   read->sent_at = this->loop->Now();
+  read->sent_in = this->era;
   read->caller = &waiter;
   this->awaited_reads.insert(read.get());
   const ScopeGuard guard([this, &read] {
@@ -270,7 +281,7 @@
         if (read->caller != nullptr) {
           read->caller->Notify();
         } else {
-          this->HandleLateAnswer(request, *read, handle_late);
+          this->HandleLateAnswer(request, read.get(), handle_late);
         }
       });
   while (!read->reply && !read->is_abandoned &&
@@ -291,16 +302,110 @@
 }
 
 void StoreClient::HandleLateAnswer(const OutgoingRequest& request,
-                                   const PendingRead& read,
+                                   PendingRead* read,
                                    const HandleLate& handle_late) {
-  if (handle_late == nullptr || !read.reply->HasResponseStatus(kHttpOk)) {
+  if (handle_late == nullptr || !read->reply->HasResponseStatus(kHttpOk)) {
+    return;
+  }
+  StoreReply reply;
+  reply.response = *std::move(read->reply);
+  this->CheckEra(read->sent_in, &reply);
+  if (!reply.response.HasResponseStatus(kHttpOk)) {
     return;
   }
   LogInfo("store_answer_late",
           {{"call", request.target},
-           {"ms", ToMillis(this->loop->Now() - read.sent_at)}});
+           {"ms", ToMillis(this->loop->Now() - read->sent_at)}});
   ContainFailure(this->loop, "late_read",
-                 [&] { handle_late(read.reply->body); });
+                 [&] { handle_late(reply.response.body, reply.era); });
+}
+
+void StoreClient::CheckEra(StoreEra sent_in, StoreReply* reply) {
+  HttpResponse& response = reply->response;
+  reply->era = this->era;
+  if (response.result != ExchangeResult::kAnswered) {
+    return;
+  }
+  const Result<std::optional<StoreEra>> stated =
+      DecodeStoreEra(response.headers);
+  const bool is_stated = stated.has_value() && stated.value().has_value();
+  if (IsRefusal(response) && !is_stated) {
+    return;  // A peer or the platform may refuse a call for the store.
+  }
+  if (stated.has_error()) {
+    this->DropAnswer(stated.error().message, &response);
+  } else if (is_stated) {
+    this->states_era = true;
+    if (*stated.value() < this->era) {
+      this->DropAnswer(
+          fmt::format("era {} after {}", *stated.value(), this->era),
+          &response);
+    } else if (*stated.value() > this->era) {
+      this->AdoptEra(*stated.value(), "store");
+    }
+  } else if (this->states_era) {
+    this->DropAnswer("no era", &response);
+  } else if (sent_in != this->era) {
+    this->DropAnswer("sent in an earlier era", &response);
+  }
+  this->knows_era =
+      this->knows_era || response.result == ExchangeResult::kAnswered;
+  reply->era = this->era;
+}
+
+void StoreClient::DropAnswer(const std::string& reason,
+                             HttpResponse* response) {
+  if (const auto suppressed = this->dropped_answers.Pass(this->loop->Now())) {
+    LogWarning("store_answer_dropped", {{"reason", reason},
+                                        {"status", response->status},
+                                        {"suppressed", *suppressed}});
+  }
+  *response = HttpResponse();
+  response->result = ExchangeResult::kNoAnswer;
+}
+
+void StoreClient::AdoptEra(StoreEra later, const char* source) {
+  const bool is_first = !std::exchange(this->knows_era, true);
+  LogInfo("store_era_changed",
+          {{"from", this->era}, {"to", later}, {"source", source}});
+  this->era = later;
+  if (!is_first) {
+    this->era_changed_at = this->loop->Now();
+    if (this->metrics != nullptr) {
+      this->metrics->GetCounter("kumquatcart_store_era_changes_total").Add();
+    }
+  }
+  if (this->metrics != nullptr) {
+    this->metrics->GetGauge("kumquatcart_store_era")
+        .Set(static_cast<double>(later));
+  }
+  // What is awaited continues a lost history.
+  this->AbandonReads(MonotonicTime::max());
+  if (this->notify_era) {
+    this->notify_era();
+  }
+}
+
+void StoreClient::NotePeerEra(StoreEra peer_era) {
+  if (peer_era > this->era && peer_era <= kMaxEra) {
+    this->AdoptEra(peer_era, "peer");
+  }
+}
+
+bool StoreClient::NoteLostRecords(StoreEra known) {
+  if (!this->states_era && this->era == known) {
+    this->AdoptEra(known + 1, "end");
+  }
+  return this->era > known;
+}
+
+HeaderList StoreClient::FieldsToPassOn(const HttpResponse& reply) {
+  HeaderList fields;
+  const std::string_view era = FindHeader(reply.headers, wire::kStoreEra);
+  if (!era.empty()) {
+    fields.push_back({wire::kStoreEra, std::string(era)});
+  }
+  return fields;
 }
 
 void StoreClient::TakeLateBatch(StoreTopic topic,
@@ -358,16 +463,19 @@
 
 HttpResponse StoreClient::PassOn(const OutgoingRequest& request,
                                  Coroutine yield) {
-  return this->CallDirectly(request, /*handle_late=*/nullptr, yield);
+  return this->CallDirectly(request, /*handle_late=*/nullptr, yield).response;
 }
 
-HttpResponse StoreClient::CallDirectly(const OutgoingRequest& request,
-                                       const HandleLate& handle_late,
-                                       Coroutine yield) {
+StoreClient::StoreReply StoreClient::CallDirectly(
+    const OutgoingRequest& request,
+    const HandleLate& handle_late,
+    Coroutine yield) {
   const MonotonicTime sent_at = this->loop->Now();
+  const StoreEra sent_in = this->era;
   StoreReply reply = this->Send(this->store, request, handle_late, yield);
   this->NoteReachability(reply, sent_at);
-  return std::move(reply.response);
+  this->CheckEra(sent_in, &reply);
+  return reply;
 }
 
 void StoreClient::NoteReachability(const StoreReply& reply,
@@ -417,31 +525,32 @@
   }
 }
 
-HttpResponse StoreClient::Call(const StoreCall& call, Coroutine yield) {
+StoreClient::StoreReply StoreClient::Call(const StoreCall& call,
+                                          Coroutine yield) {
   const bool asks_relay_first =
       !this->reachable && this->loop->Now() - this->direct_at < kDirectInterval;
   bool relay_refused = false;
   if (asks_relay_first) {
-    std::optional<HttpResponse> relayed =
+    std::optional<StoreReply> relayed =
         this->CallRelay(call.request, call.handle_late, yield);
-    if (relayed && !IsRefusal(*relayed)) {
+    if (relayed && !IsRefusal(relayed->response)) {
       return *std::move(relayed);
     }
     relay_refused = relayed.has_value();
   }
   this->direct_at = this->loop->Now();
-  HttpResponse reply =
+  StoreReply reply =
       this->CallDirectly(this->reachable ? call.request : call.without_wait,
                          call.handle_late, yield);
-  if (!IsRefusal(reply) || relay_refused || this->reachable) {
+  if (!IsRefusal(reply.response) || relay_refused || this->reachable) {
     return reply;
   }
-  std::optional<HttpResponse> relayed =
+  std::optional<StoreReply> relayed =
       this->CallRelay(call.without_wait, call.handle_late, yield);
-  return !relayed || IsRefusal(*relayed) ? reply : *std::move(relayed);
+  return !relayed || IsRefusal(relayed->response) ? reply : *std::move(relayed);
 }
 
-std::optional<HttpResponse> StoreClient::CallRelay(
+std::optional<StoreClient::StoreReply> StoreClient::CallRelay(
     const OutgoingRequest& request,
     const HandleLate& handle_late,
     Coroutine yield) {
@@ -451,19 +560,23 @@
     return std::nullopt;
   }
   const TcpEndpoint& relay = relays[this->next_relay++ % relays.size()];
-  return this->Send(relay, request, handle_late, yield).response;
+  const StoreEra sent_in = this->era;
+  StoreReply reply = this->Send(relay, request, handle_late, yield);
+  this->CheckEra(sent_in, &reply);
+  return reply;
 }
 
 Result<TopicBatch> StoreClient::ReadNewest(StoreTopic topic, Coroutine yield) {
   TopicBatch batch;
   batch.other_keys.emplace();
   // Only a topic of one page is whole with a late answer.
-  const HandleLate handle_late = [this, topic](const std::string& body) {
+  const HandleLate handle_late = [this, topic](const std::string& body,
+                                               StoreEra answer_era) {
     const Result<NewestPage> page = DecodeNewestPage(body);
     if (page.has_value() && !page.value().has_more) {
       this->TakeLateBatch(topic,
                           TopicBatch{page.value().records, page.value().end,
-                                     page.value().unreadable_keys});
+                                     page.value().unreadable_keys, answer_era});
     }
   };
   std::string after;
@@ -474,14 +587,22 @@
       target += "&after=" + EncodeQueryValue(after);
     }
     const OutgoingRequest request = Get(std::move(target));
-    const HttpResponse reply = this->Call(
+    const StoreReply answer = this->Call(
         {request, request, first ? handle_late : HandleLate()}, yield);
+    const HttpResponse& reply = answer.response;
+    if (first) {
+      batch.era = answer.era;
+    }
     if (first && reply.HasResponseStatus(kHttpNotFound)) {
       return batch;  // Nobody has written to the topic yet.
     }
     if (!reply.HasResponseStatus(kHttpOk)) {
       return CallFailure(reply);
     }
+    if (answer.era != batch.era) {
+      return MakeError(ErrorCode::kUnavailable,
+                       "the store's era changed between two pages");
+    }
     const LoopStep step(this->loop->Monitor(), "decode_records",
                         ToString(topic));
     BOOST_OUTCOME_TRY(page, DecodeNewestPage(reply.body));
@@ -507,27 +628,35 @@
                                           std::int64_t from,
                                           Duration wait,
                                           Coroutine yield) {
-  const HttpResponse reply =
-      this->Call({Get(ReadTarget(topic, from, wait)),
-                  Get(ReadTarget(topic, from, Duration{0})),
-                  [this, topic, from](const std::string& body) {
-                    this->TakeLateBatch(topic, DecodeRecords(body, from));
-                  }},
-                 yield);
+  const StoreEra sent_in = this->era;
+  const StoreReply answer = this->Call(
+      {Get(ReadTarget(topic, from, wait)),
+       Get(ReadTarget(topic, from, Duration{0})),
+       [this, topic, from, sent_in](const std::string& body,
+                                    StoreEra answer_era) {
+         if (answer_era == sent_in) {
+           this->TakeLateBatch(topic, DecodeRecords(body, from, answer_era));
+         }
+       }},
+      yield);
+  const HttpResponse& reply = answer.response;
   if (reply.HasResponseStatus(kHttpGone)) {
     return MakeError(ErrorCode::kExpired,
                      fmt::format("the store answers {}, era \"{}\"",
                                  reply.body.substr(0, kLoggedBodyBytes),
                                  FindHeader(reply.headers, wire::kStoreEra)));
   }
+  if (reply.HasResponseStatus(kHttpNotFound) && from > 0) {
+    return MakeError(ErrorCode::kExpired, "the store has no such topic");
+  }
   if (reply.HasResponseStatus(kHttpNotFound)) {
-    return TopicBatch{{}, from};
+    return TopicBatch{{}, 0, std::nullopt, answer.era};
   }
   if (!reply.HasResponseStatus(kHttpOk)) {
     return CallFailure(reply);
   }
   const LoopStep step(this->loop->Monitor(), "decode_records", ToString(topic));
-  return DecodeRecords(reply.body, from);
+  return DecodeRecords(reply.body, from, answer.era);
 }
 
 Result<std::int64_t> StoreClient::Append(StoreTopic topic,
@@ -543,7 +672,7 @@
     request.target += fmt::format("&at={}", *at);
   }
   request.body = EncodeRecord(key, value);
-  const HttpResponse reply = this->Call({request, request}, yield);
+  const HttpResponse reply = this->Call({request, request}, yield).response;
   if (reply.HasResponseStatus(kHttpPreconditionFailed)) {
     return MakeError(ErrorCode::kConflict, "the topic ends elsewhere");
   }
@@ -563,11 +692,31 @@
                   reply.status));
 }
 
-Result<TopicBatch> DecodeRecords(const std::string& body, std::int64_t from) {
+Result<std::optional<StoreEra>> DecodeStoreEra(const HeaderList& headers) {
+  const std::string_view text = FindHeader(headers, wire::kStoreEra);
+  if (text.empty()) {
+    return std::optional<StoreEra>();
+  }
+  StoreEra era = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), era);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
+      era < 0 || era > kMaxEra) {
+    return MakeError(
+        ErrorCode::kInvalidArgument,
+        fmt::format("era \"{}\"", text.substr(0, kLoggedBodyBytes)));
+  }
+  return std::optional(era);
+}
+
+Result<TopicBatch> DecodeRecords(const std::string& body,
+                                 std::int64_t from,
+                                 StoreEra era) {
   if (body.size() < 2 * kOffsetBytes) {
     return Unreadable("no offsets");
   }
   TopicBatch batch;
+  batch.era = era;
   batch.end = from;
   std::size_t at = 2 * kOffsetBytes;
   while (at < body.size()) {
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -8,48 +8,16 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
+#include "base/log_limiter.h"
 #include "base/metrics.h"
 #include "base/outcome.h"
 #include "net/http_client.h"
+#include "platform/topic_batch.h"
 
 namespace kumquatcart {
 
-// The topics that the system uses.
-enum class StoreTopic {
-  kOperator,  // The operator's configuration; read only.
-  kServers,   // Backend servers register there; read only.
-  kGroups,    // Records of replica groups.
-  kNodes,     // Entry VMs announce their peer addresses.
-};
-inline constexpr int kStoreTopicCount = 4;
-
-// Lower-case name for logs. Thread safe.
-const char* ToString(StoreTopic topic);
-
-struct TopicRecord {
-  std::string key;
-  std::optional<std::string> value;  // None: the key was dropped.
-  std::int64_t offset = 0;
-
-  auto Tie() const { return std::tie(this->key, this->value, this->offset); }
-};
-
-// Records in order of their offsets, and the offset that comes next.
-struct TopicBatch {
-  std::vector<TopicRecord> records;
-  std::int64_t end = 0;
-  // Set if removals may be missing in `records`: the keys that exist without a
-  // record in the batch. Keys in neither do not exist.
-  std::optional<std::vector<std::string>> other_keys = std::nullopt;
-
-  auto Tie() const {
-    return std::tie(this->records, this->end, this->other_keys);
-  }
-};
-
 // Key of the configuration in the operator's topic.
 std::string ConfigurationKey();
 
@@ -78,6 +46,33 @@
     this->late_takers[topic] = std::move(take_late);
   }
 
+  // Era of the store's newest answer, or a later one that a peer has reported.
+  // A store that states none begins in era 0.
+  StoreEra Era() const { return this->era; }
+
+  // When the era changed last, except to the first one known. None: never.
+  std::optional<MonotonicTime> EraChangedAt() const {
+    return this->era_changed_at;
+  }
+
+  // Called after each change of the era. Reads that were sent before have been
+  // abandoned by then.
+  void SetEraListener(std::function<void()> listener) {
+    this->notify_era = std::move(listener);
+  }
+
+  // Takes notice of the era that a peer has seen. Ignored unless it is later.
+  void NotePeerEra(StoreEra peer_era);
+
+  // Begins the next era if the store states none in its answers: a topic that
+  // was read in era `known` has lost records. Returns whether the era is now
+  // later than `known`.
+  bool NoteLostRecords(StoreEra known);
+
+  // The header fields of the store's answer `reply` that a peer needs whose
+  // call was passed on.
+  static HeaderList FieldsToPassOn(const HttpResponse& reply);
+
   // The newest record of every key. Keys whose record cannot be read are listed
   // in `other_keys`. The pages are no snapshot: continue with ReadSince from
   // the result's end. Errors: kUnavailable, kTimeout, kInvalidArgument for an
@@ -85,8 +80,9 @@
   Result<TopicBatch> ReadNewest(StoreTopic topic, Coroutine yield);
 
   // Records from offset `from` on, after waiting up to `wait` for the first.
-  // Errors: kExpired where records were dropped (read the newest again), and
-  // those of ReadNewest.
+  // Errors: kExpired where the topic does not hold that offset (read the newest
+  // again), and those of ReadNewest. If the result is of another era than
+  // `from`, its records are not those that follow.
   Result<TopicBatch> ReadSince(StoreTopic topic,
                                std::int64_t from,
                                Duration wait,
@@ -114,7 +110,7 @@
 
  private:
   // Handles the body of an answer that came too late for its caller.
-  using HandleLate = std::function<void(const std::string& body)>;
+  using HandleLate = std::function<void(const std::string& body, StoreEra era)>;
   // A call, and what is sent instead while it is unknown whether the store
   // answers: the same, without waiting for records.
   struct StoreCall {
@@ -126,6 +122,7 @@
   struct StoreReply {
     HttpResponse response;
     bool was_abandoned = false;  // By AbandonReads().
+    StoreEra era = 0;
   };
   struct PendingRead;
 
@@ -143,17 +140,24 @@
                       const HandleLate& handle_late,
                       Coroutine yield);
   void HandleLateAnswer(const OutgoingRequest& request,
-                        const PendingRead& read,
+                        PendingRead* read,
                         const HandleLate& handle_late);
-  HttpResponse Call(const StoreCall& call, Coroutine yield);
+  StoreReply Call(const StoreCall& call, Coroutine yield);
   // Sends a call to the store itself.
-  HttpResponse CallDirectly(const OutgoingRequest& request,
-                            const HandleLate& handle_late,
-                            Coroutine yield);
+  StoreReply CallDirectly(const OutgoingRequest& request,
+                          const HandleLate& handle_late,
+                          Coroutine yield);
   // None: there is no relay.
-  std::optional<HttpResponse> CallRelay(const OutgoingRequest& request,
-                                        const HandleLate& handle_late,
-                                        Coroutine yield);
+  std::optional<StoreReply> CallRelay(const OutgoingRequest& request,
+                                      const HandleLate& handle_late,
+                                      Coroutine yield);
+  // Sets the era of `reply`, which answers a call that was sent in era
+  // `sent_in`. An answer of an earlier era, or one that does not state the era
+  // as it must, becomes kNoAnswer.
+  void CheckEra(StoreEra sent_in, StoreReply* reply);
+  // Logs why an answer is dropped.
+  void DropAnswer(const std::string& reason, HttpResponse* response);
+  void AdoptEra(StoreEra later, const char* source);
   void CountCall(const OutgoingRequest& request,
                  const HttpResponse& response) const;
   void NoteReachability(const StoreReply& reply, MonotonicTime sent_at);
@@ -172,16 +176,28 @@
   std::set<PendingRead*> awaited_reads;
   int reads_in_progress = 0;  // Those that nobody awaits any more included.
   std::size_t next_relay = 0;
+  StoreEra era = 0;
+  bool knows_era = false;   // From an answer or a peer.
+  bool states_era = false;  // The store does so in its answers.
+  std::optional<MonotonicTime> era_changed_at;
+  std::function<void()> notify_era;
+  LogLimiter dropped_answers;
   bool reachable = true;
   bool was_silent = false;              // Since the store was reachable.
   MonotonicTime direct_at;              // Last direct call.
   MonotonicTime answered_call_sent_at;  // Of direct calls, the latest one.
 };
 
+// Decodes the era that an answer of the store states; none if it states none.
+// Errors: kInvalidArgument. Thread safe.
+Result<std::optional<StoreEra>> DecodeStoreEra(const HeaderList& headers);
+
 // Decodes the body of a read: the topic's end, its first offset, then records.
 // `from` is the offset of the first record. Errors: kInvalidArgument. Thread
 // safe.
-Result<TopicBatch> DecodeRecords(const std::string& body, std::int64_t from);
+Result<TopicBatch> DecodeRecords(const std::string& body,
+                                 std::int64_t from,
+                                 StoreEra era = 0);
 
 // One record as an append sends it. Thread safe.
 std::string EncodeRecord(const std::string& key, const std::string& value);
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -230,6 +230,50 @@
   CHECK(view.MemberAvailability(record, 0) == ServerAvailability::kUsable);
 }
 
+BackendServer StartedServer(std::int64_t started_ms, std::int64_t orders) {
+  BackendServer server = Server("a");
+  server.started_ms = started_ms;
+  server.orders_accepted = orders;
+  return server;
+}
+
+// Guards against a server that had said that it leaves, or had left, and that
+// an older copy of the store shows as ready once more.
+TEST_CASE("Entries of an older copy are told from news of a server") {
+  FleetView view;
+  BackendServer leaving = StartedServer(10, 2);
+  leaving.draining = true;
+  CHECK(!view.IsOutdated(leaving, true));
+  view.PutServer(leaving, kStart);
+  CHECK(view.IsOutdated(StartedServer(10, 2), false));
+  CHECK(view.IsOutdated(StartedServer(10, 1), false));
+  CHECK(view.IsOutdated(StartedServer(9, 7), false));
+  CHECK(!view.IsOutdated(leaving, false));
+  CHECK(!view.IsOutdated(StartedServer(11, 0), false));
+  CHECK(!view.IsOutdated(Server("b"), true));
+  // Such a server does not say which start it is.
+  CHECK(!view.IsOutdated(Server("a"), true));
+
+  view.RemoveServer("a", kStart);
+  view.ExpireServers(kStart);
+  CHECK(view.IsOutdated(leaving, true));
+  CHECK(!view.IsOutdated(leaving, false));  // Written again.
+  CHECK(!view.IsOutdated(StartedServer(10, 3), true));
+  CHECK(!view.IsOutdated(StartedServer(11, 0), true));
+  CHECK(!view.IsNews(leaving, true));
+  CHECK(view.IsNews(StartedServer(11, 0), false));
+  // A copy is some seconds old.
+  view.ExpireServers(kStart + std::chrono::seconds(61));
+  CHECK(!view.IsOutdated(leaving, true));
+}
+
+TEST_CASE("A removal that a peer knows outlives the entry of a copy") {
+  FleetView view;
+  view.NoteRemoved(StartedServer(10, 2), kStart);
+  CHECK(view.IsOutdated(StartedServer(10, 2), true));
+  CHECK(!view.IsOutdated(StartedServer(11, 0), true));
+}
+
 TEST_CASE("A decoded group record has an epoch that follows from its offset") {
   GroupRecord record = Record(0, {"a", "b"});
   record.member_starts = {1'782'000'000'001, 0};
--- a/tests/control/topic_replica_test.cc
+++ b/tests/control/topic_replica_test.cc
@@ -17,11 +17,11 @@
     return static_cast<std::int64_t>(this->records.size());
   }
   void Append(const std::string& key, bool removes) {
+    this->Append(key, removes, "v" + std::to_string(this->End()));
+  }
+  void Append(const std::string& key, bool removes, const std::string& value) {
     this->records.push_back(
-        {key,
-         removes ? std::nullopt
-                 : std::optional("v" + std::to_string(this->End())),
-         this->End()});
+        {key, removes ? std::nullopt : std::optional(value), this->End()});
   }
   // Deletes the oldest records, as the platform may at any time.
   void DeleteBefore(std::int64_t offset) { this->first = offset; }
@@ -124,7 +124,7 @@
     case 3:
       process->responses.push_back(
           (*processes)[draw(processes->size())]->replica.RecordsSince(
-              process->replica.End()));
+              process->replica.Position()));
       break;
     case 4:
       // Responses arrive in any order, and some never.
@@ -170,8 +170,8 @@
     for (std::size_t i = 0; i < processes.size(); ++i) {
       processes[i]->replica.Merge(rest);
       if (i + 1 < processes.size()) {
-        rest =
-            processes[i]->replica.RecordsSince(processes[i + 1]->replica.End());
+        rest = processes[i]->replica.RecordsSince(
+            processes[i + 1]->replica.Position());
       }
     }
     const std::map<std::string, std::string> expected = ValuesOf(log);
@@ -189,6 +189,131 @@
   }));
 }
 
+// A process that follows a log which may come back from an older copy.
+struct RestoredProcess {
+  RestoredProcess()
+      : replica(
+            [this](const TopicRecord& record) {
+              if (record.value) {
+                this->values[record.key] = *record.value;
+              } else {
+                this->values.erase(record.key);
+              }
+            },
+            ContentRules{nullptr, nullptr, [this](const std::string& key) {
+                           this->values.erase(key);
+                         }}) {}
+  RestoredProcess(const RestoredProcess&) = delete;
+  RestoredProcess& operator=(const RestoredProcess&) = delete;
+
+  std::map<std::string, std::string> values;
+  TopicReplica replica;
+};
+
+TopicBatch InEra(TopicBatch batch, StoreEra era) {
+  batch.era = era;
+  return batch;
+}
+
+// Guards against records of a lost history that stay, or come back with a late
+// answer of the store or of a peer.
+TEST_CASE("Replicas end in the state of the newest history") {
+  CHECK(rc::check("replicas end in the state of the newest history", [] {
+    Log log;
+    StoreEra era = 0;
+    int values = 0;
+    std::vector<Log> copies;
+    std::vector<std::unique_ptr<RestoredProcess>> processes;
+    for (int i = 0; i < 3; ++i) {
+      processes.push_back(std::make_unique<RestoredProcess>());
+    }
+    std::vector<std::pair<std::size_t, TopicBatch>> late;
+    const auto draw = [](int end) { return *rc::gen::inRange(0, end); };
+    const int steps = draw(120);
+    for (int i = 0; i < steps; ++i) {
+      const auto index = static_cast<std::size_t>(draw(3));
+      TopicReplica& replica = processes[index]->replica;
+      const TopicPosition from = replica.Position();
+      switch (draw(6)) {
+        case 0:
+          log.Append("k" + std::to_string(draw(kKeys)), draw(3) == 0,
+                     "v" + std::to_string(++values));
+          break;
+        case 1:
+          late.emplace_back(
+              index,
+              InEra(from.era == era ? log.ReadSince(from.offset).value()
+                                    : log.ReadNewest(/*unreadable_key=*/""),
+                    era));
+          break;
+        case 2:
+          late.emplace_back(index, processes[static_cast<std::size_t>(draw(3))]
+                                       ->replica.RecordsSince(from));
+          break;
+        case 3:
+          copies.push_back(log);
+          break;
+        case 4:
+          if (!copies.empty() && draw(3) == 0) {
+            log = copies[static_cast<std::size_t>(
+                draw(static_cast<int>(copies.size())))];
+            ++era;
+          }
+          break;
+        default:
+          if (!late.empty()) {
+            const auto answer =
+                late.begin() + draw(static_cast<int>(late.size()));
+            processes[answer->first]->replica.Merge(answer->second);
+            late.erase(answer);
+          }
+          break;
+      }
+    }
+    for (const auto& process : processes) {
+      process->replica.Merge(InEra(log.ReadNewest(/*unreadable_key=*/""), era));
+      RC_ASSERT(process->values == ValuesOf(log));
+      RC_ASSERT(process->replica.Position() == (TopicPosition{era, log.End()}));
+    }
+  }));
+}
+
+TEST_CASE("What a lost history held is retained until it is written again") {
+  std::map<std::string, std::string> values;
+  std::vector<std::string> lost;
+  TopicReplica replica(
+      [&](const TopicRecord& record) {
+        values[record.key] = record.value.value_or("(removed)");
+      },
+      ContentRules{[&](const TopicRecord& record, bool) {
+                     return values.count(record.key) > 0 &&
+                            *record.value < values[record.key];
+                   },
+                   nullptr,
+                   [&](const std::string& key) { lost.push_back(key); }});
+  replica.Merge(
+      {{{"a", "5", 0}, {"b", "5", 1}, {"c", "5", 2}}, 3, std::nullopt});
+  replica.Merge({{{"a", "4", 0}}, 1, std::vector<std::string>{}, 1});
+  CHECK(values ==
+        std::map<std::string, std::string>{{"a", "5"}, {"b", "5"}, {"c", "5"}});
+  CHECK(lost == std::vector<std::string>{"b", "c"});
+  CHECK(replica.RecordsSince(kRetainedOnly).retained ==
+        std::vector<RetainedRecord>{
+            {"a", "5", false}, {"b", "5", false}, {"c", "5", false}});
+  CHECK(replica.RecordsSince(kRetainedOnly).records.empty());
+  // In any order.
+  replica.Merge({{{"c", "6", 1}, {"a", "3", 2}}, 3, std::nullopt, 1});
+  CHECK(values["c"] == "6");
+  CHECK(values["a"] == "5");
+  CHECK(replica.Retained().size() == 2);
+  replica.Merge({{{"a", "5", 3}, {"b", "5", 4}}, 5, std::nullopt, 1});
+  CHECK(replica.Retained().empty());
+  // Old answers and ends of the lost history.
+  replica.Merge({{{"a", "9", 9}}, 10, std::vector<std::string>{}, 0});
+  CHECK(values["a"] == "5");
+  CHECK(replica.Position() == TopicPosition{1, 5});
+}
+
 // Returns a replica that has read `batch`, which lists all keys.
 TopicReplica StartFrom(const TopicBatch& batch) {
   TopicReplica replica([](const TopicRecord&) {});
@@ -200,9 +325,9 @@
   const TopicReplica replica = StartFrom(
       {{{"a", "1", 0}, {"c", "1", 3}}, 5, std::vector<std::string>{}});
   CHECK(replica.HistoryStart() == 5);
-  CHECK(replica.RecordsSince(2) ==
+  CHECK(replica.RecordsSince({0, 2}) ==
         TopicBatch{{{"c", "1", 3}}, 5, std::vector<std::string>{"a"}});
-  CHECK(replica.RecordsSince(5) == TopicBatch{{}, 5, std::nullopt});
+  CHECK(replica.RecordsSince({0, 5}) == TopicBatch{{}, 5, std::nullopt});
 }
 
 TEST_CASE("A key whose record cannot be read is not taken for a removed one") {
@@ -216,7 +341,7 @@
         std::map<std::string, std::string>{{"a", "1"}, {"b", "(removed)"}});
   // Nor do peers that ask this replica.
   TopicReplica late = StartFrom({{}, 4, std::vector<std::string>{"a"}});
-  CHECK(late.RecordsSince(1).other_keys == std::vector<std::string>{"a"});
+  CHECK(late.RecordsSince({0, 1}).other_keys == std::vector<std::string>{"a"});
 }
 
 TEST_CASE("An old response does not bring back a removed key") {
--- a/tests/entry/config_loader_test.cc
+++ b/tests/entry/config_loader_test.cc
@@ -70,7 +70,7 @@
   LoaderFixture fixture;
   int events = 0;
   RunCoroutine(&fixture.loop, [&](Coroutine yield) {
-    fixture.loader.Load({ConfigText(1, kRoutes), 0});
+    fixture.loader.Load({ConfigText(1, kRoutes), {0, 0}});
     events = fixture.WaitForAdopted(1, yield);
   });
   REQUIRE(fixture.adopted.size() == 1);
@@ -83,10 +83,10 @@
 TEST_CASE("Versions that arrive during a decode replace each other") {
   LoaderFixture fixture;
   RunCoroutine(&fixture.loop, [&](Coroutine yield) {
-    fixture.loader.Load({ConfigText(1, kRoutes), 0});
+    fixture.loader.Load({ConfigText(1, kRoutes), {0, 0}});
     fixture.loop.Yield(yield);
-    fixture.loader.Load({ConfigText(2, 1), 1});
-    fixture.loader.Load({ConfigText(3, 1), 2});
+    fixture.loader.Load({ConfigText(2, 1), {0, 1}});
+    fixture.loader.Load({ConfigText(3, 1), {0, 2}});
     fixture.WaitForAdopted(2, yield);
   });
   CHECK(fixture.AdoptedVersions() == std::vector<std::int64_t>{1, 3});
@@ -98,10 +98,10 @@
   for (const std::string& last : {std::string("{"), ConfigText(1, 1)}) {
     LoaderFixture fixture;
     RunCoroutine(&fixture.loop, [&](Coroutine yield) {
-      fixture.loader.Load({ConfigText(1, kRoutes), 0});
+      fixture.loader.Load({ConfigText(1, kRoutes), {0, 0}});
       fixture.loop.Yield(yield);
-      fixture.loader.Load({ConfigText(2, 1), 1});
-      fixture.loader.Load({last, 2});
+      fixture.loader.Load({ConfigText(2, 1), {0, 1}});
+      fixture.loader.Load({last, {0, 2}});
       fixture.WaitForAdopted(2, yield);
     });
     CHECK(fixture.AdoptedVersions() == std::vector<std::int64_t>{1, 2});
@@ -115,10 +115,10 @@
     for (const char* text :
          {"", "{}", R"({"version": 1, "routes": [1], "services": []})",
           R"({"version": 1, "routes": [{}], "services": []})"}) {
-      fixture.loader.Load({text, offset++});
+      fixture.loader.Load({text, {0, offset++}});
       fixture.loop.Yield(yield);
     }
-    fixture.loader.Load({ConfigText(2, 1), offset});
+    fixture.loader.Load({ConfigText(2, 1), {0, offset}});
     fixture.WaitForAdopted(1, yield);
   });
   CHECK(fixture.AdoptedVersions() == std::vector<std::int64_t>{2});
--- a/tests/entry/follower_fixture.h
+++ b/tests/entry/follower_fixture.h
@@ -31,9 +31,9 @@
                 StoreTopic::kServers, 2, std::chrono::milliseconds(500),
                 std::chrono::milliseconds(1), std::chrono::milliseconds(1)},
             &this->role,
-            [this](const TcpEndpoint&, std::int64_t from, Coroutine) {
+            [this](const TcpEndpoint&, TopicPosition from, Coroutine) {
               ++this->fetches;
-              this->fetched_from = from;
+              this->fetched_from = from.offset;
               return this->peer_error ? Result<TopicBatch>(*this->peer_error)
                                       : Result<TopicBatch>(this->peer_batch);
             },
@@ -59,7 +59,7 @@
   // Reports a peer that is ahead until the follower has reached `end`.
   void ReportPeerUntilEnd(std::int64_t end) {
     this->RunUntil([this, end] {
-      this->follower.HandlePeerEnd(TcpEndpoint(), end, this->is_near);
+      this->follower.HandlePeerEnd(TcpEndpoint(), {0, end}, this->is_near);
       return this->follower.End() >= end;
     });
   }
--- a/tests/entry/group_fixture.h
+++ b/tests/entry/group_fixture.h
@@ -15,6 +15,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "control/content_rules.h"
 #include "control/group_reconciler.h"
 #include "control/group_record_codec.h"
 #include "fakes/loop_server.h"
@@ -190,7 +191,8 @@
               this->view.PutRecord(
                   DecodeGroupRecord(record.key, record.offset, *record.value)
                       .value());
-            }),
+            },
+            GroupContentRules(&this->view)),
         reconciler({&this->loop, &this->client, &this->engines, &this->prober,
                     &this->view, &this->peers, &this->role, &this->records,
                     "zone", [] {}}) {
--- a/tests/entry/record_fan_out_test.cc
+++ b/tests/entry/record_fan_out_test.cc
@@ -45,7 +45,7 @@
             kSettings,
             &this->role,
             [this](const TcpEndpoint& peer,
-                   std::int64_t from,
+                   TopicPosition from,
                    Coroutine yield) {
               return this->records.Fetch(
                   peer, RecordQuery{StoreTopic::kOperator, from}, yield);
@@ -185,7 +185,7 @@
 
   static void Deliver(const FollowingVm& sender, FollowingVm* receiver) {
     receiver->follower.HandlePeerEnd(sender.link.Address(),
-                                     sender.follower.End(), true);
+                                     sender.follower.Position(), true);
   }
 
   std::mt19937 random{17};
@@ -231,7 +231,7 @@
     int answered = 0;
     for (int i = 0; i < kRequests; ++i) {
       const SimpleHttpResponse answer = domain.reader.service.Answer(
-          StoreTopic::kOperator, domain.reader.follower, 0, now);
+          StoreTopic::kOperator, domain.reader.follower, {}, now);
       answered += answer.status == 200 ? 1 : 0;
     }
     return answered;
--- a/tests/entry/store_rollback_test.cc
+++ b/tests/entry/store_rollback_test.cc
@@ -90,5 +90,89 @@
   }
 }
 
+// Guards against records of a lost history that a slow store, or a peer's
+// answer, brings after the new one was read.
+TEST_CASE("Records and ends of an earlier era are ignored") {
+  FollowerFixture f;
+  f.store.reads_wait = true;
+  f.store.era = "5";
+  f.store.Put(kTopic, "a", "2");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.BecomeNonReader();
+  f.peer_batch = TopicBatch{{{"a", "1", 8}}, 9, std::vector<std::string>(), 4};
+  f.follower.HandlePeerEnd(TcpEndpoint(), {4, 9}, true);
+  f.RunFor(std::chrono::milliseconds(50));
+  CHECK(f.fetches == 0);
+  // A peer that has reported a later era, and has started again since.
+  f.follower.HandlePeerEnd(TcpEndpoint(), {6, 9}, true);
+  f.RunUntil([&] { return f.fetches == 1; });
+  f.RunFor(std::chrono::milliseconds(50));
+  CHECK(f.values == Values{{"a", "2"}});
+  CHECK(f.follower.Position() == TopicPosition{5, 1});
+}
+
+// Guards against a VM that does not read the store and stays in the history
+// that was lost, since its end is the higher one.
+TEST_CASE("A VM that does not read the store begins the era of a peer") {
+  FollowerFixture f;
+  f.store.era = "5";
+  f.store.Put(kTopic, "a", "1");
+  f.store.Put(kTopic, "b", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.BecomeNonReader();
+  f.client.NotePeerEra(6);
+  f.peer_batch = TopicBatch{{{"a", "3", 0}}, 1, std::vector<std::string>(), 6};
+  f.follower.HandlePeerEnd(TcpEndpoint(), {6, 1}, true);
+  f.RunUntil([&] { return f.follower.IsCurrent(); });
+  CHECK(f.follower.Position() == TopicPosition{6, 1});
+  CHECK(f.values["a"] == "3");
+}
+
+// Guards against a belief that follows from an answer that may be of any era.
+TEST_CASE("An answer without its era, or of an earlier one, changes nothing") {
+  for (const char* stated :
+       {"", "4", "five", "-1", "5 6", "99999999999999999999"}) {
+    CAPTURE(stated);
+    FollowerFixture f;
+    f.store.era = "5";
+    f.store.Put(kTopic, "a", "1");
+    f.follower.Start();
+    f.RunUntil([&] { return f.follower.IsSynced(); });
+    f.store.era = stated;
+    f.store.Put(kTopic, "b", "1");
+    const int calls = f.store.calls;
+    f.RunFor(std::chrono::milliseconds(500));
+    CHECK(f.values == Values{{"a", "1"}});
+    CHECK(f.client.Era() == 5);
+    CHECK(f.store.calls - calls <= kMaxIdleCalls);
+    f.store.era = "5";
+    f.RunUntil([&] { return f.values.size() == 2; });
+    CHECK(f.values == Values{{"a", "1"}, {"b", "1"}});
+  }
+}
+
+// Guards against a VM that starts after the store came back, and knows nothing
+// of what its peers have seen before.
+TEST_CASE("What peers retain is requested from some of them once") {
+  FollowerFixture f;
+  f.store.reads_wait = true;
+  f.store.era = "5";
+  f.store.Put(kTopic, "a", "1");
+  f.follower.Start();
+  f.RunUntil([&] { return f.follower.IsSynced(); });
+  f.peer_batch = TopicBatch{{}, 0, std::nullopt, 5, {{"a", "2", false}}};
+  for (std::uint16_t port = 1; port <= 6; ++port) {
+    for (int repeat = 0; repeat < 2; ++repeat) {
+      f.follower.HandlePeerRetained(
+          TcpEndpoint(boost::asio::ip::address_v4::loopback(), port), 5);
+      f.RunFor(std::chrono::milliseconds(5));
+    }
+  }
+  CHECK(f.fetches == 3);
+  CHECK(f.follower.Position() == TopicPosition{5, 1});
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -49,14 +49,14 @@
   const int calls = f.store.calls;
   f.peer_batch.end = 3;
   f.peer_batch.records = {{"b", "1", 1}, {"a", std::nullopt, 2}};
-  f.follower.HandlePeerEnd(TcpEndpoint(), 3, true);
+  f.follower.HandlePeerEnd(TcpEndpoint(), {0, 3}, true);
   f.RunUntil([&] { return f.follower.End() == 3; });
   CHECK(f.fetched_from == 1);
   CHECK(f.values["a"] == "(dropped)");
   CHECK(f.values["b"] == "1");
   CHECK(f.store.calls <= calls + 1);  // A read may have been in progress.
   // Nothing is fetched from a peer that is not ahead.
-  f.follower.HandlePeerEnd(TcpEndpoint(), 3, true);
+  f.follower.HandlePeerEnd(TcpEndpoint(), {0, 3}, true);
   CHECK(f.fetches == 1);
 }
 
@@ -96,7 +96,7 @@
   f.store.refusal = 503;
   f.peer_error = MakeError(ErrorCode::kExhausted, "overloaded");
   f.RunUntil([&] {
-    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
+    f.follower.HandlePeerEnd(TcpEndpoint(), {0, 2}, true);
     return f.fetches >= 10;
   });
   CHECK(f.fetches >= 10);
@@ -124,7 +124,7 @@
   const int calls = f.store.calls;
   f.peer_error = MakeError(ErrorCode::kExhausted, "overloaded");
   f.RunUntil([&] {
-    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
+    f.follower.HandlePeerEnd(TcpEndpoint(), {0, 2}, true);
     return f.fetches >= 5;
   });
   CHECK(f.fetches >= 5);
@@ -139,7 +139,7 @@
   f.RunUntil([&] { return f.follower.IsSynced(); });
   f.BecomeNonReader();
   f.peer_batch = TopicBatch{{{"b", "1", 1}}, 2};
-  f.follower.HandlePeerEnd(TcpEndpoint(), 2, false);
+  f.follower.HandlePeerEnd(TcpEndpoint(), {0, 2}, false);
   f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(50)] {
     return f.loop.Now() > stop;
   });
@@ -223,7 +223,7 @@
   f.RunUntil([&] { return f.follower.IsSynced(); });
   f.store.Put(kTopic, "b", "");
   f.RunUntil([&] { return f.follower.End() == 4; });
-  const TopicBatch batch = f.follower.RecordsSince(2);
+  const TopicBatch batch = f.follower.RecordsSince({0, 2});
   CHECK(batch.end == 4);
   CHECK(batch.records ==
         std::vector<TopicRecord>{{"c", "1", 2}, {"b", std::nullopt, 3}});
@@ -248,7 +248,7 @@
   peer.follower.Start();
   peer.RunUntil([&] { return peer.follower.IsSynced(); });
 
-  f.peer_batch = peer.follower.RecordsSince(f.follower.End());
+  f.peer_batch = peer.follower.RecordsSince(f.follower.Position());
   f.ReportPeerUntilEnd(4);
   CHECK(f.values == std::map<std::string, std::string>{
                         {"a", "(dropped)"}, {"b", "1"}, {"c", "1"}});
@@ -268,7 +268,7 @@
       f.peer_batch.records = {{"a", "1", 0}};
     }
     f.follower.Start();
-    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
+    f.follower.HandlePeerEnd(TcpEndpoint(), {0, 2}, true);
     f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(100)] {
       return f.loop.Now() > stop;
     });
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -39,6 +39,21 @@
   CHECK(decoded.value() == digest);
 }
 
+TEST_CASE("A digest states the era of its ends") {
+  NodeDigest digest;
+  digest.node = "n1";
+  digest.topic_ends = {1, -1, 3, 4};
+  digest.store_era = 7;
+  digest.retained_records = {1, 0, 2, 0};
+  CHECK(DecodeDigest(EncodeDigest(digest)).value() == digest);
+  digest.limits = {{"s", 3, 2.75}};
+  digest.domain_loads = {{"a", 0, {{"s", 9}}, {}}};
+  CHECK(DecodeDigest(EncodeDigest(digest)).value() == digest);
+  digest.store_era = -7;
+  // Not sent, as by nodes of earlier versions.
+  CHECK(DecodeDigest(EncodeDigest(digest)).value().store_era == 0);
+}
+
 // Guards against VMs that ignore each other during an update of the version.
 TEST_CASE("A digest of a node that shares no limits is accepted") {
   NodeDigest digest;
@@ -154,14 +169,29 @@
     batch.other_keys = keys;
     CHECK(DecodeTopicBatch(EncodeTopicBatch(batch)).value() == batch);
   }
+  batch.era = 3;
+  batch.retained = {{"a", std::string("\0\xff", 2), true}, {"b", "", false}};
+  CHECK(DecodeTopicBatch(EncodeTopicBatch(batch)).value() == batch);
+  batch.era = -3;
+  CHECK(DecodeTopicBatch(EncodeTopicBatch(batch)).has_error());
+  // From a version that knows no eras: an end, no records, no keys.
+  CHECK(DecodeTopicBatch("\x83\x01\x80\xf6").value() == TopicBatch{{}, 1});
   CHECK(DecodeTopicBatch("x").has_error());
   // From a version that does not say whether removals are missing.
   CHECK(DecodeTopicBatch("\x82\x01\x80").has_error());
 }
 
 TEST_CASE("Only well-formed record queries are decoded") {
-  const RecordQuery query{StoreTopic::kGroups, 41};
-  CHECK(DecodeRecordQuery(EncodeRecordQuery(query)) == query);
+  for (const TopicPosition& from :
+       {TopicPosition{0, 41}, TopicPosition{7, 41}, kRetainedOnly}) {
+    const RecordQuery query{StoreTopic::kGroups, from};
+    CHECK(DecodeRecordQuery(EncodeRecordQuery(query)) == query);
+  }
+  // Of a node of an earlier version.
+  CHECK(DecodeRecordQuery("/peer/records/2/41") ==
+        RecordQuery{StoreTopic::kGroups, {0, 41}});
+  CHECK(!DecodeRecordQuery("/peer/records/2/41/-1"));
+  CHECK(!DecodeRecordQuery("/peer/records/2/41/7/retained"));
   CHECK(!DecodeRecordQuery("/peer/records/9/1"));
   CHECK(!DecodeRecordQuery("/peer/records/1"));
   CHECK(!DecodeRecordQuery("/peer/records/1/2/x"));
