Keep groups over a lost record, and give no epoch out twice

Change: a record states its epoch, made of era, offset and a nonce (53 bits). The nonce differs from append to append, so that one that is carried out late, in a later history, has an epoch of its own. After a change of the era the planner of a domain writes lost records again, unchanged; groups that servers report without a record are adopted from their reports first, or awaited for 2.5 s while entries are missing. Appends that are not accepted are paced.

Records without a stated epoch, of earlier versions, keep that of their offset.

--- a/src/control/group_reconciler.cc
+++ b/src/control/group_reconciler.cc
@@ -5,6 +5,7 @@
 #include "base/logging.h"
 #include "base/scope_guard.h"
 #include "control/group_record_codec.h"
+#include "control/lost_groups.h"
 #include "control/standby_name.h"
 
 namespace kumquatcart {
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr Duration kReconcileInterval = std::chrono::milliseconds(100);
+// Time in which the entries of the members of a lost group are written again.
+constexpr Duration kEntriesReturnTime = std::chrono::milliseconds(2500);
 
 // Names one start of a server in the keys of tasks.
 std::string StartKey(const BackendServer& server) {
@@ -31,7 +34,7 @@
 
 void GroupReconciler::ReconcileDomains() {
   if (this->parts.view->Config() == nullptr ||
-      !this->parts.records->IsSynced() || !this->parts.role->MayPlan()) {
+      !this->parts.records->IsCurrent() || !this->parts.role->MayPlan()) {
     return;
   }
   std::map<std::string, bool> planned_here;  // By failure domain.
@@ -67,6 +70,9 @@
 
 void GroupReconciler::ReconcileDomain(const FabricDomain& domain) {
   const LoopStep step(this->parts.loop->Monitor(), "reconcile_domain");
+  if (this->RestoreRecords(domain)) {
+    return;
+  }
   DomainPlan plan = PlanDomain(MakePlanningInput(domain, *this->parts.view,
                                                  this->parts.failure_domain,
                                                  this->parts.loop->Now()));
@@ -114,29 +120,84 @@
   }
 }
 
+bool GroupReconciler::RestoreRecords(const FabricDomain& domain) {
+  const MonotonicTime now = this->parts.loop->Now();
+  std::vector<GroupRecord> lost;
+  for (const auto& entry : this->parts.records->Retained()) {
+    const GroupStatus* status = this->parts.view->FindGroup(entry.first);
+    if (status == nullptr || status->record.fabric_domain != domain.name) {
+      continue;
+    }
+    lost.push_back(status->record);
+    if (HasLaterGroup(status->record, *this->parts.view)) {
+      lost.back().members.clear();  // Dissolves it, under a new epoch.
+      lost.back().epoch = 0;
+    }
+  }
+  LostGroups reported = FindLostGroups(domain, *this->parts.view);
+  lost.insert(lost.end(), reported.whole.begin(), reported.whole.end());
+  if (!lost.empty()) {
+    this->StartOnce("write", [this, lost](Coroutine yield) {
+      this->WriteRecords(lost, yield);
+    });
+    return true;
+  }
+  bool waits = false;
+  std::map<GroupFormation, MonotonicTime> seen;
+  std::map<GroupFormation, MonotonicTime>& former =
+      this->partial_since[domain.name];
+  for (const GroupFormation& formation : reported.partial) {
+    const auto known = former.find(formation);
+    if (known == former.end()) {
+      LogWarning("group_without_record", {{"group", formation.first},
+                                          {"epoch", formation.second},
+                                          {"domain", domain.name}});
+    }
+    const MonotonicTime since = known == former.end() ? now : known->second;
+    seen.emplace(formation, since);
+    waits = waits || now - since < kEntriesReturnTime;
+  }
+  former = std::move(seen);
+  return waits;
+}
+
 void GroupReconciler::WriteRecords(const std::vector<GroupRecord>& records,
                                    Coroutine yield) {
   for (GroupRecord record : records) {
-    record.member_starts.clear();
-    for (const std::string& id : record.members) {
-      const BackendServer* server = this->parts.view->FindServer(id);
-      record.member_starts.push_back(server == nullptr ? 0
-                                                       : server->started_ms);
+    const TopicPosition at = this->parts.records->Position();
+    const bool is_restored = record.epoch != 0;
+    if (!is_restored) {
+      record.epoch = MakeEpoch(at, HighestKnownEpoch(*this->parts.view),
+                               this->next_nonce++);
+      record.member_starts.clear();
+      for (const std::string& id : record.members) {
+        const BackendServer* server = this->parts.view->FindServer(id);
+        record.member_starts.push_back(server == nullptr ? 0
+                                                         : server->started_ms);
+      }
     }
-    const std::int64_t at = this->parts.records->End();
     const Result<std::int64_t> offset =
         this->parts.store->Append(StoreTopic::kGroups, record.group,
-                                  EncodeGroupRecord(record), at, yield);
+                                  EncodeGroupRecord(record), at.offset, yield);
+    const Duration pause = this->writes.NextPause(offset.has_value());
     if (offset.has_error()) {
       LogWarning("group_record_failed", {{"group", record.group},
-                                         {"at", at},
+                                         {"era", at.era},
+                                         {"at", at.offset},
                                          {"reason", offset.error().message}});
-      // The append may have succeeded nevertheless, so the topic is read before
-      // the next plan.
-      this->parts.records->CatchUp(yield);
-      return;
+    } else if (is_restored) {
+      LogInfo("group_record_restored", {{"group", record.group},
+                                        {"epoch", record.epoch},
+                                        {"era", at.era},
+                                        {"at", at.offset}});
     }
+    // A failed append may have succeeded nevertheless, so the topic is read
+    // before the next plan.
     this->parts.records->CatchUp(yield);
+    if (offset.has_error()) {
+      this->parts.loop->Sleep(pause, yield);
+      return;
+    }
   }
   this->parts.changed();
 }
--- a/src/control/group_reconciler.h
+++ b/src/control/group_reconciler.h
@@ -2,32 +2,38 @@
 #ifndef CONTROL_GROUP_RECONCILER_H_
 #define CONTROL_GROUP_RECONCILER_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "base/progress_pacer.h"
 #include "control/group_control_dependencies.h"
 #include "control/group_orders.h"
 #include "control/load_budget.h"
+#include "control/lost_groups.h"
 #include "control/planning_input.h"
 #include "control/standby_loader.h"
 
 namespace kumquatcart {
 
 // Writes the record of a group before it sends any order for the group. The
-// offset of the record in the store determines the epoch, so that orders of an
-// older plan have no effect. Any entry VM can continue from the records and the
-// servers' reported states. Use only on the event loop's thread.
+// position of the record in the store determines the epoch, so that orders of
+// an older plan have no effect. Any entry VM can continue from the records and
+// the servers' reported states. Use only on the event loop's thread.
 class GroupReconciler {
  public:
   explicit GroupReconciler(GroupControlDependencies control_parts)
       : parts(std::move(control_parts)),
         loads(&this->parts),
         orders(&this->parts, &this->loads),
-        standbys(&this->parts, &this->orders, &this->loads) {}
+        standbys(&this->parts, &this->orders, &this->loads),
+        next_nonce(std::random_device{}()),
+        writes(kShortestWritePause, kLongestWritePause) {}
   GroupReconciler(const GroupReconciler&) = delete;
   GroupReconciler& operator=(const GroupReconciler&) = delete;
 
@@ -41,6 +47,11 @@
   std::vector<GroupAvailability> GroupStates() const;
 
  private:
+  // Pauses after records that were not accepted.
+  static constexpr Duration kShortestWritePause =
+      std::chrono::milliseconds(100);
+  static constexpr Duration kLongestWritePause = std::chrono::seconds(2);
+
   void ReconcileDomains();
   // Whether this process plans `failure_domain`; remembers it in
   // `planned_here`.
@@ -51,6 +62,12 @@
   // Starts `task` unless a task with the same key is running.
   void StartOnce(const std::string& key, std::function<void(Coroutine)> task);
 
+  // Writes records that the store has lost once more, unless others have been
+  // written since. Returns whether the domain's plan has to wait for that.
+  bool RestoreRecords(const FabricDomain& domain);
+
+  // Writes the records in turn until one is not accepted. Those without an
+  // epoch get one, with the present starts of their members.
   void WriteRecords(const std::vector<GroupRecord>& records, Coroutine yield);
 
   const GroupControlDependencies parts;
@@ -58,6 +75,10 @@
   GroupOrders orders;
   StandbyLoader standbys;
   std::set<std::string> running_tasks;  // Task keys.
+  std::uint32_t next_nonce;             // Of epochs.
+  ProgressPacer writes;
+  // When groups without a record were first seen, by fabric domain.
+  std::map<std::string, std::map<GroupFormation, MonotonicTime>> partial_since;
 };
 
 }  // namespace kumquatcart
--- a/src/control/standby_loader.cc
+++ b/src/control/standby_loader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "control/group_record_codec.h"
 #include "control/standby_name.h"
 
 namespace kumquatcart {
@@ -34,7 +35,8 @@
     return;
   }
   record.group = StandbyGroupName(copy.id);
-  record.epoch = std::max<std::int64_t>(this->parts->records->End(), 1);
+  record.epoch = std::max(EpochBefore(this->parts->records->Position()),
+                          copy.membership ? copy.membership->epoch : 0);
   record.model = standby.model;
   record.members = {copy.id};
   this->orders->Send(copy, GroupOrder::kJoin, record, yield);
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -274,6 +274,13 @@
   CHECK(!view.IsOutdated(StartedServer(11, 0), true));
 }
 
+TEST_CASE("A group record states its epoch") {
+  GroupRecord record = Record((std::int64_t{3} << 40) + 17, {"a"});
+  CHECK(DecodeGroupRecord("g", 41, EncodeGroupRecord(record)).value() ==
+        record);
+}
+
+// Records of versions of this program that did not state it.
 TEST_CASE("A decoded group record has an epoch that follows from its offset") {
   GroupRecord record = Record(0, {"a", "b"});
   record.member_starts = {1'782'000'000'001, 0};
