--- a/tests/entry/topic_follower_test.cc
+++ b/tests/entry/topic_follower_test.cc
@@ -2,86 +2,11 @@
 
 #include <catch2/catch.hpp>
 
-#include "fakes/loop_server.h"
-#include "fakes/loop_store.h"
+#include "entry/follower_fixture.h"
 
 namespace kumquatcart {
 namespace {
 
-constexpr char kTopic[] = "keyed.servers";
-
-// A follower of the servers topic that records what it applies.
-struct FollowerFixture {
-  FollowerFixture()
-      : store(&this->loop),
-        client(&this->loop, this->store.Address()),
-        peers("b", "zone"),
-        role(&this->loop, &this->peers, &this->client, "zone"),
-        follower(
-            &this->loop,
-            &this->client,
-            FollowerSettings{
-                StoreTopic::kServers, 2, std::chrono::milliseconds(500),
-                std::chrono::milliseconds(1), std::chrono::milliseconds(1)},
-            &this->role,
-            [this](const TcpEndpoint&, std::int64_t from, Coroutine) {
-              ++this->fetches;
-              this->fetched_from = from;
-              return this->peer_error ? Result<TopicBatch>(*this->peer_error)
-                                      : Result<TopicBatch>(this->peer_batch);
-            },
-            [this](const TopicRecord& record) {
-              this->applied.push_back(record);
-              this->values[record.key] = record.value.value_or("(dropped)");
-            }) {}
-
-  ~FollowerFixture() { this->loop.UnwindCoroutines(); }
-
-  // Accepts digests of two preceding nodes, so that this one does not read the
-  // store.
-  void BecomeNonReader() {
-    for (const char* node : {"a", "a2"}) {
-      this->peers.PutPeer(node, "zone", Endpoint{"127.0.0.1", 1});
-      NodeDigest digest;
-      digest.node = node;
-      digest.interval_ms = 10'000;
-      this->peers.AcceptDigest(digest, this->loop.Now());
-    }
-  }
-
-  // Reports a peer that is ahead until the follower has reached `end`.
-  void ReportPeerUntilEnd(std::int64_t end) {
-    this->RunUntil([this, end] {
-      this->follower.HandlePeerEnd(TcpEndpoint(), end, this->is_near);
-      return this->follower.End() >= end;
-    });
-  }
-
-  // Runs the loop until `done` returns true, for two seconds at most.
-  void RunUntil(const std::function<bool()>& done) {
-    RunCoroutine(&this->loop, [&](Coroutine yield) {
-      const MonotonicTime deadline = this->loop.Now() + std::chrono::seconds(2);
-      while (!done() && this->loop.Now() < deadline) {
-        this->loop.Sleep(std::chrono::milliseconds(1), yield);
-      }
-    });
-  }
-
-  EventLoop loop;
-  LoopStore store;
-  StoreClient client;
-  PeerDirectory peers;
-  PlannerRole role;
-  TopicBatch peer_batch;
-  std::optional<Error> peer_error;
-  int fetches = 0;
-  std::int64_t fetched_from = -1;
-  bool is_near = true;  // Whether the reported peer is in this failure domain.
-  std::vector<TopicRecord> applied;
-  std::map<std::string, std::string> values;
-  TopicFollower follower;
-};
-
 TEST_CASE("A follower applies the newest of each key, then every change") {
   FollowerFixture f;
   f.store.Put(kTopic, "a", "1");
@@ -124,14 +49,14 @@
   const int calls = f.store.calls;
   f.peer_batch.end = 3;
   f.peer_batch.records = {{"b", "1", 1}, {"a", std::nullopt, 2}};
-  f.follower.HandlePeerEnd(TcpEndpoint(), 3, true);
+  f.follower.HandlePeerEnd(TcpEndpoint(), {0, 3}, true);
   f.RunUntil([&] { return f.follower.End() == 3; });
   CHECK(f.fetched_from == 1);
   CHECK(f.values["a"] == "(dropped)");
   CHECK(f.values["b"] == "1");
   CHECK(f.store.calls <= calls + 1);  // A read may have been in progress.
   // Nothing is fetched from a peer that is not ahead.
-  f.follower.HandlePeerEnd(TcpEndpoint(), 3, true);
+  f.follower.HandlePeerEnd(TcpEndpoint(), {0, 3}, true);
   CHECK(f.fetches == 1);
 }
 
@@ -171,7 +96,7 @@
   f.store.refusal = 503;
   f.peer_error = MakeError(ErrorCode::kExhausted, "overloaded");
   f.RunUntil([&] {
-    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
+    f.follower.HandlePeerEnd(TcpEndpoint(), {0, 2}, true);
     return f.fetches >= 10;
   });
   CHECK(f.fetches >= 10);
@@ -199,7 +124,7 @@
   const int calls = f.store.calls;
   f.peer_error = MakeError(ErrorCode::kExhausted, "overloaded");
   f.RunUntil([&] {
-    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
+    f.follower.HandlePeerEnd(TcpEndpoint(), {0, 2}, true);
     return f.fetches >= 5;
   });
   CHECK(f.fetches >= 5);
@@ -214,7 +139,7 @@
   f.RunUntil([&] { return f.follower.IsSynced(); });
   f.BecomeNonReader();
   f.peer_batch = TopicBatch{{{"b", "1", 1}}, 2};
-  f.follower.HandlePeerEnd(TcpEndpoint(), 2, false);
+  f.follower.HandlePeerEnd(TcpEndpoint(), {0, 2}, false);
   f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(50)] {
     return f.loop.Now() > stop;
   });
@@ -298,7 +223,7 @@
   f.RunUntil([&] { return f.follower.IsSynced(); });
   f.store.Put(kTopic, "b", "");
   f.RunUntil([&] { return f.follower.End() == 4; });
-  const TopicBatch batch = f.follower.RecordsSince(2);
+  const TopicBatch batch = f.follower.RecordsSince({0, 2});
   CHECK(batch.end == 4);
   CHECK(batch.records ==
         std::vector<TopicRecord>{{"c", "1", 2}, {"b", std::nullopt, 3}});
@@ -323,7 +248,7 @@
   peer.follower.Start();
   peer.RunUntil([&] { return peer.follower.IsSynced(); });
 
-  f.peer_batch = peer.follower.RecordsSince(f.follower.End());
+  f.peer_batch = peer.follower.RecordsSince(f.follower.Position());
   f.ReportPeerUntilEnd(4);
   CHECK(f.values == std::map<std::string, std::string>{
                         {"a", "(dropped)"}, {"b", "1"}, {"c", "1"}});
@@ -343,7 +268,7 @@
       f.peer_batch.records = {{"a", "1", 0}};
     }
     f.follower.Start();
-    f.follower.HandlePeerEnd(TcpEndpoint(), 2, true);
+    f.follower.HandlePeerEnd(TcpEndpoint(), {0, 2}, true);
     f.RunUntil([&, stop = f.loop.Now() + std::chrono::milliseconds(100)] {
       return f.loop.Now() > stop;
     });
