Take a process that started again in a soak for one that has shown nothing

The caller that asks for the newest route looks every 200 ms and kept the version that it had been shown when a process was killed and started between two looks. Since the store never lost a version, the next process always read it. As in ConfigLedger, what was shown counts for one start of a process.

--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -63,12 +63,18 @@
                  const bool* goes_on,
                  Coroutine yield) {
   int shown = 0;
+  int start = 0;  // Of the process that has shown it.
   while (*goes_on) {
     world->loop.Sleep(4 * kWatch, yield);
-    if (!entry->IsRunning() || entry->IsStopping()) {
+    // A process may end and start again between two questions.
+    if (!entry->IsRunning() || entry->IsStopping() ||
+        entry->Starts() != start) {
       shown = 0;
+    }
+    if (!entry->IsRunning() || entry->IsStopping()) {
       continue;
     }
+    start = entry->Starts();
     if (all_read_store) {
       CheckInForce(world, entry, yield);
     }
@@ -81,7 +87,8 @@
       continue;
     }
     const int status = world->AskRoute(*entry, shown, yield);
-    if (status == kHttpNotFound && !entry->IsStopping() && entry->IsRunning()) {
+    if (status == kHttpNotFound && !entry->IsStopping() && entry->IsRunning() &&
+        entry->Starts() == start) {
       world->ledger.Accuse(
           fmt::format("{} went back behind version {}", entry->Name(), shown));
     }
