Delay calls of the store beyond the rate of a VM

The pause of reads prevents the loops that are known. A VM now makes at most 50 calls a second after 300 that are saved up, whatever answer or loop causes them; each second with delayed calls leaves one line of log.

The token bucket moves to base, below the store client.

--- a/src/routing/token_bucket.h
+++ b/src/base/token_bucket.h
@@ -1,6 +1,6 @@
 // Rate limiter with a bounded burst.
-#ifndef ROUTING_TOKEN_BUCKET_H_
-#define ROUTING_TOKEN_BUCKET_H_
+#ifndef BASE_TOKEN_BUCKET_H_
+#define BASE_TOKEN_BUCKET_H_
 
 #include "base/clock.h"
 
@@ -39,4 +39,4 @@
 
 }  // namespace kumquatcart
 
-#endif  // ROUTING_TOKEN_BUCKET_H_
+#endif  // BASE_TOKEN_BUCKET_H_
--- a/src/entry/record_service.h
+++ b/src/entry/record_service.h
@@ -3,9 +3,9 @@
 #define ENTRY_RECORD_SERVICE_H_
 
 #include "base/metrics.h"
+#include "base/token_bucket.h"
 #include "control/topic_follower.h"
 #include "entry/simple_http_server.h"
-#include "routing/token_bucket.h"
 
 namespace kumquatcart {
 
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -39,8 +39,13 @@
 constexpr Duration kDirectInterval = std::chrono::seconds(1);
 constexpr Duration kMaxIdle = std::chrono::seconds(2);
 
-// Shortest time between log lines of answers that were dropped.
-constexpr Duration kDroppedAnswerLogInterval = std::chrono::seconds(1);
+// Rate of calls, and for how long unused calls are saved up: a planner writes
+// the records of all groups of its domains at once, with a read after each.
+constexpr double kCallsPerSecond = 50;
+constexpr Duration kCallBurst = std::chrono::seconds(6);
+// Shortest time between log lines of answers that were dropped, and of calls
+// that were delayed.
+constexpr Duration kRepeatedLogInterval = std::chrono::seconds(1);
 // Nearly 32 years of a change each second; far below where numbers derived from
 // an era would overflow.
 constexpr StoreEra kMaxEra = 1'000'000'000;
@@ -236,7 +241,9 @@
     : loop(loop),
       store(std::move(store)),
       client(loop),
-      dropped_answers(kDroppedAnswerLogInterval) {}
+      dropped_answers(kRepeatedLogInterval),
+      call_rate(kCallsPerSecond, kCallBurst, loop->Now()),
+      delayed_calls(kRepeatedLogInterval) {}
 
 bool StoreClient::IsStoreCall(const std::string& target) {
   return target.rfind(wire::kLogReadPath, 0) == 0 ||
@@ -369,16 +376,16 @@
   LogInfo("store_era_changed",
           {{"from", this->era}, {"to", later}, {"source", source}});
   this->era = later;
-  if (!is_first) {
-    this->era_changed_at = this->loop->Now();
-    if (this->metrics != nullptr) {
-      this->metrics->GetCounter("kumquatcart_store_era_changes_total").Add();
-    }
-  }
   if (this->metrics != nullptr) {
     this->metrics->GetGauge("kumquatcart_store_era")
         .Set(static_cast<double>(later));
+    this->metrics->GetCounter("kumquatcart_store_era_changes_total")
+        .Add(is_first ? 0 : 1);
+  }
+  if (is_first) {
+    return;
   }
+  this->era_changed_at = this->loop->Now();
   // What is awaited continues a lost history.
   this->AbandonReads(MonotonicTime::max());
   if (this->notify_era) {
@@ -525,8 +532,21 @@
   }
 }
 
+void StoreClient::AwaitCallRate(Coroutine yield) {
+  while (!this->call_rate.HasCredit(this->loop->Now())) {
+    const Duration pause = this->call_rate.TimeUntilCredit(this->loop->Now());
+    if (const auto suppressed = this->delayed_calls.Pass(this->loop->Now())) {
+      LogWarning("store_call_delayed",
+                 {{"ms", ToMillis(pause)}, {"suppressed", *suppressed}});
+    }
+    this->loop->Sleep(pause, yield);
+  }
+  this->call_rate.Spend(1, this->loop->Now());
+}
+
 StoreClient::StoreReply StoreClient::Call(const StoreCall& call,
                                           Coroutine yield) {
+  this->AwaitCallRate(yield);
   const bool asks_relay_first =
       !this->reachable && this->loop->Now() - this->direct_at < kDirectInterval;
   bool relay_refused = false;
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -13,6 +13,7 @@
 #include "base/log_limiter.h"
 #include "base/metrics.h"
 #include "base/outcome.h"
+#include "base/token_bucket.h"
 #include "net/http_client.h"
 #include "platform/topic_batch.h"
 
@@ -22,7 +23,9 @@
 std::string ConfigurationKey();
 
 // Reads and writes the store, directly or through another entry VM where the
-// store refuses this one. For the event loop's thread.
+// store refuses this one. Calls beyond a rate that none of the duties of a VM
+// comes near wait, so that no loop of calls takes the store from the other VMs.
+// For the event loop's thread.
 class StoreClient {
  public:
   StoreClient(EventLoop* loop, TcpEndpoint store);
@@ -55,8 +58,8 @@
     return this->era_changed_at;
   }
 
-  // Called after each change of the era. Reads that were sent before have been
-  // abandoned by then.
+  // Called after each change of the era except to the first one known. Reads
+  // that were sent before have been abandoned by then.
   void SetEraListener(std::function<void()> listener) {
     this->notify_era = std::move(listener);
   }
@@ -143,6 +146,8 @@
                         PendingRead* read,
                         const HandleLate& handle_late);
   StoreReply Call(const StoreCall& call, Coroutine yield);
+  // Waits until the rate of calls allows one more, and counts it.
+  void AwaitCallRate(Coroutine yield);
   // Sends a call to the store itself.
   StoreReply CallDirectly(const OutgoingRequest& request,
                           const HandleLate& handle_late,
@@ -182,6 +187,8 @@
   std::optional<MonotonicTime> era_changed_at;
   std::function<void()> notify_era;
   LogLimiter dropped_answers;
+  TokenBucket call_rate;
+  LogLimiter delayed_calls;
   bool reachable = true;
   bool was_silent = false;              // Since the store was reachable.
   MonotonicTime direct_at;              // Last direct call.
--- a/src/routing/admission_controller.h
+++ b/src/routing/admission_controller.h
@@ -12,11 +12,11 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "base/setting.h"
+#include "base/token_bucket.h"
 #include "board/board.h"
 #include "routing/admission.h"
 #include "routing/demand_table.h"
 #include "routing/fair_queue.h"
-#include "routing/token_bucket.h"
 
 namespace kumquatcart {
 
--- a/tests/routing/token_bucket_test.cc
+++ b/tests/base/token_bucket_test.cc
@@ -1,4 +1,4 @@
-#include "routing/token_bucket.h"
+#include "base/token_bucket.h"
 
 #include <vector>
 
