Take what peers know better in a VM that starts on an older copy

What callers could see: a route that a confirmed version had added answered with 404, and a revoked key accepted, by a VM that starts while the store shows an older copy.

The VM requests from up to three peers what they retain, again after a failure, and is not ready before it has heard a peer and has that answer, for a second at most.

--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -327,16 +327,21 @@
     this->retained_peers.clear();
   }
   if (this->Position().era != peer_era || this->catching_up || !this->synced ||
+      this->loop->Now() < this->next_retained_at ||
       this->retained_peers.size() == kRetainedRequests ||
       !this->retained_peers.insert(peer).second) {
     return;
   }
   this->catching_up = true;
+  this->fetches_retained = true;
   this->loop->Spawn([this, peer](Coroutine yield) {
     const Result<TopicBatch> batch =
         this->TryRead([&] { return this->fetch(peer, kRetainedOnly, yield); });
     this->catching_up = false;
+    this->fetches_retained = false;
     if (batch.has_error()) {
+      this->retained_peers.erase(peer);
+      this->next_retained_at = this->loop->Now() + kRetryPause;
       LogWarning("retained_records_failed",
                  {{"topic", ToString(this->settings.topic)},
                   {"peer", peer.address().to_string()},
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -99,6 +99,8 @@
   // Some peers are asked in each era, once each, after the topic was read in
   // it.
   void HandlePeerRetained(const TcpEndpoint& peer, StoreEra peer_era);
+  // Whether such a request is in progress.
+  bool IsFetchingRetained() const { return this->fetches_retained; }
 
   // Returns the newest record of each key from `from` on, for a peer; see
   // TopicReplica.
@@ -159,7 +161,9 @@
   ProgressPacer missing_reads;
   LogLimiter expired_log;
   StoreEra retained_era = -1;  // Of the retained records requested last.
-  std::set<TcpEndpoint> retained_peers;  // Asked in that era.
+  bool fetches_retained = false;
+  std::set<TcpEndpoint> retained_peers;  // That have answered in that era.
+  MonotonicTime next_retained_at;
 };
 
 }  // namespace kumquatcart
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -697,10 +697,12 @@
 
 bool EntryProcess::AwaitsPeers() const {
   const MonotonicTime now = this->loop.Now();
-  return !this->has_heard_peer &&
-         now - this->started_at<
-                   kPeerIntroductionTime&& this->peers.CountNodesSince(
-                       now, /*include_silent=*/true)> 1;
+  if (now - this->started_at >= kPeerIntroductionTime) {
+    return false;
+  }
+  return this->operator_topic.IsFetchingRetained() ||
+         (!this->has_heard_peer &&
+          this->peers.CountNodesSince(now, /*include_silent=*/true) > 1);
 }
 
 SimpleHttpResponse EntryProcess::AnswerReadiness() const {
--- a/tests/entry/record_fan_out_test.cc
+++ b/tests/entry/record_fan_out_test.cc
@@ -86,7 +86,7 @@
   PlannerRole role;
   RecordClient records;
   std::string value;
-  std::int64_t announced_end = 0;
+  TopicPosition announced;
   TopicFollower follower;
   MetricRegistry metrics;
   RecordService service;
@@ -174,18 +174,19 @@
   }
 
   void Announce(FollowingVm* sender) {
-    if (sender->announced_end == sender->follower.End()) {
+    if (sender->announced == sender->follower.Position()) {
       return;
     }
-    sender->announced_end = sender->follower.End();
+    sender->announced = sender->follower.Position();
     for (const auto& receiver : this->others) {
       Deliver(*sender, receiver.get());
     }
   }
 
   static void Deliver(const FollowingVm& sender, FollowingVm* receiver) {
-    receiver->follower.HandlePeerEnd(sender.link.Address(),
-                                     sender.follower.Position(), true);
+    const TopicPosition end = sender.follower.Position();
+    receiver->store.NotePeerEra(end.era);
+    receiver->follower.HandlePeerEnd(sender.link.Address(), end, true);
   }
 
   std::mt19937 random{17};
@@ -218,6 +219,33 @@
   });
 }
 
+// Guards against a herd at a store that has come back from an older copy: all
+// VMs notice at the same time, and each needs all records of the new era.
+TEST_CASE("The return of an older copy costs the store few reads") {
+  // Beyond the reads that wait for records.
+  constexpr int kReadsOfOthers = 2;
+  constexpr int kReadsOfReader = 30;
+  FailureDomain domain(kVms);
+  domain.store.reads_wait = true;
+  domain.store.era = "1";
+  RunCoroutine(&domain.loop, [&](Coroutine yield) {
+    domain.Start(yield);
+    const std::string large(kLargeConfigurationBytes, 'c');
+    domain.Publish(large, yield);
+    domain.Distribute(large, yield);
+    const LoopStore::Topics copy = domain.store.Copy();
+    domain.Publish("lost", yield);
+    domain.Distribute("lost", yield);
+    REQUIRE(domain.CountWith("lost") == kVms);
+    const int calls = domain.store.calls;
+    domain.store.ComeBackFrom(copy);
+    domain.store.era = "2";
+    domain.Distribute(large, yield);
+    CHECK(domain.CountWith(large) == kVms);
+    CHECK(domain.store.calls - calls <= kReadsOfOthers * kVms + kReadsOfReader);
+  });
+}
+
 // Guards against a peer that accepts more transfers than its link can carry.
 TEST_CASE("A peer sends a bounded number of record bytes per second") {
   FailureDomain domain(0);
--- a/tests/entry/store_rollback_test.cc
+++ b/tests/entry/store_rollback_test.cc
@@ -153,6 +153,23 @@
   }
 }
 
+// Guards against the next loop of calls, whatever answer causes it.
+TEST_CASE("Calls beyond the rate of a VM are delayed") {
+  constexpr int kSavedUp = 300;
+  constexpr int kInHalfASecond = 25;
+  FollowerFixture f;
+  RunCoroutine(&f.loop, [&](Coroutine yield) {
+    const MonotonicTime end = f.loop.Now() + std::chrono::milliseconds(500);
+    while (f.loop.Now() < end) {
+      CHECK(f.client.ReadSince(StoreTopic::kServers, 0, Duration{0}, yield)
+                .has_value());
+    }
+  });
+  // The last one may be sent at the end, and one is owed.
+  CHECK(f.store.calls <= kSavedUp + kInHalfASecond + 2);
+  CHECK(f.store.calls >= kSavedUp);
+}
+
 // Guards against a VM that starts after the store came back, and knows nothing
 // of what its peers have seen before.
 TEST_CASE("What peers retain is requested from some of them once") {
