Pace the configuration follower by progress

Symptom: none reported. An entry VM of the own interface would read the log as fast as the log answers, and write a line config_log_behind for each read.

Cause: the follower paused after a failed read only, and left the pause after a good one to the log's wait. A log that answers at once although a wait was asked for, with its end below the follower's offset, without records, with a record after a gap or with known records, brought the next read at once.

Evidence: "A follower without progress reads and logs at a bounded rate", four such answers, on a paused clock.

Change: progress is a higher offset. A round without it lasts at least the pause of ProgressPacer, from the retry delay up to the wait of a read, so that a log that waits as asked is read as before. The lines config_log_behind and config_log_read_failed come once in 10 s, with the number of suppressed ones.

--- a/src/control/config_follower.cc
+++ b/src/control/config_follower.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "base/progress_pacer.h"
 #include "control/snapshot_reader.h"
 
 namespace kumquatcart {
@@ -13,6 +14,8 @@
 
 constexpr std::size_t kMaxRecordsPerRead = 256;
 constexpr Duration kPauseStep = std::chrono::milliseconds(50);
+// Minimum time between two log lines of one event.
+constexpr Duration kLogInterval = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -32,7 +35,9 @@
       reads(metrics->GetCounter("kumquatcart_config_log_reads_total")),
       read_failures(
           metrics->GetCounter("kumquatcart_config_log_read_failures_total")),
-      gaps(metrics->GetCounter("kumquatcart_config_gaps_total")) {
+      gaps(metrics->GetCounter("kumquatcart_config_gaps_total")),
+      behind_lines(kLogInterval),
+      failure_lines(kLogInterval) {
   this->reachable_gauge.Set(1);
 }
 
@@ -91,17 +96,27 @@
 }
 
 void ConfigFollower::Run() {
+  const Duration poll_wait = this->settings.log_poll_wait;
+  ProgressPacer pacer(std::min(this->settings.log_retry_delay, poll_wait),
+                      poll_wait);
   while (!this->stopping) {
     if (!this->reads_log()) {
-      this->Pause(this->settings.log_poll_wait);
+      this->Pause(poll_wait);
       continue;
     }
-    const Status polled = this->PollOnce(this->settings.log_poll_wait);
+    const MonotonicTime started_at = this->clock->Now();
+    const Offset before = this->replica->CurrentOffset();
+    const Status polled = this->PollOnce(poll_wait);
     if (polled.has_error()) {
       this->read_failures.Add();
-      LogWarning("config_log_read_failed", {{"error", polled.error().message}});
+      this->ReportFailure(polled.error());
       this->Pause(this->settings.log_retry_delay);
+      continue;
     }
+    // The log may answer at once although it has nothing new.
+    const bool advanced = this->replica->CurrentOffset() > before;
+    const Duration taken = this->clock->Now() - started_at;
+    this->Pause(pacer.NextPause(advanced) - taken);
   }
 }
 
@@ -139,10 +154,22 @@
 void ConfigFollower::ReportLag(Offset last) {
   const Offset behind = last - this->replica->CurrentOffset();
   this->lag.Set(static_cast<double>(behind));
-  if (behind < 0) {
-    LogWarning(
-        "config_log_behind",
-        {{"log_last", last}, {"offset", this->replica->CurrentOffset()}});
+  if (behind >= 0) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(this->lines_mutex);
+  if (const auto suppressed = this->behind_lines.Pass(this->clock->Now())) {
+    LogWarning("config_log_behind", {{"log_last", last},
+                                     {"offset", last - behind},
+                                     {"suppressed", *suppressed}});
+  }
+}
+
+void ConfigFollower::ReportFailure(const Error& error) {
+  const std::lock_guard<std::mutex> lock(this->lines_mutex);
+  if (const auto suppressed = this->failure_lines.Pass(this->clock->Now())) {
+    LogWarning("config_log_read_failed",
+               {{"error", error.message}, {"suppressed", *suppressed}});
   }
 }
 
--- a/src/control/config_follower.h
+++ b/src/control/config_follower.h
@@ -4,9 +4,11 @@
 
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <thread>
 
 #include "base/clock.h"
+#include "base/log_limiter.h"
 #include "base/metrics.h"
 #include "control/config_replica.h"
 #include "control/config_settings.h"
@@ -57,6 +59,7 @@
   void Pause(Duration duration);
   Status LoadSnapshot();
   void ReportLag(Offset last);
+  void ReportFailure(const Error& error);
 
   Clock* const clock;
   LogService* const log;
@@ -72,6 +75,12 @@
   std::atomic<bool> platform_reachable{true};
   std::atomic<bool> snapshot_tried{false};
   std::atomic<bool> stopping{false};
+
+  // Guards the limits of log lines; a leaf in the lock order.
+  std::mutex lines_mutex;
+  LogLimiter behind_lines;
+  LogLimiter failure_lines;
+
   std::thread thread;
 };
 
--- a/tests/control/config_follower_test.cc
+++ b/tests/control/config_follower_test.cc
@@ -1,8 +1,14 @@
 #include "control/config_follower.h"
 
+#include <chrono>
+#include <optional>
+#include <thread>
+
 #include <catch2/catch.hpp>
 
 #include "control/config_node_fixture.h"
+#include "fakes/captured_log.h"
+#include "fakes/counting_log.h"
 #include "model/config_snapshot.h"
 
 namespace kumquatcart {
@@ -196,6 +202,43 @@
   REQUIRE(node->Config()->organisations.size() == 10);
 }
 
+// Guards against a follower that reads the log without pause, with a log line
+// each time, while the answers are valid and bring nothing new: the log ends
+// below the follower's offset, leaves out a record, or repeats known ones, and
+// does not wait for the time asked for.
+TEST_CASE("A follower without progress reads and logs at a bounded rate") {
+  const LogBatch no_progress =
+      GENERATE(LogBatch{1, 1, {}}, LogBatch{1, 9, {}},
+               LogBatch{1, 9, {PutRecord(9, "after a gap", 3)}},
+               LogBatch{1, 9, {PutRecord(3, "again", 2)}});
+  constexpr int kReads = 200;
+  ManualClock clock;
+  FakeLogService log(clock);
+  CountingLog counted(&log);
+  counted.answer_read = [&](const StreamName& stream, Offset) {
+    return stream == kConfigStream
+               ? std::optional<Result<LogBatch>>(no_progress)
+               : std::nullopt;
+  };
+  const ConfigSettings settings;
+  ConfigNode node("n", &clock, &counted, settings);
+  REQUIRE(
+      node.replica.ApplyRecords({PutRecord(1, "one", 0), PutRecord(2, "two", 1),
+                                 PutRecord(3, "three", 2)}));
+  const CapturedLog lines;
+  const MonotonicTime start = clock.Now();
+  node.follower.Start();
+  while (counted.reads < kReads) {
+    std::this_thread::yield();
+  }
+  node.follower.Stop();
+  const Duration elapsed = clock.Now() - start;
+  // As often as a log that waits as asked, after the first few reads.
+  CHECK(counted.reads <= elapsed / settings.log_poll_wait + 3);
+  CHECK(lines.CountLines("config_log_behind") <=
+        elapsed / std::chrono::seconds(10) + 1);
+}
+
 TEST_CASE("A gap without a snapshot is reported, not skipped") {
   ManualClock clock;
   FakeLogService log(clock);
--- a/tests/fakes/captured_log.h
+++ b/tests/fakes/captured_log.h
@@ -26,12 +26,7 @@
 
   // Whether a line of `event` holds all of `fields`.
   bool HasLine(const std::string& event, const std::string& fields) const {
-    std::rewind(this->file);
-    std::string text;
-    for (int c = std::fgetc(this->file); c != EOF; c = std::fgetc(this->file)) {
-      text.push_back(static_cast<char>(c));
-    }
-    std::istringstream lines(text);
+    std::istringstream lines(this->Text());
     for (std::string line; std::getline(lines, line);) {
       if (line.find("event=" + event + " id=id1 ") != std::string::npos &&
           line.find(fields) != std::string::npos) {
@@ -41,7 +36,28 @@
     return false;
   }
 
+  // Number of lines of `event`.
+  int CountLines(const std::string& event) const {
+    std::istringstream lines(this->Text());
+    int count = 0;
+    for (std::string line; std::getline(lines, line);) {
+      if (line.find("event=" + event + " ") != std::string::npos) {
+        ++count;
+      }
+    }
+    return count;
+  }
+
  private:
+  std::string Text() const {
+    std::rewind(this->file);
+    std::string text;
+    for (int c = std::fgetc(this->file); c != EOF; c = std::fgetc(this->file)) {
+      text.push_back(static_cast<char>(c));
+    }
+    return text;
+  }
+
   std::FILE* const file;
   const int stderr_copy;
 };
