End a round of the lease manager that brings no records

Symptom: none reported. The round would never end: the holder no longer renews, its lease lapses, Stop() hangs, and the log is called as fast as it answers.

Cause: ReadNewRecords read on without a pause after each search for a start offset, and after each whole batch. A log whose answer to the read is "past retention" again, or whose batches begin below the offset asked for, kept it in the loop.

Evidence: "a round ends although the log brings no further records".

Change: one search per round, the next one after the poll interval; a record from before the offset is an error. Failures of reads, which had no line, are logged as lease_read_failed, once in 10 s; malformed records as well.

--- a/src/control/lease_manager.cc
+++ b/src/control/lease_manager.cc
@@ -20,6 +20,9 @@
 // A read from this offset returns no records, only the bounds of the stream.
 constexpr Offset kBeyondEnd = std::numeric_limits<Offset>::max() / 2;
 
+// Minimum time between two log lines of one event.
+constexpr Duration kLogInterval = std::chrono::seconds(10);
+
 }  // namespace
 
 SettingGroup DescribeSettings(LeaseSettings* settings) {
@@ -63,6 +66,8 @@
       append_failures(
           metrics->GetCounter("kumquatcart_lease_append_failures_total")),
       held(metrics->GetGauge("kumquatcart_lease_held")),
+      failure_lines(kLogInterval),
+      malformed_lines(kLogInterval),
       last_append_at(clock->Now() - settings.renew_interval),
       held_until(clock->Now()),
       acquired_at(clock->Now()),
@@ -147,19 +152,41 @@
 }
 
 Status LeaseManager::ReadNewRecords() {
-  if (this->next_offset == kNoOffset) {
+  Status read = this->TryReadNewRecords();
+  if (read.has_error()) {
+    if (const auto suppressed = this->failure_lines.Pass(this->clock->Now())) {
+      LogWarning("lease_read_failed", {{"reason", read.error().message},
+                                       {"next_offset", this->next_offset},
+                                       {"suppressed", *suppressed}});
+    }
+  }
+  return read;
+}
+
+Status LeaseManager::TryReadNewRecords() {
+  // Searched once: a start offset that is past retention again is searched in
+  // the next round.
+  bool has_searched = this->next_offset == kNoOffset;
+  if (has_searched) {
     BOOST_OUTCOME_TRYV(this->FindStartOffset());
   }
   while (true) {
     Result<LogBatch> batch = this->log->Read(kLeaseStream, this->next_offset,
                                              kLeaseReadBatch, Duration(0));
-    if (batch.has_error() && batch.error().code == ErrorCode::kExpired) {
+    if (batch.has_error() && batch.error().code == ErrorCode::kExpired &&
+        !has_searched) {
+      has_searched = true;
       BOOST_OUTCOME_TRYV(this->FindStartOffset());
       continue;
     }
     BOOST_OUTCOME_TRYV(batch);
     const MonotonicTime now = this->clock->Now();
     for (const LogRecord& record : batch.value().records) {
+      if (record.offset < this->next_offset) {
+        return MakeError(ErrorCode::kUnavailable,
+                         "the log returned a record from before the offset "
+                         "that was read");
+      }
       this->ApplyRecord(record, now);
       this->next_offset = record.offset + 1;
     }
@@ -195,8 +222,11 @@
 void LeaseManager::ApplyRecord(const LogRecord& record, MonotonicTime now) {
   const Result<LeaseRecord> decoded = DecodeJson<LeaseRecord>(record.payload);
   if (decoded.has_error()) {
-    LogWarning("lease_record_malformed", {{"offset", record.offset},
-                                          {"reason", decoded.error().message}});
+    if (const auto suppressed = this->malformed_lines.Pass(now)) {
+      LogWarning("lease_record_malformed", {{"offset", record.offset},
+                                            {"reason", decoded.error().message},
+                                            {"suppressed", *suppressed}});
+    }
     return;
   }
   const LeaseLogEntry entry{record.offset, record.time_unix_ms,
--- a/src/control/lease_manager.h
+++ b/src/control/lease_manager.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/comparable.h"
+#include "base/log_limiter.h"
 #include "base/metrics.h"
 #include "base/outcome.h"
 #include "base/periodic_task.h"
@@ -97,7 +98,10 @@
   };
 
   bool IsCandidate(std::int64_t* rank) const;
+  // Reads to the end of the stream, and stops early when the log brings no
+  // further records. Logs failures.
   Status ReadNewRecords();
+  Status TryReadNewRecords();
   Status FindStartOffset();
   void ApplyRecord(const LogRecord& record, MonotonicTime now);
   void ApplyOwnRecord(const LeaseLogEntry& entry,
@@ -120,6 +124,8 @@
   // Serialises rounds; acquired before `mutex`. Held during calls to the log.
   std::mutex round_mutex;
   Offset next_offset = kNoOffset;
+  LogLimiter failure_lines;
+  LogLimiter malformed_lines;
 
   // Guards the fields below; leaf in the lock order.
   mutable std::mutex mutex;
--- a/tests/control/lease_manager_test.cc
+++ b/tests/control/lease_manager_test.cc
@@ -8,6 +8,8 @@
 
 #include "control/lease_constants.h"
 #include "control/placement_fixture.h"
+#include "fakes/captured_log.h"
+#include "fakes/counting_log.h"
 
 namespace kumquatcart {
 namespace {
@@ -222,6 +224,45 @@
   REQUIRE(nodes.fleet.AcceptedOrders().size() == before);
 }
 
+// Guards against a round that never ends, so that the lease lapses and Stop
+// hangs: the log answers every read of records as past retention, or with whole
+// batches of records from before the offset asked for.
+TEST_CASE("a round ends although the log brings no further records") {
+  const bool is_expired = GENERATE(true, false);
+  ManualClock clock;
+  FakeLogService log(clock);
+  CountingLog counted(&log);
+  counted.answer_read = [&](const StreamName&,
+                            Offset from) -> std::optional<Result<LogBatch>> {
+    if (counted.reads > 500) {
+      return std::nullopt;  // Ends a round that goes on.
+    }
+    if (from > 1'000'000) {
+      return LogBatch{500, is_expired ? 499 : 600, {}};
+    }
+    if (is_expired) {
+      return MakeError(ErrorCode::kExpired, "first retained offset is 501");
+    }
+    return LogBatch{1, 600, std::vector<LogRecord>(kLeaseReadBatch)};
+  };
+  MetricRegistry metrics;
+  WorkerPool pool(1);
+  Board board(MakeIdentity("a"));
+  LeaseManager lease(&clock, &pool, &board, &counted, &metrics,
+                     LeaseSettings());
+  const CapturedLog lines;
+  lease.RunOnce();
+  CHECK(counted.reads <= 10);
+  constexpr int kRounds = 20;
+  for (int round = 1; round < kRounds; ++round) {
+    clock.Advance(LeaseSettings().poll_interval);
+    lease.RunOnce();
+  }
+  CHECK(counted.reads <= kRounds * 10);
+  CHECK(lines.CountLines("lease_read_failed") <= 2);
+  CHECK(lines.CountLines("lease_record_malformed") <= 2);
+}
+
 // Performs one random step of a node, its environment or the clock.
 void TakeRandomStep(TwoNodes* nodes, bool fenced) {
   ControlNode& node = *rc::gen::arbitrary<bool>() ? nodes->a : nodes->b;
