Pace the claim log by progress

Symptom: none reported. Callers with an Idempotency-Key would wait for an answer until they give up, while the entry VM calls the log as fast as it answers; while answers to appends are lost, it appends 20 times a second.

Cause, both in the rounds of one thread: CatchUp read on at once after "past retention" and after a batch without the records that its end promises, so that the round never ended; an append with an unknown outcome counted as progress and was repeated after the shortest pause.

Change: records past retention are skipped once per round, and an empty batch before the end is a failed read. Progress is an acknowledged append or a record that was read after one. Failed reads and appends, which had no line, are logged once in 10 s as claim_log_read_failed and claim_append_failed.

--- a/src/gateway/claim_log.cc
+++ b/src/gateway/claim_log.cc
@@ -6,6 +6,7 @@
 
 #include "base/json.h"
 #include "base/logging.h"
+#include "base/progress_pacer.h"
 
 namespace kumquatcart {
 
@@ -20,6 +21,9 @@
 // Factor on the batch interval while nothing can be appended.
 constexpr int kIdleFactor = 10;
 
+// Minimum time between two log lines of one event.
+constexpr Duration kLogInterval = std::chrono::seconds(10);
+
 Error MakeLogAwayError() {
   Error error =
       MakeError(ErrorCode::kUnavailable,
@@ -73,7 +77,9 @@
       appends(metrics->GetCounter("kumquatcart_gateway_claim_appends_total")),
       refusals(metrics->GetCounter("kumquatcart_gateway_claim_refusals_total")),
       replays(metrics->GetCounter("kumquatcart_gateway_claim_replays_total")),
-      table(settings.window) {}
+      table(settings.window),
+      read_failure_lines(kLogInterval),
+      append_failure_lines(kLogInterval) {}
 
 ClaimLog::~ClaimLog() {
   this->Stop();
@@ -142,6 +148,8 @@
 void ClaimLog::Run() {
   // A fresh entry VM learns what was claimed before the first caller waits.
   this->CatchUp();
+  ProgressPacer pacer(this->settings.batch_interval,
+                      this->settings.batch_interval * kIdleFactor);
   while (true) {
     {
       std::unique_lock<std::mutex> lock(this->mutex);
@@ -151,7 +159,7 @@
         return;
       }
     }
-    const bool progressed = this->RunOnce();
+    const bool advanced = this->RunOnce();
     bool stop = false;
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
@@ -160,8 +168,8 @@
     if (stop) {
       return;
     }
-    this->clock->SleepFor(this->settings.batch_interval *
-                          (progressed ? 1 : kIdleFactor));
+    this->clock->SleepFor(
+        std::max(this->settings.batch_interval, pacer.NextPause(advanced)));
   }
 }
 
@@ -173,52 +181,85 @@
   // What is known already needs no append.
   bool log_answers = this->CatchUp();
   std::vector<Decided> decided = this->DecideAll(log_answers);
-  const bool appended = log_answers && this->AppendGathered();
-  if (appended) {
+  const AppendOutcome appended =
+      log_answers ? this->AppendGathered() : AppendOutcome::kNotAppended;
+  bool advanced = appended == AppendOutcome::kAppended;
+  if (appended != AppendOutcome::kNotAppended) {
+    const Offset before = this->next_offset;
     log_answers = this->CatchUp();
+    advanced = advanced || this->next_offset > before;
     std::vector<Decided> more = this->DecideAll(log_answers);
     std::move(more.begin(), more.end(), std::back_inserter(decided));
   }
   for (const Decided& entry : decided) {
     entry.decide(entry.verdict);
   }
-  return appended;
+  return advanced;
 }
 
 bool ClaimLog::CatchUp() {
+  const Status read = this->TryCatchUp();
+  if (read.has_error()) {
+    if (const auto suppressed =
+            this->read_failure_lines.Pass(this->clock->Now())) {
+      LogWarning("claim_log_read_failed", {{"reason", read.error().message},
+                                           {"next_offset", this->next_offset},
+                                           {"suppressed", *suppressed}});
+    }
+  }
+  return read.has_value();
+}
+
+Status ClaimLog::TryCatchUp() {
+  bool has_skipped = false;
   while (true) {
     const Result<LogBatch> batch = this->log->Read(
         kClaimStream, this->next_offset, kReadRecords, Duration::zero());
-    if (!batch.has_value()) {
-      if (batch.error().code != ErrorCode::kExpired) {
-        return false;
-      }
-      // Claims past retention are past the window as well.
-      const Result<LogBatch> end =
-          this->log->Read(kClaimStream, kFarOffset, 1, Duration::zero());
-      if (!end.has_value()) {
-        return false;
-      }
-      this->next_offset = end.value().first_retained;
+    if (batch.has_error() && batch.error().code == ErrorCode::kExpired &&
+        !has_skipped) {
+      has_skipped = true;
+      BOOST_OUTCOME_TRYV(this->SkipExpired());
       continue;
     }
-    for (const LogRecord& record : batch.value().records) {
-      const Result<ClaimRecord> claims =
-          DecodeJson<ClaimRecord>(record.payload);
-      if (claims.has_value()) {
-        this->table.Apply(claims.value(), record.time_unix_ms);
-      } else {
-        LogError("claim_record_malformed", {{"offset", record.offset}});
-      }
-      this->next_offset = record.offset + 1;
-    }
+    BOOST_OUTCOME_TRYV(batch);
+    BOOST_OUTCOME_TRYV(this->Apply(batch.value().records));
     if (this->next_offset > batch.value().last) {
-      return true;
+      return Ok();
+    }
+    if (batch.value().records.empty()) {
+      return MakeError(ErrorCode::kUnavailable,
+                       "the log returned none of the records up to its end");
     }
   }
 }
 
-bool ClaimLog::AppendGathered() {
+Status ClaimLog::SkipExpired() {
+  // Claims past retention are past the window as well.
+  BOOST_OUTCOME_TRY(
+      end, this->log->Read(kClaimStream, kFarOffset, 1, Duration::zero()));
+  this->next_offset = end.first_retained;
+  return Ok();
+}
+
+Status ClaimLog::Apply(const std::vector<LogRecord>& records) {
+  for (const LogRecord& record : records) {
+    if (record.offset < this->next_offset) {
+      return MakeError(ErrorCode::kUnavailable,
+                       "the log returned a record from before the offset that "
+                       "was read");
+    }
+    const Result<ClaimRecord> claims = DecodeJson<ClaimRecord>(record.payload);
+    if (claims.has_value()) {
+      this->table.Apply(claims.value(), record.time_unix_ms);
+    } else {
+      LogError("claim_record_malformed", {{"offset", record.offset}});
+    }
+    this->next_offset = record.offset + 1;
+  }
+  return Ok();
+}
+
+ClaimLog::AppendOutcome ClaimLog::AppendGathered() {
   ClaimRecord record;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -239,13 +280,18 @@
     this->gathered.clear();
   }
   if (record.entries.empty()) {
-    return false;
+    return AppendOutcome::kNotAppended;
   }
   const Result<Offset> appended =
       this->log->Append(kClaimStream, MakeId<AppendId>(), Json(record).dump());
   if (appended.has_value()) {
     this->appends.Add();
-    return true;
+    return AppendOutcome::kAppended;
+  }
+  if (const auto suppressed =
+          this->append_failure_lines.Pass(this->clock->Now())) {
+    LogWarning("claim_append_failed", {{"reason", appended.error().message},
+                                       {"suppressed", *suppressed}});
   }
   // An append whose answer was lost is settled by reading: its claims, named by
   // their own ids, are found there or not. Entries may stand twice; the first
@@ -260,7 +306,9 @@
       waiting.appended = waiting.appended && waiting.claim != entry.claim;
     }
   }
-  return appended.error().code == ErrorCode::kUnknown;
+  return appended.error().code == ErrorCode::kUnknown
+             ? AppendOutcome::kUnknown
+             : AppendOutcome::kNotAppended;
 }
 
 std::vector<ClaimLog::Decided> ClaimLog::DecideAll(bool log_answers) {
--- a/src/gateway/claim_log.h
+++ b/src/gateway/claim_log.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/log_limiter.h"
 #include "base/metrics.h"
 #include "base/setting.h"
 #include "gateway/claim_record.h"
@@ -54,8 +55,8 @@
   void Settle(const ClaimKey& key, const ClaimSettlement& settlement) override;
 
   // One round of the thread: appends what gathered, reads what is new, decides.
-  // Returns whether it appended. For tests; not to be called while the thread
-  // runs.
+  // Returns whether it advanced: an append was acknowledged, or records were
+  // read after one. For tests; not to be called while the thread runs.
   bool RunOnce();
 
  private:
@@ -76,9 +77,22 @@
     Result<ClaimVerdict> verdict;
   };
 
+  enum class AppendOutcome {
+    kNotAppended,  // Nothing was to be appended, or the log refused it.
+    kUnknown,
+    kAppended,
+  };
+
   void Run();
+  // Reads to the end of the stream. Returns false, and logs the reason, if the
+  // log does not answer or does not give its records.
   bool CatchUp();
-  bool AppendGathered();
+  Status TryCatchUp();
+  // Continues at the first record that the log still has.
+  Status SkipExpired();
+  // Applies the records and moves `next_offset` on.
+  Status Apply(const std::vector<LogRecord>& records);
+  AppendOutcome AppendGathered();
   std::vector<Decided> DecideAll(bool log_answers);
   bool Decide(const Waiting& waiting,
               bool log_answers,
@@ -96,6 +110,8 @@
   // Touched by the thread only.
   ClaimTable table;
   Offset next_offset = 1;
+  LogLimiter read_failure_lines;
+  LogLimiter append_failure_lines;
 
   std::mutex mutex;
   std::condition_variable changed;
--- a/tests/gateway/claim_log_test.cc
+++ b/tests/gateway/claim_log_test.cc
@@ -2,10 +2,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
 #include "base/json.h"
+#include "fakes/captured_log.h"
+#include "fakes/counting_log.h"
 #include "fakes/fake_log_service.h"
 #include "gateway/claim_log.h"
 
@@ -139,5 +142,61 @@
   CHECK(log.AppendCount() == 1);
 }
 
+// Guards against a reading loop without end, in which every keyed request of
+// the VM waits until its caller gives up: the log answers every read as past
+// retention, or without the records that it says it has.
+TEST_CASE("A log that brings no records ends the round and refuses the claim",
+          "[claim]") {
+  const bool is_expired = GENERATE(true, false);
+  ManualClock clock;
+  FakeLogService log(clock);
+  CountingLog counted(&log);
+  counted.answer_read = [&](const StreamName&,
+                            Offset from) -> std::optional<Result<LogBatch>> {
+    if (is_expired && from < 1'000'000) {
+      return MakeError(ErrorCode::kExpired, "first retained offset is 5");
+    }
+    return LogBatch{5, 9, {}};
+  };
+  MetricRegistry metrics;
+  ClaimLog store(&clock, &counted, &metrics, ClaimSettings());
+  const CapturedLog lines;
+  std::optional<Result<ClaimVerdict>> answer;
+  store.Claim(kKey, "d", std::chrono::seconds(5),
+              [&answer](Result<ClaimVerdict> verdict) {
+                answer.emplace(std::move(verdict));
+              });
+  store.RunOnce();
+  CHECK(counted.reads <= 4);
+  REQUIRE(answer.has_value());
+  REQUIRE(answer->has_error());
+  CHECK(answer->error().code == ErrorCode::kUnavailable);
+  CHECK(lines.CountLines("claim_log_read_failed") == 1);
+}
+
+// Guards against appends at the full batch rate while every answer is lost: an
+// append that may have taken effect counts as progress only when its record is
+// read.
+TEST_CASE("Appends whose answers are lost are repeated at a bounded rate",
+          "[claim]") {
+  ManualClock clock;
+  FakeLogService log(clock);
+  CountingLog counted(&log);
+  log.LoseRequests(1'000'000);
+  MetricRegistry metrics;
+  const ClaimSettings settings;
+  ClaimLog store(&clock, &counted, &metrics, settings);
+  const MonotonicTime start = clock.Now();
+  store.Start();
+  store.Claim(kKey, "d", std::chrono::seconds(5),
+              [](const Result<ClaimVerdict>&) {});
+  while (counted.appends < 100) {
+    std::this_thread::yield();
+  }
+  store.Stop();
+  const Duration elapsed = clock.Now() - start;
+  CHECK(counted.appends <= elapsed / (settings.batch_interval * 10) + 6);
+}
+
 }  // namespace
 }  // namespace kumquatcart
