End operator commands when the log repeats its records

Symptom: none reported. history, get and every other command that reads the configuration would never end, read as fast as the log answers, and collect the same verdicts until memory is used up.

Cause: ReadOn and the reader of the audit stream read on until the offset reaches the end, also when the log returns records from before the offset asked for, so that the offset stands still.

Change: such a record is an error, kUnavailable, with its reason.

--- a/src/cli/config_history.cc
+++ b/src/cli/config_history.cc
@@ -46,6 +46,11 @@
     BOOST_OUTCOME_TRY(batch, log->Read(kConfigStream, history->view.offset + 1,
                                        kMaxRecordsPerRead, wait));
     for (const LogRecord& record : batch.records) {
+      if (record.offset <= history->view.offset) {
+        return MakeError(ErrorCode::kUnavailable,
+                         "the log returned a record from before the offset "
+                         "that was read");
+      }
       JudgedRecord judged = JudgeRecord(std::move(history->view), record);
       history->view = std::move(judged.view);
       history->verdicts.push_back(std::move(judged.verdict));
--- a/src/cli/config_history.h
+++ b/src/cli/config_history.h
@@ -28,7 +28,8 @@
 Result<ConfigHistory> ReadConfigHistory(LogService* log);
 
 // Reads and judges the records after `history->view.offset` up to the end of
-// the stream, waiting up to `wait` for the first. Errors: as LogService::Read.
+// the stream, waiting up to `wait` for the first. Errors: as LogService::Read;
+// kUnavailable when the log returns records from before the offset read.
 Status ReadOn(LogService* log, Duration wait, ConfigHistory* history);
 
 }  // namespace kumquatcart
--- a/src/cli/history_commands.cc
+++ b/src/cli/history_commands.cc
@@ -44,6 +44,11 @@
       break;
     }
     for (const LogRecord& record : batch.records) {
+      if (record.offset < next) {
+        return MakeError(ErrorCode::kUnavailable,
+                         "the log returned a record from before the offset "
+                         "that was read");
+      }
       next = record.offset + 1;
       const auto decoded = DecodeAuditBatch(record.payload);
       if (decoded.has_error() || !seen.insert(record.append_id).second) {
--- a/tests/cli/operator_commands_test.cc
+++ b/tests/cli/operator_commands_test.cc
@@ -1,10 +1,12 @@
 #include "cli/operator_commands.h"
 
 #include <map>
+#include <optional>
 #include <sstream>
 
 #include <catch2/catch.hpp>
 
+#include "fakes/counting_log.h"
 #include "fakes/fake_log_service.h"
 #include "model/change_set_builder.h"
 #include "model/member.h"
@@ -21,6 +23,7 @@
 struct FakePlatform {
   ManualClock clock;
   FakeLogService log{clock};
+  CountingLog counted{&log};
   FakeVmList vms;
   std::map<Endpoint, Json> statuses;
 };
@@ -28,7 +31,7 @@
 class FakeBackend : public OperatorBackend {
  public:
   explicit FakeBackend(FakePlatform* platform) : platform(platform) {}
-  LogService* Log() override { return &this->platform->log; }
+  LogService* Log() override { return &this->platform->counted; }
   VmList* Vms() override { return &this->platform->vms; }
   Result<Json> FetchStatus(const Endpoint& endpoint) override {
     const auto found = this->platform->statuses.find(endpoint);
@@ -83,6 +86,15 @@
   return text.find(part) != std::string::npos;
 }
 
+// Appends a change set that adds one organisation.
+void AppendOrganisation(LogService* log, const std::string& name) {
+  const ChangeSetBuilder builder =
+      ChangeSetBuilder("add-" + name)
+          .Put(ObjectKind::kOrganisation, name, Json::object());
+  REQUIRE(log->Append(kConfigStream, builder.Build().id, builder.Payload())
+              .has_value());
+}
+
 TEST_CASE("apply settles a lost answer and a lost request by itself") {
   FakePlatform platform;
   platform.log.LoseAnswers(1);
@@ -210,5 +222,37 @@
           .code == ExitCode::kDone);
 }
 
+// Guards against commands that never end, and collect the same records until
+// memory is used up, when the log repeats records from before the offset asked
+// for.
+TEST_CASE("Commands end with an error when the log repeats its records") {
+  const std::string command = GENERATE("history", "get", "orders");
+  FakePlatform platform;
+  AppendOrganisation(&platform.log, "a");
+  const StreamName repeated =
+      command == "orders" ? kAuditStream : kConfigStream;
+  const LogRecord record =
+      platform.log.Read(kConfigStream, 1, 1, Duration::zero())
+          .value()
+          .records.front();
+  platform.counted.answer_read =
+      [&](const StreamName& stream, Offset) -> std::optional<Result<LogBatch>> {
+    if (stream == repeated) {
+      return LogBatch{1, 9, {record}};
+    }
+    return std::nullopt;
+  };
+  std::vector<std::string> arguments = {command, "Organisation"};
+  if (command != "get") {
+    arguments = {"history"};
+  }
+  if (command == "orders") {
+    arguments.emplace_back("--orders");
+  }
+  const RunResult result = RunArguments(&platform, arguments);
+  CHECK(result.code != ExitCode::kDone);
+  CHECK(platform.counted.reads <= 10);
+}
+
 }  // namespace
 }  // namespace kumquatcart
