Pace the command watch by progress

Symptom: none reported. An operator's watch would read the log as fast as it answers for as long as it runs, without a word to the operator.

Cause: only a failed read was followed by a pause. A log that answers at once although a wait of 5 s was asked for, for example one that ends below the offset of the command, brought the next read at once.

Evidence: "watch reads at a bounded rate while the log does not wait", a record is published after a minute.

Change: a round without a new verdict lasts 1 s to 5 s by ProgressPacer, the time of its read included. Failed reads pause for 1 s to 5 s as well, 1 s each before.

--- a/src/cli/history_commands.cc
+++ b/src/cli/history_commands.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "base/base_constants.h"
+#include "base/progress_pacer.h"
 #include "cli/config_history.h"
 #include "cli/operator_commands.h"
 #include "cli/text_table.h"
@@ -206,7 +207,9 @@
     ConfigHistory history = std::move(start).value();
     history.verdicts.clear();
     std::int64_t shown = 0;
+    ProgressPacer pacer(kWatchRetryDelay, kWatchWait);
     while (this->count == 0 || shown < this->count) {
+      const MonotonicTime started_at = context.clock.Now();
       const Status read = ReadOn(backend->Log(), kWatchWait, &history);
       if (read.has_error()) {
         context.errors << "the log can't be read: " << read.error().message
@@ -214,12 +217,16 @@
         if (read.error().code == ErrorCode::kExpired) {
           return ExitCode::kRefused;
         }
-        context.clock.SleepFor(kWatchRetryDelay);
       }
       for (const ConfigVerdict& verdict : history.verdicts) {
         this->Show(context, ToAuditEntry(verdict));
         ++shown;
       }
+      // The log may answer at once although it has nothing new.
+      const bool advanced = !history.verdicts.empty();
+      const Duration taken = context.clock.Now() - started_at;
+      context.clock.SleepFor(
+          std::max(pacer.NextPause(advanced) - taken, Duration::zero()));
       history.verdicts.clear();
     }
     return ExitCode::kDone;
--- a/tests/cli/operator_commands_test.cc
+++ b/tests/cli/operator_commands_test.cc
@@ -1,5 +1,6 @@
 #include "cli/operator_commands.h"
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -222,6 +223,31 @@
           .code == ExitCode::kDone);
 }
 
+// Guards against a command that reads the log without pause while the answers
+// come at once and bring nothing new.
+TEST_CASE("watch reads at a bounded rate while the log does not wait") {
+  FakePlatform platform;
+  RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  const MonotonicTime start = platform.clock.Now();
+  platform.counted.reads = 0;
+  bool published = false;
+  platform.counted.answer_read =
+      [&](const StreamName& stream, Offset) -> std::optional<Result<LogBatch>> {
+    const bool is_time =
+        platform.clock.Now() >= start + std::chrono::minutes(1);
+    if (stream == kConfigStream && !published &&
+        (is_time || platform.counted.reads >= 1000)) {
+      published = true;
+      AppendOrganisation(&platform.log, "late");
+    }
+    return std::nullopt;
+  };
+  const RunResult watched = RunArguments(&platform, {"watch", "--count", "1"});
+  CHECK(watched.code == ExitCode::kDone);
+  CHECK(Contains(watched.output, "Organisation/late"));
+  CHECK(platform.counted.reads <= 20);
+}
+
 // Guards against commands that never end, and collect the same records until
 // memory is used up, when the log repeats records from before the offset asked
 // for.
