Append an acknowledged change set once

Symptom: none reported. A change set that the log acknowledged stands on it three times, and the operator reads "no answer to the append" though there was one.

Cause: a read without an error counted as proof that the record is not there. While the log does not give it back yet, or ends below the offset that the command has read, it was appended again at once, up to three times in a row. The revisions let one of them take effect, but the others are judged and listed as refused.

Evidence: "apply appends an acknowledged change set once". Before: 3 appends without a pause. After: 1 append, the record is looked for three times within a second, then the outcome is reported as unknown with the true reason.

Change: an acknowledged append is not repeated; appends and reads after the first are 0.5 s apart.

--- a/src/cli/change_publisher.cc
+++ b/src/cli/change_publisher.cc
@@ -65,15 +65,22 @@
 
   PublishResult Run() {
     const std::string payload = EncodeChangeSet(this->change_set);
+    bool is_acknowledged = false;
     bool may_be_there = false;
     for (int attempt = 0; attempt < kMaxAppends; ++attempt) {
-      const Result<Offset> appended =
-          this->log->Append(kConfigStream, this->change_set.id, payload);
-      const bool is_lost =
-          appended.has_error() && IsLost(appended.error().code);
-      may_be_there = may_be_there || appended.has_value() || is_lost;
-      if (!may_be_there) {
-        return Failure(PublishOutcome::kNotAppended, appended.error().message);
+      if (attempt > 0) {
+        this->clock->SleepFor(kReadBackDelay);
+      }
+      if (!is_acknowledged) {
+        const Result<Offset> appended =
+            this->log->Append(kConfigStream, this->change_set.id, payload);
+        is_acknowledged = appended.has_value();
+        may_be_there =
+            may_be_there || is_acknowledged || IsLost(appended.error().code);
+        if (!may_be_there) {
+          return Failure(PublishOutcome::kNotAppended,
+                         appended.error().message);
+        }
       }
       const Status read = this->ReadBack();
       if (const ConfigVerdict* verdict =
@@ -87,8 +94,11 @@
         return Failure(PublishOutcome::kUnknown, read.error().message);
       }
     }
-    return Failure(PublishOutcome::kUnknown,
-                   "no answer to the append and no record of it yet");
+    return Failure(
+        PublishOutcome::kUnknown,
+        is_acknowledged
+            ? "the append was acknowledged, but its record can't be read yet"
+            : "no answer to the append and no record of it yet");
   }
 
  private:
--- a/src/cli/change_publisher.h
+++ b/src/cli/change_publisher.h
@@ -38,7 +38,8 @@
 // Appends `change_set` and reads it back. A lost answer is settled by the
 // append id: the record is looked for, and appended again when it is not there,
 // which is safe because the revisions let at most one of the two take effect.
-// Precondition: `history` was read before. Thread safe.
+// An acknowledged append is not repeated. Precondition: `history` was read
+// before. Thread safe.
 PublishResult PublishChangeSet(LogService* log,
                                Clock* clock,
                                const ChangeSet& change_set,
--- a/tests/cli/operator_commands_test.cc
+++ b/tests/cli/operator_commands_test.cc
@@ -280,5 +280,24 @@
   CHECK(platform.counted.reads <= 10);
 }
 
+// Guards against further appends of a change set that the log acknowledged and
+// whose record it does not give back yet.
+TEST_CASE("apply appends an acknowledged change set once") {
+  FakePlatform platform;
+  platform.counted.answer_read = [](const StreamName& stream,
+                                    Offset) -> std::optional<Result<LogBatch>> {
+    if (stream == kConfigStream) {
+      return LogBatch{1, 0, {}};
+    }
+    return std::nullopt;
+  };
+  const MonotonicTime start = platform.clock.Now();
+  const RunResult result =
+      RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  CHECK(result.code == ExitCode::kUnknown);
+  CHECK(platform.counted.appends == 1);
+  CHECK(platform.clock.Now() > start);
+}
+
 }  // namespace
 }  // namespace kumquatcart
