--- a/tests/fakes/fake_log_service.h
+++ b/tests/fakes/fake_log_service.h
@@ -131,6 +131,16 @@
     });
   }
 
+  // Comes back from an older copy of `stream`: the records from `offset` on are
+  // lost, and their offsets are given out again.
+  void RestoreBefore(const StreamName& stream, Offset offset) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    EraseIf(&this->streams[stream], [offset](const LogRecord& record) {
+      return record.offset >= offset;
+    });
+    this->streams[stream].last = offset - 1;
+  }
+
   // Appends that took effect, on all streams.
   int AppendCount() const {
     const std::lock_guard<std::mutex> lock(this->mutex);
