Bring the own interface's ports to rest before their listeners close

Cause: the HTTP library's close of a listener closes the connections that it has registered, waits until none is registered, and frees the listener. An accept that succeeded just before is handled by another thread after that, on freed memory; or between the two, so that nothing closes its connection and the close waits for it. Five of six cores are in the handler of the accept, with a freed acceptor; four of them after Gateway::Stop returned. The hanging play waits in the listener's close. The sixth core handles a read on a connection during the close.

The change: the library offers no way to stop accepting and no access to its sockets. Before the close, ListenerPort finds the listening socket, lets a packet filter drop all new connections but one of its own, which shows that all earlier ones are accepted, shuts the connections down, and waits until the library has ended them on its own threads. The close then finds nothing in use.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,7 @@
 
 #include "base/logging.h"
 #include "gateway/gateway_constants.h"
+#include "gateway/listener_port.h"
 #include "gateway/model_call.h"
 #include "gateway/request_reader.h"
 #include "gateway/service_call.h"
@@ -81,6 +82,25 @@
   *listener = nullptr;
 }
 
+// Lets no thread of the HTTP library work for the port when its listener is
+// closed.
+Result<ListenerPort> BringToRest(const std::string& host, std::int64_t port) {
+  Result<ListenerPort> found = ListenerPort::Find(host, port);
+  if (!found.has_value()) {
+    LogWarning("stop_port_not_found", {{"detail", found.error().message}});
+    return found;
+  }
+  const bool refuses = found.value().RefuseConnections();
+  const bool ended = found.value().EndConnections();
+  if (!refuses || !ended) {
+    LogWarning("stop_port_busy",
+               {{"port", port},
+                {"refuses", refuses},
+                {"connections", found.value().CountConnections()}});
+  }
+  return found;
+}
+
 // Blocks for `duration` of the clock's time.
 void WaitFor(Clock* clock, Duration duration) {
   if (duration > Duration::zero()) {
@@ -164,8 +184,20 @@
     exchange->Cancel();
   }
   this->WaitForAnswers();
+  const GatewaySettings& settings = this->context.settings;
+  std::vector<Result<ListenerPort>> ports;
+  ports.push_back(BringToRest(settings.http_host, settings.http_port));
+  if (this->operator_listener) {
+    ports.push_back(
+        BringToRest(settings.operator_host, settings.operator_port));
+  }
   Close(&this->listener);
   Close(&this->operator_listener);
+  for (Result<ListenerPort>& port : ports) {
+    if (port.has_value()) {
+      port.value().Release();
+    }
+  }
 }
 
 void Gateway::WaitForAnswers() {
--- a/src/gateway/gateway_constants.h
+++ b/src/gateway/gateway_constants.h
@@ -46,6 +46,13 @@
 // Longest wait for the answers of requests that a stop breaks off.
 constexpr std::chrono::seconds kStopAnswerTimeout{2};
 
+// Longest wait for the HTTP library to accept or end connections before its
+// port is closed.
+constexpr std::chrono::seconds kStopPortTimeout{2};
+
+// Time for an answer in progress to end before its connection is cut.
+constexpr std::chrono::seconds kStopAnswerGrace{1};
+
 // Audit entries shown by /status.
 constexpr std::size_t kStatusAuditEntries = 100;
 
--- a/tests/gateway/stop_test.cc
+++ b/tests/gateway/stop_test.cc
@@ -1,7 +1,11 @@
 // Stops of a gateway beside requests in progress.
+#include <atomic>
+#include <chrono>
+#include <exception>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -42,6 +46,50 @@
   }
 }
 
+// Guards against a close of the port while the HTTP library accepts callers or
+// reads their requests: it then frees what its threads still use, and leaves
+// connections open that it accepts afterwards.
+TEST_CASE("A stop beside callers that connect ends every connection",
+          "[gateway]") {
+  constexpr int kRounds = 5;
+  constexpr int kCallers = 4;
+  const std::string health = "GET /healthz HTTP/1.1\r\nHost: gateway\r\n\r\n";
+  for (int round = 0; round < kRounds; ++round) {
+    GatewayFixture fixture;
+    std::atomic<int> ended{0};
+    const auto connect = [&] {
+      try {
+        while (true) {
+          // Every second one sends a part only.
+          const std::size_t sent = health.size() - (ended % 2);
+          const auto caller = RawConnection::Connect(fixture.port);
+          caller->Write(health.substr(0, sent));
+          if (sent == health.size()) {
+            caller->ReadMessage();
+          } else {
+            caller->Interrupt();
+          }
+          ++ended;
+        }
+      } catch (const std::exception&) {
+        // The port is closed.
+      }
+    };
+    std::vector<std::future<void>> callers;
+    for (int index = 0; index < kCallers; ++index) {
+      callers.push_back(std::async(std::launch::async, connect));
+    }
+    while (ended < kCallers) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    fixture.gateway->Stop();
+    for (const auto& caller : callers) {
+      caller.wait();
+    }
+    CHECK_THROWS(RawConnection::Connect(fixture.port));
+  }
+}
+
 // A request whose caller never sends its whole body is in progress, but must
 // not hold up the end of the process.
 TEST_CASE("A stop cuts what is not answered in time", "[gateway]") {
