Count only own decisions as progress of the claim log

While answers to appends are lost and other entry VMs append, an entry VM still appends 20 times a second.

Cause: records of other entry VMs, read after an append of unknown outcome, counted as progress.

Evidence: "Appends whose answers are lost are repeated at a bounded rate" with a further record at each read.

Change: a round whose append was not acknowledged advances if a claim of its own was decided by what was read after the append.

--- a/src/gateway/claim_log.cc
+++ b/src/gateway/claim_log.cc
@@ -185,10 +185,12 @@
       log_answers ? this->AppendGathered() : AppendOutcome::kNotAppended;
   bool advanced = appended == AppendOutcome::kAppended;
   if (appended != AppendOutcome::kNotAppended) {
-    const Offset before = this->next_offset;
     log_answers = this->CatchUp();
-    advanced = advanced || this->next_offset > before;
     std::vector<Decided> more = this->DecideAll(log_answers);
+    advanced = advanced ||
+               std::any_of(more.begin(), more.end(), [](const Decided& entry) {
+                 return entry.verdict.has_value();
+               });
     std::move(more.begin(), more.end(), std::back_inserter(decided));
   }
   for (const Decided& entry : decided) {
--- a/src/gateway/claim_log.h
+++ b/src/gateway/claim_log.h
@@ -55,8 +55,9 @@
   void Settle(const ClaimKey& key, const ClaimSettlement& settlement) override;
 
   // One round of the thread: appends what gathered, reads what is new, decides.
-  // Returns whether it advanced: an append was acknowledged, or records were
-  // read after one. For tests; not to be called while the thread runs.
+  // Returns whether it advanced: an append was acknowledged, or claims were
+  // decided by what was read after one. For tests; not to be called while the
+  // thread runs.
   bool RunOnce();
 
  private:
--- a/tests/gateway/claim_log_test.cc
+++ b/tests/gateway/claim_log_test.cc
@@ -176,12 +176,21 @@
 
 // Guards against appends at the full batch rate while every answer is lost: an
 // append that may have taken effect counts as progress only when its record is
-// read.
+// read, not when records of other entry VMs are.
 TEST_CASE("Appends whose answers are lost are repeated at a bounded rate",
           "[claim]") {
+  const bool others_append = GENERATE(false, true);
   ManualClock clock;
   FakeLogService log(clock);
   CountingLog counted(&log);
+  counted.answer_read = [&](const StreamName&,
+                            Offset from) -> std::optional<Result<LogBatch>> {
+    if (!others_append) {
+      return std::nullopt;
+    }
+    return LogBatch{
+        1, from, {{from, 0, AppendId("other"), Json(ClaimRecord()).dump()}}};
+  };
   log.LoseRequests(1'000'000);
   MetricRegistry metrics;
   const ClaimSettings settings;
