--- a/tests/cli/operator_commands_test.cc
+++ b/tests/cli/operator_commands_test.cc
@@ -1,10 +1,13 @@
 #include "cli/operator_commands.h"
 
+#include <chrono>
 #include <map>
+#include <optional>
 #include <sstream>
 
 #include <catch2/catch.hpp>
 
+#include "fakes/counting_log.h"
 #include "fakes/fake_log_service.h"
 #include "model/change_set_builder.h"
 #include "model/member.h"
@@ -21,6 +24,7 @@
 struct FakePlatform {
   ManualClock clock;
   FakeLogService log{clock};
+  CountingLog counted{&log};
   FakeVmList vms;
   std::map<Endpoint, Json> statuses;
 };
@@ -28,7 +32,7 @@
 class FakeBackend : public OperatorBackend {
  public:
   explicit FakeBackend(FakePlatform* platform) : platform(platform) {}
-  LogService* Log() override { return &this->platform->log; }
+  LogService* Log() override { return &this->platform->counted; }
   VmList* Vms() override { return &this->platform->vms; }
   Result<Json> FetchStatus(const Endpoint& endpoint) override {
     const auto found = this->platform->statuses.find(endpoint);
@@ -83,6 +87,15 @@
   return text.find(part) != std::string::npos;
 }
 
+// Appends a change set that adds one organisation.
+void AppendOrganisation(LogService* log, const std::string& name) {
+  const ChangeSetBuilder builder =
+      ChangeSetBuilder("add-" + name)
+          .Put(ObjectKind::kOrganisation, name, Json::object());
+  REQUIRE(log->Append(kConfigStream, builder.Build().id, builder.Payload())
+              .has_value());
+}
+
 TEST_CASE("apply settles a lost answer and a lost request by itself") {
   FakePlatform platform;
   platform.log.LoseAnswers(1);
@@ -210,5 +223,81 @@
           .code == ExitCode::kDone);
 }
 
+// Guards against a command that reads the log without pause while the answers
+// come at once and bring nothing new.
+TEST_CASE("watch reads at a bounded rate while the log does not wait") {
+  FakePlatform platform;
+  RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  const MonotonicTime start = platform.clock.Now();
+  platform.counted.reads = 0;
+  bool published = false;
+  platform.counted.answer_read =
+      [&](const StreamName& stream, Offset) -> std::optional<Result<LogBatch>> {
+    const bool is_time =
+        platform.clock.Now() >= start + std::chrono::minutes(1);
+    if (stream == kConfigStream && !published &&
+        (is_time || platform.counted.reads >= 1000)) {
+      published = true;
+      AppendOrganisation(&platform.log, "late");
+    }
+    return std::nullopt;
+  };
+  const RunResult watched = RunArguments(&platform, {"watch", "--count", "1"});
+  CHECK(watched.code == ExitCode::kDone);
+  CHECK(Contains(watched.output, "Organisation/late"));
+  CHECK(platform.counted.reads <= 20);
+}
+
+// Guards against commands that never end, and collect the same records until
+// memory is used up, when the log repeats records from before the offset asked
+// for.
+TEST_CASE("Commands end with an error when the log repeats its records") {
+  const std::string command = GENERATE("history", "get", "orders");
+  FakePlatform platform;
+  AppendOrganisation(&platform.log, "a");
+  const StreamName repeated =
+      command == "orders" ? kAuditStream : kConfigStream;
+  const LogRecord record =
+      platform.log.Read(kConfigStream, 1, 1, Duration::zero())
+          .value()
+          .records.front();
+  platform.counted.answer_read =
+      [&](const StreamName& stream, Offset) -> std::optional<Result<LogBatch>> {
+    if (stream == repeated) {
+      return LogBatch{1, 9, {record}};
+    }
+    return std::nullopt;
+  };
+  std::vector<std::string> arguments = {command, "Organisation"};
+  if (command != "get") {
+    arguments = {"history"};
+  }
+  if (command == "orders") {
+    arguments.emplace_back("--orders");
+  }
+  const RunResult result = RunArguments(&platform, arguments);
+  CHECK(result.code != ExitCode::kDone);
+  CHECK(platform.counted.reads <= 10);
+}
+
+// Guards against further appends of a change set that the log acknowledged and
+// whose record it does not give back yet.
+TEST_CASE("apply appends an acknowledged change set once") {
+  FakePlatform platform;
+  platform.counted.answer_read = [](const StreamName& stream,
+                                    Offset) -> std::optional<Result<LogBatch>> {
+    if (stream == kConfigStream) {
+      return LogBatch{1, 0, {}};
+    }
+    return std::nullopt;
+  };
+  const MonotonicTime start = platform.clock.Now();
+  const RunResult result =
+      RunArguments(&platform, {"apply", "-"}, OrganisationFile("a"));
+  CHECK(result.code == ExitCode::kUnknown);
+  CHECK(platform.counted.appends == 1);
+  CHECK(platform.clock.Now() > start);
+}
+
 }  // namespace
 }  // namespace kumquatcart
