--- a/src/control/content_rules.cc
+++ b/src/control/content_rules.cc
@@ -46,10 +46,14 @@
 }  // namespace
 
 ContentRules ConfigContentRules(
+    const StoreClient* store,
     const FleetView* view,
     std::function<void(const std::string& text)> load) {
   ContentRules rules;
-  rules.is_outdated = [view](const TopicRecord& record, bool) {
+  rules.is_outdated = [store, view](const TopicRecord& record, bool) {
+    if (store->Era() == 0) {
+      return false;
+    }
     const auto version = VersionOf(record.key, *record.value);
     return version && view->Config() && *version < view->Config()->version;
   };
@@ -71,10 +75,11 @@
     FleetView* view,
     std::function<void(const TopicRecord& record)> apply) {
   ContentRules rules;
-  rules.is_outdated = [loop, store, view](const TopicRecord& record,
-                                          bool is_from_copy) {
-    const std::optional<MonotonicTime> changed_at = store->EraChangedAt();
-    if (!changed_at || loop->Now() - *changed_at > kRewriteTime) {
+  rules.is_outdated = [loop, store, view, started_at = loop->Now()](
+                          const TopicRecord& record, bool is_from_copy) {
+    // The era may have changed just before the start.
+    const MonotonicTime changed_at = store->EraChangedAt().value_or(started_at);
+    if (store->Era() == 0 || loop->Now() - changed_at > kRewriteTime) {
       return false;
     }
     const Result<BackendServer> server =
@@ -86,7 +91,7 @@
         return ApplyRetainedServer(record, loop->Now(), view, apply);
       };
   rules.handle_lost = [loop, view](const std::string& key) {
-    view->RemoveServer(key, loop->Now() + kLostEntryReturnTime);
+    view->RemoveLostServer(key, loop->Now() + kLostEntryReturnTime);
   };
   return rules;
 }
--- a/src/control/content_rules.h
+++ b/src/control/content_rules.h
@@ -18,12 +18,14 @@
 // By version. `load` takes the text of a configuration that a peer has
 // retained.
 ContentRules ConfigContentRules(
+    const StoreClient* store,
     const FleetView* view,
     std::function<void(const std::string& text)> load);
 
-// By start, accepted orders and leaving, for some time after the store's era
-// has changed. `apply` takes an entry that a peer has retained. Servers whose
-// entries the store has lost are removed unless these are written again soon.
+// By start, accepted orders and leaving, for some time after the start of this
+// process and after the store's era has changed. `apply` takes an entry that a
+// peer has retained. Servers whose entries the store has lost are removed
+// unless these are written again soon.
 ContentRules ServerContentRules(
     EventLoop* loop,
     const StoreClient* store,
--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -161,6 +161,23 @@
   }
 }
 
+void FleetView::RemoveLostServer(const std::string& id,
+                                 MonotonicTime effective) {
+  const auto known = this->statements.find(id);
+  if (known == this->statements.end() || !known->second.statement.is_removed) {
+    this->pending_removals.erase(id);
+  }
+  this->RemoveServer(id, effective);
+}
+
+void FleetView::NoteRemoval(const std::string& id, MonotonicTime now) {
+  const auto known = this->statements.find(id);
+  if (known != this->statements.end()) {
+    known->second.statement.is_removed = true;
+    known->second.known_at = now;
+  }
+}
+
 void FleetView::ExpireServers(MonotonicTime now) {
   for (auto start = this->leaving.begin(); start != this->leaving.end();) {
     start = this->servers.count(start->first) == 0 &&
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -61,6 +61,11 @@
   // `effective`: entries that expired during a store outage may be renewed. An
   // earlier removal that is scheduled already holds.
   void RemoveServer(const std::string& id, MonotonicTime effective);
+  // The same for a server whose entry the store has lost with an older copy.
+  // Replaces an earlier removal, unless the entry was removed before.
+  void RemoveLostServer(const std::string& id, MonotonicTime effective);
+  // Records that the entry of a server was removed; it may be kept for a time.
+  void NoteRemoval(const std::string& id, MonotonicTime now);
   // Executes the removals that are due. Group members that still answer are
   // kept as unregistered servers.
   void ExpireServers(MonotonicTime now);
--- a/src/control/group_reconciler.cc
+++ b/src/control/group_reconciler.cc
@@ -156,8 +156,21 @@
     const MonotonicTime since = known == former.end() ? now : known->second;
     seen.emplace(formation, since);
     waits = waits || now - since < kEntriesReturnTime;
+    const GroupStatus* status = this->parts.view->FindGroup(formation.first);
+    if (now - since >= kEntriesReturnTime && status != nullptr &&
+        !status->record.members.empty()) {
+      // Its members reject orders of the recorded epoch.
+      lost.push_back(status->record);
+      lost.back().epoch = 0;
+    }
   }
   former = std::move(seen);
+  if (!waits && !lost.empty()) {
+    this->StartOnce("write", [this, lost](Coroutine yield) {
+      this->WriteRecords(lost, yield);
+    });
+    return true;
+  }
   return waits;
 }
 
@@ -179,7 +192,6 @@
     const Result<std::int64_t> offset =
         this->parts.store->Append(StoreTopic::kGroups, record.group,
                                   EncodeGroupRecord(record), at.offset, yield);
-    const Duration pause = this->writes.NextPause(offset.has_value());
     if (offset.has_error()) {
       LogWarning("group_record_failed", {{"group", record.group},
                                          {"era", at.era},
@@ -194,6 +206,9 @@
     // A failed append may have succeeded nevertheless, so the topic is read
     // before the next plan.
     this->parts.records->CatchUp(yield);
+    // A record of another planner is progress, too: the next plan rests on it.
+    const Duration pause = this->writes.NextPause(
+        offset.has_value() || this->parts.records->Position() != at);
     if (offset.has_error()) {
       this->parts.loop->Sleep(pause, yield);
       return;
--- a/src/control/topic_follower.cc
+++ b/src/control/topic_follower.cc
@@ -41,8 +41,6 @@
 constexpr Duration kLongestIdlePause = std::chrono::seconds(1);
 // Shortest time between log lines on records that the store does not have.
 constexpr Duration kExpiredLogInterval = std::chrono::seconds(1);
-// Number of peers whose retained records are requested in each era.
-constexpr std::size_t kRetainedRequests = 3;
 // Time for the pending read to return records that a peer has seen already.
 constexpr Duration kPendingReadGrace = std::chrono::milliseconds(150);
 
@@ -96,12 +94,12 @@
       // for costs no call too many.
       const bool waited =
           this->loop->Now() - started >= this->settings.read_wait / 2;
-      const Duration idle_pause = this->reads.NextPause(advanced || waited);
+      const Duration idle_pause =
+          this->reads.NextPause(!read || advanced || waited);
       if (!read) {
-        this->loop->Sleep(std::max(idle_pause, this->store->IsReachable()
-                                                   ? kRetryPause
-                                                   : kUnreachableRetryPause),
-                          yield);
+        this->loop->Sleep(
+            this->store->IsReachable() ? kRetryPause : kUnreachableRetryPause,
+            yield);
       } else if (advanced) {
         this->loop->Sleep(this->role->ReadsStore(1)
                               ? this->settings.batch_pause
@@ -168,7 +166,7 @@
                                       {"suppressed", *suppressed}});
     }
     if (!this->store->NoteLostRecords(known.era)) {
-      return false;
+      return true;  // An answer that cannot be; the next one is awaited.
     }
     batch.value().era = this->store->Era();
   }
--- a/src/control/topic_follower.h
+++ b/src/control/topic_follower.h
@@ -36,6 +36,9 @@
 // event loop's thread.
 class TopicFollower {
  public:
+  // Number of peers whose retained records are requested in each era.
+  static constexpr std::size_t kRetainedRequests = 3;
+
   using Apply = TopicReplica::Apply;
   // Requests the topic's records from offset `from` on from a peer.
   using FetchFromPeer =
@@ -73,7 +76,9 @@
   }
 
   // See TopicReplica.
-  void DropRetainedRemovals() { this->replica.DropRetainedRemovals(); }
+  void DropRetainedRemoval(const std::string& key) {
+    this->replica.DropRetainedRemoval(key);
+  }
 
   // What is newer by its content than the store's records, by key.
   const std::map<std::string, RetainedRecord>& Retained() const {
@@ -99,6 +104,11 @@
   // Some peers are asked in each era, once each, after the topic was read in
   // it.
   void HandlePeerRetained(const TcpEndpoint& peer, StoreEra peer_era);
+  // Whether the peer was asked in the present era, or need not be.
+  bool HasAskedForRetained(const TcpEndpoint& peer) const {
+    return this->retained_peers.count(peer) > 0 ||
+           this->retained_peers.size() == kRetainedRequests;
+  }
   // Whether such a request is in progress.
   bool IsFetchingRetained() const { return this->fetches_retained; }
 
--- a/src/control/topic_replica.cc
+++ b/src/control/topic_replica.cc
@@ -84,7 +84,10 @@
           {{"key", record.key}, {"era", this->era}, {"offset", record.offset}});
       this->Retain(record.key,
                    known == former.end() ? std::nullopt : known->second.value);
-      continue;
+      if (this->retained.count(record.key) > 0) {
+        continue;
+      }
+      // What is known is not at hand, so the store's record is better.
     }
     this->retained.erase(record.key);
     if (known == former.end() || known->second.value != record.value) {
@@ -97,16 +100,21 @@
     }
   }
   for (const auto& [key, record] : former) {
-    if (record.value && this->newest.count(key) == 0 &&
-        this->unread_keys.count(key) == 0) {
+    if (record.value && this->Lacks(key)) {
       this->Retain(key, record.value);
-      if (this->rules.handle_lost) {
-        this->rules.handle_lost(key);
-      }
+    }
+  }
+  for (const auto& [key, record] : this->retained) {
+    if (!record.is_removed && this->Lacks(key) && this->rules.handle_lost) {
+      this->rules.handle_lost(key);
     }
   }
 }
 
+bool TopicReplica::Lacks(const std::string& key) const {
+  return this->newest.count(key) == 0 && this->unread_keys.count(key) == 0;
+}
+
 bool TopicReplica::IsOutdated(const TopicRecord& record,
                               bool is_from_copy) const {
   return this->rules.is_outdated && record.value &&
@@ -139,20 +147,13 @@
   }
 }
 
-void TopicReplica::DropRetainedRemovals() {
-  for (auto record = this->retained.begin(); record != this->retained.end();) {
-    if (!record->second.is_removed) {
-      ++record;
-      continue;
-    }
-    const TopicRecord* present = this->Find(record->first);
-    if (present != nullptr && present->value) {
-      LogInfo("retained_removal_dropped", {{"key", present->key},
-                                           {"era", this->era},
-                                           {"offset", present->offset}});
-      this->apply(*present);
-    }
-    record = this->retained.erase(record);
+void TopicReplica::DropRetainedRemoval(const std::string& key) {
+  this->retained.erase(key);
+  const TopicRecord* present = this->Find(key);
+  if (present != nullptr && present->value) {
+    LogInfo("retained_removal_dropped",
+            {{"key", key}, {"era", this->era}, {"offset", present->offset}});
+    this->apply(*present);
   }
 }
 
--- a/src/control/topic_replica.h
+++ b/src/control/topic_replica.h
@@ -59,9 +59,10 @@
   // only retained records.
   TopicBatch RecordsSince(TopicPosition from) const;
 
-  // Applies the store's records of keys whose removal it has lost: after some
-  // time, those that have not been removed again exist.
-  void DropRetainedRemovals();
+  // Applies the store's record of a key whose removal it has lost: if the key
+  // has not been removed again after some time, it exists. Precondition: its
+  // removal is retained.
+  void DropRetainedRemoval(const std::string& key);
 
   // The store's newest record of `key`, or its removal. Null: there is none.
   const TopicRecord* Find(const std::string& key) const;
@@ -81,6 +82,8 @@
   // lists all others.
   void RemoveUnlisted(const TopicBatch& batch);
   bool IsOutdated(const TopicRecord& record, bool is_from_copy) const;
+  // Whether the store has no record of `key`.
+  bool Lacks(const std::string& key) const;
   // Keeps `value`, which the store's record of `key` does not supersede. None:
   // the removal of the key.
   void Retain(const std::string& key, const std::optional<std::string>& value);
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -197,7 +197,8 @@
           &this->role,
           this->MakePeerFetcher(StoreTopic::kOperator),
           [this](const TopicRecord& r) { this->ApplyConfig(r); },
-          ConfigContentRules(&this->view,
+          ConfigContentRules(&this->store,
+                             &this->view,
                              [this](const std::string& text) {
                                this->config_loader.Load({text, kRetainedOnly});
                              })),
@@ -338,18 +339,32 @@
 
 void EntryProcess::OnEraChanged() {
   const StoreEra era = this->store.Era();
-  this->digests.SendToAll();
-  if (!this->store.EraChangedAt()) {
-    return;
+  if (this->role.ReadsStore(kOperatorReaders)) {
+    this->digests.SendToAll();
   }
   this->loop.Spawn(
       [this, era](Coroutine yield) { this->RestoreNodeRecord(era, yield); });
-  this->loop.Spawn([this, era](Coroutine yield) {
-    this->loop.Sleep(kStaleEntryTime, yield);
-    if (this->store.Era() == era) {
-      this->servers_topic.DropRetainedRemovals();
+}
+
+void EntryProcess::DropStaleRemovals(MonotonicTime now) {
+  std::map<std::string, MonotonicTime> seen;
+  std::vector<std::string> stale;
+  for (const auto& [key, record] : this->servers_topic.Retained()) {
+    if (!record.is_removed) {
+      continue;
     }
-  });
+    const auto known = this->retained_removals.find(key);
+    const MonotonicTime since =
+        known == this->retained_removals.end() ? now : known->second;
+    seen.emplace(key, since);
+    if (now - since >= kStaleEntryTime) {
+      stale.push_back(key);
+    }
+  }
+  this->retained_removals = std::move(seen);
+  for (const std::string& key : stale) {
+    this->servers_topic.DropRetainedRemoval(key);
+  }
 }
 
 void EntryProcess::RestoreNodeRecord(StoreEra era, Coroutine yield) {
@@ -388,6 +403,7 @@
   const MonotonicTime now = this->loop.Now();
   if (!record.value) {
     this->UpdateStoreOutage();
+    this->view.NoteRemoval(record.key, now);
     this->view.RemoveServer(record.key,
                             this->store_outage.EffectiveRemovalTime(now));
     this->view.ExpireServers(now);
@@ -508,7 +524,6 @@
   const PeerState& peer = this->peers.Peers().at(digest.node);
   const TcpEndpoint address = ToTcpEndpoint(peer.endpoint);
   const bool is_near = peer.failure_domain == this->settings.failure_domain;
-  this->has_heard_peer = true;
   this->HandlePeerTopics(digest, address, is_near);
   if (digest.has_traffic) {
     this->view.MarkTrafficStarted();
@@ -539,14 +554,22 @@
   }
   const std::int64_t version =
       this->view.Config() ? this->view.Config()->version : 0;
+  bool lacks_news = false;
   for (std::size_t i = 0;
        i < std::min(followers.size(), digest.retained_records.size()); ++i) {
     const bool has_news = followers[i] != &this->operator_topic ||
                           digest.config_version > version;
     if (digest.retained_records[i] > 0 && has_news) {
       followers[i]->HandlePeerRetained(peer, digest.store_era);
+      lacks_news = lacks_news || !followers[i]->HasAskedForRetained(peer);
     }
   }
+  this->has_heard_peer =
+      this->has_heard_peer ||
+      (!lacks_news && this->operator_topic.IsCurrent() &&
+       this->servers_topic.IsCurrent() &&
+       digest.store_era == this->store.Era() && !digest.topic_ends.empty() &&
+       digest.topic_ends.front() != kNotRead);
 }
 
 void EntryProcess::OnFleetChanged() {
@@ -602,6 +625,7 @@
     this->pool.CloseUnusable();
     this->engine_http.PruneIdle();
     this->record_client.PruneIdle();
+    this->DropStaleRemovals(now);
     if (const auto changed_at = this->store.EraChangedAt()) {
       this->metrics.GetGauge("kumquatcart_store_era_age_seconds")
           .Set(std::chrono::duration<double>(now - *changed_at).count());
@@ -697,10 +721,12 @@
 
 bool EntryProcess::AwaitsPeers() const {
   const MonotonicTime now = this->loop.Now();
-  if (now - this->started_at >= kPeerIntroductionTime) {
+  if (this->store.Era() == 0 ||
+      now - this->started_at >= kPeerIntroductionTime) {
     return false;
   }
   return this->operator_topic.IsFetchingRetained() ||
+         this->servers_topic.IsFetchingRetained() ||
          (!this->has_heard_peer &&
           this->peers.CountNodesSince(now, /*include_silent=*/true) > 1);
 }
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -2,6 +2,7 @@
 #ifndef ENTRY_ENTRY_PROCESS_H_
 #define ENTRY_ENTRY_PROCESS_H_
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -81,9 +82,12 @@
   void Stop(Coroutine yield);
   void AcceptCaller(boost::asio::ip::tcp::socket socket);
   bool HasFleetState() const;
-  // Whether announced peers, which may know of later versions than an older
-  // copy of the store shows, have not been heard since the start.
+  // Whether this process has just started, and announced peers, which may know
+  // of later versions than an older copy of the store shows, have not been
+  // heard.
   bool AwaitsPeers() const;
+  // Ends the removals of servers whose entries are in the store nevertheless.
+  void DropStaleRemovals(MonotonicTime now);
   SimpleHttpResponse AnswerReadiness() const;
   SimpleHttpResponse HandlePeerRequest(const ParsedRequest& request,
                                        Coroutine yield);
@@ -139,6 +143,8 @@
   EntryContext context;
   std::set<Waiter*> sessions;
   bool has_heard_peer = false;
+  // Since when removals that the store has lost are retained.
+  std::map<std::string, MonotonicTime> retained_removals;
 };
 
 }  // namespace kumquatcart
--- a/src/peers/node_digest.cc
+++ b/src/peers/node_digest.cc
@@ -34,9 +34,35 @@
 constexpr std::size_t kDomainLoadsIndex = 15;
 constexpr std::size_t kClusterLoadIndex = 16;
 
-// Positions of what only nodes send whose store has come back from a copy.
-constexpr std::size_t kStoreEraIndex = 17;
-constexpr std::size_t kRetainedRecordsIndex = 18;
+constexpr std::size_t kTopics = kStoreTopicCount;
+
+// The ends of the topics; behind them, of a store that states its era, the era
+// and the numbers of retained records. Nodes of earlier versions read the ends
+// only.
+Json EncodeTopics(const NodeDigest& digest) {
+  Json json = digest.topic_ends;
+  if (digest.store_era > 0 && digest.topic_ends.size() == kTopics) {
+    json.push_back(digest.store_era);
+    for (const int count : digest.retained_records) {
+      json.push_back(count);
+    }
+  }
+  return json;
+}
+
+// Throws Json::exception.
+void DecodeTopics(const Json& json, NodeDigest* digest) {
+  for (std::size_t i = 0; i < json.size(); ++i) {
+    const Json& number = json.at(i);
+    if (i < kTopics) {
+      digest->topic_ends.push_back(number.get<std::int64_t>());
+    } else if (i == kTopics) {
+      digest->store_era = number.get<StoreEra>();
+    } else {
+      digest->retained_records.push_back(number.get<int>());
+    }
+  }
+}
 
 std::vector<ServerLimit> DecodeLimits(const Json& json) {
   std::vector<ServerLimit> limits;
@@ -59,12 +85,12 @@
 }  // namespace
 
 std::string EncodeDigest(const NodeDigest& digest) {
-  Json json =
-      Json::array({kDigestFormat, digest.node, digest.failure_domain,
-                   digest.interval_ms, digest.is_stopping, digest.reaches_store,
-                   digest.has_traffic, digest.config_version, digest.topic_ends,
-                   digest.in_flight, digest.unread, digest.unreachable,
-                   digest.suspected_servers, EncodeGroupStates(digest.groups)});
+  Json json = Json::array(
+      {kDigestFormat, digest.node, digest.failure_domain, digest.interval_ms,
+       digest.is_stopping, digest.reaches_store, digest.has_traffic,
+       digest.config_version, EncodeTopics(digest), digest.in_flight,
+       digest.unread, digest.unreachable, digest.suspected_servers,
+       EncodeGroupStates(digest.groups)});
   const bool has_loads =
       !digest.domain_loads.empty() || digest.cluster_load.has_value();
   if (digest.limits) {
@@ -88,13 +114,6 @@
     json.push_back(Json::array(
         {digest.cluster_load->in_flight, digest.cluster_load->unread}));
   }
-  if (digest.store_era > 0) {
-    while (json.size() < kStoreEraIndex) {
-      json.push_back(nullptr);
-    }
-    json.push_back(digest.store_era);
-    json.push_back(digest.retained_records);
-  }
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return std::string(bytes.begin(), bytes.end());
 }
@@ -113,7 +132,7 @@
     digest.reaches_store = json.at(5).get<bool>();
     digest.has_traffic = json.at(6).get<bool>();
     digest.config_version = json.at(7).get<std::int64_t>();
-    digest.topic_ends = json.at(8).get<std::vector<std::int64_t>>();
+    DecodeTopics(json.at(8), &digest);
     digest.in_flight = json.at(9).get<std::map<std::string, int>>();
     digest.unread = json.at(10).get<std::map<std::string, int>>();
     digest.unreachable = json.at(11).get<std::vector<std::string>>();
@@ -122,22 +141,15 @@
     if (json.size() > kLimitsIndex && !json.at(kLimitsIndex).is_null()) {
       digest.limits = DecodeLimits(json.at(kLimitsIndex));
     }
-    if (json.size() > kDomainLoadsIndex &&
-        !json.at(kDomainLoadsIndex).is_null()) {
+    if (json.size() > kDomainLoadsIndex) {
       digest.domain_loads = DecodeDomainLoads(json.at(kDomainLoadsIndex));
     }
-    if (json.size() > kClusterLoadIndex &&
-        !json.at(kClusterLoadIndex).is_null()) {
+    if (json.size() > kClusterLoadIndex) {
       const Json& load = json.at(kClusterLoadIndex);
       digest.cluster_load =
           ClusterLoadReport{load.at(0).get<std::map<std::string, int>>(),
                             load.at(1).get<std::map<std::string, int>>()};
     }
-    if (json.size() > kRetainedRecordsIndex) {
-      digest.store_era = json.at(kStoreEraIndex).get<StoreEra>();
-      digest.retained_records =
-          json.at(kRetainedRecordsIndex).get<std::vector<int>>();
-    }
     if (digest.store_era < 0) {
       return MakeError(ErrorCode::kInvalidArgument, "digest: negative era");
     }
--- a/tests/control/fleet_view_test.cc
+++ b/tests/control/fleet_view_test.cc
@@ -267,6 +267,33 @@
   CHECK(!view.IsOutdated(leaving, true));
 }
 
+// Guards against a server that was removed shortly before the store came back,
+// while its removal was put off since the store had been away.
+TEST_CASE("A removal that is put off outlives the entry of a copy") {
+  FleetView view;
+  view.PutServer(StartedServer(10, 2), kStart);
+  view.NoteRemoval("a", kStart);
+  view.RemoveServer("a", kStart + std::chrono::seconds(2));
+  CHECK(view.IsOutdated(StartedServer(10, 2), true));
+  CHECK(!view.IsOutdated(StartedServer(10, 2), false));
+}
+
+// Guards against a server that is removed although it writes its entry again:
+// the store came back a second time, and the time of the first return went on.
+TEST_CASE("An entry that is lost again gets the whole time to return") {
+  FleetView view;
+  view.PutServer(StartedServer(10, 2), kStart);
+  view.RemoveLostServer("a", kStart + std::chrono::seconds(2));
+  view.RemoveLostServer("a", kStart + std::chrono::seconds(3));
+  view.ExpireServers(kStart + std::chrono::seconds(2));
+  CHECK(view.FindServer("a") != nullptr);
+  view.NoteRemoval("a", kStart);
+  view.RemoveServer("a", kStart + std::chrono::milliseconds(2500));
+  view.RemoveLostServer("a", kStart + std::chrono::seconds(4));
+  view.ExpireServers(kStart + std::chrono::milliseconds(2500));
+  CHECK(view.FindServer("a") == nullptr);
+}
+
 TEST_CASE("A removal that a peer knows outlives the entry of a copy") {
   FleetView view;
   view.NoteRemoved(StartedServer(10, 2), kStart);
--- a/tests/peers/node_digest_test.cc
+++ b/tests/peers/node_digest_test.cc
@@ -7,6 +7,7 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
+#include "base/json.h"
 #include "peers/peer_directory.h"
 #include "peers/permit_message.h"
 #include "peers/record_exchange.h"
@@ -49,6 +50,13 @@
   digest.limits = {{"s", 3, 2.75}};
   digest.domain_loads = {{"a", 0, {{"s", 9}}, {}}};
   CHECK(DecodeDigest(EncodeDigest(digest)).value() == digest);
+  // Nodes of earlier versions find all other fields at their places, and the
+  // ends first.
+  const Json encoded = ParseCbor(EncodeDigest(digest)).value();
+  CHECK(encoded.at(8) == Json{1, -1, 3, 4, 7, 1, 0, 2, 0});
+  NodeDigest without = digest;
+  without.store_era = 0;
+  CHECK(encoded.size() == ParseCbor(EncodeDigest(without)).value().size());
   digest.store_era = -7;
   // Not sent, as by nodes of earlier versions.
   CHECK(DecodeDigest(EncodeDigest(digest)).value().store_era == 0);
