Failing test: a part of prompts that ends servers after their third event

One VM and eight servers, requests one after the other. The endings of the existing tests and their bounds are unchanged.

--- a/tests/entry/prompt_crash_test.cc
+++ b/tests/entry/prompt_crash_test.cc
@@ -29,7 +29,7 @@
 struct Ending {
   const char* name;
   bool is_framed;
-  const char* text;  // After the head.
+  std::string text;  // After the head.
 };
 const Ending kEndings[] = {{"after the head", true, ""},
                            {"after the head, unframed", false, ""},
@@ -38,6 +38,14 @@
                            {"after it", true, "id: 1\ndata: x\n\n"},
                            {"after it, unframed", false, "id: 1\ndata: x\n\n"}};
 
+std::string Events(int count) {
+  std::string events;
+  for (int i = 1; i <= count; ++i) {
+    events += "id: " + std::to_string(i) + "\ndata: x\n\n";
+  }
+  return events;
+}
+
 std::string AsChunk(const std::string& text) {
   char size[16];
   std::snprintf(size, sizeof(size), "%zx", text.size());
@@ -115,11 +123,7 @@
     }
     this->fixture.loop.Sleep(kWork, yield);
     if (!is_bad && !this->ends_under_all) {
-      std::string events;
-      for (int i = 1; i <= 5; ++i) {
-        events += "id: " + std::to_string(i) + "\ndata: x\n\n";
-      }
-      connection->Send(MakeAnswer(head, "200 OK", events));
+      connection->Send(MakeAnswer(head, "200 OK", Events(5)));
       return true;
     }
     std::string answer = MakeAnswer(head, "200 OK", "");
@@ -178,6 +182,25 @@
   CHECK(2 * served >= sent);
 }
 
+// Servers that end under a prompt, with requests that come one after the other,
+// are no more than five; then the part is refused and others are served.
+void CheckRecognised(const Ending& ending, const std::string& prompt) {
+  for (const char* path : {"/stream/x", "/stream-once/x"}) {
+    CAPTURE(ending.name, prompt, path);
+    Crashes crashes(ending);
+    REQUIRE(crashes.Send("5afe01:40,5afe02:40,b1:6") == 200);
+    for (int i = 0; i < 12; ++i) {
+      crashes.Send(prompt, path);
+      crashes.fixture.RunFor(milliseconds(20));
+    }
+    CHECK(crashes.ends.size() <= kEnds);
+    const std::size_t arrivals = crashes.arrivals.size();
+    CHECK(crashes.Send(prompt, path) == 503);
+    CHECK(crashes.arrivals.size() == arrivals);
+    CHECK(crashes.Send(kSoundPrompt) == 200);
+  }
+}
+
 // Guards against crashes that are recognised only by one form of the answer, or
 // in one place of the prompt.
 TEST_CASE("A part under which servers end is recognised in every form") {
@@ -186,21 +209,19 @@
       std::string("5afe01:40,5afe02:40,") + kBadPart + ":9,a1:6"};
   std::size_t place = 0;
   for (const Ending& ending : kEndings) {
-    const std::string& prompt = places[place++ % std::size(places)];
-    for (const char* path : {"/stream/x", "/stream-once/x"}) {
-      CAPTURE(ending.name, prompt, path);
-      Crashes crashes(ending);
-      REQUIRE(crashes.Send("5afe01:40,5afe02:40,b1:6") == 200);
-      for (int i = 0; i < 12; ++i) {
-        crashes.Send(prompt, path);
-        crashes.fixture.RunFor(milliseconds(20));
-      }
-      CHECK(crashes.ends.size() <= kEnds);
-      const std::size_t arrivals = crashes.arrivals.size();
-      CHECK(crashes.Send(prompt, path) == 503);
-      CHECK(crashes.arrivals.size() == arrivals);
-      CHECK(crashes.Send(kSoundPrompt) == 200);
-    }
+    CheckRecognised(ending, places[place++ % std::size(places)]);
+  }
+}
+
+// Guards against a run that counts as sound before it has ended its server,
+// because it got past the beginning of its answer.
+TEST_CASE("A part under which servers end is recognised late in the answer") {
+  for (const int events : {2, 3, 4, 12}) {
+    const std::string name = "after " + std::to_string(events) + " events";
+    CheckRecognised({name.c_str(), true, Events(events)}, kBadPrompt);
+    CheckRecognised({name.c_str(), false, Events(events)}, kBadPrompt);
+    CheckRecognised({name.c_str(), true, Events(events) + "id: 90\nda"},
+                    kBadPrompt);
   }
 }
 
