Test that an event without end is broken off

Endless bytes within one event of a stream were bounded (server_attempt.cc, "an event exceeds the size limit") without a test. Passes on the code as it is; played in kc_entry_tests' cases of this file.

--- a/tests/entry/endless_answer_test.cc
+++ b/tests/entry/endless_answer_test.cc
@@ -18,7 +18,10 @@
 // The first connection gets `begin` and then `piece` again and again until it
 // is closed; later ones are answered.
 struct EndlessServer {
-  EndlessServer(EntryFixture* fixture, std::string begin, std::string piece)
+  EndlessServer(EntryFixture* fixture,
+                std::string begin,
+                std::string piece,
+                bool is_group = false)
       : begin(std::move(begin)) {
     constexpr std::size_t kSendBytes = 64 * 1024;
     while (this->pieces.size() < kSendBytes) {
@@ -28,14 +31,15 @@
                                Coroutine yield) {
       this->Serve(connection.get(), waiter, yield);
     };
-    fixture->AddPlain("a", script);
-    fixture->AddPlain("b", script);
+    for (const char* id : {"a", "b"}) {
+      is_group ? fixture->AddGroup(id, script) : fixture->AddPlain(id, script);
+    }
   }
 
   void Serve(TcpConnection* connection, Waiter* waiter, Coroutine yield) {
     const std::string head = ReadHead(connection, waiter, yield);
     if (this->began) {
-      connection->Send(MakeAnswer(head, "200 OK", "whole"));
+      connection->Send(MakeAnswer(head, "200 OK", "id: 1\ndata: whole\n\n"));
       return;
     }
     this->began = true;
@@ -59,12 +63,14 @@
 
 // Guards against a request that waits for its deadline, or a process that runs
 // out of memory, because of bytes that never become an answer.
-void CheckBrokenOff(const std::string& begin, const std::string& piece) {
+void CheckBrokenOff(const std::string& begin,
+                    const std::string& piece,
+                    bool is_stream = false) {
   EntryFixture fixture;
-  EndlessServer server(&fixture, begin, piece);
+  EndlessServer server(&fixture, begin, piece, is_stream);
   const MonotonicTime started = fixture.loop.Now();
-  const std::string answer =
-      fixture.SendRequest(MakeRequest("GET", "/again/x"));
+  const std::string answer = fixture.SendRequest(
+      MakeRequest("GET", is_stream ? "/stream/x" : "/again/x"));
   CHECK(answer.rfind("HTTP/1.1 200", 0) == 0);
   CHECK(answer.find("whole") != std::string::npos);
   // Half of the time that the caller gives the request.
@@ -90,6 +96,12 @@
   CheckBrokenOff(std::string(kOwnHead) + "\r\n", "x");
 }
 
+TEST_CASE("An event without end is broken off") {
+  CheckBrokenOff(
+      std::string(kOwnHead) + "X-Response-Seal: sealed\r\n\r\ndata: ", "x",
+      /*is_stream=*/true);
+}
+
 TEST_CASE("A chunk head without end is broken off") {
   CheckBrokenOff(std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n1;",
                  "x");
