Judge a part of a prompt by crashes at any point of the answer

Cause: a run counted as sound from its third event on, and stayed so when its server ended under it; so each such run left no evidence and outweighed the crashes before it.

Now each answer that ends before it is whole is examined. A crash says after how many events it came; a whole answer, or a run with four times as many, outweighs it. The rest of a resumed stream is no whole answer. A part without a whole answer is suspected after two servers instead of one if a run with it is known, so the streams beside are resumed without a trial. Crashes of clear parts are the first to be dropped. The datagram keeps what earlier versions read.

Why it works: a run that will end its server can outweigh shorter ones, never its own crash.

--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Longest trial: queueing, the first events and the probe of the server.
+// A longer trial may be joined by another one.
 constexpr Duration kMaxTrialTime = std::chrono::seconds(3);
 constexpr Duration kTrialPollInterval = std::chrono::milliseconds(20);
 // Retry-After of requests that have waited for trials in vain.
@@ -133,12 +133,13 @@
   return this->AdmissionOf(request) == PromptAdmission::kRefused;
 }
 
-void PromptGuard::NoteSound(const CallerRequest& request) {
-  this->NoteSoundParts(request.shared_parts);
+void PromptGuard::NoteSound(const CallerRequest& request, AnswerExtent extent) {
+  this->NoteSoundParts(request.shared_parts, extent);
 }
 
-void PromptGuard::NoteSoundParts(const PromptParts& parts) {
-  if (this->quarantine.NoteSound(parts, this->loop->Now())) {
+void PromptGuard::NoteSoundParts(const PromptParts& parts,
+                                 AnswerExtent extent) {
+  if (this->quarantine.NoteSound(parts, extent, this->loop->Now())) {
     this->HandleOwnChange();
   }
 }
@@ -152,7 +153,7 @@
 void PromptGuard::NoteCutShort(const CallerRequest& request,
                                const BackendServer& server,
                                PromptTrialPtr trial,
-                               bool is_complete) {
+                               const CutShortAnswer& answer) {
   if (request.shared_parts.empty()) {
     return;
   }
@@ -161,11 +162,11 @@
     // Requests with a part that was never sound wait for the examination.
     trial = this->BeginTrial(request.shared_parts);
   }
-  if (is_complete && trial == nullptr) {
-    return;  // Nothing could be learnt of parts that are known to be sound.
+  if (answer.is_complete && this->quarantine.AreSound(request.shared_parts)) {
+    return;  // Nothing could be learnt.
   }
   const Suspicion suspicion{request.id, request.shared_parts, server,
-                            std::move(trial), is_complete};
+                            std::move(trial), answer};
   this->loop->Spawn([this, suspicion, was_trial](Coroutine yield) {
     this->Examine(suspicion, was_trial, yield);
   });
@@ -174,15 +175,17 @@
 void PromptGuard::Examine(const Suspicion& suspicion,
                           bool was_trial,
                           Coroutine yield) {
-  bool is_running = this->network->IsRunning(suspicion.server, yield);
+  // Most answers that look whole are, so one probe is enough.
+  bool is_running = suspicion.answer.is_complete ||
+                    this->network->IsRunning(suspicion.server, yield);
   if (is_running) {
     this->loop->Sleep(kSecondProbeDelay, yield);
     is_running = this->network->IsRunning(suspicion.server, yield);
   }
   if (!is_running) {
     this->AddCrash(suspicion, was_trial);
-  } else if (suspicion.is_complete) {
-    this->NoteSoundParts(suspicion.parts);
+  } else if (suspicion.answer.is_complete) {
+    this->NoteSoundParts(suspicion.parts, WholeAnswer());
   }
 }
 
@@ -193,10 +196,12 @@
   crash.started_ms = suspicion.server.started_ms;
   crash.was_trial = was_trial;
   crash.parts = suspicion.parts;
+  crash.events = suspicion.answer.events;
   LogInfo("prompt_crash", {{"id", suspicion.request_id},
                            {"server", crash.server},
                            {"started_ms", crash.started_ms},
                            {"trial", was_trial ? 1 : 0},
+                           {"events", crash.events},
                            {"parts", Join(crash.parts)}});
   this->metrics->GetCounter("kumquatcart_prompt_crashes_total").Add();
   this->quarantine.AddCrash(crash, this->loop->Now());
--- a/src/entry/prompt_guard.h
+++ b/src/entry/prompt_guard.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <tuple>
 
 #include "base/metrics.h"
 #include "entry/prompt_network.h"
@@ -41,6 +42,14 @@
   const char* reason = "";
 };
 
+// An answer whose input ended, though it need not be the server that did.
+struct CutShortAnswer {
+  int events = 0;            // That the server had written.
+  bool is_complete = false;  // It is whole if the server has not ended.
+
+  auto Tie() const { return std::tie(this->events, this->is_complete); }
+};
+
 // Applies the quarantine of this VM to its requests, collects evidence from
 // their attempts and shares it with the peers. Not thread safe: used on the
 // event loop's thread.
@@ -72,16 +81,15 @@
   // Whether the request would be rejected for its prompt.
   bool IsRefused(const CallerRequest& request) const;
 
-  // A server has answered the request soundly, or well past the beginning.
-  void NoteSound(const CallerRequest& request);
+  // A server has written its answer up to `extent`.
+  void NoteSound(const CallerRequest& request, AnswerExtent extent);
 
-  // The answer of `server` ended soon after its beginning. Finds out whether
-  // the server has ended; `trial` lasts until then. `is_complete`: the answer
-  // is whole if the server has not ended.
+  // The input of the answer of `server` ended. Finds out whether the server has
+  // ended; `trial` lasts until then.
   void NoteCutShort(const CallerRequest& request,
                     const BackendServer& server,
                     PromptTrialPtr trial,
-                    bool is_complete);
+                    const CutShortAnswer& answer);
 
   void HandleEvidence(const PromptEvidence& evidence);
 
@@ -100,14 +108,14 @@
     PromptParts parts;
     BackendServer server;
     PromptTrialPtr trial;
-    bool is_complete = false;
+    CutShortAnswer answer;
   };
 
   PromptAdmission AdmissionOf(const CallerRequest& request) const;
   // Null if all of the parts are known to be sound.
   PromptTrialPtr BeginTrial(const PromptParts& parts);
   void EndTrial(std::int64_t id);
-  void NoteSoundParts(const PromptParts& parts);
+  void NoteSoundParts(const PromptParts& parts, AnswerExtent extent);
   // The evidence of this VM has changed by its own observation.
   void HandleOwnChange();
   void Examine(const Suspicion& suspicion, bool was_trial, Coroutine yield);
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -374,8 +374,8 @@
                                     AttemptOutcome outcome,
                                     const ServerAttempt& attempt) {
   switch (attempt.Progress()) {
-    case AnswerProgress::kSound:
-      this->context->prompts->NoteSound(this->request);
+    case AnswerProgress::kWhole:
+      this->context->prompts->NoteSound(this->request, WholeAnswer());
       break;
     case AnswerProgress::kCutShort: {
       if (!this->uses_groups) {
@@ -387,7 +387,8 @@
       server.endpoint = slot.Address();
       this->context->prompts->NoteCutShort(
           this->request, server, std::move(this->prompt_trial),
-          /*is_complete=*/outcome == AttemptOutcome::kDelivered);
+          {attempt.EventsReceived(),
+           outcome == AttemptOutcome::kDelivered && !attempt.IsResumption()});
       break;
     }
     case AnswerProgress::kUnknown:
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -17,9 +17,6 @@
 
 namespace {
 
-// Events after which a server is past the beginning of its answer.
-constexpr int kSoundEvents = 3;
-
 // Statuses that imply to a caller that its request was not executed.
 bool ImpliesNotRun(int status) {
   return status == kHttpTooManyRequests || status == kHttpServiceUnavailable ||
@@ -78,6 +75,7 @@
   this->resumed_after = this->job->progress.LastEvent();
   facts.resume_after =
       this->job->progress.BeginAttempt(this->job->request->resume_after);
+  this->is_resumption = facts.resume_after.has_value();
   this->sent_at = this->job->context->loop->Now();
   this->connection->Send(
       SerializeRequest(EncodeForServer(*this->job->request, facts)));
@@ -150,9 +148,6 @@
       !this->head.is_signed || this->AnswersOtherRequest()) {
     return AnswerProgress::kUnknown;
   }
-  if (this->events_received >= kSoundEvents) {
-    return AnswerProgress::kSound;
-  }
   switch (this->response->End()) {
     case ResponseEnd::kClosed:
     case ResponseEnd::kReset:
@@ -162,9 +157,11 @@
       if (outcome == AttemptOutcome::kMayHaveRun) {
         return AnswerProgress::kCutShort;
       }
-      return outcome == AttemptOutcome::kDelivered &&
+      // The rest of an answer may be shorter than what a server writes before
+      // it ends.
+      return outcome == AttemptOutcome::kDelivered && !this->is_resumption &&
                      (this->events_received > 0 || !this->IsStream())
-                 ? AnswerProgress::kSound
+                 ? AnswerProgress::kWhole
                  : AnswerProgress::kUnknown;
     default:
       return AnswerProgress::kUnknown;
@@ -393,9 +390,7 @@
       stop_reason = "the answer holds what is no event of the stream";
       break;
     }
-    if (++this->events_received == kSoundEvents) {
-      this->job->context->prompts->NoteSound(*this->job->request);
-    }
+    this->NoteEvent();
     if (verdict == EventVerdict::kForward) {
       this->LogResumptionOnce(event);
       passed += event.text;
@@ -407,6 +402,14 @@
   return stop_reason;
 }
 
+void ServerAttempt::NoteEvent() {
+  const std::optional<AnswerExtent> reached = ExtentOf(++this->events_received);
+  if (reached != this->extent) {
+    this->extent = reached;
+    this->job->context->prompts->NoteSound(*this->job->request, *reached);
+  }
+}
+
 void ServerAttempt::LogResumptionOnce(const StreamEvent& event) {
   if (event.id && this->resumed_after) {
     LogInfo("stream_resumed", {{"id", this->job->request->id},
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -14,6 +14,7 @@
 #include "entry/event_splitter.h"
 #include "entry/group_load_balancer.h"
 #include "entry/stream_progress.h"
+#include "model/answer_extent.h"
 #include "model/caller_request.h"
 #include "platform/caller_codec.h"
 
@@ -35,9 +36,8 @@
 // What an answer shows of the server that wrote it.
 enum class AnswerProgress {
   kUnknown,
-  // Its input ended soon after it began; the server may have ended.
-  kCutShort,
-  kSound,  // It is whole, or was written well past its beginning.
+  kCutShort,  // Its input ended after it began; the server may have ended.
+  kWhole,     // From its first event on.
 };
 
 // An answer of a server that is buffered because a retry may succeed.
@@ -94,6 +94,9 @@
   bool HasBackoff() const { return this->is_held_back || this->names_backoff; }
   // How far the answer got. Precondition: Run() has returned.
   AnswerProgress Progress() const { return this->progress; }
+  // Whether the server was to go on with the answer of an earlier attempt, or
+  // with one that the caller had before.
+  bool IsResumption() const { return this->is_resumption; }
   // Number of whole events of the stream that the server has written.
   int EventsReceived() const { return this->events_received; }
   // After kNotRun: whether nothing was sent, because the server's backoff or
@@ -136,6 +139,8 @@
   void ForwardText(const std::string& text);
   // Logs the first event that continues an earlier attempt's stream.
   void LogResumptionOnce(const StreamEvent& event);
+  // Counts an event of the answer, and notes how far it has got.
+  void NoteEvent();
   // Records the time that the server took to begin, with the first event.
   void NoteFirstEvent();
   // Whether the server may have run the request in spite of its rejection:
@@ -160,10 +165,12 @@
   AnswerBufferUse buffer_use;
   bool is_held_back = false;
   bool names_backoff = false;
-  bool sent_under_limit = false;      // The server's rate limit was known.
-  MonotonicTime sent_at;              // Zero: nothing was sent.
+  bool sent_under_limit = false;  // The server's rate limit was known.
+  MonotonicTime sent_at;          // Zero: nothing was sent.
+  bool is_resumption = false;
   bool has_forwarded_events = false;  // Of this attempt.
   int events_received = 0;
+  std::optional<AnswerExtent> extent;  // That has been noted.
   AnswerProgress progress = AnswerProgress::kUnknown;
   // The caller's last event when the attempt began, until it is continued.
   std::optional<std::int64_t> resumed_after;
--- a/src/model/prompt_evidence.h
+++ b/src/model/prompt_evidence.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/comparable.h"
+#include "model/answer_extent.h"
 
 namespace kumquatcart {
 
@@ -17,17 +18,18 @@
 // In ascending order, each once.
 using PromptParts = std::vector<PromptPart>;
 
-// The end of a server that had just begun to answer a request.
+// The end of a server that had begun to answer a request.
 struct PromptCrash {
   std::uint64_t id = 0;  // Drawn at random by the VM that sent the request.
   std::string server;
   std::int64_t started_ms = 0;  // Unix time of its start; 0 if unknown.
   bool was_trial = false;       // The request was the trial of its parts.
   PromptParts parts;            // Of the request.
+  int events = 0;               // That the server had written.
 
   auto Tie() const {
     return std::tie(this->id, this->server, this->started_ms, this->was_trial,
-                    this->parts);
+                    this->parts, this->events);
   }
 };
 
@@ -45,9 +47,9 @@
   std::string node;
   bool is_reply = false;  // Sent because the receiver lacked it.
   std::vector<AgedPromptCrash> crashes;
-  // Time since the latest sound run and the latest refusal of a request with
-  // the part, for parts that have crashes.
-  std::map<PromptPart, std::int64_t> sound_age_ms;
+  // Time since the latest run that reached an extent, and since the latest
+  // refusal of a request with the part, for parts that have crashes.
+  std::map<PromptPart, std::map<AnswerExtent, std::int64_t>> sound_age_ms;
   std::map<PromptPart, std::int64_t> refusal_age_ms;
   // All trials in progress at the node, and how long they may still last.
   std::map<PromptPart, std::int64_t> trial_left_ms;
--- a/src/routing/prompt_quarantine.cc
+++ b/src/routing/prompt_quarantine.cc
@@ -2,16 +2,21 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
+#include <tuple>
 #include <utility>
 
 namespace kumquatcart {
 
 namespace {
 
-// Crashes after which a part is suspected: of a part without any sound run, and
-// of one that had sound runs before. Parts that many requests share are in
-// progress at most servers that fail for another reason.
+// Servers that must have ended for a part to be suspected: under one without
+// any run, under one without a whole answer, and under one that had whole
+// answers. Requests that were well under way at a server that fails have parts
+// of the second kind, and parts that many requests share are in progress at
+// most servers that fail for another reason.
 constexpr std::size_t kCrashesOfUnknownPart = 1;
+constexpr std::size_t kCrashesOfBegunPart = 2;
 constexpr std::size_t kCrashesOfSoundPart = 5;
 // Trials that must have ended a server. One may meet a server that ends for
 // another reason.
@@ -43,6 +48,15 @@
   return std::binary_search(parts.begin(), parts.end(), part);
 }
 
+// A server between two starts. Crashes of servers whose start is unknown count
+// each for itself, and are told apart by their ids.
+using ServerLife = std::tuple<std::string, std::int64_t, std::uint64_t>;
+
+ServerLife LifeOf(const PromptCrash& crash) {
+  return {crash.server, crash.started_ms,
+          crash.started_ms == 0 ? crash.id : std::uint64_t{0}};
+}
+
 // Sets `time` to the later one.
 void RaiseTo(MonotonicTime at, MonotonicTime* time) {
   *time = std::max(*time, at);
@@ -60,33 +74,44 @@
   if (!Contains(known.crash.parts, part)) {
     return false;
   }
-  const std::optional<MonotonicTime> sound_at = this->sound_parts.Find(part);
+  const std::optional<MonotonicTime> sound_at =
+      this->sound_parts.Find(part, ExtentBeyond(known.crash.events));
   return !sound_at || known.at > *sound_at;
 }
 
+std::vector<std::size_t> PromptQuarantine::CrashesWith(
+    const PromptPart& part) const {
+  const auto found = this->crashes_by_part.find(part);
+  return found == this->crashes_by_part.end() ? std::vector<std::size_t>()
+                                              : found->second;
+}
+
+void PromptQuarantine::IndexCrashes() {
+  this->crashes_by_part.clear();
+  for (std::size_t i = 0; i < this->crashes.size(); ++i) {
+    for (const PromptPart& part : this->crashes[i].crash.parts) {
+      this->crashes_by_part[part].push_back(i);
+    }
+  }
+}
+
 PromptQuarantine::PartEvidence PromptQuarantine::EvidenceOf(
     const PromptPart& part) const {
   PartEvidence evidence;
-  std::set<std::pair<std::string, std::int64_t>> starts;
-  std::size_t unknown_starts = 0;
-  for (const KnownCrash& known : this->crashes) {
+  std::set<ServerLife> ended;
+  for (const std::size_t index : this->CrashesWith(part)) {
+    const KnownCrash& known = this->crashes[index];
     if (!this->CountsAgainst(known, part)) {
       continue;
     }
-    if (known.crash.started_ms == 0) {
-      ++unknown_starts;
-    } else {
-      starts.insert({known.crash.server, known.crash.started_ms});
-    }
+    ended.insert(LifeOf(known.crash));
     if (known.crash.was_trial) {
       ++evidence.trials;
       RaiseTo(known.at, &evidence.last_trial_at);
     }
   }
-  const std::size_t needed = this->sound_parts.Find(part)
-                                 ? kCrashesOfSoundPart
-                                 : kCrashesOfUnknownPart;
-  if (starts.size() + unknown_starts >= needed) {
+  evidence.servers = ended.size();
+  if (ended.size() >= this->CrashesNeeded(part)) {
     evidence.state = evidence.trials >= kTrialsToQuarantine
                          ? PartState::kQuarantined
                          : PartState::kSuspected;
@@ -94,6 +119,14 @@
   return evidence;
 }
 
+std::size_t PromptQuarantine::CrashesNeeded(const PromptPart& part) const {
+  if (this->sound_parts.Find(part, WholeAnswer())) {
+    return kCrashesOfSoundPart;
+  }
+  return this->sound_parts.Contains(part) ? kCrashesOfBegunPart
+                                          : kCrashesOfUnknownPart;
+}
+
 PartState PromptQuarantine::StateOf(const PromptPart& part) const {
   return this->EvidenceOf(part).state;
 }
@@ -101,7 +134,8 @@
 bool PromptQuarantine::AppliesTo(const PromptPart& part,
                                  const PromptParts& parts) const {
   std::optional<PromptParts> companions;
-  for (const KnownCrash& known : this->crashes) {
+  for (const std::size_t index : this->CrashesWith(part)) {
+    const KnownCrash& known = this->crashes[index];
     if (!known.crash.was_trial || !this->CountsAgainst(known, part)) {
       continue;
     }
@@ -169,17 +203,24 @@
   return this->last_trial_id;
 }
 
-bool PromptQuarantine::NoteSound(const PromptParts& parts, MonotonicTime at) {
-  bool had_crashes = false;
+bool PromptQuarantine::NoteSound(const PromptParts& parts,
+                                 AnswerExtent extent,
+                                 MonotonicTime at) {
+  bool has_changed = false;
   for (const PromptPart& part : parts) {
-    had_crashes =
-        had_crashes || std::any_of(this->crashes.begin(), this->crashes.end(),
-                                   [this, &part](const KnownCrash& known) {
-                                     return this->CountsAgainst(known, part);
-                                   });
-    this->sound_parts.Note(part, at);
+    const PartEvidence before = this->EvidenceOf(part);
+    this->sound_parts.Note(part, extent, at);
+    has_changed = has_changed || this->EvidenceOf(part) != before;
   }
-  return had_crashes;
+  return has_changed;
+}
+
+bool PromptQuarantine::AreSound(const PromptParts& parts) const {
+  return std::all_of(parts.begin(), parts.end(),
+                     [this](const PromptPart& part) {
+                       return this->sound_parts.Find(part, WholeAnswer()) &&
+                              this->EvidenceOf(part).servers == 0;
+                     });
 }
 
 bool PromptQuarantine::AddCrash(const PromptCrash& crash, MonotonicTime at) {
@@ -197,23 +238,42 @@
     this->EvictOne();
   }
   this->crashes.push_back({crash, at});
+  for (const PromptPart& part : crash.parts) {
+    this->crashes_by_part[part].push_back(this->crashes.size() - 1);
+  }
   return true;
 }
 
-bool PromptQuarantine::HasQuarantinedPart(const KnownCrash& known) const {
-  return std::any_of(known.crash.parts.begin(), known.crash.parts.end(),
-                     [this](const PromptPart& part) {
-                       return this->StateOf(part) == PartState::kQuarantined;
-                     });
+bool PromptQuarantine::IsOutdated(const KnownCrash& known) const {
+  return std::none_of(known.crash.parts.begin(), known.crash.parts.end(),
+                      [this, &known](const PromptPart& part) {
+                        return this->CountsAgainst(known, part);
+                      });
 }
 
 void PromptQuarantine::EvictOne() {
-  const auto spare = std::find_if(this->crashes.begin(), this->crashes.end(),
-                                  [this](const KnownCrash& known) {
-                                    return !this->HasQuarantinedPart(known);
-                                  });
-  this->crashes.erase(spare == this->crashes.end() ? this->crashes.begin()
-                                                   : spare);
+  std::map<PromptPart, PartState> states;
+  for (const auto& entry : this->crashes_by_part) {
+    states[entry.first] = this->StateOf(entry.first);
+  }
+  // Those that run against parts that are clear, in most cases of requests
+  // which only shared a server, go before those that hold a state.
+  const auto value = [this, &states](const KnownCrash& known) {
+    if (this->IsOutdated(known)) {
+      return -1;
+    }
+    PartState worst = PartState::kClear;
+    for (const PromptPart& part : known.crash.parts) {
+      worst = std::max(worst, states.at(part));
+    }
+    return static_cast<int>(worst);
+  };
+  this->crashes.erase(std::min_element(
+      this->crashes.begin(), this->crashes.end(),
+      [&value](const KnownCrash& left, const KnownCrash& right) {
+        return value(left) < value(right);
+      }));
+  this->IndexCrashes();
 }
 
 void PromptQuarantine::NoteRefusal(const PromptPart& part, MonotonicTime at) {
@@ -233,8 +293,8 @@
     const KnownCrash& known = this->crashes[index];
     evidence.crashes.push_back({known.crash, ToMillis(now - known.at)});
     for (const PromptPart& part : known.crash.parts) {
-      if (const auto sound_at = this->sound_parts.Find(part)) {
-        evidence.sound_age_ms[part] = ToMillis(now - *sound_at);
+      for (const auto& [extent, sound_at] : this->sound_parts.RunsOf(part)) {
+        evidence.sound_age_ms[part][extent] = ToMillis(now - sound_at);
       }
       const auto refusal = this->refusals.find(part);
       if (refusal != this->refusals.end()) {
@@ -252,6 +312,16 @@
   return evidence;
 }
 
+bool PromptQuarantine::KnowsLongerRun(const PromptEvidence& evidence,
+                                      const PromptPart& part) const {
+  const std::map<AnswerExtent, MonotonicTime> runs =
+      this->sound_parts.RunsOf(part);
+  const auto sent = evidence.sound_age_ms.find(part);
+  return !runs.empty() &&
+         (sent == evidence.sound_age_ms.end() || sent->second.empty() ||
+          sent->second.rbegin()->first < runs.rbegin()->first);
+}
+
 PromptQuarantine::MergeResult PromptQuarantine::Merge(
     const PromptEvidence& evidence,
     MonotonicTime now) {
@@ -259,11 +329,16 @@
     return now - std::chrono::milliseconds(age_ms);
   };
   MergeResult result;
-  for (const auto& [part, age_ms] : evidence.sound_age_ms) {
-    const std::optional<MonotonicTime> known = this->sound_parts.Find(part);
-    if (!known || at(age_ms) > *known + kMaxTransit) {
-      result.has_changed =
-          this->NoteSound({part}, at(age_ms)) || result.has_changed;
+  for (const auto& [part, runs] : evidence.sound_age_ms) {
+    for (const auto& [extent, age_ms] : runs) {
+      const std::optional<MonotonicTime> known =
+          this->sound_parts.Find(part, extent);
+      if (!known || at(age_ms) > *known + kMaxTransit) {
+        // Whoever learns of a run with an accused part passes it on.
+        result.has_changed =
+            result.has_changed || this->EvidenceOf(part).servers > 0;
+        this->NoteSound({part}, extent, at(age_ms));
+      }
     }
   }
   for (const AgedPromptCrash& aged : evidence.crashes) {
@@ -277,8 +352,7 @@
           result.knows_more ||
           std::any_of(aged.crash.parts.begin(), aged.crash.parts.end(),
                       [this, &evidence](const PromptPart& part) {
-                        return evidence.sound_age_ms.count(part) == 0 &&
-                               this->sound_parts.Find(part);
+                        return this->KnowsLongerRun(evidence, part);
                       });
     }
   }
@@ -300,15 +374,13 @@
 bool PromptQuarantine::IsStale(const KnownCrash& known,
                                MonotonicTime now) const {
   MonotonicTime needed_at = known.at;
-  bool is_outdated = true;
   for (const PromptPart& part : known.crash.parts) {
     const auto refusal = this->refusals.find(part);
     if (refusal != this->refusals.end()) {
       RaiseTo(refusal->second, &needed_at);
     }
-    is_outdated = is_outdated && !this->CountsAgainst(known, part);
   }
-  return (is_outdated && known.at + kOutdatedKept <= now) ||
+  return (known.at + kOutdatedKept <= now && this->IsOutdated(known)) ||
          needed_at + kEvidenceLifetime <= now;
 }
 
@@ -320,6 +392,9 @@
                      });
   const bool has_dropped = first_stale != this->crashes.end();
   this->crashes.erase(first_stale, this->crashes.end());
+  if (has_dropped) {
+    this->IndexCrashes();
+  }
   const std::set<PromptPart> with_crashes = this->PartsWithCrashes();
   for (auto entry = this->refusals.begin(); entry != this->refusals.end();) {
     entry = with_crashes.count(entry->first) == 0 ? this->refusals.erase(entry)
--- a/src/routing/prompt_quarantine.h
+++ b/src/routing/prompt_quarantine.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "base/clock.h"
 #include "model/prompt_evidence.h"
@@ -40,8 +42,9 @@
 const char* ToString(PartState state);
 
 // Collects the crashes and the sound runs of all VMs and decides which requests
-// may be sent. A sound run outweighs all crashes before it, since a part that
-// crashes servers does so whatever else the request holds. A suspected part is
+// may be sent. A run that gets clearly further than another one did that ended
+// with its server outweighs that crash, since a part that crashes servers does
+// so whatever else the request holds. A suspected part is
 // tried with one request at a time, and quarantined when several trials have
 // ended a server; then a trial is repeated after growing intervals. Merging is
 // idempotent and independent of the order, so that VMs with the same evidence
@@ -58,9 +61,11 @@
   std::int64_t BeginTrial(const PromptParts& parts, MonotonicTime until);
   void EndTrial(std::int64_t id) { this->own_trials.erase(id); }
 
-  // Notes a sound run. Returns whether one of the parts has crashes, so that
-  // peers should know.
-  bool NoteSound(const PromptParts& parts, MonotonicTime at);
+  // Notes a run that had reached `extent`. Returns whether this changes the
+  // evidence against one of the parts, so that peers should know.
+  bool NoteSound(const PromptParts& parts,
+                 AnswerExtent extent,
+                 MonotonicTime at);
 
   // Adds a crash that was observed at `at`. Returns false if it is known.
   bool AddCrash(const PromptCrash& crash, MonotonicTime at);
@@ -76,8 +81,8 @@
   // What Merge() has found.
   struct MergeResult {
     bool has_changed = false;
-    // Crashes that were unknown and have a part with a sound run that the
-    // sender does not know.
+    // Crashes that were unknown and have a part with a run that got further
+    // than all that the sender knows.
     bool knows_more = false;
   };
 
@@ -95,6 +100,10 @@
   // All parts that have crashes.
   std::set<PromptPart> PartsWithCrashes() const;
 
+  // Whether each of the parts has had a whole answer, and no crash counts
+  // against it.
+  bool AreSound(const PromptParts& parts) const;
+
  private:
   struct KnownCrash {
     PromptCrash crash;
@@ -104,31 +113,45 @@
     PromptParts parts;
     MonotonicTime until;
   };
-  // The evidence against a part since its latest sound run.
+  // The evidence against a part that no run outweighs.
   struct PartEvidence {
     PartState state = PartState::kClear;
-    int trials = 0;  // That ended a server.
+    std::size_t servers = 0;  // That ended.
+    int trials = 0;           // That ended a server.
     MonotonicTime last_trial_at;
+
+    auto Tie() const {
+      return std::tie(this->state, this->servers, this->trials,
+                      this->last_trial_at);
+    }
   };
 
   PartEvidence EvidenceOf(const PromptPart& part) const;
+  std::size_t CrashesNeeded(const PromptPart& part) const;
   // Whether the evidence against a quarantined part applies to a request with
   // `parts`: it has all suspected parts that were in every such trial.
   bool AppliesTo(const PromptPart& part, const PromptParts& parts) const;
   bool CountsAgainst(const KnownCrash& known, const PromptPart& part) const;
+  // Whether a run with the part got further than all that a peer has sent.
+  bool KnowsLongerRun(const PromptEvidence& evidence,
+                      const PromptPart& part) const;
   // Whether the part is suspected or had no sound run yet.
   bool IsUnproven(const PromptPart& part) const {
     return this->StateOf(part) != PartState::kClear ||
-           !this->sound_parts.Find(part);
+           !this->sound_parts.Contains(part);
   }
   bool HasTrial(const PromptPart& part, MonotonicTime now) const;
-  bool HasQuarantinedPart(const KnownCrash& known) const;
+  // Positions of the crashes with the part.
+  std::vector<std::size_t> CrashesWith(const PromptPart& part) const;
+  void IndexCrashes();
+  bool IsOutdated(const KnownCrash& known) const;
   bool IsStale(const KnownCrash& known, MonotonicTime now) const;
   // Makes room for one more crash.
   void EvictOne();
 
   SoundParts sound_parts{kSoundPartsKept};
   std::deque<KnownCrash> crashes;  // In the order of their arrival.
+  std::unordered_map<PromptPart, std::vector<std::size_t>> crashes_by_part;
   std::map<PromptPart, MonotonicTime> refusals;  // The latest.
   std::map<std::int64_t, Trial> own_trials;
   std::int64_t last_trial_id = 0;
--- a/tests/entry/prompt_guard_test.cc
+++ b/tests/entry/prompt_guard_test.cc
@@ -23,6 +23,10 @@
 constexpr Duration kRunTime = milliseconds(20);
 constexpr Duration kInterval = milliseconds(5);
 constexpr double kLoss = 0.2;
+// Of a request that is well under way.
+constexpr int kEventsBeside = 20;
+// The longest pause of a stream that the platform counts as on time.
+constexpr Duration kLongestPause = milliseconds(200);
 
 // VMs whose messages are late and sometimes lost.
 class Vms {
@@ -69,15 +73,42 @@
       }
       this->loop.Sleep(kRunTime, yield);
       if (is_bad) {
-        this->guards[vm]->NoteCutShort(request, server, std::move(pass.trial),
-                                       /*is_complete=*/false);
+        this->End(vm, request, server, std::move(pass.trial), this->bad_events);
+        for (int i = 0; i < this->requests_beside; ++i) {
+          this->EndBeside(this->PickVm(), server,
+                          {"5afe01", server.id + "." + std::to_string(i)});
+        }
       } else {
-        this->guards[vm]->NoteSound(request);
+        this->guards[vm]->NoteSound(request, WholeAnswer());
         ++this->sound_served;
       }
     });
   }
 
+  // Lets a request that was well under way at `server` end with it, and sends
+  // it again, which must not be held up.
+  void EndBeside(std::size_t vm,
+                 const BackendServer& server,
+                 const PromptParts& parts) {
+    this->loop.Spawn([this, vm, server, parts](Coroutine yield) {
+      CallerRequest request;
+      request.id = server.id + " beside";
+      request.shared_parts = parts;
+      this->End(vm, request, server, nullptr, kEventsBeside);
+      Waiter waiter(&this->loop);
+      const PromptPass pass = this->guards[vm]->Admit(
+          request, this->loop.Now() + kLongestPause, [] { return false; },
+          &waiter, yield);
+      if (!pass.may_send) {
+        ++this->sound_refused;
+        return;
+      }
+      this->loop.Sleep(kRunTime, yield);
+      this->guards[vm]->NoteSound(request, WholeAnswer());
+      ++this->sound_served;
+    });
+  }
+
   void RunFor(Duration duration) {
     RunCoroutine(&this->loop, [this, duration](Coroutine yield) {
       this->loop.Sleep(duration, yield);
@@ -91,6 +122,8 @@
 
   EventLoop loop;
   std::vector<std::unique_ptr<PromptGuard>> guards;
+  int bad_events = 0;       // That a server writes before it ends.
+  int requests_beside = 0;  // That end with each server.
   int sent = 0;
   int bad_arrivals = 0;
   int bad_refused = 0;
@@ -134,6 +167,21 @@
     const std::size_t index;
   };
 
+  // The answer of `server` ends after `events` events.
+  void End(std::size_t vm,
+           const CallerRequest& request,
+           const BackendServer& server,
+           PromptTrialPtr trial,
+           int events) {
+    for (int i = 1; i <= events; ++i) {
+      if (const auto extent = ExtentOf(i)) {
+        this->guards[vm]->NoteSound(request, *extent);
+      }
+    }
+    this->guards[vm]->NoteCutShort(request, server, std::move(trial),
+                                   {events, /*is_complete=*/false});
+  }
+
   std::vector<std::unique_ptr<Network>> networks;
   std::set<std::string> ended;
   MetricRegistry metrics;
@@ -177,5 +225,31 @@
   }
 }
 
+// Guards against a part that each run clears before it ends its server, and
+// against requests that were under way at such servers and are held up.
+TEST_CASE("Few requests end servers late in their answers") {
+  for (const std::size_t count : {std::size_t{1}, std::size_t{8}}) {
+    CAPTURE(count);
+    Vms vms(count);
+    vms.bad_events = 4;
+    vms.requests_beside = 13;
+    for (std::size_t vm = 0; vm < count; ++vm) {
+      vms.Send(vm, kSound, false);
+    }
+    vms.RunFor(2 * kRunTime);
+    const MonotonicTime begin = vms.loop.Now();
+    while (vms.loop.Now() < begin + milliseconds(1200)) {
+      vms.Send(vms.PickVm(), kBad, true);
+      vms.Send(vms.PickVm(), kSound, false);
+      vms.RunFor(kInterval);
+    }
+    vms.RunFor(seconds(1));
+    CHECK(vms.bad_arrivals <= 15);
+    CHECK(vms.last_arrival < begin + milliseconds(800));
+    CHECK(vms.bad_refused > 50);
+    CHECK(vms.sound_refused == 0);
+  }
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- a/tests/peers/prompt_message_test.cc
+++ b/tests/peers/prompt_message_test.cc
@@ -7,6 +7,7 @@
 
 #include "peers/node_digest.h"
 #include "peers/permit_message.h"
+#include "peers/tagged_message.h"
 
 namespace kumquatcart {
 namespace {
@@ -19,9 +20,11 @@
                         "i-1",
                         1'700,
                         true,
-                        {"5afe01", "bad0"}},
+                        {"5afe01", "bad0"},
+                        12},
                        250}};
-  evidence.sound_age_ms = {{"5afe01", 40}};
+  evidence.sound_age_ms = {{"5afe01", {{AnswerExtent{2}, 40}}},
+                           {"bad0", {{AnswerExtent{}, 3}, {WholeAnswer(), 7}}}};
   evidence.refusal_age_ms = {{"bad0", 3}};
   evidence.trial_left_ms = {{"bad0", 2'000}};
   return evidence;
@@ -54,13 +57,13 @@
   PromptEvidence evidence = MakeEvidence();
   constexpr auto kHuge = std::numeric_limits<std::int64_t>::max();
   evidence.crashes.front().age_ms = kHuge;
-  evidence.sound_age_ms["5afe01"] = -kHuge;
+  evidence.sound_age_ms["5afe01"] = {{AnswerExtent{}, -kHuge}};
   evidence.trial_left_ms["bad0"] = kHuge;
   const auto decoded = DecodePromptEvidence(EncodePromptEvidence(evidence));
   REQUIRE(decoded);
   REQUIRE(decoded->has_value());
   CHECK(decoded->value().crashes.front().age_ms <= 24LL * 3600 * 1000);
-  CHECK(decoded->value().sound_age_ms.at("5afe01") == 0);
+  CHECK(decoded->value().sound_age_ms.at("5afe01").at(AnswerExtent{}) == 0);
   CHECK(decoded->value().trial_left_ms.at("bad0") <= 10'000);
 }
 
@@ -69,13 +72,31 @@
   many.crashes.resize(65, many.crashes.front());
   PromptEvidence named = MakeEvidence();
   named.crashes.front().crash.server.assign(10'000, 'x');
-  for (const PromptEvidence& evidence : {many, named}) {
+  PromptEvidence further = MakeEvidence();
+  further.sound_age_ms["5afe01"] = {{AnswerExtent{kExtentGrades}, 40}};
+  for (const PromptEvidence& evidence : {many, named, further}) {
     const auto decoded = DecodePromptEvidence(EncodePromptEvidence(evidence));
     REQUIRE(decoded);
     CHECK(decoded->has_error());
   }
 }
 
+// Guards against VMs of two versions that do not understand each other, so that
+// each of them learns by servers of its own.
+TEST_CASE("Evidence of an earlier version is of runs that had begun") {
+  const auto decoded = DecodePromptEvidence(EncodeTaggedMessage(Json::array(
+      {"prompt-evidence", "n1", false,
+       Json::array(
+           {Json::array({7, "i-1", 1'700, true, Json::array({"a"}), 250})}),
+       Json{{"a", 40}}, Json::object(), Json::object()})));
+  REQUIRE(decoded);
+  REQUIRE(decoded->has_value());
+  CHECK(decoded->value().crashes.front() ==
+        AgedPromptCrash{{7, "i-1", 1'700, true, {"a"}, 0}, 250});
+  CHECK(decoded->value().sound_age_ms.at("a") ==
+        std::map<AnswerExtent, std::int64_t>{{AnswerExtent{}, 40}});
+}
+
 TEST_CASE("Any datagram is evidence about prompts, rejected or another kind") {
   CHECK(rc::check([](std::string bytes) {
     if (*rc::gen::arbitrary<bool>()) {
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -323,17 +323,23 @@
          prompt.find(kCrashingPart) != std::string_view::npos;
 }
 
+int ServerStandIn::EventsBeforeCrash() const {
+  constexpr int kEvents[] = {0, 0, 0, 4, 8};
+  return kEvents[std::hash<std::string>()("events" + this->id) %
+                 std::size(kEvents)];
+}
+
 bool ServerStandIn::Crash(AnswerSender* sender,
-                          const std::string& first_event,
+                          const std::string& next_event,
                           TcpConnection* connection,
                           Waiter* waiter,
                           Coroutine yield) {
-  // Nothing, a part or all of the first event follows the head.
+  // Nothing, a part or all of the next event is sent.
   const std::size_t third = std::hash<std::string>()(this->id) % 4;
   const std::size_t length =
-      std::min(first_event.size(), third * first_event.size() / 3);
+      std::min(next_event.size(), third * next_event.size() / 3);
   if (length > 0) {
-    sender->SendPart(first_event.substr(0, length));
+    sender->SendPart(next_event.substr(0, length));
   }
   while (connection->UnsentBytes() > 0 && !connection->HasEnded()) {
     waiter->WaitUntil(MonotonicTime::max(), yield);
@@ -521,7 +527,8 @@
   if (form.ends_with_connection) {
     sender.DisableChunks();
   }
-  int event = resume.empty() ? 1 : std::stoi(resume) + 1;
+  const int first = resume.empty() ? 1 : std::stoi(resume) + 1;
+  int event = first;
   std::string unsent = event_text(event);  // Of that event.
   MonotonicTime whole_at = this->parts.loop->Now();
   while (event <= kStreamEvents) {
@@ -539,7 +546,8 @@
     if (!sender.HasBegun()) {
       begin_stream(&sender);
     }
-    if (crashes) {
+    if (crashes && (event - first == this->EventsBeforeCrash() ||
+                    event == kStreamEvents)) {
       return this->Crash(&sender, unsent, connection, waiter, yield);
     }
     const std::string next = event_text(event + 1);
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -114,9 +114,11 @@
               Coroutine yield);
   // Whether this server ends when it begins to answer the request.
   bool CrashesUnder(const ParsedRequest& request) const;
-  // Ends in the middle of the first event, or after it.
+  // Number of events of an answer after which this server ends then.
+  int EventsBeforeCrash() const;
+  // Ends before, within or after `next_event`.
   bool Crash(AnswerSender* sender,
-             const std::string& first_event,
+             const std::string& next_event,
              TcpConnection* connection,
              Waiter* waiter,
              Coroutine yield);
