Soak: forms of ends under prompts, repeats in the window, time handed on

RetryLedger counts, at the servers, the repeats in each sliding window against what the platform allows and the requests whose servers are given more time than is left; the line of each seed names both.

--- a/tests/soak/server_stand_in_test.cc
+++ b/tests/soak/server_stand_in_test.cc
@@ -37,7 +37,7 @@
     this->servers.push_back(std::make_unique<ServerStandIn>(
         ServerParts{&this->loop, &this->server_entries, &this->ledger,
                     &this->limits, &this->backoffs, &this->readiness,
-                    &this->table},
+                    &this->retries, &this->table},
         id, "service", forms_groups, host));
     REQUIRE(this->servers.back()->Start().has_value());
     return this->servers.back().get();
@@ -81,6 +81,7 @@
   LimitLedger limits;
   BackoffLedger backoffs;
   ReadinessLedger readiness;
+  RetryLedger retries{RetryRules{}};
   ServerEntries server_entries{
       [this](const std::string& id, const std::optional<std::string>& value) {
         if (value) {
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -58,6 +58,12 @@
   app.add_flag("--crashing-prompts", settings.with_crashing_prompts,
                "Servers end when they begin to answer the prompts of some "
                "callers, and start again under a new id");
+  app.add_option("--crash-form", settings.crash_form,
+                 "When servers end under these prompts")
+      ->transform(CLI::CheckedTransformer(kumquatcart::soak::CrashForms()));
+  app.add_option("--crashing-callers", settings.crashing_callers,
+                 "Callers with such prompts at once")
+      ->check(CLI::Range(1, 40));
   app.add_flag("--silences", settings.with_silences,
                "The store loses reads in silences, before new versions; "
                "no faults of processes, links or servers");
@@ -86,10 +92,12 @@
     const SoakReport report = kumquatcart::soak::RunSoak(settings);
     std::cout << fmt::format(
         "seed {}: {} faults, {} served, {} refused, {} failed, {} told to "
-        "wait, {} ended under prompts, {} bound to versions, {} broken\n",
+        "wait, {} ended under prompts, {} bound to versions, {} of {} repeats "
+        "in the fullest window, {} given too long, {} broken\n",
         settings.seed, report.faults, report.served, report.refused,
         report.failed, report.told_to_wait, report.ended_under_prompts,
-        report.config_answers, report.broken.size());
+        report.config_answers, report.repeats.repeats, report.repeats.allowed,
+        report.given_too_long, report.broken.size());
     if (settings.with_rollbacks) {
       std::cout << fmt::format(
           "  {} rollbacks, most calls of the store in a second {}, median {}\n",
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -23,6 +23,10 @@
 // An entry lapses this long after its server's end or last heartbeat.
 constexpr Duration kLapse = std::chrono::milliseconds(1500);
 constexpr int kSlots = 8;
+// From the end of an answer to that of a server that ends after it.
+constexpr Duration kAfterWhole = std::chrono::milliseconds(100);
+// Events of an answer that its caller leaves before its server ends.
+constexpr int kEventsAfterLeaving = 8;
 // Longer than bytes take to arrive.
 constexpr Duration kArrival = std::chrono::milliseconds(10);
 
@@ -152,6 +156,14 @@
                           : std::vector<std::string>();
 }
 
+void ServerStandIn::NoteArrival(const ParsedRequest& request) const {
+  const std::string left(FindHeader(request.headers, "X-Deadline-Ms"));
+  this->parts.retries->NoteArrival(
+      this->service, std::string(FindHeader(request.headers, "X-Request-Id")),
+      std::chrono::milliseconds(left.empty() ? -1 : std::stoll(left)),
+      this->parts.loop->Now());
+}
+
 void ServerStandIn::NoteRequest(const std::string& request_id) const {
   this->parts.ledger->NoteRun(request_id, this->id);
   const std::string entry = this->parts.ledger->EntryOf(request_id);
@@ -272,6 +284,9 @@
                      connection);
     return true;
   }
+  if (request.target != "/api/order") {
+    this->NoteArrival(request);
+  }
   const std::string_view expected =
       FindHeader(request.headers, "X-Expect-Instance");
   if (!expected.empty() && expected != this->id) {
@@ -328,17 +343,22 @@
 }
 
 int ServerStandIn::EventsBeforeCrash() const {
+  if (this->parts.crash_form == CrashForm::kAfterWhole) {
+    return kStreamEvents + 1;
+  }
+  if (this->parts.crash_form == CrashForm::kAfterLeaving) {
+    return kEventsAfterLeaving;
+  }
   constexpr int kEvents[] = {0, 0, 0, 4, 8};
   return kEvents[std::hash<std::string>()("events" + this->id) %
                  std::size(kEvents)];
 }
 
-bool ServerStandIn::Crash(AnswerSender* sender,
-                          const std::string& next_event,
-                          TcpConnection* connection,
-                          Waiter* waiter,
-                          Coroutine yield) {
-  // Nothing, a part or all of the next event is sent.
+void ServerStandIn::SendBeforeCrash(AnswerSender* sender,
+                                    const std::string& next_event,
+                                    TcpConnection* connection,
+                                    Waiter* waiter,
+                                    Coroutine yield) const {
   const std::size_t third = std::hash<std::string>()(this->id) % 4;
   const std::size_t length =
       std::min(next_event.size(), third * next_event.size() / 3);
@@ -348,7 +368,10 @@
   while (connection->UnsentBytes() > 0 && !connection->HasEnded()) {
     waiter->WaitUntil(MonotonicTime::max(), yield);
   }
-  this->parts.loop->Sleep(kArrival, yield);
+}
+
+bool ServerStandIn::Crash(Duration delay, Coroutine yield) {
+  this->parts.loop->Sleep(delay, yield);
   if (this->alive) {  // It may have ended under another request meanwhile.
     this->parts.prompts->NoteServerEnd(this->parts.loop->Now());
     this->Die();
@@ -523,6 +546,11 @@
         fmt::format("{} ran in {} of which {} was never ready", caller_id,
                     served.group, member));
   }
+  if (crashes && this->parts.crash_form == CrashForm::kBeforeHead) {
+    return this->Crash(Duration{0}, yield);
+  }
+  const bool outlasts_caller =
+      crashes && this->parts.crash_form == CrashForm::kAfterLeaving;
   const AnswerForm form = this->FormOf(caller_id);
   const auto event_text = [&](int event) {
     return event > kStreamEvents
@@ -549,7 +577,8 @@
   while (event <= kStreamEvents) {
     waiter->WaitUntil(this->parts.loop->Now() + kEventInterval, yield);
     const MonotonicTime now = this->parts.loop->Now();
-    if (!this->alive || connection->HasEnded() || !this->membership ||
+    if (!this->alive || (connection->HasEnded() && !outlasts_caller) ||
+        !this->membership ||
         this->membership->formation.epoch != served.epoch ||
         this->membership->state != "open" || now - whole_at > kStall) {
       return this->BreakOff(form, &sender, connection);
@@ -561,9 +590,12 @@
     if (!sender.HasBegun()) {
       begin_stream(&sender);
     }
-    if (crashes && (event - first == this->EventsBeforeCrash() ||
-                    event == kStreamEvents)) {
-      return this->Crash(&sender, unsent, connection, waiter, yield);
+    const int events_before = this->EventsBeforeCrash();
+    if (crashes &&
+        (event - first == events_before ||
+         (event == kStreamEvents && events_before < kStreamEvents))) {
+      this->SendBeforeCrash(&sender, unsent, connection, waiter, yield);
+      return this->Crash(kArrival, yield);
     }
     const std::string next = event_text(event + 1);
     const std::size_t ahead = form.splits_events ? next.size() / 2 : 0;
@@ -581,6 +613,9 @@
     begin_stream(&sender);
   }
   sender.EndStream();
+  if (crashes) {
+    return this->Crash(kAfterWhole, yield);
+  }
   return !form.ends_with_connection || CloseInOrder(connection, waiter, yield);
 }
 
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -15,10 +15,12 @@
 #include "entry/simple_http_server.h"
 #include "soak/answer_form.h"
 #include "soak/backoff_ledger.h"
+#include "soak/crash_form.h"
 #include "soak/drain_ledger.h"
 #include "soak/limit_ledger.h"
 #include "soak/prompt_ledger.h"
 #include "soak/readiness_ledger.h"
+#include "soak/retry_ledger.h"
 #include "soak/run_ledger.h"
 #include "soak/server_entries.h"
 #include "soak/server_host.h"
@@ -39,12 +41,14 @@
   LimitLedger* limits = nullptr;
   BackoffLedger* backoffs = nullptr;
   ReadinessLedger* readiness = nullptr;
+  RetryLedger* retries = nullptr;
   ServerTable* table = nullptr;
   bool varies_framing = false;  // Draws a form for each answer.
   // With these, it ends under each prompt that has the crashing part.
   PromptLedger* prompts = nullptr;
   std::function<void(ServerStandIn*)> ended_under_prompt = nullptr;
   DrainLedger* drains = nullptr;  // Null: requests of leaving servers pass.
+  CrashForm crash_form = CrashForm::kWithin;
 };
 
 // How long a leaving server goes on, if nothing else is said.
@@ -122,14 +126,17 @@
               Coroutine yield);
   // Whether this server ends when it begins to answer the request.
   bool CrashesUnder(const ParsedRequest& request) const;
-  // Number of events of an answer after which this server ends then.
+  // Number of events of an answer after which this server ends then; more than
+  // an answer has if it ends after the whole one.
   int EventsBeforeCrash() const;
-  // Ends before, within or after `next_event`.
-  bool Crash(AnswerSender* sender,
-             const std::string& next_event,
-             TcpConnection* connection,
-             Waiter* waiter,
-             Coroutine yield);
+  // Sends nothing, a part or all of `next_event`.
+  void SendBeforeCrash(AnswerSender* sender,
+                       const std::string& next_event,
+                       TcpConnection* connection,
+                       Waiter* waiter,
+                       Coroutine yield) const;
+  // Ends under a prompt after `delay`. Returns false.
+  bool Crash(Duration delay, Coroutine yield);
   AnswerForm FormOf(const std::string& request_id) const;
   // Ends a stream that is not whole as `form` says. Returns false.
   bool BreakOff(const AnswerForm& form,
@@ -145,6 +152,8 @@
   // Returns whether it did.
   bool RejectIfBusy(const ParsedRequest& request,
                     TcpConnection* connection) const;
+  // Records that a request has arrived, whether or not it is rejected.
+  void NoteArrival(const ParsedRequest& request) const;
   // Records a request and adds the limit to the header fields of its answer.
   void NoteRequest(const std::string& request_id) const;
   void AddLimit(const std::string& request_id, HeaderList* headers) const;
--- a/tools/soak/soak_caller.cc
+++ b/tools/soak/soak_caller.cc
@@ -33,6 +33,10 @@
   return kPaths[static_cast<int>(kind)];
 }
 
+const char* ServiceOf(RequestKind kind) {
+  return kind == RequestKind::kStream ? kModelService : kPlainService;
+}
+
 bool PromisesNotRun(int status) {
   return status == kHttpTooManyRequests || status == kHttpServiceUnavailable ||
          status == kHttpRequestTimeout || status == kHttpMisdirectedRequest;
@@ -88,6 +92,15 @@
       std::uniform_int_distribution<int>(0, 2)(this->generator));
 }
 
+Duration SoakCaller::PickPatience() {
+  const bool leaves =
+      std::uniform_int_distribution<int>(1, kLeavesOneIn)(this->generator) == 1;
+  if (this->rules.leaves_after > Duration{0}) {
+    return this->rules.leaves_after;
+  }
+  return leaves ? kLeavesAfter : kPatience + kSlack;
+}
+
 std::string SoakCaller::DescribePrompt(const std::string& id) const {
   const std::string own = fmt::format("{:x}:60", std::hash<std::string>()(id));
   return this->rules.crashes_servers
@@ -136,6 +149,9 @@
     const std::string id = fmt::format("{}-{}", this->name, ++this->asked);
     this->ledger->NoteSent(id, kind, this->entry_vm);
     const MonotonicTime sent_at = this->loop->Now();
+    if (this->rules.retries != nullptr) {
+      this->rules.retries->NoteSent(ServiceOf(kind), id, kPatience, sent_at);
+    }
     const RequestEnd end = this->Ask(kind, id, yield);
     this->ledger->NoteEnd(id, end);
     this->NotePrompt(kind, sent_at, end);
@@ -191,8 +207,7 @@
 RequestEnd SoakCaller::Ask(RequestKind kind,
                            const std::string& id,
                            Coroutine yield) {
-  const bool leaves =
-      std::uniform_int_distribution<int>(1, kLeavesOneIn)(this->generator) == 1;
+  const Duration patience = this->PickPatience();
   OutgoingRequest request{
       "POST",
       PathOf(kind),
@@ -211,8 +226,7 @@
   const std::string text = SerializeRequest(request);
   this->connection->Send(is_old_version ? ToHttp10(text) : text);
   const MonotonicTime sent_at = this->loop->Now();
-  const MonotonicTime deadline =
-      sent_at + (leaves ? kLeavesAfter : kPatience + kSlack);
+  const MonotonicTime deadline = sent_at + patience;
   ResponseParser response(false);
   ResponseState state = ResponseState::kIncomplete;
   while (state == ResponseState::kIncomplete) {
--- a/tools/soak/soak_caller.h
+++ b/tools/soak/soak_caller.h
@@ -9,6 +9,7 @@
 #include "net/response_parser.h"
 #include "net/tcp_connection.h"
 #include "soak/prompt_ledger.h"
+#include "soak/retry_ledger.h"
 #include "soak/run_ledger.h"
 
 namespace kumquatcart::soak {
@@ -16,6 +17,9 @@
 // Host of every route, and the key of every caller.
 constexpr char kRouteHost[] = "soak.example";
 constexpr char kCallerKey[] = "key-1";
+// The services that callers use.
+constexpr char kPlainService[] = "plain";
+constexpr char kModelService[] = "models";
 
 // Idle timeouts of the newest version and of the one before.
 struct IdleTimeouts {
@@ -32,11 +36,14 @@
   // timeout, half of the times near the end of the one before.
   bool rests = false;
   std::function<IdleTimeouts()> idle_timeouts;
-  bool varies_version = false;  // Sends some requests with HTTP/1.0.
+  bool varies_version = false;     // Sends some requests with HTTP/1.0.
+  RetryLedger* retries = nullptr;  // Given all requests; may be null.
   // Given what became of its streams; null: their prompts are not described.
   PromptLedger* prompts = nullptr;
   // Sends only streams whose prompts have the crashing part.
   bool crashes_servers = false;
+  // Leaves each answer after this time; zero: after whole answers, mostly.
+  Duration leaves_after{0};
 };
 
 // Sends one request after the other over connections that it keeps until they
@@ -57,6 +64,8 @@
 
  private:
   RequestKind PickKind();
+  // How long to wait for an answer.
+  Duration PickPatience();
   // The parts of the prompt of a stream.
   std::string DescribePrompt(const std::string& id) const;
   // Gives the ledger of prompts what became of a stream.
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -271,13 +271,15 @@
   for (const std::vector<std::string>& broken :
        {world.limits.Judge(world.loop.Now()), world.backoffs.Judge(),
         world.prompts.Judge(calm_from), world.config_ledger.Judge(),
-        world.drains.Judge()}) {
+        world.drains.Judge(), world.retries.Judge()}) {
     report.broken.insert(report.broken.end(), broken.begin(), broken.end());
   }
   CheckCalls(settings, world.store.Calls(), &report);
   report.rollbacks = rollbacks.Rollbacks();
   report.ended_under_prompts = world.prompts.ServerEnds();
   report.config_answers = world.config_ledger.Bound();
+  report.repeats = world.retries.Fullest();
+  report.given_too_long = world.retries.GivenTooLong();
   report.told_to_wait = world.backoffs.Rejections();
   report.faults = schedule.Faults();
   report.served = world.ledger.Count(RequestEnd::kServed);
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -19,7 +19,10 @@
   int ended_under_prompts = 0;  // Servers.
   // Answers that were bound to versions of the configuration.
   int config_answers = 0;
-  int rollbacks = 0;         // Of the store.
+  FullestWindow repeats;  // At the service that came closest to its bound.
+  int given_too_long =
+      0;              // Requests whose servers got more time than was left.
+  int rollbacks = 0;  // Of the store.
   int most_store_calls = 0;  // In any second.
   int median_store_calls = 0;
 };
--- a/tools/soak/soak_world.cc
+++ b/tools/soak/soak_world.cc
@@ -16,15 +16,14 @@
 constexpr char kServersTopic[] = "keyed.servers";
 constexpr char kOperatorTopic[] = "keyed.op";
 constexpr char kConfigKey[] = "config";
-constexpr char kPlainService[] = "plain";
 constexpr char kOtherPlainService[] = "plain-2";
-constexpr char kModelService[] = "models";
 constexpr int kSpreadDomains = 3;  // Failure domains, with changes of routes.
 constexpr Duration kQuestionTimeout = std::chrono::milliseconds(1500);
-// Callers whose prompts crash servers, and when they begin: the first streams
-// of the others are answered before.
-constexpr int kCrashingCallers = 3;
+// When callers whose prompts crash servers begin: the first streams of the
+// others are answered before.
 constexpr Duration kCrashingCallersDelay = std::chrono::milliseconds(1500);
+// Where they leave before the server ends, which it does after 0.23 s.
+constexpr Duration kLeavesBeforeCrash = std::chrono::milliseconds(185);
 // How long a server is away that has ended under a prompt.
 constexpr int kMinAwayMs = 600;
 constexpr int kMaxAwayMs = 1800;
@@ -95,10 +94,15 @@
                     this->settings.with_idle_timeouts,
                     this->settings.with_idle_timeouts && index % 2 == 1,
                     [this] { return this->idle; },
-                    this->settings.with_framings};
+                    this->settings.with_framings,
+                    &this->retries};
   if (this->settings.with_crashing_prompts) {
     rules.prompts = &this->prompts;
     rules.crashes_servers = crashes_servers;
+    if (crashes_servers &&
+        this->settings.crash_form == CrashForm::kAfterLeaving) {
+      rules.leaves_after = kLeavesBeforeCrash;
+    }
   }
   return std::make_unique<SoakCaller>(
       &this->loop, &this->ledger, fmt::format("c{}", index),
@@ -112,7 +116,8 @@
       caller->Run(yield);
     });
   }
-  for (int i = 0; this->settings.with_crashing_prompts && i < kCrashingCallers;
+  for (int i = 0; this->settings.with_crashing_prompts &&
+                  i < this->settings.crashing_callers;
        ++i) {
     this->crashing_callers.push_back(
         this->MakeCaller(this->settings.callers + i, /*crashes_servers=*/true));
@@ -308,11 +313,12 @@
   this->servers.push_back(std::make_unique<ServerStandIn>(
       ServerParts{
           &this->loop, &this->server_entries, &this->ledger, &this->limits,
-          &this->backoffs, &this->readiness, &this->table,
+          &this->backoffs, &this->readiness, &this->retries, &this->table,
           this->settings.with_framings,
           this->settings.with_crashing_prompts ? &this->prompts : nullptr,
           [this](ServerStandIn* server) { this->Replace(server); },
-          this->settings.with_rollbacks ? &this->drains : nullptr},
+          this->settings.with_rollbacks ? &this->drains : nullptr,
+          this->settings.crash_form},
       id, forms_groups ? kModelService : this->PlainServiceToFill(),
       forms_groups, host));
   if (this->servers.back()->Start().has_error()) {
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -43,6 +43,8 @@
   bool with_rebirths = false;
   // Some callers send prompts under which servers end.
   bool with_crashing_prompts = false;
+  CrashForm crash_form = CrashForm::kWithin;
+  int crashing_callers = 3;  // At once.
   // The store loses reads in silences, after which versions are written. Takes
   // the place of the faults of processes, links and servers.
   bool with_silences = false;
@@ -134,6 +136,7 @@
   LimitLedger limits;
   BackoffLedger backoffs;
   ReadinessLedger readiness;
+  RetryLedger retries{RetryRules{}};
   DrainLedger drains;
   PromptLedger prompts;
   ConfigLedger config_ledger;
