Examine the server of every run that did not end well

What callers saw: BUDGET. A part of prompts that ends servers before a byte of their answers has left them, after the caller has left, or a moment after the whole answer, was never refused. One server after the other ended, and sound streams with them.

Cause: the end of a server was looked for only where the input of an answer ended after its head. An attempt without a head and one that its caller left counted as unknown, and a whole answer proved its parts at once. Class of fault: evidence is read from one form of a failure only.

Why it works: each run that was sent and is not known to be sound is examined, whatever ended it, and the log has a line with the result (prompt_examined). Runs that were cut short are probed at once, as before; runs that were abandoned or whole 0.6 s after their end, unless the server has been heard meanwhile. A whole answer proves a part only once the server has outlived it; parts that had one before need no probe. A silent server counts as ended only where the connection had just ended.

--- a/src/entry/prompt_exchange.cc
+++ b/src/entry/prompt_exchange.cc
@@ -13,12 +13,18 @@
 
 }  // namespace
 
-bool PromptExchange::IsRunning(const BackendServer& server, Coroutine yield) {
+ServerSign PromptExchange::Probe(const BackendServer& server, Coroutine yield) {
+  const MonotonicTime deadline = this->loop->Now() + kProbeTimeout;
   const Result<EngineReport> report =
       this->engines->Report(server, kProbeTimeout, yield);
   // A report that cannot be read comes from a server that runs.
-  return report.has_value() ||
-         report.error().code == ErrorCode::kInvalidArgument;
+  if (report.has_value() ||
+      report.error().code == ErrorCode::kInvalidArgument) {
+    return ServerSign::kRunning;
+  }
+  // A connection that is refused or closed fails before the timeout.
+  return this->loop->Now() < deadline ? ServerSign::kEnded
+                                      : ServerSign::kSilent;
 }
 
 std::vector<std::string> PromptExchange::Peers() const {
--- a/src/entry/prompt_exchange.h
+++ b/src/entry/prompt_exchange.h
@@ -17,12 +17,13 @@
 class PromptExchange : public PromptNetwork {
  public:
   // The referents must outlive this object.
-  PromptExchange(EngineClient* engines,
+  PromptExchange(EventLoop* loop,
+                 EngineClient* engines,
                  PeerDirectory* peers,
                  DigestExchange* digests)
-      : engines(engines), peers(peers), digests(digests) {}
+      : loop(loop), engines(engines), peers(peers), digests(digests) {}
 
-  bool IsRunning(const BackendServer& server, Coroutine yield) override;
+  ServerSign Probe(const BackendServer& server, Coroutine yield) override;
   std::vector<std::string> Peers() const override;
   void Send(const std::vector<std::string>& nodes,
             const PromptEvidence& evidence) override;
@@ -32,6 +33,7 @@
   static bool HandleDatagram(const std::string& bytes, PromptGuard* guard);
 
  private:
+  EventLoop* const loop;
   EngineClient* const engines;
   PeerDirectory* const peers;
   DigestExchange* const digests;
--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -1,6 +1,7 @@
 #include "entry/prompt_guard.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
@@ -18,6 +19,12 @@
 constexpr Duration kTrialRetryAfter = std::chrono::milliseconds(300);
 // A server that ends may answer a first probe that was under way.
 constexpr Duration kSecondProbeDelay = std::chrono::milliseconds(60);
+// Time after a run within which the end of its server is blamed on the run: a
+// process that fails takes some time to end.
+constexpr Duration kAftermath = std::chrono::milliseconds(600);
+// Answers of a server count as a sign that it outlives a run from this time
+// after the run on.
+constexpr Duration kMinOutlived = std::chrono::milliseconds(300);
 // Time between two messages to all peers, and the part of it for each peer.
 constexpr Duration kMinSendInterval = std::chrono::milliseconds(5);
 constexpr Duration kSendTimePerPeer = std::chrono::microseconds(200);
@@ -31,6 +38,28 @@
 // A peer whose digests have been missing for this time gets all evidence.
 constexpr Duration kPeerSilence = std::chrono::seconds(2);
 
+// How runs that ended in some way are examined.
+struct ExaminationRule {
+  const char* name;
+  std::vector<Duration> probe_delays;  // Each from the last probe on.
+  // Probes for which requests with a part that was never sound wait.
+  std::size_t held_probes;
+  // Whether one examination serves all such runs at a server that end at once.
+  bool is_shared;
+  bool counts_silence;  // A server that is silent counts as ended.
+  // Whether the answer was whole if the server runs on.
+  bool proves_parts;
+};
+
+const ExaminationRule& RuleFor(RunEnd end) {
+  static const ExaminationRule kRules[] = {
+      {"cut_short", {Duration{0}, kSecondProbeDelay}, 2, true, true, false},
+      {"closed", {kSecondProbeDelay, kAftermath}, 1, false, true, true},
+      {"whole", {kAftermath}, 0, false, false, true},
+      {"abandoned", {kAftermath}, 0, false, false, false}};
+  return kRules[static_cast<int>(end)];
+}
+
 std::string Join(const PromptParts& parts) {
   return fmt::format("{}", fmt::join(parts, ","));
 }
@@ -150,62 +179,143 @@
   this->SendSoon();
 }
 
-void PromptGuard::NoteCutShort(const CallerRequest& request,
-                               const BackendServer& server,
-                               PromptTrialPtr trial,
-                               const CutShortAnswer& answer) {
-  if (request.shared_parts.empty()) {
+void PromptGuard::NoteAnswering(const ServerStart& server) {
+  this->servers_heard_at[server] = this->loop->Now();
+}
+
+bool PromptGuard::IsSettled(const PromptParts& parts,
+                            const EndedRun& run) const {
+  switch (run.end) {
+    case RunEnd::kCutShort:
+      return false;
+    case RunEnd::kClosed:
+      return this->quarantine.AreSound(parts);
+    default:
+      return this->quarantine.WithoutWholeAnswer(parts).empty();
+  }
+}
+
+void PromptGuard::NoteEnd(const CallerRequest& request,
+                          const BackendServer& server,
+                          PromptTrialPtr trial,
+                          const EndedRun& run) {
+  const PromptParts& parts = request.shared_parts;
+  if (parts.empty()) {
+    return;
+  }
+  const bool is_settled = this->IsSettled(parts, run);
+  if (run.end == RunEnd::kWhole) {
+    // The other parts are proven once the server has outlived the run.
+    const PromptParts unproven = this->quarantine.WithoutWholeAnswer(parts);
+    PromptParts proven;
+    std::set_difference(parts.begin(), parts.end(), unproven.begin(),
+                        unproven.end(), std::back_inserter(proven));
+    this->NoteSoundParts(proven, WholeAnswer());
+  }
+  if (is_settled) {
     return;
   }
   const bool was_trial = trial != nullptr;
-  if (!was_trial) {
-    // Requests with a part that was never sound wait for the examination.
-    trial = this->BeginTrial(request.shared_parts);
+  if (!was_trial && RuleFor(run.end).held_probes > 0) {
+    trial = this->BeginTrial(parts);
+  }
+  this->BeginExamination(server,
+                         {request.id, parts, std::move(trial), was_trial, run});
+}
+
+void PromptGuard::BeginExamination(const BackendServer& server,
+                                   Suspicion suspicion) {
+  const bool is_shared = RuleFor(suspicion.run.end).is_shared;
+  const ServerStart start{server.id, server.started_ms};
+  const auto known = this->joinable.find(start);
+  if (is_shared && known != this->joinable.end()) {
+    known->second->suspicions.push_back(std::move(suspicion));
+    return;
   }
-  if (answer.is_complete && this->quarantine.AreSound(request.shared_parts)) {
-    return;  // Nothing could be learnt.
+  const auto examination = std::make_shared<Examination>();
+  examination->server = server;
+  examination->begun_at = this->loop->Now();
+  examination->suspicions.push_back(std::move(suspicion));
+  if (is_shared) {
+    this->joinable[start] = examination;
   }
-  const Suspicion suspicion{request.id, request.shared_parts, server,
-                            std::move(trial), answer};
-  this->loop->Spawn([this, suspicion, was_trial](Coroutine yield) {
-    this->Examine(suspicion, was_trial, yield);
+  this->loop->Spawn([this, examination](Coroutine yield) {
+    this->Examine(examination, yield);
   });
 }
 
-void PromptGuard::Examine(const Suspicion& suspicion,
-                          bool was_trial,
-                          Coroutine yield) {
-  // Most answers that look whole are, so one probe is enough.
-  bool is_running = suspicion.answer.is_complete ||
-                    this->network->IsRunning(suspicion.server, yield);
-  if (is_running) {
-    this->loop->Sleep(kSecondProbeDelay, yield);
-    is_running = this->network->IsRunning(suspicion.server, yield);
+bool PromptGuard::WasHeardSince(const Examination& examination) const {
+  const auto heard = this->servers_heard_at.find(
+      {examination.server.id, examination.server.started_ms});
+  return heard != this->servers_heard_at.end() &&
+         heard->second >= examination.begun_at + kMinOutlived;
+}
+
+void PromptGuard::Examine(const ExaminationPtr& examination, Coroutine yield) {
+  std::vector<Suspicion>& suspicions = examination->suspicions;
+  const ExaminationRule& rule = RuleFor(suspicions.front().run.end);
+  ServerSign sign = ServerSign::kRunning;
+  for (std::size_t probe = 0;
+       probe < rule.probe_delays.size() && sign == ServerSign::kRunning;
+       ++probe) {
+    for (Suspicion& suspicion : suspicions) {
+      if (probe == rule.held_probes && !suspicion.was_trial) {
+        suspicion.trial = nullptr;
+      }
+    }
+    this->loop->Sleep(rule.probe_delays[probe], yield);
+    sign = this->WasHeardSince(*examination)
+               ? ServerSign::kRunning
+               : this->network->Probe(examination->server, yield);
+    if (probe == 0 && rule.is_shared) {
+      this->joinable.erase(
+          {examination->server.id, examination->server.started_ms});
+    }
   }
-  if (!is_running) {
-    this->AddCrash(suspicion, was_trial);
-  } else if (suspicion.answer.is_complete) {
-    this->NoteSoundParts(suspicion.parts, WholeAnswer());
+  LogInfo("prompt_examined", {{"id", suspicions.front().request_id},
+                              {"server", examination->server.id},
+                              {"started_ms", examination->server.started_ms},
+                              {"end", rule.name},
+                              {"runs", suspicions.size()},
+                              {"sign", ToString(sign)}});
+  if (sign == ServerSign::kEnded ||
+      (sign == ServerSign::kSilent && rule.counts_silence)) {
+    this->AddCrashes(*examination);
+  } else if (sign == ServerSign::kRunning && rule.proves_parts) {
+    for (const Suspicion& suspicion : suspicions) {
+      this->NoteSoundParts(suspicion.parts, WholeAnswer());
+    }
   }
 }
 
-void PromptGuard::AddCrash(const Suspicion& suspicion, bool was_trial) {
-  PromptCrash crash;
-  crash.id = this->generator();
-  crash.server = suspicion.server.id;
-  crash.started_ms = suspicion.server.started_ms;
-  crash.was_trial = was_trial;
-  crash.parts = suspicion.parts;
-  crash.events = suspicion.answer.events;
-  LogInfo("prompt_crash", {{"id", suspicion.request_id},
-                           {"server", crash.server},
-                           {"started_ms", crash.started_ms},
-                           {"trial", was_trial ? 1 : 0},
-                           {"events", crash.events},
-                           {"parts", Join(crash.parts)}});
-  this->metrics->GetCounter("kumquatcart_prompt_crashes_total").Add();
-  this->quarantine.AddCrash(crash, this->loop->Now());
-  this->HandleOwnChange();
+void PromptGuard::AddCrashes(const Examination& examination) {
+  // Runs with the same parts are one crash: the one that got furthest.
+  std::map<PromptParts, PromptCrash> crashes;
+  for (const Suspicion& suspicion : examination.suspicions) {
+    if (this->quarantine.HadEnded(examination.server, suspicion.run.sent_at)) {
+      continue;
+    }
+    PromptCrash& crash = crashes[suspicion.parts];
+    crash.was_trial = crash.was_trial || suspicion.was_trial;
+    crash.events = std::max(crash.events, suspicion.run.events);
+  }
+  for (auto& [parts, crash] : crashes) {
+    crash.id = this->generator();
+    crash.server = examination.server.id;
+    crash.started_ms = examination.server.started_ms;
+    crash.parts = parts;
+    LogInfo("prompt_crash", {{"id", examination.suspicions.front().request_id},
+                             {"server", crash.server},
+                             {"started_ms", crash.started_ms},
+                             {"trial", crash.was_trial ? 1 : 0},
+                             {"events", crash.events},
+                             {"parts", Join(parts)}});
+    this->metrics->GetCounter("kumquatcart_prompt_crashes_total").Add();
+    this->quarantine.AddCrash(crash, this->loop->Now());
+  }
+  if (!crashes.empty()) {
+    this->HandleOwnChange();
+  }
 }
 
 void PromptGuard::LogStates(const char* source) {
@@ -273,6 +383,12 @@
 }
 
 void PromptGuard::DropStale() {
+  const MonotonicTime since = this->loop->Now() - kAftermath;
+  for (auto heard = this->servers_heard_at.begin();
+       heard != this->servers_heard_at.end();) {
+    heard = heard->second < since ? this->servers_heard_at.erase(heard)
+                                  : std::next(heard);
+  }
   if (this->quarantine.DropStale(this->loop->Now())) {
     this->LogStates("age");
   }
--- a/src/entry/prompt_guard.h
+++ b/src/entry/prompt_guard.h
@@ -9,12 +9,14 @@
 #include <random>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "base/metrics.h"
 #include "entry/prompt_network.h"
 #include "model/caller_request.h"
 #include "net/waiter.h"
 #include "routing/prompt_quarantine.h"
+#include "routing/server_start.h"
 
 namespace kumquatcart {
 
@@ -42,12 +44,21 @@
   const char* reason = "";
 };
 
-// An answer whose input ended, though it need not be the server that did.
-struct CutShortAnswer {
-  int events = 0;            // That the server had written.
-  bool is_complete = false;  // It is whole if the server has not ended.
+// What ended the run of a request at a server, as far as this VM has seen it.
+enum class RunEnd {
+  kCutShort,   // The input of the answer, before it was whole.
+  kClosed,     // The same, but the answer is whole unless the server has ended.
+  kWhole,      // The framing of a whole answer.
+  kAbandoned,  // This VM, since the caller had left or the time was up.
+};
+
+// The run of a request at a server that has ended.
+struct EndedRun {
+  RunEnd end = RunEnd::kCutShort;
+  int events = 0;  // That the server had written.
+  MonotonicTime sent_at;
 
-  auto Tie() const { return std::tie(this->events, this->is_complete); }
+  auto Tie() const { return std::tie(this->end, this->events, this->sent_at); }
 };
 
 // Applies the quarantine of this VM to its requests, collects evidence from
@@ -84,12 +95,16 @@
   // A server has written its answer up to `extent`.
   void NoteSound(const CallerRequest& request, AnswerExtent extent);
 
-  // The input of the answer of `server` ended. Finds out whether the server has
-  // ended; `trial` lasts until then.
-  void NoteCutShort(const CallerRequest& request,
-                    const BackendServer& server,
-                    PromptTrialPtr trial,
-                    const CutShortAnswer& answer);
+  // `server` answers requests.
+  void NoteAnswering(const ServerStart& server);
+
+  // The request was sent to `server`, and its run there ended. Finds out
+  // whether the server has ended with it, unless nothing could be learnt from
+  // that; `trial` lasts until then. Precondition: the server answers reports.
+  void NoteEnd(const CallerRequest& request,
+               const BackendServer& server,
+               PromptTrialPtr trial,
+               const EndedRun& run);
 
   void HandleEvidence(const PromptEvidence& evidence);
 
@@ -102,15 +117,24 @@
  private:
   friend class PromptTrial;
 
-  // An answer that was cut short, until it is known why.
+  // A run until it is known whether its server has ended.
   struct Suspicion {
     std::string request_id;
     PromptParts parts;
+    PromptTrialPtr trial;  // Holds requests with the parts back; may be null.
+    bool was_trial = false;
+    EndedRun run;
+  };
+  // Runs at one start of a server that ended alike and are examined together.
+  struct Examination {
     BackendServer server;
-    PromptTrialPtr trial;
-    CutShortAnswer answer;
+    MonotonicTime begun_at;
+    std::vector<Suspicion> suspicions;  // At least one.
   };
+  using ExaminationPtr = std::shared_ptr<Examination>;
 
+  // Whether the end of the server would say nothing new of the parts.
+  bool IsSettled(const PromptParts& parts, const EndedRun& run) const;
   PromptAdmission AdmissionOf(const CallerRequest& request) const;
   // Null if all of the parts are known to be sound.
   PromptTrialPtr BeginTrial(const PromptParts& parts);
@@ -118,8 +142,13 @@
   void NoteSoundParts(const PromptParts& parts, AnswerExtent extent);
   // The evidence of this VM has changed by its own observation.
   void HandleOwnChange();
-  void Examine(const Suspicion& suspicion, bool was_trial, Coroutine yield);
-  void AddCrash(const Suspicion& suspicion, bool was_trial);
+  // Adds the run to the examination of such runs at its server that has just
+  // begun, or begins one.
+  void BeginExamination(const BackendServer& server, Suspicion suspicion);
+  void Examine(const ExaminationPtr& examination, Coroutine yield);
+  // Whether the server has answered requests well after the examination began.
+  bool WasHeardSince(const Examination& examination) const;
+  void AddCrashes(const Examination& examination);
   // Whether this VM is among the few that answer a crash.
   bool DrawsReply();
   // Logs parts whose state has changed. `source`: what has changed it.
@@ -140,6 +169,9 @@
   PromptQuarantine quarantine;
   std::map<PromptPart, PartState> logged_states;  // Other than kClear.
   std::map<std::string, MonotonicTime> peers_heard_at;
+  std::map<ServerStart, MonotonicTime> servers_heard_at;
+  // Of runs that were cut short, before the first probe has a result.
+  std::map<ServerStart, ExaminationPtr> joinable;
   MonotonicTime changed_at;  // By an observation of this VM.
   MonotonicTime sent_at;     // To all peers.
   bool is_send_scheduled = false;
--- a/src/entry/prompt_network.h
+++ b/src/entry/prompt_network.h
@@ -11,13 +11,26 @@
 
 namespace kumquatcart {
 
+// What a probe shows of one start of a server.
+enum class ServerSign {
+  kRunning,
+  kEnded,   // Its VM answers, but that start does not.
+  kSilent,  // No answer in time: it may have ended, or its link is harmed.
+};
+
+// Lower-case name for logs. Thread safe.
+inline const char* ToString(ServerSign sign) {
+  constexpr const char* kNames[] = {"running", "ended", "silent"};
+  return kNames[static_cast<int>(sign)];
+}
+
 // Used on the event loop's thread.
 class PromptNetwork {
  public:
   virtual ~PromptNetwork() = default;
 
-  // Whether the start of `server` still answers.
-  virtual bool IsRunning(const BackendServer& server, Coroutine yield) = 0;
+  // Probes the start of `server` once.
+  virtual ServerSign Probe(const BackendServer& server, Coroutine yield) = 0;
 
   // The other nodes.
   virtual std::vector<std::string> Peers() const = 0;
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -373,27 +373,33 @@
 void RequestForwarder::NoteProgress(const ServerSlot& slot,
                                     AttemptOutcome outcome,
                                     const ServerAttempt& attempt) {
-  switch (attempt.Progress()) {
-    case AnswerProgress::kWhole:
+  const AnswerProgress progress = attempt.Progress();
+  if (progress == AnswerProgress::kUnknown) {
+    return;
+  }
+  if (!this->uses_groups) {
+    // Servers of plain services answer no reports.
+    if (progress == AnswerProgress::kWhole) {
       this->context->prompts->NoteSound(this->request, WholeAnswer());
-      break;
-    case AnswerProgress::kCutShort: {
-      if (!this->uses_groups) {
-        break;  // Servers of plain services answer no reports.
-      }
-      BackendServer server;
-      server.id = slot.ServerId();
-      server.started_ms = slot.StartedMs();
-      server.endpoint = slot.Address();
-      this->context->prompts->NoteCutShort(
-          this->request, server, std::move(this->prompt_trial),
-          {attempt.EventsReceived(),
-           outcome == AttemptOutcome::kDelivered && !attempt.IsResumption()});
-      break;
     }
-    case AnswerProgress::kUnknown:
-      break;
+    return;
+  }
+  EndedRun run;
+  run.events = attempt.EventsReceived();
+  run.sent_at = attempt.SentAt();
+  if (progress == AnswerProgress::kWhole) {
+    run.end = RunEnd::kWhole;
+  } else if (progress == AnswerProgress::kAbandoned) {
+    run.end = RunEnd::kAbandoned;
+  } else if (outcome == AttemptOutcome::kDelivered && !attempt.IsResumption()) {
+    run.end = RunEnd::kClosed;
   }
+  BackendServer server;
+  server.id = slot.ServerId();
+  server.started_ms = slot.StartedMs();
+  server.endpoint = slot.Address();
+  this->context->prompts->NoteEnd(this->request, server,
+                                  std::move(this->prompt_trial), run);
 }
 
 void RequestForwarder::NoteAttempt(const ServerSlot& slot,
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -144,11 +144,17 @@
 }
 
 AnswerProgress ServerAttempt::JudgeProgress(AttemptOutcome outcome) const {
-  if (!this->head_read || this->head.status != kHttpOk ||
-      !this->head.is_signed || this->AnswersOtherRequest()) {
+  // A server may end before its head has left it.
+  const bool may_be_answer =
+      this->head_read ? this->head.status == kHttpOk && this->head.is_signed &&
+                            !this->AnswersOtherRequest()
+                      : outcome != AttemptOutcome::kNotRun;
+  if (!may_be_answer) {
     return AnswerProgress::kUnknown;
   }
   switch (this->response->End()) {
+    case ResponseEnd::kOpen:
+      return AnswerProgress::kAbandoned;
     case ResponseEnd::kClosed:
     case ResponseEnd::kReset:
       return AnswerProgress::kCutShort;
@@ -244,6 +250,10 @@
       this->AnswersOtherRequest() || this->MayAnswerOtherRequest()) {
     return;
   }
+  if (this->head.is_signed) {
+    this->job->context->prompts->NoteAnswering(
+        {this->slot->ServerId(), this->slot->StartedMs()});
+  }
   this->NoteRateLimit();
   this->NoteBackoff();
   this->NoteLeaving();
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -36,8 +36,9 @@
 // What an answer shows of the server that wrote it.
 enum class AnswerProgress {
   kUnknown,
-  kCutShort,  // Its input ended after it began; the server may have ended.
-  kWhole,     // From its first event on.
+  kCutShort,  // Its input ended before it was whole; the server may have ended.
+  kAbandoned,  // Its input had not ended when the attempt did.
+  kWhole,      // From its first event on.
 };
 
 // An answer of a server that is buffered because a retry may succeed.
@@ -97,6 +98,8 @@
   // Whether the server was to go on with the answer of an earlier attempt, or
   // with one that the caller had before.
   bool IsResumption() const { return this->is_resumption; }
+  // Zero: nothing was sent.
+  MonotonicTime SentAt() const { return this->sent_at; }
   // Number of whole events of the stream that the server has written.
   int EventsReceived() const { return this->events_received; }
   // After kNotRun: whether nothing was sent, because the server's backoff or
--- a/src/routing/prompt_quarantine.cc
+++ b/src/routing/prompt_quarantine.cc
@@ -215,6 +215,16 @@
   return has_changed;
 }
 
+PromptParts PromptQuarantine::WithoutWholeAnswer(
+    const PromptParts& parts) const {
+  PromptParts without;
+  std::copy_if(parts.begin(), parts.end(), std::back_inserter(without),
+               [this](const PromptPart& part) {
+                 return !this->sound_parts.Find(part, WholeAnswer());
+               });
+  return without;
+}
+
 bool PromptQuarantine::AreSound(const PromptParts& parts) const {
   return std::all_of(parts.begin(), parts.end(),
                      [this](const PromptPart& part) {
@@ -244,6 +254,17 @@
   return true;
 }
 
+bool PromptQuarantine::HadEnded(const BackendServer& server,
+                                MonotonicTime at) const {
+  return server.started_ms != 0 &&
+         std::any_of(this->crashes.begin(), this->crashes.end(),
+                     [&server, at](const KnownCrash& known) {
+                       return known.crash.server == server.id &&
+                              known.crash.started_ms == server.started_ms &&
+                              known.at <= at;
+                     });
+}
+
 bool PromptQuarantine::IsOutdated(const KnownCrash& known) const {
   return std::none_of(known.crash.parts.begin(), known.crash.parts.end(),
                       [this, &known](const PromptPart& part) {
--- a/src/routing/prompt_quarantine.h
+++ b/src/routing/prompt_quarantine.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "model/backend_server.h"
 #include "model/prompt_evidence.h"
 #include "routing/sound_parts.h"
 
@@ -70,6 +71,11 @@
   // Adds a crash that was observed at `at`. Returns false if it is known.
   bool AddCrash(const PromptCrash& crash, MonotonicTime at);
 
+  // Whether a crash of this start of `server` was observed by `at`, so that a
+  // request which was sent later has not ended it. False if the start is not
+  // known.
+  bool HadEnded(const BackendServer& server, MonotonicTime at) const;
+
   // Notes that a request was refused because of `part`, which keeps the
   // evidence against it.
   void NoteRefusal(const PromptPart& part, MonotonicTime at);
@@ -100,6 +106,9 @@
   // All parts that have crashes.
   std::set<PromptPart> PartsWithCrashes() const;
 
+  // Those of the parts that have had no whole answer yet.
+  PromptParts WithoutWholeAnswer(const PromptParts& parts) const;
+
   // Whether each of the parts has had a whole answer, and no crash counts
   // against it.
   bool AreSound(const PromptParts& parts) const;
--- a/tests/routing/prompt_quarantine_test.cc
+++ b/tests/routing/prompt_quarantine_test.cc
@@ -97,6 +97,20 @@
   CHECK(Admission(quarantine, {"a"}) == PromptAdmission::kFree);
 }
 
+TEST_CASE("A server has ended from its first crash on") {
+  PromptQuarantine quarantine;
+  quarantine.AddCrash(MakeCrash(1, {"a"}, false), kStart);
+  BackendServer server;
+  server.id = "s1";
+  server.started_ms = 1000;
+  CHECK_FALSE(quarantine.HadEnded(server, kStart - milliseconds(1)));
+  CHECK(quarantine.HadEnded(server, kStart));
+  server.started_ms = 2000;
+  CHECK_FALSE(quarantine.HadEnded(server, kStart));
+  server.started_ms = 0;
+  CHECK_FALSE(quarantine.HadEnded(server, kStart));
+}
+
 TEST_CASE("Extents of answers grow by twice as many events") {
   CHECK_FALSE(ExtentOf(2));
   CHECK(ExtentOf(3) == AnswerExtent{0});
