End a batch of group records at a record of another planner

The group that lost the server stood still.

Cause: GroupReconciler::WriteRecords went on with its batch after it had read the topic. An append without conflict proves only that nothing came since the last read, not since the plan. Two planners of one fabric domain could list one server in two records.

Why it works: the batch remembers the epochs that were recorded in the fabric domain when it was planned, and its own since. Before each append the view must hold exactly these; otherwise the rest is dropped and planned anew. Records of other domains don't matter, since a server is in one domain only.

Accepted records are logged with members and position (group_record_written), and a batch that ends early (group_plan_outdated).

--- a/src/control/group_reconciler.cc
+++ b/src/control/group_reconciler.cc
@@ -2,6 +2,8 @@
 
 #include <map>
 
+#include <fmt/format.h>
+
 #include "base/logging.h"
 #include "base/scope_guard.h"
 #include "control/group_record_codec.h"
@@ -77,9 +79,7 @@
                                                  this->parts.failure_domain,
                                                  this->parts.loop->Now()));
   if (!plan.records.empty()) {
-    this->StartOnce("write", [this, records = plan.records](Coroutine yield) {
-      this->WriteRecords(records, yield);
-    });
+    this->StartWriting(std::move(plan.records));
     return;  // Orders are sent once the records are written.
   }
   std::set<std::string> members;
@@ -137,9 +137,7 @@
   LostGroups reported = FindLostGroups(domain, *this->parts.view);
   lost.insert(lost.end(), reported.whole.begin(), reported.whole.end());
   if (!lost.empty()) {
-    this->StartOnce("write", [this, lost](Coroutine yield) {
-      this->WriteRecords(lost, yield);
-    });
+    this->StartWriting(std::move(lost));
     return true;
   }
   bool waits = false;
@@ -166,57 +164,83 @@
   }
   former = std::move(seen);
   if (!waits && !lost.empty()) {
-    this->StartOnce("write", [this, lost](Coroutine yield) {
-      this->WriteRecords(lost, yield);
-    });
+    this->StartWriting(std::move(lost));
     return true;
   }
   return waits;
 }
 
-void GroupReconciler::WriteRecords(const std::vector<GroupRecord>& records,
-                                   Coroutine yield) {
+void GroupReconciler::StartWriting(std::vector<GroupRecord> records) {
+  std::map<std::string, std::int64_t> planned_from =
+      RecordedEpochs(records.front().fabric_domain, *this->parts.view);
+  this->StartOnce("write",
+                  [this, records = std::move(records),
+                   planned_from = std::move(planned_from)](Coroutine yield) {
+                    this->WriteRecords(records, planned_from, yield);
+                  });
+}
+
+void GroupReconciler::WriteRecords(
+    const std::vector<GroupRecord>& records,
+    std::map<std::string, std::int64_t> planned_from,
+    Coroutine yield) {
   for (GroupRecord record : records) {
-    const TopicPosition at = this->parts.records->Position();
-    const bool is_restored = record.epoch != 0;
-    if (!is_restored) {
-      record.epoch = MakeEpoch(at, HighestKnownEpoch(*this->parts.view),
-                               this->next_nonce++);
-      record.member_starts.clear();
-      for (const std::string& id : record.members) {
-        const BackendServer* server = this->parts.view->FindServer(id);
-        record.member_starts.push_back(server == nullptr ? 0
-                                                         : server->started_ms);
-      }
-    }
-    const Result<std::int64_t> offset =
-        this->parts.store->Append(StoreTopic::kGroups, record.group,
-                                  EncodeGroupRecord(record), at.offset, yield);
-    if (offset.has_error()) {
-      LogWarning("group_record_failed", {{"group", record.group},
-                                         {"era", at.era},
-                                         {"at", at.offset},
-                                         {"reason", offset.error().message}});
-    } else if (is_restored) {
-      LogInfo("group_record_restored", {{"group", record.group},
-                                        {"epoch", record.epoch},
-                                        {"era", at.era},
-                                        {"at", at.offset}});
-    }
-    // A failed append may have succeeded nevertheless, so the topic is read
-    // before the next plan.
-    this->parts.records->CatchUp(yield);
-    // A record of another planner is progress, too: the next plan rests on it.
-    const Duration pause = this->writes.NextPause(
-        offset.has_value() || this->parts.records->Position() != at);
-    if (offset.has_error()) {
-      this->parts.loop->Sleep(pause, yield);
+    if (RecordedEpochs(record.fabric_domain, *this->parts.view) !=
+        planned_from) {
+      LogInfo("group_plan_outdated", {{"group", record.group},
+                                      {"domain", record.fabric_domain},
+                                      {"at", this->parts.records->End()}});
+      break;
+    }
+    if (!this->WriteRecord(&record, yield)) {
       return;
     }
+    planned_from[record.group] = record.epoch;
   }
   this->parts.changed();
 }
 
+bool GroupReconciler::WriteRecord(GroupRecord* record, Coroutine yield) {
+  const TopicPosition at = this->parts.records->Position();
+  const bool is_restored = record->epoch != 0;
+  if (!is_restored) {
+    record->epoch =
+        MakeEpoch(at, HighestKnownEpoch(*this->parts.view), this->next_nonce++);
+    record->member_starts.clear();
+    for (const std::string& id : record->members) {
+      const BackendServer* server = this->parts.view->FindServer(id);
+      record->member_starts.push_back(server == nullptr ? 0
+                                                        : server->started_ms);
+    }
+  }
+  const Result<std::int64_t> offset =
+      this->parts.store->Append(StoreTopic::kGroups, record->group,
+                                EncodeGroupRecord(*record), at.offset, yield);
+  if (offset.has_error()) {
+    LogWarning("group_record_failed", {{"group", record->group},
+                                       {"era", at.era},
+                                       {"at", at.offset},
+                                       {"reason", offset.error().message}});
+  } else {
+    LogInfo(is_restored ? "group_record_restored" : "group_record_written",
+            {{"group", record->group},
+             {"epoch", record->epoch},
+             {"members", fmt::format("{}", fmt::join(record->members, ","))},
+             {"era", at.era},
+             {"at", at.offset}});
+  }
+  // A failed append may have succeeded nevertheless, so the topic is read
+  // before the next plan.
+  this->parts.records->CatchUp(yield);
+  // A record of another planner is progress, too: the next plan rests on it.
+  const Duration pause = this->writes.NextPause(
+      offset.has_value() || this->parts.records->Position() != at);
+  if (offset.has_error()) {
+    this->parts.loop->Sleep(pause, yield);
+  }
+  return offset.has_value();
+}
+
 std::vector<GroupAvailability> GroupReconciler::GroupStates() const {
   std::vector<GroupAvailability> states;
   if (!this->parts.role->MayPlan()) {
--- a/src/control/group_reconciler.h
+++ b/src/control/group_reconciler.h
@@ -66,9 +66,20 @@
   // written since. Returns whether the domain's plan has to wait for that.
   bool RestoreRecords(const FabricDomain& domain);
 
-  // Writes the records in turn until one is not accepted. Those without an
-  // epoch get one, with the present starts of their members.
-  void WriteRecords(const std::vector<GroupRecord>& records, Coroutine yield);
+  // Writes records of one fabric domain, which were planned from the present
+  // state of the view. Does nothing while records are being written.
+  // Precondition: there are records.
+  void StartWriting(std::vector<GroupRecord> records);
+
+  // Writes the records in turn until one is not accepted, or another planner
+  // has recorded a group of the domain: the others rest on the epochs that were
+  // recorded when they were planned, `planned_from`. Those without an epoch get
+  // one, with the present starts of their members.
+  void WriteRecords(const std::vector<GroupRecord>& records,
+                    std::map<std::string, std::int64_t> planned_from,
+                    Coroutine yield);
+  // Writes one record at the end of the topic. Returns whether it was accepted.
+  bool WriteRecord(GroupRecord* record, Coroutine yield);
 
   const GroupControlDependencies parts;
   LoadBudget loads;
--- a/src/control/lost_groups.cc
+++ b/src/control/lost_groups.cc
@@ -67,6 +67,18 @@
   return lost;
 }
 
+std::map<std::string, std::int64_t> RecordedEpochs(
+    const std::string& fabric_domain,
+    const FleetView& view) {
+  std::map<std::string, std::int64_t> epochs;
+  for (const auto& [group, status] : view.Groups()) {
+    if (status.record.fabric_domain == fabric_domain) {
+      epochs.emplace(group, status.record.epoch);
+    }
+  }
+  return epochs;
+}
+
 bool HasLaterGroup(const GroupRecord& record, const FleetView& view) {
   return std::any_of(
       view.Groups().begin(), view.Groups().end(), [&record](const auto& entry) {
--- a/src/control/lost_groups.h
+++ b/src/control/lost_groups.h
@@ -3,6 +3,7 @@
 #define CONTROL_LOST_GROUPS_H_
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -31,6 +32,12 @@
 // thread.
 LostGroups FindLostGroups(const FabricDomain& domain, const FleetView& view);
 
+// The epochs of the recorded groups of one fabric domain, dissolved ones too,
+// by group. Call only on the view's thread.
+std::map<std::string, std::int64_t> RecordedEpochs(
+    const std::string& fabric_domain,
+    const FleetView& view);
+
 // Whether a member of `record` is in another group's record of a later epoch.
 // Call only on the view's thread.
 bool HasLaterGroup(const GroupRecord& record, const FleetView& view);
--- a/tests/entry/group_fixture.h
+++ b/tests/entry/group_fixture.h
@@ -188,9 +188,10 @@
             &this->role,
             nullptr,
             [this](const TopicRecord& record) {
-              this->view.PutRecord(
+              this->records_read.push_back(
                   DecodeGroupRecord(record.key, record.offset, *record.value)
                       .value());
+              this->view.PutRecord(this->records_read.back());
             },
             GroupContentRules(&this->view)),
         reconciler({&this->loop, &this->client, &this->engines, &this->prober,
@@ -318,6 +319,7 @@
   TopicFollower records;
   GroupReconciler reconciler;
   ReadinessLedger ledger;
+  std::vector<GroupRecord> records_read;  // In order.
   std::vector<std::unique_ptr<FakeEngine>> servers;
 };
 
--- a/tests/fakes/loop_store.h
+++ b/tests/fakes/loop_store.h
@@ -4,6 +4,7 @@
 #define FAKES_LOOP_STORE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -92,6 +93,9 @@
   }
   void EndSilence() { this->is_silent = false; }
 
+  // Called with the topic after an append has been accepted, if set.
+  std::function<void(const std::string& topic)> appended;
+
   // Answers every call with this status, when set.
   std::optional<int> refusal;
   int calls = 0;
@@ -163,9 +167,12 @@
         return {412, Json{{"end", records.size()}}.dump()};
       }
       records.push_back(request.body);
-      return {
-          200,
-          Json{{"offset", records.size() - 1}, {"end", records.size()}}.dump()};
+      const Json answer{{"offset", records.size() - 1},
+                        {"end", records.size()}};
+      if (this->appended) {
+        this->appended(topic);
+      }
+      return {200, answer.dump()};
     }
     const std::size_t from = std::stoul(Parameter(request.target, "from"));
     if (from < this->first[topic] || from > records.size()) {
