Join servers only in the state that they report

Cause: whether a server is free was read from its entry in the store, which is as old as the read, and the order to join did not say so. A server obeys every join of a higher epoch, even while the head of its own group is open. So a planner that reads the servers late, or takes over planning, gave away servers of open groups. Class of fault: an order rests on a statement of unknown age that its receiver cannot check.

Why it works: before a server that is not in the group is ordered to join, its report is read. One that is in another group is ordered to leave it first. The join states the number of orders that the report names, and the server refuses it if it has accepted another one since (the platform's `expect`), so the state is compared and replaced at the server itself. Repairs of the same group have no condition: epochs decide there.

The soak's servers named one number in both; they count entries apart now.

--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/logging.h"
+#include "control/standby_name.h"
 #include "net/run_all.h"
 
 namespace kumquatcart {
@@ -19,6 +20,8 @@
 constexpr Duration kMemberPollInterval = std::chrono::milliseconds(80);
 // Join orders without effect are resent after this time.
 constexpr Duration kJoinResendDelay = std::chrono::milliseconds(1500);
+// Time until a server's report reflects an order that it has accepted.
+constexpr Duration kReportDelay = std::chrono::milliseconds(200);
 // Time for a group to finish its requests when a member leaves for planned
 // maintenance. Shorter than the minimum time for which a leaving server keeps
 // running.
@@ -26,6 +29,13 @@
 // Time until a server's entry in the store reflects an order.
 constexpr Duration kEntryUpdateDelay = std::chrono::milliseconds(350);
 
+// Whether the server would leave a group that it serves in by joining the group
+// of `record`.
+bool IsInOtherGroup(const BackendServer& server, const GroupRecord& record) {
+  return server.membership && server.membership->group != record.group &&
+         server.membership->group != StandbyGroupName(server.id);
+}
+
 bool IsReadyState(MembershipState state) {
   return state == MembershipState::kReady || state == MembershipState::kOpen;
 }
@@ -58,14 +68,20 @@
 OrderOutcome GroupOrders::Send(const BackendServer& server,
                                GroupOrder order,
                                const GroupRecord& record,
+                               std::optional<std::int64_t> expected_orders,
                                Coroutine yield) {
-  const OrderOutcome outcome =
-      this->parts->engines->Send(server, order, record, kOrderTimeout, yield);
-  LogInfo("order_sent", {{"server", server.id},
-                         {"order", ToString(order)},
-                         {"group", record.group},
-                         {"epoch", record.epoch},
-                         {"outcome", ToString(outcome)}});
+  const OrderOutcome outcome = this->parts->engines->Send(
+      server, order, record, expected_orders, kOrderTimeout, yield);
+  LogInfo("order_sent",
+          {{"server", server.id},
+           {"order", ToString(order)},
+           {"group", record.group},
+           {"epoch", record.epoch},
+           {"known_group",
+            server.membership ? server.membership->group : std::string()},
+           {"known_epoch", server.membership ? server.membership->epoch : 0},
+           {"expected_orders", expected_orders.value_or(-1)},
+           {"outcome", ToString(outcome)}});
   if (outcome == OrderOutcome::kUnreachable ||
       outcome == OrderOutcome::kUnknown) {
     this->parts->prober->Probe({server.id});
@@ -75,6 +91,31 @@
   return outcome;
 }
 
+OrderOutcome GroupOrders::Join(const BackendServer& server,
+                               const GroupRecord& record,
+                               Coroutine yield) {
+  const Result<EngineReport> report =
+      this->parts->engines->Report(server, kReportTimeout, yield);
+  if (report.has_error()) {
+    this->parts->prober->Probe({server.id});
+    return OrderOutcome::kUnreachable;
+  }
+  BackendServer current = server;
+  current.membership = report.value().membership;
+  if (IsInOtherGroup(current, record)) {
+    LogInfo("join_put_off", {{"server", server.id},
+                             {"group", record.group},
+                             {"epoch", record.epoch},
+                             {"member_of", current.membership->group},
+                             {"member_epoch", current.membership->epoch},
+                             {"state", ToString(current.membership->state)}});
+    this->LeaveGroup(current, yield);
+    return OrderOutcome::kConflict;
+  }
+  return this->Send(current, GroupOrder::kJoin, record,
+                    report.value().orders_accepted, yield);
+}
+
 bool GroupOrders::IsCurrent(const GroupRecord& record) const {
   const GroupStatus* status = this->parts->view->FindGroup(record.group);
   if (status == nullptr || status->record.epoch != record.epoch) {
@@ -130,7 +171,7 @@
                             Coroutine yield) {
   const MonotonicTime deadline = this->parts->loop->Now() + kFinishTimeout;
   if (may_finish) {
-    this->Send(head, GroupOrder::kClose, old, yield);
+    this->Send(head, GroupOrder::kClose, old, std::nullopt, yield);
   }
   while (may_finish && this->parts->loop->Now() < deadline &&
          this->parts->view->CanFinishRequests(old.group, old.epoch)) {
@@ -141,7 +182,7 @@
     }
     this->parts->loop->Sleep(kMemberPollInterval, yield);
   }
-  this->Send(head, GroupOrder::kPreempt, old, yield);
+  this->Send(head, GroupOrder::kPreempt, old, std::nullopt, yield);
 }
 
 void GroupOrders::SendJoins(const GroupRecord& record,
@@ -163,8 +204,17 @@
       continue;
     }
     (*ordered_at)[id] = now;
-    tasks.emplace_back([this, copy = *server, &record](Coroutine inner) {
-      this->Send(copy, GroupOrder::kJoin, record, inner);
+    tasks.emplace_back([this, copy = *server, &record, ordered_at,
+                        now](Coroutine inner) {
+      const bool is_member =
+          copy.membership && copy.membership->group == record.group;
+      const OrderOutcome outcome =
+          is_member
+              ? this->Send(copy, GroupOrder::kJoin, record, std::nullopt, inner)
+              : this->Join(copy, record, inner);
+      if (outcome == OrderOutcome::kConflict) {
+        (*ordered_at)[copy.id] = now - kJoinResendDelay + kReportDelay;
+      }
     });
   }
   RunAll(this->parts->loop, std::move(tasks), yield);
@@ -236,7 +286,7 @@
     return;
   }
   const OrderOutcome outcome =
-      this->Send(*head, GroupOrder::kOpen, record, yield);
+      this->Send(*head, GroupOrder::kOpen, record, std::nullopt, yield);
   if (outcome != OrderOutcome::kBegan && outcome != OrderOutcome::kHolds) {
     return;  // Retried by the next planning pass.
   }
@@ -257,9 +307,9 @@
   former.epoch = server.membership->epoch;
   if (server.membership->rank == 0 &&
       server.membership->state != MembershipState::kJoining) {
-    this->Send(server, GroupOrder::kPreempt, former, yield);
+    this->Send(server, GroupOrder::kPreempt, former, std::nullopt, yield);
   }
-  this->Send(server, GroupOrder::kLeave, former, yield);
+  this->Send(server, GroupOrder::kLeave, former, std::nullopt, yield);
   // Sends no other order until the server's entry in the store reflects this
   // one.
   this->parts->loop->Sleep(kEntryUpdateDelay, yield);
--- a/src/control/group_orders.h
+++ b/src/control/group_orders.h
@@ -2,7 +2,9 @@
 #ifndef CONTROL_GROUP_ORDERS_H_
 #define CONTROL_GROUP_ORDERS_H_
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,9 +30,19 @@
   void LeaveGroup(const BackendServer& server, Coroutine yield);
 
   // Sends and logs one order. Probes the server if it does not answer, and
-  // marks it as unreachable if another one answers at its address.
+  // marks it as unreachable if another one answers at its address. A server
+  // that is not in the group joins it only if it has accepted no order since
+  // the statement that `server` was read from; if it has, its report is read.
   OrderOutcome Send(const BackendServer& server,
                     GroupOrder order,
+                    const GroupRecord& record,
+                    std::optional<std::int64_t> expected_orders,
+                    Coroutine yield);
+
+  // Orders a server that is not in the group to join it, in the state that its
+  // report states. Orders it to leave another group first; then the outcome is
+  // kConflict.
+  OrderOutcome Join(const BackendServer& server,
                     const GroupRecord& record,
                     Coroutine yield);
 
@@ -41,9 +53,9 @@
                  bool may_finish,
                  Coroutine yield);
   bool JoinMembers(const GroupRecord& record, Coroutine yield);
-  // Orders members that are not joining yet to join. `ordered_at`: when each
-  // was ordered last. Members that need a load beyond the budget wait for a
-  // later call.
+  // Orders members that are not joining yet to join, and those that are in
+  // another group to leave it. `ordered_at`: when each was ordered last.
+  // Members that need a load beyond the budget wait for a later call.
   void SendJoins(const GroupRecord& record,
                  const std::set<std::string>& ready,
                  std::map<std::string, MonotonicTime>* ordered_at,
--- a/src/control/standby_loader.cc
+++ b/src/control/standby_loader.cc
@@ -30,7 +30,7 @@
   GroupRecord record;
   if (standby.stages_only) {
     record.model = standby.model;
-    this->orders->Send(copy, GroupOrder::kStage, record, yield);
+    this->orders->Send(copy, GroupOrder::kStage, record, std::nullopt, yield);
     this->parts->loop->Sleep(kStageResendDelay, yield);
     return;
   }
@@ -39,7 +39,7 @@
                           copy.membership ? copy.membership->epoch : 0);
   record.model = standby.model;
   record.members = {copy.id};
-  this->orders->Send(copy, GroupOrder::kJoin, record, yield);
+  this->orders->Join(copy, record, yield);
   this->parts->loop->Sleep(kJoinResendDelay, yield);
 }
 
--- a/src/platform/engine_client.cc
+++ b/src/platform/engine_client.cc
@@ -84,6 +84,7 @@
 OrderOutcome EngineClient::Send(const BackendServer& server,
                                 GroupOrder order,
                                 const GroupRecord& record,
+                                std::optional<std::int64_t> expected_orders,
                                 Duration timeout,
                                 Coroutine yield) {
   OutgoingRequest request;
@@ -91,7 +92,11 @@
   request.target = wire::kOrderPath;
   request.headers = {{"Content-Type", "application/json"},
                      {wire::kExpectInstance, server.id}};
-  request.body = EncodeOrder(order, record).dump();
+  Json body = EncodeOrder(order, record);
+  if (expected_orders) {
+    body[wire::kExpectedOrders] = *expected_orders;
+  }
+  request.body = body.dump();
   return Classify(this->client->ExchangeOnNewConnection(
       ToTcpEndpoint(server.endpoint), request, this->loop->Now() + timeout,
       yield));
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -2,6 +2,8 @@
 #ifndef PLATFORM_ENGINE_CLIENT_H_
 #define PLATFORM_ENGINE_CLIENT_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/outcome.h"
@@ -38,10 +40,12 @@
 
   // Sends one order about `record`'s group to `server`, on a connection of its
   // own: an answer to another order would count as its own. kStage uses the
-  // record's model only.
+  // record's model only. If `condition` does not hold, the outcome is
+  // kConflict.
   OrderOutcome Send(const BackendServer& server,
                     GroupOrder order,
                     const GroupRecord& record,
+                    std::optional<std::int64_t> expected_orders,
                     Duration timeout,
                     Coroutine yield);
 
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -34,6 +34,9 @@
 // all answers of the store.
 inline constexpr char kStoreEra[] = "Store-Era";
 
+// In an order: how many orders the server must have accepted since its start.
+inline constexpr char kExpectedOrders[] = "expect";
+
 // Calls.
 inline constexpr char kReportPath[] = "/api/report";
 inline constexpr char kOrderPath[] = "/api/order";
--- a/tests/entry/group_fixture.h
+++ b/tests/entry/group_fixture.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -29,6 +30,10 @@
 struct ReadinessLedger {
   std::set<std::tuple<std::string, std::int64_t, std::string>> ready;
   std::vector<std::string> opened_incomplete;
+  // The group and epoch that each head serves in.
+  std::map<std::string, std::pair<std::string, std::int64_t>> open_heads;
+  // Joins of servers while the head of their former group was open.
+  std::vector<std::string> joined_twice;
 };
 
 // A model server that records the orders it receives. Orders for another server
@@ -61,8 +66,9 @@
     if (this->publish && !this->group.is_null()) {
       server.membership = GroupMembership{
           this->group["name"], this->group["epoch"], this->group["rank"],
-          this->group["state"] == "ready" ? MembershipState::kReady
-                                          : MembershipState::kJoining};
+          this->group["state"] == "ready"  ? MembershipState::kReady
+          : this->group["state"] == "open" ? MembershipState::kOpen
+                                           : MembershipState::kJoining};
     }
     return server;
   }
@@ -73,6 +79,39 @@
     ++this->started_ms;
     this->group = nullptr;
     this->members.clear();
+    this->accepted = 0;
+    this->ledger->open_heads.erase(this->id);
+  }
+
+  // Carries out an order, as if it had been sent by another VM.
+  SimpleHttpResponse Take(const Json& order) {
+    if (order.contains("expect") && order["expect"] != this->accepted) {
+      return {409, ""};
+    }
+    if (order["op"] == "join" && !this->group.is_null() &&
+        order["epoch"] < this->group["epoch"]) {
+      return {412, ""};
+    }
+    ++this->accepted;
+    if (order["op"] == "join") {
+      this->Join(order);
+    } else if (order["op"] == "open") {
+      this->CheckMembers(order);
+      this->group["state"] = "open";
+      this->ledger->open_heads[this->id] = {order["group"], order["epoch"]};
+    } else if (order["op"] == "close") {
+      this->group["state"] = "ready";
+      this->ledger->open_heads.erase(this->id);
+    } else if (order["op"] == "leave") {
+      this->group = nullptr;
+      this->ledger->open_heads.erase(this->id);
+    } else if (order["op"] == "stage") {
+      this->staged_models.push_back(order["model"]);
+    }
+    if (this->publish) {
+      this->publish(*this);
+    }
+    return {202, ""};
   }
 
   bool HasOrder(const std::string& op) const {
@@ -104,23 +143,11 @@
       this->records_at_first_order = this->count_records();
     }
     this->orders.push_back(order);
-    if (order["op"] == "join") {
-      this->Join(order);
-    } else if (order["op"] == "open") {
-      this->CheckMembers(order);
-    } else if (order["op"] == "leave") {
-      this->group = nullptr;
-    } else if (order["op"] == "stage") {
-      this->staged_models.push_back(order["model"]);
-    }
-    if (this->publish) {
-      this->publish(*this);
-    }
-    return {202, ""};
+    return this->Take(order);
   }
 
   Json Report() const {
-    Json report{{"models", Json::array()}, {"seq", this->orders.size()}};
+    Json report{{"models", Json::array()}, {"seq", this->accepted}};
     if (this->states_start) {
       report["born"] = this->started_ms;
     }
@@ -131,6 +158,16 @@
   }
 
   void Join(const Json& order) {
+    if (!this->group.is_null() && this->group["name"] != order["group"]) {
+      const auto head = this->ledger->open_heads.find(this->members.front());
+      if (head != this->ledger->open_heads.end() &&
+          head->second.first == this->group["name"] &&
+          head->second.second == this->group["epoch"]) {
+        this->ledger->joined_twice.push_back(
+            this->id + " joined " + order["group"].get<std::string>() +
+            " while " + head->second.first + " was open");
+      }
+    }
     this->members = order["members"].get<std::vector<std::string>>();
     const auto own =
         std::find(this->members.begin(), this->members.end(), this->id);
@@ -156,6 +193,7 @@
 
   ReadinessLedger* const ledger;
   const TcpEndpoint address;
+  std::int64_t accepted = 0;  // Orders since the start.
   Json group;
   std::vector<std::string> members;  // Of the last join.
   std::string loaded_model;
@@ -289,7 +327,7 @@
   }
 
   // Precondition: there is a server with this id.
-  const FakeEngine* Find(const std::string& id) const {
+  FakeEngine* Find(const std::string& id) const {
     return std::find_if(this->servers.begin(), this->servers.end(),
                         [&id](const auto& server) { return server->id == id; })
         ->get();
--- a/tests/entry/two_planners_test.cc
+++ b/tests/entry/two_planners_test.cc
@@ -59,5 +59,37 @@
   }
 }
 
+// Guards against a server that is in two groups at once: it joined another one
+// because its entry, from before it was in the first, said that it was free.
+TEST_CASE("A server does not join a group by an entry that it has outlived") {
+  GroupFixture f;
+  // The record of the group that b and c serve in was replaced since, and the
+  // orders to leave have not been sent.
+  const std::int64_t epoch = EpochBefore({0, 0}) + 1;
+  for (const char* id : {"b", "c"}) {
+    f.Find(id)->Take({{"op", "join"},
+                      {"group", "other"},
+                      {"epoch", epoch},
+                      {"model", "m"},
+                      {"members", {"b", "c"}}});
+  }
+  f.Find("b")->Take({{"op", "open"}, {"group", "other"}, {"epoch", epoch}});
+  REQUIRE(f.ledger.open_heads.count("b") == 1);
+  f.store.Put(kGroupsTopicName, "other",
+              EncodeGroupRecord(
+                  MakeForeignRecord("other", {}, EpochBefore({0, 1}) - 1)));
+  for (const auto& server : f.servers) {
+    server->publish = [&f](const FakeEngine& changed) { f.Register(changed); };
+  }
+  f.Start();
+  f.RunUntil(std::chrono::seconds(8), [&] {
+    return f.HasOpenGroupOfModel("m", 2) && f.ledger.open_heads.count("b") == 0;
+  });
+  f.RunUntil(std::chrono::milliseconds(500), [] { return false; });
+  CHECK(f.ledger.joined_twice.empty());
+  CHECK(f.HasOpenGroupOfModel("m", 2));
+  CHECK(f.ledger.opened_incomplete.empty());
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- a/tests/platform/engine_client_test.cc
+++ b/tests/platform/engine_client_test.cc
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "base/json.h"
 #include "fakes/loop_server.h"
 
 namespace kumquatcart {
@@ -107,10 +109,10 @@
     RunCoroutine(&loop, [&](Coroutine yield) {
       const BackendServer entry = ServerAt(server);
       for (int i = 0; i < 4; ++i) {
-        CHECK(engines.Send(entry, GroupOrder::kJoin, MakeRecord(), kTimeout,
-                           yield) == OrderOutcome::kBegan);
-        CHECK(engines.Send(entry, GroupOrder::kOpen, MakeRecord(), kTimeout,
-                           yield) == OrderOutcome::kConflict);
+        CHECK(engines.Send(entry, GroupOrder::kJoin, MakeRecord(), std::nullopt,
+                           kTimeout, yield) == OrderOutcome::kBegan);
+        CHECK(engines.Send(entry, GroupOrder::kOpen, MakeRecord(), std::nullopt,
+                           kTimeout, yield) == OrderOutcome::kConflict);
       }
     });
   }
@@ -161,11 +163,37 @@
     for (int i = 0; i < 3; ++i) {
       CHECK(engines.Report(ServerAt(server), kTimeout, yield).has_value());
       CHECK(engines.Send(ServerAt(server), GroupOrder::kJoin, MakeRecord(),
-                         kTimeout, yield) == OrderOutcome::kConflict);
+                         std::nullopt, kTimeout,
+                         yield) == OrderOutcome::kConflict);
     }
   });
 }
 
+// Guards against an order that is carried out although the state on which it
+// rests has changed.
+TEST_CASE("An order states the number of orders on which it rests") {
+  EventLoop loop;
+  std::vector<std::string> bodies;
+  LoopServer server(
+      &loop, [&](const auto& connection, Waiter* waiter, Coroutine yield) {
+        const std::string head = ReadHead(connection.get(), waiter, yield);
+        bodies.push_back(head.substr(head.find("\r\n\r\n") + 4));
+        connection->Send(MakeAnswer("409 Conflict", RequestIdOf(head), ""));
+      });
+  HttpClient http(&loop);
+  EngineClient engines(&loop, &http);
+  RunCoroutine(&loop, [&](Coroutine yield) {
+    for (const std::optional<std::int64_t> expected :
+         {std::optional<std::int64_t>(), std::optional<std::int64_t>(7)}) {
+      CHECK(engines.Send(ServerAt(server), GroupOrder::kJoin, MakeRecord(),
+                         expected, kTimeout, yield) == OrderOutcome::kConflict);
+    }
+  });
+  REQUIRE(bodies.size() == 2);
+  CHECK_FALSE(Json::parse(bodies[0]).contains("expect"));
+  CHECK(Json::parse(bodies[1])["expect"] == 7);
+}
+
 // Guards against connections that are opened without need: opening one costs
 // the server time.
 TEST_CASE("Reports of a server that echoes request ids share a connection") {
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -208,6 +208,7 @@
     return;
   }
   Json json = this->Describe();
+  json["seq"] = ++this->entries_written;  // Not the number of orders.
   json["service"] = this->service;
   json["address"] = this->host->Address().address().to_string() + ":" +
                     std::to_string(this->host->Address().port());
@@ -374,6 +375,9 @@
 }
 
 SimpleHttpResponse ServerStandIn::TakeOrder(const Json& order) {
+  if (order.contains("expect") && order.at("expect") != this->orders) {
+    return {kHttpConflict, ""};
+  }
   const std::string op = order.value("op", std::string());
   if (op == "stage") {
     ++this->orders;
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -166,7 +166,8 @@
   std::optional<double> limit;
   MonotonicTime rejects_until;
   bool rejects_all = false;  // Requests of every entry VM.
-  int orders = 0;
+  int orders = 0;            // Accepted.
+  int entries_written = 0;
   std::string loaded_model;
   std::optional<Membership> membership;
 };
