Count a server that two records list to the later group

What callers saw: a server in two groups at once (TWO), or groups that stay incomplete for good.

Cause: nothing resolved two records that list one server, whichever way they came about. Both groups ordered it to join; if the earlier one was open, the join of the later one broke the rule, and if not, the earlier one waited for ever.

Why it works: the view knows which records list a server, and a member that a later record of another group lists is lost to the earlier group, for its planner and for requests.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -253,6 +253,7 @@
   if (record.epoch <= status.record.epoch) {
     return false;
   }
+  this->UpdateClaims(status.record, record);
   if (!status.record.members.empty()) {
     status.previous = status.record;
   }
@@ -272,6 +273,38 @@
   return true;
 }
 
+void FleetView::UpdateClaims(const GroupRecord& former,
+                             const GroupRecord& record) {
+  for (const std::string& id : former.members) {
+    std::map<std::string, std::int64_t>& groups_of = this->claims[id];
+    groups_of.erase(record.group);
+    if (groups_of.empty()) {
+      this->claims.erase(id);
+    }
+  }
+  for (const std::string& id : record.members) {
+    std::map<std::string, std::int64_t>& groups_of = this->claims[id];
+    groups_of[record.group] = record.epoch;
+    if (groups_of.size() > 1) {
+      LogWarning("server_in_two_groups", {{"server", id},
+                                          {"group", record.group},
+                                          {"epoch", record.epoch},
+                                          {"groups", groups_of.size()}});
+    }
+  }
+}
+
+bool FleetView::IsLatestClaim(const GroupRecord& record,
+                              const std::string& server) const {
+  const auto found = this->claims.find(server);
+  return found == this->claims.end() ||
+         std::none_of(found->second.begin(), found->second.end(),
+                      [&record](const auto& claim) {
+                        return claim.first != record.group &&
+                               claim.second > record.epoch;
+                      });
+}
+
 const GroupStatus* FleetView::FindGroup(const std::string& group) const {
   const auto found = this->groups.find(group);
   return found == this->groups.end() ? nullptr : &found->second;
@@ -323,7 +356,8 @@
                                                  std::size_t rank) const {
   const std::string& id = record.members[rank];
   const BackendServer* server = this->FindServer(id);
-  return server != nullptr && HasRestartedSince(*server, record, rank)
+  return server != nullptr && (HasRestartedSince(*server, record, rank) ||
+                               !this->IsLatestClaim(record, id))
              ? ServerAvailability::kLost
              : this->AvailabilityOf(id);
 }
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -83,6 +83,9 @@
     return this->groups;
   }
   const GroupStatus* FindGroup(const std::string& group) const;
+  // Whether no other group's record of a later epoch lists `server`, too.
+  bool IsLatestClaim(const GroupRecord& record,
+                     const std::string& server) const;
   // Sets whether the group takes requests. Ignored unless `epoch` is the
   // current one.
   void SetOpen(const std::string& group, std::int64_t epoch, bool open);
@@ -102,7 +105,7 @@
   // Whether the server may take requests and join groups.
   ServerAvailability AvailabilityOf(const std::string& id) const;
   // The same for the member at `rank` of `record`: lost also if its server has
-  // started again since the record was written.
+  // started again since the record was written, or is in a later group.
   ServerAvailability MemberAvailability(const GroupRecord& record,
                                         std::size_t rank) const;
   bool IsUsable(const std::string& id) const {
@@ -132,6 +135,8 @@
 
  private:
   bool IsMember(const std::string& id) const;
+  // Updates `claims` for the members of a group's former and newest record.
+  void UpdateClaims(const GroupRecord& former, const GroupRecord& record);
   // Marks the former holder of the address of `server`, which may be `server`.
   void MarkFormerHolder(const BackendServer& server, MonotonicTime now);
   // Whether this start of the server has said that it is leaving.
@@ -175,6 +180,8 @@
   std::set<std::string> unregistered;
   std::map<std::string, MonotonicTime> newest_server_times;
   std::map<std::string, GroupStatus> groups;
+  // The groups whose newest records list a server, with their epochs.
+  std::map<std::string, std::map<std::string, std::int64_t>> claims;
   std::map<std::string, MonotonicTime> unreachable;
   bool has_traffic = false;
   std::uint64_t change_count = 0;
--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -197,6 +197,9 @@
         IsMemberOf(*server, record)) {
       continue;  // The member is already joining or ready.
     }
+    if (!this->parts->view->IsLatestClaim(record, id)) {
+      continue;  // The planner replaces the member.
+    }
     const auto ordered = ordered_at->find(id);
     if ((ordered != ordered_at->end() &&
          now - ordered->second <= kJoinResendDelay) ||
--- a/src/control/group_planner.cc
+++ b/src/control/group_planner.cc
@@ -27,7 +27,7 @@
       std::copy_if(group.members.begin(), group.members.end(),
                    std::inserter(in_groups, in_groups.end()),
                    [this, &group](const std::string& id) {
-                     return !this->HasRestarted(group, id);
+                     return !this->HasDeparted(group, id);
                    });
       this->group_names.insert(group.group);
     }
@@ -63,16 +63,16 @@
                                                : found->second;
   }
 
-  bool HasRestarted(const GroupRecord& group, const std::string& id) const {
-    const auto found = this->input.restarted_members.find(group.group);
-    return found != this->input.restarted_members.end() &&
+  bool HasDeparted(const GroupRecord& group, const std::string& id) const {
+    const auto found = this->input.departed_members.find(group.group);
+    return found != this->input.departed_members.end() &&
            found->second.count(id) > 0;
   }
 
   ServerAvailability MemberAvailability(const GroupRecord& group,
                                         const std::string& id) const {
-    return this->HasRestarted(group, id) ? ServerAvailability::kLost
-                                         : this->AvailabilityOf(id);
+    return this->HasDeparted(group, id) ? ServerAvailability::kLost
+                                        : this->AvailabilityOf(id);
   }
 
   // Relative cost for `server` to join a group of `model`: 0 if the model is
@@ -118,7 +118,7 @@
            std::any_of(group.members.begin(), group.members.end(),
                        [this, &group](const std::string& id) {
                          return this->availabilities.count(id) > 0 &&
-                                !this->HasRestarted(group, id);
+                                !this->HasDeparted(group, id);
                        });
   }
 
--- a/src/control/group_planner.h
+++ b/src/control/group_planner.h
@@ -46,9 +46,10 @@
   std::string fabric_domain;
   std::vector<PlannedServer> servers;
   std::vector<GroupRecord> groups;  // Without dissolved ones.
-  // Members whose servers have started again since the group's record was
-  // written, by group: lost to the group, but usable otherwise.
-  std::map<std::string, std::set<std::string>> restarted_members;
+  // Members that are lost to a group though their servers may be usable, by
+  // group: those whose servers have started again since the group's record was
+  // written, and those that a later record of another group lists.
+  std::map<std::string, std::set<std::string>> departed_members;
   // Groups whose head reported a failure after waiting for a member. They need
   // a new epoch.
   std::set<std::string> broken_groups;
--- a/src/control/planning_input.cc
+++ b/src/control/planning_input.cc
@@ -169,9 +169,11 @@
     }
     input.groups.push_back(record);
     for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
-      const BackendServer* server = view.FindServer(record.members[rank]);
-      if (server != nullptr && HasRestartedSince(*server, record, rank)) {
-        input.restarted_members[record.group].insert(server->id);
+      const std::string& id = record.members[rank];
+      const BackendServer* server = view.FindServer(id);
+      if (server != nullptr && (HasRestartedSince(*server, record, rank) ||
+                                !view.IsLatestClaim(record, id))) {
+        input.departed_members[record.group].insert(id);
       }
     }
     const BackendServer* head = view.FindServer(record.members.front());
--- a/tests/control/group_planner_test.cc
+++ b/tests/control/group_planner_test.cc
@@ -135,7 +135,7 @@
     }
   }
   CHECK(PlanDomain(input).records.empty());
-  input.restarted_members[group.group] = {group.members[0]};
+  input.departed_members[group.group] = {group.members[0]};
   const DomainPlan plan = PlanDomain(input);
   REQUIRE(plan.records.size() == 1);
   CHECK(plan.records[0].group == group.group);
--- a/tests/entry/two_planners_test.cc
+++ b/tests/entry/two_planners_test.cc
@@ -91,5 +91,38 @@
   CHECK(f.ledger.opened_incomplete.empty());
 }
 
+// Guards against groups that stay incomplete for good, since a server that two
+// records list is a member of both.
+TEST_CASE("A server that two records list is a member of the later group") {
+  GroupFixture f({"a", "b", "c", "d", "e"});
+  for (const auto& server : f.servers) {
+    server->publish = [&f](const FakeEngine& changed) { f.Register(changed); };
+  }
+  f.Start();
+  f.RunUntil(std::chrono::seconds(5), [&] {
+    return f.HasOpenGroupOf({"a", "b"}) && f.HasOpenGroupOf({"c", "d"});
+  });
+  REQUIRE(f.HasOpenGroupOf({"a", "b"}));
+  REQUIRE(f.HasOpenGroupOf({"c", "d"}));
+  // Another planner, which has not read the records of these groups.
+  const auto end = static_cast<std::int64_t>(f.store.End(kGroupsTopicName));
+  f.store.Put(kGroupsTopicName, "other",
+              EncodeGroupRecord(MakeForeignRecord(
+                  "other", {"e", "b"}, EpochBefore({0, end + 1}) - 1)));
+  f.RunUntil(std::chrono::seconds(5), [&] {
+    return f.HasOpenGroupOf({"e", "b"});
+  });
+  CHECK(f.HasOpenGroupOf({"e", "b"}));
+  CHECK(f.HasOpenGroupOf({"c", "d"}));
+  CHECK(f.ledger.joined_twice.empty());
+  std::map<std::string, int> listed;
+  for (const auto& entry : f.view.Groups()) {
+    for (const std::string& member : entry.second.record.members) {
+      ++listed[member];
+    }
+  }
+  CHECK(listed["b"] == 1);
+}
+
 }  // namespace
 }  // namespace kumquatcart
