Let members leave a group once its head has closed

Cause: the members of a dissolved group were ordered to leave at the same time as its head was ordered to close, so one could join another group while the head it had left stood open.

Why it works: a member is not ordered to leave while the head of its group and epoch is known to serve and can be reached; the head is ordered to close in the same pass.

--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -1,5 +1,6 @@
 #include "control/group_orders.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 #include <vector>
@@ -304,7 +305,24 @@
   this->parts->changed();
 }
 
+bool GroupOrders::HasServingHead(const GroupMembership& membership) const {
+  const auto& servers = this->parts->view->Servers();
+  return std::any_of(
+      servers.begin(), servers.end(), [this, &membership](const auto& entry) {
+        const auto& head = entry.second.membership;
+        return head && head->rank == 0 && head->group == membership.group &&
+               head->epoch == membership.epoch &&
+               (head->state == MembershipState::kOpen ||
+                head->state == MembershipState::kClosing) &&
+               this->parts->view->IsReachable(entry.first);
+      });
+}
+
 void GroupOrders::LeaveGroup(const BackendServer& server, Coroutine yield) {
+  if (server.membership->rank != 0 &&
+      this->HasServingHead(*server.membership)) {
+    return;  // The head is ordered to close first.
+  }
   GroupRecord former;
   former.group = server.membership->group;
   former.epoch = server.membership->epoch;
--- a/src/control/group_orders.h
+++ b/src/control/group_orders.h
@@ -25,8 +25,9 @@
   // Precondition: the record has members.
   void Reconcile(const GroupRecord& record, Coroutine yield);
 
-  // Orders a server to leave the group that it reports. Precondition: the
-  // server has a membership.
+  // Orders a server to leave the group that it reports. Does nothing while the
+  // group's head serves and can be reached: without the member it would stall.
+  // Precondition: the server has a membership.
   void LeaveGroup(const BackendServer& server, Coroutine yield);
 
   // Sends and logs one order. Probes the server if it does not answer, and
@@ -64,6 +65,8 @@
                                             std::set<std::string> ready,
                                             Coroutine yield);
   void OpenHead(const GroupRecord& record, Coroutine yield);
+  // Whether the head of a group and epoch is open or closing and reachable.
+  bool HasServingHead(const GroupMembership& membership) const;
   // Whether the record is the newest of its group and this VM still plans the
   // domain.
   bool IsCurrent(const GroupRecord& record) const;
