--- a/src/control/group_orders.cc
+++ b/src/control/group_orders.cc
@@ -104,13 +104,20 @@
   BackendServer current = server;
   current.membership = report.value().membership;
   if (IsInOtherGroup(current, record)) {
+    // A later group may have a record that this VM has not read.
+    const bool may_leave = current.membership->epoch < record.epoch &&
+                           this->IsCurrent(record) &&
+                           this->parts->view->IsLatestClaim(record, server.id);
     LogInfo("join_put_off", {{"server", server.id},
                              {"group", record.group},
                              {"epoch", record.epoch},
                              {"member_of", current.membership->group},
                              {"member_epoch", current.membership->epoch},
-                             {"state", ToString(current.membership->state)}});
-    this->LeaveGroup(current, yield);
+                             {"state", ToString(current.membership->state)},
+                             {"leaves", may_leave ? 1 : 0}});
+    if (may_leave) {
+      this->LeaveGroup(current, yield);
+    }
     return OrderOutcome::kConflict;
   }
   return this->Send(current, GroupOrder::kJoin, record,
@@ -216,6 +223,9 @@
           is_member
               ? this->Send(copy, GroupOrder::kJoin, record, std::nullopt, inner)
               : this->Join(copy, record, inner);
+      if (!MayHaveBegun(outcome)) {
+        this->loads->Refund(copy, record.model);
+      }
       if (outcome == OrderOutcome::kConflict) {
         (*ordered_at)[copy.id] = now - kJoinResendDelay + kReportDelay;
       }
@@ -321,7 +331,9 @@
 void GroupOrders::LeaveGroup(const BackendServer& server, Coroutine yield) {
   if (server.membership->rank != 0 &&
       this->HasServingHead(*server.membership)) {
-    return;  // The head is ordered to close first.
+    // The head is ordered to close first.
+    this->parts->loop->Sleep(kEntryUpdateDelay, yield);
+    return;
   }
   GroupRecord former;
   former.group = server.membership->group;
--- a/src/control/group_orders.h
+++ b/src/control/group_orders.h
@@ -41,8 +41,8 @@
                     Coroutine yield);
 
   // Orders a server that is not in the group to join it, in the state that its
-  // report states. Orders it to leave another group first; then the outcome is
-  // kConflict.
+  // report states. One that is in another group is ordered to leave it first,
+  // if `record` is current and later; then the outcome is kConflict.
   OrderOutcome Join(const BackendServer& server,
                     const GroupRecord& record,
                     Coroutine yield);
--- a/src/control/load_budget.cc
+++ b/src/control/load_budget.cc
@@ -27,18 +27,29 @@
   return static_cast<int>(failure_domains.size());
 }
 
+std::optional<double> LoadBudget::RateFor(const BackendServer& server,
+                                          const std::string& model) const {
+  const auto& services = this->parts->view->Config()->services;
+  const auto service = services.find(server.service);
+  if (service == services.end() || !service->second.engine ||
+      server.loaded_model == model || Contains(server.staged_models, model) ||
+      !this->parts->view->HasTraffic() ||
+      service->second.engine->loads_per_second <= 0) {
+    return std::nullopt;
+  }
+  return service->second.engine->loads_per_second;
+}
+
 bool LoadBudget::TryCount(const BackendServer& server,
                           const std::string& model,
                           LoadPurpose purpose) {
-  const auto service =
-      this->parts->view->Config()->services.find(server.service);
-  if (service == this->parts->view->Config()->services.end() ||
-      !service->second.engine) {
+  const auto& services = this->parts->view->Config()->services;
+  const auto service = services.find(server.service);
+  if (service == services.end() || !service->second.engine) {
     return false;
   }
-  if (server.loaded_model == model || Contains(server.staged_models, model) ||
-      !this->parts->view->HasTraffic() ||
-      service->second.engine->loads_per_second <= 0) {
+  const std::optional<double> rate = this->RateFor(server, model);
+  if (!rate) {
     return true;
   }
   const MonotonicTime now = this->parts->loop->Now();
@@ -46,7 +57,7 @@
          now - this->load_times.front() > kLoadWindow) {
     this->load_times.pop_front();
   }
-  const double allowed = service->second.engine->loads_per_second *
+  const double allowed = *rate *
                          std::chrono::duration<double>(kLoadWindow).count() /
                          std::max(1, this->CountSharers(purpose));
   if (static_cast<double>(this->load_times.size()) + 1 >
@@ -57,4 +68,10 @@
   return true;
 }
 
+void LoadBudget::Refund(const BackendServer& server, const std::string& model) {
+  if (this->RateFor(server, model) && !this->load_times.empty()) {
+    this->load_times.pop_back();
+  }
+}
+
 }  // namespace kumquatcart
--- a/src/control/load_budget.h
+++ b/src/control/load_budget.h
@@ -3,6 +3,7 @@
 #define CONTROL_LOAD_BUDGET_H_
 
 #include <deque>
+#include <optional>
 #include <string>
 
 #include "control/group_control_dependencies.h"
@@ -29,7 +30,15 @@
                 const std::string& model,
                 LoadPurpose purpose);
 
+  // Takes back the last call that allowed `server` to load `model`, since no
+  // order was carried out.
+  void Refund(const BackendServer& server, const std::string& model);
+
  private:
+  // Loads per second of the weight store by which a load of `model` on `server`
+  // is limited; none if it is not.
+  std::optional<double> RateFor(const BackendServer& server,
+                                const std::string& model) const;
   // Number of VMs that may order such loads at the same time.
   int CountSharers(LoadPurpose purpose) const;
 
--- a/src/control/standby_loader.cc
+++ b/src/control/standby_loader.cc
@@ -39,7 +39,9 @@
                           copy.membership ? copy.membership->epoch : 0);
   record.model = standby.model;
   record.members = {copy.id};
-  this->orders->Join(copy, record, yield);
+  if (!MayHaveBegun(this->orders->Join(copy, record, yield))) {
+    this->loads->Refund(copy, standby.model);
+  }
   this->parts->loop->Sleep(kJoinResendDelay, yield);
 }
 
--- a/src/entry/prompt_exchange.cc
+++ b/src/entry/prompt_exchange.cc
@@ -22,9 +22,11 @@
       report.error().code == ErrorCode::kInvalidArgument) {
     return ServerSign::kRunning;
   }
-  // A connection that is refused or closed fails before the timeout.
-  return this->loop->Now() < deadline ? ServerSign::kEnded
-                                      : ServerSign::kSilent;
+  const bool is_refused = report.error().code == ErrorCode::kUnavailable &&
+                          this->loop->Now() < deadline;
+  return is_refused || report.error().code == ErrorCode::kNotFound
+             ? ServerSign::kEnded
+             : ServerSign::kSilent;
 }
 
 std::vector<std::string> PromptExchange::Peers() const {
--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -53,6 +53,7 @@
 
 const ExaminationRule& RuleFor(RunEnd end) {
   static const ExaminationRule kRules[] = {
+      {"unanswered", {Duration{0}, kSecondProbeDelay}, 2, true, false, false},
       {"cut_short", {Duration{0}, kSecondProbeDelay}, 2, true, true, false},
       {"closed", {kSecondProbeDelay, kAftermath}, 1, false, true, true},
       {"whole", {kAftermath}, 0, false, false, true},
@@ -186,6 +187,7 @@
 bool PromptGuard::IsSettled(const PromptParts& parts,
                             const EndedRun& run) const {
   switch (run.end) {
+    case RunEnd::kUnanswered:
     case RunEnd::kCutShort:
       return false;
     case RunEnd::kClosed:
@@ -226,8 +228,9 @@
 void PromptGuard::BeginExamination(const BackendServer& server,
                                    Suspicion suspicion) {
   const bool is_shared = RuleFor(suspicion.run.end).is_shared;
-  const ServerStart start{server.id, server.started_ms};
-  const auto known = this->joinable.find(start);
+  const std::pair<ServerStart, RunEnd> key{{server.id, server.started_ms},
+                                           suspicion.run.end};
+  const auto known = this->joinable.find(key);
   if (is_shared && known != this->joinable.end()) {
     known->second->suspicions.push_back(std::move(suspicion));
     return;
@@ -237,7 +240,7 @@
   examination->begun_at = this->loop->Now();
   examination->suspicions.push_back(std::move(suspicion));
   if (is_shared) {
-    this->joinable[start] = examination;
+    this->joinable[key] = examination;
   }
   this->loop->Spawn([this, examination](Coroutine yield) {
     this->Examine(examination, yield);
@@ -253,23 +256,29 @@
 
 void PromptGuard::Examine(const ExaminationPtr& examination, Coroutine yield) {
   std::vector<Suspicion>& suspicions = examination->suspicions;
-  const ExaminationRule& rule = RuleFor(suspicions.front().run.end);
+  const RunEnd end = suspicions.front().run.end;
+  const ExaminationRule& rule = RuleFor(end);
   ServerSign sign = ServerSign::kRunning;
   for (std::size_t probe = 0;
-       probe < rule.probe_delays.size() && sign == ServerSign::kRunning;
+       probe < rule.probe_delays.size() && sign != ServerSign::kEnded;
        ++probe) {
     for (Suspicion& suspicion : suspicions) {
       if (probe == rule.held_probes && !suspicion.was_trial) {
         suspicion.trial = nullptr;
       }
     }
+    const MonotonicTime due = this->loop->Now() + rule.probe_delays[probe];
     this->loop->Sleep(rule.probe_delays[probe], yield);
+    if (rule.probe_delays[probe] == kAftermath &&
+        this->loop->Now() > due + kMinOutlived) {
+      return;  // This VM was held up: the server may have ended since.
+    }
     sign = this->WasHeardSince(*examination)
                ? ServerSign::kRunning
                : this->network->Probe(examination->server, yield);
     if (probe == 0 && rule.is_shared) {
       this->joinable.erase(
-          {examination->server.id, examination->server.started_ms});
+          {{examination->server.id, examination->server.started_ms}, end});
     }
   }
   LogInfo("prompt_examined", {{"id", suspicions.front().request_id},
@@ -292,7 +301,9 @@
   // Runs with the same parts are one crash: the one that got furthest.
   std::map<PromptParts, PromptCrash> crashes;
   for (const Suspicion& suspicion : examination.suspicions) {
-    if (this->quarantine.HadEnded(examination.server, suspicion.run.sent_at)) {
+    // A head after the observed end shows that the server ran on.
+    if (suspicion.run.end == RunEnd::kUnanswered &&
+        this->quarantine.HadEnded(examination.server, suspicion.run.sent_at)) {
       continue;
     }
     PromptCrash& crash = crashes[suspicion.parts];
--- a/src/entry/prompt_guard.h
+++ b/src/entry/prompt_guard.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/metrics.h"
@@ -46,7 +47,8 @@
 
 // What ended the run of a request at a server, as far as this VM has seen it.
 enum class RunEnd {
-  kCutShort,   // The input of the answer, before it was whole.
+  kUnanswered,  // The input, before the head of an answer.
+  kCutShort,    // The input of the answer, before it was whole.
   kClosed,     // The same, but the answer is whole unless the server has ended.
   kWhole,      // The framing of a whole answer.
   kAbandoned,  // This VM, since the caller had left or the time was up.
@@ -170,8 +172,8 @@
   std::map<PromptPart, PartState> logged_states;  // Other than kClear.
   std::map<std::string, MonotonicTime> peers_heard_at;
   std::map<ServerStart, MonotonicTime> servers_heard_at;
-  // Of runs that were cut short, before the first probe has a result.
-  std::map<ServerStart, ExaminationPtr> joinable;
+  // Those that may be shared, before the first probe has a result.
+  std::map<std::pair<ServerStart, RunEnd>, ExaminationPtr> joinable;
   MonotonicTime changed_at;  // By an observation of this VM.
   MonotonicTime sent_at;     // To all peers.
   bool is_send_scheduled = false;
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -377,8 +377,9 @@
   if (progress == AnswerProgress::kUnknown) {
     return;
   }
-  if (!this->uses_groups) {
-    // Servers of plain services answer no reports.
+  if (!this->uses_groups || !this->context->view->IsUsable(slot.ServerId())) {
+    // Servers of plain services answer no reports, and the end of one that is
+    // leaving says nothing of its last runs.
     if (progress == AnswerProgress::kWhole) {
       this->context->prompts->NoteSound(this->request, WholeAnswer());
     }
@@ -393,6 +394,8 @@
     run.end = RunEnd::kAbandoned;
   } else if (outcome == AttemptOutcome::kDelivered && !attempt.IsResumption()) {
     run.end = RunEnd::kClosed;
+  } else if (attempt.AnswerFraming().empty()) {
+    run.end = RunEnd::kUnanswered;
   }
   BackendServer server;
   server.id = slot.ServerId();
--- a/src/platform/engine_client.cc
+++ b/src/platform/engine_client.cc
@@ -119,10 +119,16 @@
   if (reply.result == ExchangeResult::kTimedOut) {
     return MakeError(ErrorCode::kTimeout, "no report in time");
   }
-  if (!reply.HasResponseStatus(kHttpOk)) {
-    return MakeError(ErrorCode::kUnavailable,
+  if (reply.result != ExchangeResult::kAnswered) {
+    return MakeError(reply.result == ExchangeResult::kNotSent
+                         ? ErrorCode::kUnavailable
+                         : ErrorCode::kUnknown,
                      std::string("report: ") + ToString(reply.result));
   }
+  if (reply.status != kHttpOk) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "report: status " + std::to_string(reply.status));
+  }
   BOOST_OUTCOME_TRY(report, DecodeEngineReport(reply.body));
   if (!MayBeSameStart(report.started_ms, server.started_ms)) {
     return MakeError(ErrorCode::kNotFound, "another start has the address");
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -32,6 +32,12 @@
 // Lower-case name for logs. Thread safe.
 const char* ToString(OrderOutcome outcome);
 
+// Whether the server may carry out the order, or has. Thread safe.
+inline bool MayHaveBegun(OrderOutcome outcome) {
+  return outcome == OrderOutcome::kBegan || outcome == OrderOutcome::kHolds ||
+         outcome == OrderOutcome::kUnknown;
+}
+
 // For the event loop's thread.
 class EngineClient {
  public:
@@ -51,8 +57,9 @@
 
   // Asks a server for its state. Whichever server has the address answers, so a
   // report of another start than `server`'s is an error. Errors: kTimeout,
-  // kUnavailable, kNotFound where another server or start has the address,
-  // kInvalidArgument.
+  // kUnavailable where no connection was made, kUnknown where it ended without
+  // an answer, kNotFound where another server or start has the address,
+  // kInvalidArgument where the answer is no report.
   Result<EngineReport> Report(const BackendServer& server,
                               Duration timeout,
                               Coroutine yield);
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -94,6 +94,11 @@
   void AddPlain(const std::string& id, LoopServer::Script script);
   void AddGroup(const std::string& id, LoopServer::Script script);
 
+  // The server that was added as the `index`th one.
+  LoopServer* Server(std::size_t index) {
+    return this->servers.at(index).get();
+  }
+
   // Replaces the entry of a server, as a new start of it does.
   void StartServer(const BackendServer& server);
 
--- a/tests/entry/prompt_crash_test.cc
+++ b/tests/entry/prompt_crash_test.cc
@@ -139,6 +139,7 @@
     }
     this->ends.push_back(this->Now());
     this->away_until[server] = this->Now() + kAway;
+    this->fixture.Server(server)->RefuseFor(kAway);
     return false;
   }
 
--- a/tests/entry/prompt_guard_test.cc
+++ b/tests/entry/prompt_guard_test.cc
@@ -85,16 +85,17 @@
     });
   }
 
-  // Lets a request that was well under way at `server` end with it, and sends
-  // it again, which must not be held up.
+  // Lets a request that was at `server` end with it after `events` events, and
+  // sends it again, which must not be held up.
   void EndBeside(std::size_t vm,
                  const BackendServer& server,
-                 const PromptParts& parts) {
-    this->loop.Spawn([this, vm, server, parts](Coroutine yield) {
+                 const PromptParts& parts,
+                 int events = kEventsBeside) {
+    this->loop.Spawn([this, vm, server, parts, events](Coroutine yield) {
       CallerRequest request;
       request.id = server.id + " beside";
       request.shared_parts = parts;
-      this->End(vm, request, server, nullptr, kEventsBeside);
+      this->End(vm, request, server, nullptr, events);
       Waiter waiter(&this->loop);
       const PromptPass pass = this->guards[vm]->Admit(
           request, this->loop.Now() + kLongestPause, [] { return false; },
@@ -180,8 +181,10 @@
         this->guards[vm]->NoteSound(request, *extent);
       }
     }
-    this->guards[vm]->NoteEnd(request, server, std::move(trial),
-                              {RunEnd::kCutShort, events, this->loop.Now()});
+    this->guards[vm]->NoteEnd(
+        request, server, std::move(trial),
+        {events > 0 ? RunEnd::kCutShort : RunEnd::kUnanswered, events,
+         this->loop.Now()});
   }
 
   std::vector<std::unique_ptr<Network>> networks;
@@ -265,7 +268,7 @@
     BackendServer server;
     server.id = "s" + std::to_string(i + 1);
     server.started_ms = 1000;
-    vms.EndBeside(0, server, parts);
+    vms.EndBeside(0, server, parts, /*events=*/0);
     vms.RunFor(kInterval);
   }
   vms.RunFor(seconds(1));
--- a/tests/fakes/loop_server.h
+++ b/tests/fakes/loop_server.h
@@ -39,11 +39,29 @@
   LoopServer(EventLoop* loop, Script script)
       : loop(loop),
         script(std::move(script)),
-        acceptor(ListenOnFreePort(&loop->Context())) {
+        acceptor(ListenOnFreePort(&loop->Context())),
+        address(this->acceptor.local_endpoint()) {
+    // Its connections, which inherit this, don't keep it from listening again.
+    this->acceptor.set_option(
+        boost::asio::ip::tcp::acceptor::reuse_address(true));
     this->AcceptNext();
   }
 
-  TcpEndpoint Address() const { return this->acceptor.local_endpoint(); }
+  TcpEndpoint Address() const { return this->address; }
+
+  // Refuses connections for `duration`, as the VM of a process that has ended.
+  void RefuseFor(Duration duration) {
+    this->acceptor.close();
+    this->loop->Spawn([this, duration](Coroutine yield) {
+      this->loop->Sleep(duration, yield);
+      this->acceptor.open(this->address.protocol());
+      this->acceptor.set_option(
+          boost::asio::ip::tcp::acceptor::reuse_address(true));
+      this->acceptor.bind(this->address);
+      this->acceptor.listen();
+      this->AcceptNext();
+    });
+  }
   int Connections() const { return this->connections; }
 
  private:
@@ -69,6 +87,7 @@
   EventLoop* const loop;
   const Script script;
   boost::asio::ip::tcp::acceptor acceptor;
+  const TcpEndpoint address;
   int connections = 0;
 };
 
--- a/tools/soak/retry_ledger.cc
+++ b/tools/soak/retry_ledger.cc
@@ -49,7 +49,6 @@
   if (is_repeat) {
     this->services[service].repeats.push_back(now);
     if (now > request.first_arrival + kTolerance) {
-      ++this->late_repeats;
       is_too_long =
           is_too_long ||
           now + time_left > std::max(request.first_end,
@@ -61,6 +60,9 @@
     request.first_end = now + time_left;
   }
   this->given_too_long += is_too_long ? 1 : 0;
+  this->late_repeats +=
+      !is_too_long && is_repeat && now > request.first_arrival + kTolerance ? 1
+                                                                            : 0;
 }
 
 FullestWindow RetryLedger::FullestOf(const Service& service) const {
--- a/tools/soak/retry_ledger.h
+++ b/tools/soak/retry_ledger.h
@@ -71,8 +71,8 @@
   std::map<std::string, Service> services;
   std::map<std::string, Request> requests;
   int given_too_long = 0;
-  int judged = 0;  // Arrivals whose time left was compared.
-  int late_repeats = 0;
+  int judged = 0;        // Arrivals whose time left was compared.
+  int late_repeats = 0;  // That were not given too long.
 };
 
 }  // namespace kumquatcart::soak
