--- a/tests/soak/server_stand_in_test.cc
+++ b/tests/soak/server_stand_in_test.cc
@@ -47,10 +47,13 @@
                     const std::string& target,
                     const std::string& expected_id,
                     const std::string& body,
-                    Coroutine yield) {
+                    Coroutine yield,
+                    const std::string& request_id = "r") {
     HttpClient client(&this->loop);
-    OutgoingRequest request{
-        body.empty() ? "GET" : "POST", target, {{"X-Request-Id", "r"}}, body};
+    OutgoingRequest request{body.empty() ? "GET" : "POST",
+                            target,
+                            {{"X-Request-Id", request_id}},
+                            body};
     if (!expected_id.empty()) {
       request.headers.push_back({"X-Expect-Instance", expected_id});
     }
@@ -219,6 +222,36 @@
   }
 }
 
+// Guards against a soak whose servers break off no answer or all of them, so
+// that it says nothing about the retry budget.
+TEST_CASE("A server breaks off the given share of its plain answers") {
+  constexpr int kRequests = 40;
+  for (const double share : {0.0, 0.5, 1.0}) {
+    CAPTURE(share);
+    Servers servers;
+    int whole = 0;
+    RunCoroutine(&servers.loop, [&](Coroutine yield) {
+      const auto host = servers.AddHost();
+      servers.Start(host, "a", false)->BreakAnswers(share);
+      for (int i = 0; i < kRequests; ++i) {
+        const std::string id = std::to_string(i);
+        servers.ledger.NoteSent(id, RequestKind::kIdempotent);
+        const HttpResponse reply =
+            servers.Send(host, "/again/x", "", "", yield, id);
+        whole += reply.result == ExchangeResult::kAnswered ? 1 : 0;
+        CHECK(servers.ledger.RunsOf(id) == std::vector<std::string>{"a"});
+      }
+    });
+    servers.loop.UnwindCoroutines();
+    if (share == 0.0 || share == 1.0) {
+      CHECK(whole == (share == 0.0 ? kRequests : 0));
+    } else {
+      CHECK(whole > kRequests / 4);
+      CHECK(whole < kRequests * 3 / 4);
+    }
+  }
+}
+
 // Guards against a request that is sent to an address without the server's id.
 TEST_CASE("A request at a server of the other service is accused") {
   Servers servers;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -52,6 +52,9 @@
   app.add_flag("--framings", settings.with_framings,
                "Servers frame answers in all forms and break some off, some "
                "callers speak HTTP/1.0");
+  app.add_flag("--broken-answers", settings.with_broken_answers,
+               "Plain servers break off most answers, and all processes are "
+               "killed every few seconds");
   app.add_flag("--rebirths", settings.with_rebirths,
                "Servers start again at their addresses, under the same id or "
                "a new one, and servers of the other service get addresses");
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -320,7 +320,8 @@
     return false;
   }
   const AnswerForm form = this->FormOf(caller_id);
-  if (!form.ends_with_connection) {
+  const bool breaks_off = this->BreaksOff(caller_id);
+  if (!form.ends_with_connection && !breaks_off) {
     this->AnswerText(request, kHttpOk, ExpectedBody(caller_id), false,
                      connection);
     return true;
@@ -329,10 +330,15 @@
                      {"X-Response-Seal", this->id}};
   this->AddLimit(caller_id, &headers);
   AnswerSender sender(connection, false);
-  sender.DisableChunks();
+  if (!breaks_off) {
+    sender.DisableChunks();
+  }
   sender.BeginStream(kHttpOk, headers);
-  sender.SendPart(ExpectedBody(caller_id));
-  sender.EndStream();
+  const std::string body = ExpectedBody(caller_id);
+  sender.SendPart(body.substr(0, breaks_off ? body.size() / 2 : body.size()));
+  if (!breaks_off) {
+    sender.EndStream();
+  }
   return CloseInOrder(connection, waiter, yield);
 }
 
@@ -381,6 +387,13 @@
   return false;
 }
 
+bool ServerStandIn::BreaksOff(const std::string& request_id) const {
+  constexpr std::size_t kGrades = 1000;
+  const std::size_t grade =
+      std::hash<std::string>()(this->id + " " + request_id) % kGrades;
+  return static_cast<double>(grade) < this->broken_share * kGrades;
+}
+
 AnswerForm ServerStandIn::FormOf(const std::string& request_id) const {
   return this->parts.varies_framing ? DrawAnswerForm(this->id, request_id)
                                     : AnswerForm{};
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -89,6 +89,9 @@
   // Rejects requests until `end` and names the time until then: those of all
   // entry VMs, or of half of them.
   void RejectUntil(MonotonicTime end, bool towards_all);
+  // From now on breaks off this share of its plain answers, 0 to 1, within
+  // their bodies, after the request has run.
+  void BreakAnswers(double share) { this->broken_share = share; }
   // Whether it is the head of an open group.
   bool IsOpenHead() const;
 
@@ -137,6 +140,8 @@
                        Coroutine yield) const;
   // Ends under a prompt after `delay`. Returns false.
   bool Crash(Duration delay, Coroutine yield);
+  // Whether it breaks off the plain answer to the request: the same each time.
+  bool BreaksOff(const std::string& request_id) const;
   AnswerForm FormOf(const std::string& request_id) const;
   // Ends a stream that is not whole as `form` says. Returns false.
   bool BreakOff(const AnswerForm& form,
@@ -174,6 +179,7 @@
   bool draining = false;
   std::optional<double> limit;
   MonotonicTime rejects_until;
+  double broken_share = 0;
   bool rejects_all = false;  // Requests of every entry VM.
   int orders = 0;            // Accepted.
   int entries_written = 0;
--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -6,6 +6,7 @@
 
 #include "net/http_status.h"
 #include "soak/backoff_schedule.h"
+#include "soak/broken_answer_schedule.h"
 #include "soak/config_schedule.h"
 #include "soak/fault_schedule.h"
 #include "soak/idle_schedule.h"
@@ -179,6 +180,7 @@
   ConfigSchedule configs(&world, settings.seed);
   LimitSchedule limits(&world, settings.seed);
   BackoffSchedule backoffs(&world, settings.seed);
+  BrokenAnswerSchedule broken_answers(&world, settings.seed);
   IdleSchedule idle(&world, settings.seed);
   RebirthSchedule rebirths(&world, settings.seed);
   SilenceSchedule silences(&world, settings.seed);
@@ -224,6 +226,10 @@
     if (settings.with_idle_timeouts) {
       world.loop.Spawn([&, end](Coroutine inner) { idle.Run(end, inner); });
     }
+    if (settings.with_broken_answers) {
+      world.loop.Spawn(
+          [&, end](Coroutine inner) { broken_answers.Run(end, inner); });
+    }
     bool is_sound = !settings.with_silences;
     if (settings.with_silences) {
       world.loop.Spawn([&, end](Coroutine inner) {
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -39,6 +39,9 @@
   // Servers frame answers in all forms and break some off; some callers speak
   // HTTP/1.0.
   bool with_framings = false;
+  // Plain servers break off answers, and all processes are killed again and
+  // again.
+  bool with_broken_answers = false;
   // Servers start again at their addresses, which others also get.
   bool with_rebirths = false;
   // Some callers send prompts under which servers end.
