Soak: pace the events of streams

The stand-in waits for the time of the next event on the waiter of its connection, and every write that leaves it ends that wait.

Each event waits until its time now, or until the connection ends. The test fails without the change.

--- a/tests/soak/server_stand_in_test.cc
+++ b/tests/soak/server_stand_in_test.cc
@@ -252,6 +252,28 @@
   }
 }
 
+// Guards against streams whose events follow each other at once, since bytes
+// that are sent wake the server: no caller leaves within such a stream.
+TEST_CASE("The events of a stream come at intervals") {
+  constexpr Duration kShortest = milliseconds(250);
+  Servers servers;
+  RunCoroutine(&servers.loop, [&](Coroutine yield) {
+    ServerStandIn* head = servers.Start(servers.AddHost(), "a");
+    ServerStandIn* member = servers.Start(servers.AddHost(), "b");
+    CHECK(servers.Order(*head, JoinOrder(1), yield) == kHttpAccepted);
+    CHECK(servers.Order(*member, JoinOrder(1), yield) == kHttpAccepted);
+    servers.loop.Sleep(kLoaded, yield);
+    CHECK(servers.Order(*head, OpenOrder(1), yield) == kHttpAccepted);
+    servers.loop.Sleep(kFormed, yield);
+    servers.ledger.NoteSent("r", RequestKind::kStream);
+    const MonotonicTime sent_at = servers.loop.Now();
+    CHECK(servers.Send(head->Host(), "/stream/x", "a", "", yield)
+              .HasResponseStatus(kHttpOk));
+    CHECK(servers.loop.Now() - sent_at >= kShortest);
+  });
+  servers.loop.UnwindCoroutines();
+}
+
 // Guards against a request that is sent to an address without the server's id.
 TEST_CASE("A request at a server of the other service is accused") {
   Servers servers;
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -592,7 +592,12 @@
   std::string unsent = event_text(event);  // Of that event.
   MonotonicTime whole_at = this->parts.loop->Now();
   while (event <= kStreamEvents) {
-    waiter->WaitUntil(this->parts.loop->Now() + kEventInterval, yield);
+    // Bytes that are sent end a wait early as well.
+    const MonotonicTime next_at = this->parts.loop->Now() + kEventInterval;
+    while (this->parts.loop->Now() < next_at &&
+           (outlasts_caller || !connection->HasEnded())) {
+      waiter->WaitUntil(next_at, yield);
+    }
     const MonotonicTime now = this->parts.loop->Now();
     if (!this->alive || (connection->HasEnded() && !outlasts_caller) ||
         !this->membership ||
