Name records of the configuration by place, not by offset

What callers saw: after the log came back from an older copy, entry VMs served different configurations for good. One that had read the lost records read on at its offset and passed over the newer ones that had taken their offsets; at the same offset as the others, it was not repaired by peers either.

The own interface's log states no era, so the pair (era, offset) of the users' platform cannot be had.

Change: LogPlace, the highest platform time up to a record, its offset, its own time and its append ID. Lost records are older than those that took their offsets, so places order any two nodes' knowledge alike, whatever the offsets. Records are applied only from an answer that repeats the last known one.

Evidence: "Nodes agree on the configuration after the log was rolled back" failed always (log_rollback_test.cc:29, CHECK of the two configurations) and passes. On the sources before, all four example tests of config_rollback_test fail (6 of 55 assertions).

--- a/src/cli/config_history.cc
+++ b/src/cli/config_history.cc
@@ -15,7 +15,7 @@
 
 Result<ConfigHistory> ReadConfigInForce(LogService* log) {
   ConfigHistory history;
-  BOOST_OUTCOME_TRY(snapshot, ReadNewestSnapshot(log));
+  BOOST_OUTCOME_TRY(snapshot, ReadNewestConfirmedSnapshot(log));
   if (snapshot.has_value()) {
     history.view = std::move(snapshot->view);
     history.is_complete = false;
--- a/src/cli/config_history.h
+++ b/src/cli/config_history.h
@@ -20,8 +20,8 @@
   bool is_complete = true;
 };
 
-// Reads the newest snapshot and the records after it. Errors: as
-// LogService::Read; kExpired when records are lost between the two.
+// Reads the newest snapshot of the log's history and the records after it.
+// Errors: as LogService::Read; kExpired when records are lost between the two.
 Result<ConfigHistory> ReadConfigInForce(LogService* log);
 
 // As above, from the oldest record that can still be judged.
--- a/src/control/config_replica.cc
+++ b/src/control/config_replica.cc
@@ -1,5 +1,7 @@
 #include "control/config_replica.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/logging.h"
@@ -62,24 +64,27 @@
   std::shared_ptr<const ConfigView> published;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    for (const LogRecord& record : records) {
-      if (record.offset <= this->view.offset) {
-        continue;
-      }
-      if (record.offset != this->view.offset + 1) {
-        break;
-      }
-      this->ApplyNext(record, &entries);
-    }
-    if (entries.empty()) {
+    if (!this->ApplyLocked(records, &entries)) {
       return false;
     }
     published = std::make_shared<const ConfigView>(this->view);
   }
-  this->Publish(published);
-  for (const AuditEntry& entry : entries) {
-    this->audit->PublishEntry(entry);
+  this->Publish(published, entries);
+  return true;
+}
+
+bool ConfigReplica::ApplyRecordsAfter(const LogPlace& after,
+                                      const std::vector<LogRecord>& records) {
+  std::vector<AuditEntry> entries;
+  std::shared_ptr<const ConfigView> published;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->KnowsPlace(after) || !this->ApplyLocked(records, &entries)) {
+      return false;
+    }
+    published = std::make_shared<const ConfigView>(this->view);
   }
+  this->Publish(published, entries);
   return true;
 }
 
@@ -87,15 +92,52 @@
   std::shared_ptr<const ConfigView> published;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (snapshot.offset <= this->view.offset) {
+    if (!snapshot.CurrentPlace().IsAbove(this->view.CurrentPlace())) {
       return false;
     }
     this->view = std::move(snapshot);
     this->tail.clear();
+    this->tail_base = this->view.CurrentPlace();
     published = std::make_shared<const ConfigView>(this->view);
   }
   LogInfo("config_snapshot_installed", {{"offset", published->offset}});
-  this->Publish(published);
+  this->Publish(published, {});
+  return true;
+}
+
+bool ConfigReplica::AdoptHistory(ConfigView base,
+                                 const std::vector<LogRecord>& records) {
+  LogPlace end = base.CurrentPlace();
+  for (const LogRecord& record : records) {
+    end = end.Next(record);
+  }
+  std::vector<AuditEntry> entries;
+  std::shared_ptr<const ConfigView> published;
+  Offset former_offset = kNoOffset;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (!end.IsAbove(this->view.CurrentPlace())) {
+      return false;
+    }
+    std::set<LogPlace> known;
+    for (const TailEntry& entry : this->tail) {
+      known.insert(entry.place);
+    }
+    former_offset = this->view.offset;
+    this->view = std::move(base);
+    this->tail.clear();
+    this->tail_base = this->view.CurrentPlace();
+    for (const LogRecord& record : records) {
+      this->ApplyNext(record, &entries);
+      if (known.count(this->view.place) > 0) {
+        entries.pop_back();
+      }
+    }
+    published = std::make_shared<const ConfigView>(this->view);
+  }
+  LogWarning("config_history_replaced",
+             {{"former_offset", former_offset}, {"offset", published->offset}});
+  this->Publish(published, entries);
   return true;
 }
 
@@ -104,39 +146,84 @@
   return this->view.offset;
 }
 
+LogPlace ConfigReplica::CurrentPlace() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->view.CurrentPlace();
+}
+
 ConfigView ConfigReplica::CopyView() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->view;
 }
 
 std::vector<LogRecord> ConfigReplica::RecordsAfter(
-    Offset offset,
+    const LogPlace& place,
     std::size_t max_bytes) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   std::vector<LogRecord> records;
-  if (this->tail.empty() || this->tail.front().offset > offset + 1) {
+  if (this->tail.empty() || !this->KnowsPlace(place)) {
     return records;
   }
   std::size_t bytes = 0;
-  for (const LogRecord& record : this->tail) {
-    if (record.offset <= offset) {
+  for (const TailEntry& entry : this->tail) {
+    if (entry.record.offset <= place.offset) {
       continue;
     }
-    bytes += record.payload.size();
+    bytes += entry.record.payload.size();
     if (!records.empty() && bytes > max_bytes) {
       break;
     }
-    records.push_back(record);
+    records.push_back(entry.record);
   }
   return records;
 }
 
+bool ConfigReplica::ApplyLocked(const std::vector<LogRecord>& records,
+                                std::vector<AuditEntry>* entries) {
+  for (const LogRecord& record : records) {
+    if (record.offset <= this->view.offset) {
+      if (this->Contradicts(record)) {
+        break;
+      }
+      continue;
+    }
+    if (record.offset != this->view.offset + 1) {
+      break;
+    }
+    this->ApplyNext(record, entries);
+  }
+  return !entries->empty();
+}
+
+bool ConfigReplica::KnowsPlace(const LogPlace& place) const {
+  const auto is_same = [&place](const LogPlace& own) {
+    return own.offset == place.offset &&
+           (!own.IsKnown() || !place.IsKnown() || own == place);
+  };
+  return is_same(this->tail_base) ||
+         std::any_of(
+             this->tail.begin(), this->tail.end(),
+             [&](const TailEntry& entry) { return is_same(entry.place); });
+}
+
+bool ConfigReplica::Contradicts(const LogRecord& record) const {
+  if (record.offset == this->tail_base.offset) {
+    return !this->tail_base.Names(record);
+  }
+  return std::any_of(this->tail.begin(), this->tail.end(),
+                     [&record](const TailEntry& entry) {
+                       return entry.place.offset == record.offset &&
+                              !entry.place.Names(record);
+                     });
+}
+
 void ConfigReplica::ApplyNext(const LogRecord& record,
                               std::vector<AuditEntry>* entries) {
   JudgedRecord judged = JudgeRecord(std::move(this->view), record);
   this->view = std::move(judged.view);
-  this->tail.push_back(record);
+  this->tail.push_back({record, this->view.place});
   if (this->tail.size() > this->tail_limit) {
+    this->tail_base = this->tail.front().place;
     this->tail.pop_front();
   }
   (judged.verdict.accepted ? this->accepted : this->refused).Add();
@@ -147,13 +234,18 @@
   entries->push_back(ToAuditEntry(judged.verdict));
 }
 
-void ConfigReplica::Publish(const std::shared_ptr<const ConfigView>& view) {
+void ConfigReplica::Publish(const std::shared_ptr<const ConfigView>& view,
+                            const std::vector<AuditEntry>& entries) {
   this->offset_gauge.Set(static_cast<double>(view->offset));
   this->objects_gauge.Set(static_cast<double>(CountObjects(*view)));
   // Another thread may have published a later view in the meantime.
   this->board->config.Update([&view](const ConfigView& present) {
-    return present.offset < view->offset ? *view : present;
+    return view->CurrentPlace().IsAbove(present.CurrentPlace()) ? *view
+                                                                : present;
   });
+  for (const AuditEntry& entry : entries) {
+    this->audit->PublishEntry(entry);
+  }
 }
 
 }  // namespace kumquatcart
--- a/src/control/config_topic.cc
+++ b/src/control/config_topic.cc
@@ -11,10 +11,37 @@
 namespace {
 
 constexpr char kOffsetField[] = "offset";
+constexpr char kPlaceField[] = "place";
 constexpr char kRecordsField[] = "records";
+constexpr char kAfterField[] = "after";
 constexpr char kPartField[] = "snapshot_part";
 constexpr char kProgressField[] = "snapshot_progress";
 
+// Reads the place of the last record that a peer evaluated. Earlier versions
+// state its offset only.
+Result<LogPlace> ReadPlace(const Json& digest) {
+  if (!digest.is_object() || !digest.contains(kOffsetField) ||
+      !digest[kOffsetField].is_number_integer()) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "config digest has no whole offset");
+  }
+  LogPlace place;
+  place.offset = digest[kOffsetField].get<Offset>();
+  if (place.offset < kNoOffset) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "config digest has a negative offset");
+  }
+  if (!digest.contains(kPlaceField)) {
+    return place;
+  }
+  BOOST_OUTCOME_TRY(known, FromJson<LogPlace>(digest[kPlaceField]));
+  if (known.offset != place.offset) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "config digest has a place at another offset");
+  }
+  return known;
+}
+
 // Reads the progress of a snapshot transfer from the digest; empty progress
 // when the digest has none.
 Result<SnapshotProgress> ReadProgress(const Json& digest) {
@@ -40,11 +67,15 @@
 }
 
 Json ConfigTopic::Digest() const {
-  const Offset offset = this->replica->CurrentOffset();
-  Json digest = {{kOffsetField, offset}};
+  const LogPlace place = this->replica->CurrentPlace();
+  Json digest = {{kOffsetField, place.offset}};
+  if (place.IsKnown()) {
+    digest[kPlaceField] = place;
+  }
   const std::lock_guard<std::mutex> lock(this->mutex);
   const SnapshotProgress progress = this->assembler.Progress();
-  if (progress.config_offset > offset) {
+  // A snapshot of a newer history may have a lower offset.
+  if (progress.received > 0) {
     digest[kProgressField] = progress;
   }
   return digest;
@@ -52,24 +83,16 @@
 
 Result<Json> ConfigTopic::DeltaFor(const Json& digest,
                                    std::size_t max_bytes) const {
-  if (!digest.is_object() || !digest.contains(kOffsetField) ||
-      !digest[kOffsetField].is_number_integer()) {
-    return MakeError(ErrorCode::kInvalidArgument,
-                     "config digest has no whole offset");
-  }
-  const Offset peer_offset = digest[kOffsetField].get<Offset>();
-  if (peer_offset < kNoOffset) {
-    return MakeError(ErrorCode::kInvalidArgument,
-                     "config digest has a negative offset");
-  }
+  BOOST_OUTCOME_TRY(peer_place, ReadPlace(digest));
   BOOST_OUTCOME_TRY(progress, ReadProgress(digest));
-  if (peer_offset >= this->replica->CurrentOffset()) {
+  if (!this->replica->CurrentPlace().IsAbove(peer_place)) {
     return Json();
   }
   std::vector<LogRecord> records =
-      this->replica->RecordsAfter(peer_offset, max_bytes);
+      this->replica->RecordsAfter(peer_place, max_bytes);
   if (!records.empty()) {
-    return Json{{kRecordsField, std::move(records)}};
+    return Json{{kRecordsField, std::move(records)},
+                {kAfterField, std::move(peer_place)}};
   }
   this->parts_sent.Add();
   const std::lock_guard<std::mutex> lock(this->mutex);
@@ -82,7 +105,7 @@
     return false;
   }
   if (delta.is_object() && delta.contains(kRecordsField)) {
-    return this->MergeRecords(delta[kRecordsField]);
+    return this->MergeRecords(delta);
   }
   if (delta.is_object() && delta.contains(kPartField)) {
     return this->MergePart(delta[kPartField]);
@@ -91,9 +114,14 @@
                    "config delta has neither records nor snapshot part");
 }
 
-Result<bool> ConfigTopic::MergeRecords(const Json& records) {
-  BOOST_OUTCOME_TRY(decoded, FromJson<std::vector<LogRecord>>(records));
+Result<bool> ConfigTopic::MergeRecords(const Json& delta) {
+  BOOST_OUTCOME_TRY(decoded,
+                    FromJson<std::vector<LogRecord>>(delta[kRecordsField]));
   this->records_received.Add(decoded.size());
+  if (delta.contains(kAfterField)) {
+    BOOST_OUTCOME_TRY(after, FromJson<LogPlace>(delta[kAfterField]));
+    return this->replica->ApplyRecordsAfter(after, decoded);
+  }
   return this->replica->ApplyRecords(decoded);
 }
 
--- a/src/control/config_topic.h
+++ b/src/control/config_topic.h
@@ -15,10 +15,10 @@
 inline constexpr char kConfigTopicName[] = "config";
 
 // Replicates the configuration from peers to nodes that can't reach the log.
-// The digest contains the offset and the progress of a snapshot transfer. A
-// delta contains the raw records after that offset, which the receiver
-// evaluates itself, or the next part of a snapshot when the sender's tail
-// begins later. Thread safe.
+// The digest contains the place and the progress of a snapshot transfer. A
+// delta contains the raw records after that place, which the receiver evaluates
+// itself, or the next part of a snapshot when the sender's tail begins later or
+// the place is of a history that the log lost. Thread safe.
 class ConfigTopic : public GossipTopic {
  public:
   // Precondition: `replica` and `metrics` outlive the topic.
@@ -31,7 +31,7 @@
   Result<bool> Merge(const Json& delta) override;
 
  private:
-  Result<bool> MergeRecords(const Json& records);
+  Result<bool> MergeRecords(const Json& delta);
   Result<bool> MergePart(const Json& part);
 
   ConfigReplica* const replica;
--- a/src/control/snapshot_parts.cc
+++ b/src/control/snapshot_parts.cc
@@ -20,14 +20,14 @@
   std::size_t begin = 0;
   if (this->CanContinue(progress)) {
     begin = static_cast<std::size_t>(progress.received);
-  } else if (this->cached_offset != view.offset) {
-    this->cached_offset = view.offset;
+  } else if (this->cached_place != view.CurrentPlace()) {
+    this->cached_place = view.CurrentPlace();
     // ASCII only, so that a part boundary never splits a character.
     this->cached_text = EncodeSnapshot(view).dump(
         -1, ' ', true, Json::error_handler_t::replace);
   }
   SnapshotPart part;
-  part.config_offset = this->cached_offset;
+  part.config_offset = this->cached_place.offset;
   part.begin = static_cast<std::int64_t>(begin);
   part.total = static_cast<std::int64_t>(this->cached_text.size());
   part.text = this->cached_text.substr(begin, max_bytes);
@@ -36,7 +36,7 @@
 
 bool SnapshotSplitter::CanContinue(const SnapshotProgress& progress) const {
   return progress.received > 0 &&
-         progress.config_offset == this->cached_offset &&
+         progress.config_offset == this->cached_place.offset &&
          progress.received <
              static_cast<std::int64_t>(this->cached_text.size());
 }
--- a/src/control/snapshot_parts.h
+++ b/src/control/snapshot_parts.h
@@ -57,7 +57,7 @@
   bool CanContinue(const SnapshotProgress& progress) const;
 
  private:
-  Offset cached_offset = kNoOffset;
+  LogPlace cached_place;
   std::string cached_text;
 };
 
--- a/src/control/snapshot_reader.h
+++ b/src/control/snapshot_reader.h
@@ -26,14 +26,20 @@
 // Errors: as LogService::Read, but never kExpired.
 Result<StreamBounds> ReadBounds(LogService* log, const StreamName& stream);
 
-// Returns the snapshot with the highest configuration offset among the newest
-// few retained ones, or std::nullopt when there is none. Damaged snapshots are
-// skipped. Errors: as LogService::Read.
+// Returns the snapshot with the highest place among the newest few retained
+// ones, or std::nullopt when there is none. Damaged snapshots are skipped.
+// Errors: as LogService::Read.
 Result<std::optional<StoredSnapshot>> ReadNewestSnapshot(LogService* log);
 
-// Returns the oldest undamaged snapshot that the retained records follow
-// without a gap, or std::nullopt when there is none. Used to read the history.
-// Errors: as LogService::Read.
+// The same of the snapshots whose last record the configuration stream has, so
+// that none is of a history that the log lost. Snapshots of earlier versions
+// name the offset of that record only. Errors: as LogService::Read.
+Result<std::optional<StoredSnapshot>> ReadNewestConfirmedSnapshot(
+    LogService* log);
+
+// Returns the oldest undamaged snapshot of the log's history that the retained
+// records follow without a gap, or std::nullopt when there is none. Used to
+// read the history. Errors: as LogService::Read.
 Result<std::optional<StoredSnapshot>> ReadOldestSnapshot(
     LogService* log,
     Offset first_retained_record);
--- a/src/control/snapshotter.cc
+++ b/src/control/snapshotter.cc
@@ -51,12 +51,12 @@
 Result<bool> Snapshotter::RunOnce() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const std::shared_ptr<const ConfigView> view = this->board->config.Read();
-  if (!this->IsDue(view->offset)) {
+  if (!this->IsDue(*view)) {
     return false;
   }
   // Another node may have written one since the last read of the stream.
   BOOST_OUTCOME_TRYV(this->RefreshNewest());
-  if (!this->IsDue(view->offset)) {
+  if (!this->IsDue(*view)) {
     return false;
   }
   const Status status = this->Write(*view);
@@ -67,10 +67,16 @@
   return true;
 }
 
-bool Snapshotter::IsDue(Offset own_offset) const {
+bool Snapshotter::IsDue(const ConfigView& view) const {
+  SnapshotInfo newest = this->newest;
+  if (newest.config_offset > view.offset &&
+      view.CurrentPlace().IsAbove(this->newest_place)) {
+    // It is of a history that the log lost.
+    newest.config_offset = kNoOffset;
+  }
   const std::size_t rank = SnapshotRank(*this->board->members.Read(),
-                                        this->board->identity.id, this->newest);
-  return IsSnapshotDue(this->newest, own_offset, rank, this->clock->WallNow(),
+                                        this->board->identity.id, newest);
+  return IsSnapshotDue(newest, view.offset, rank, this->clock->WallNow(),
                        this->settings);
 }
 
@@ -78,6 +84,7 @@
   BOOST_OUTCOME_TRY(stored, ReadNewestSnapshot(this->log));
   if (stored.has_value()) {
     this->newest = {stored->view.offset, stored->time_unix_ms};
+    this->newest_place = stored->view.CurrentPlace();
     this->newest_offset.Set(static_cast<double>(stored->view.offset));
     return Ok();
   }
@@ -97,6 +104,7 @@
   BOOST_OUTCOME_TRY(
       offset, this->log->Append(kSnapshotStream, MakeId<AppendId>(), payload));
   this->newest = {view.offset, ToUnixMillis(this->clock->WallNow())};
+  this->newest_place = view.CurrentPlace();
   this->newest_offset.Set(static_cast<double>(view.offset));
   this->written.Add();
   this->bytes.Set(static_cast<double>(payload.size()));
--- a/src/control/snapshotter.h
+++ b/src/control/snapshotter.h
@@ -38,7 +38,7 @@
   Result<bool> RunOnce();
 
  private:
-  bool IsDue(Offset own_offset) const;
+  bool IsDue(const ConfigView& view) const;
   Status RefreshNewest();
   Status Write(const ConfigView& view);
 
@@ -54,6 +54,7 @@
   // Serialises runs and guards `newest`; acquired before the board's locks.
   std::mutex mutex;
   SnapshotInfo newest;
+  LogPlace newest_place;
 
   PeriodicTask task;
 };
--- a/src/model/config_judge.cc
+++ b/src/model/config_judge.cc
@@ -207,6 +207,7 @@
 
   JudgedRecord judged;
   judged.view = std::move(view);
+  judged.view.place = judged.view.CurrentPlace().Next(record);
   judged.view.offset = record.offset;
   ChangeApplication application(&judged.view, record);
   RuleViolations violations = std::move(decoded.violations);
--- a/src/model/config_snapshot.cc
+++ b/src/model/config_snapshot.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kMaxSnapshotBytes = 64 << 20;
+constexpr char kPlaceField[] = "place";
 
 std::string DigestOf(const Json& content) {
   return Sha256Hex(
@@ -28,9 +29,28 @@
                        {"revision", object.meta.revision},
                        {"spec", object.spec}});
   }
-  return {{"format", kConfigFormatVersion},
-          {"offset", view.offset},
-          {"objects", std::move(objects)}};
+  Json content = {{"format", kConfigFormatVersion},
+                  {"offset", view.offset},
+                  {"objects", std::move(objects)}};
+  const LogPlace place = view.CurrentPlace();
+  if (place.IsKnown()) {
+    content[kPlaceField] = place;
+  }
+  return content;
+}
+
+// Reads the place of a snapshot, which earlier versions leave out.
+Status ReadPlace(const Json& content, ConfigView* view) {
+  if (!content.contains(kPlaceField)) {
+    return Ok();
+  }
+  BOOST_OUTCOME_TRY(place, FromJson<LogPlace>(content[kPlaceField]));
+  if (place.offset != view->offset || !place.IsKnown()) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "snapshot has a place of another record");
+  }
+  view->place = std::move(place);
+  return Ok();
 }
 
 // Adds one object of a snapshot to `view`.
@@ -83,6 +103,7 @@
     return MakeError(ErrorCode::kInvalidArgument,
                      "snapshot has no positive offset");
   }
+  BOOST_OUTCOME_TRYV(ReadPlace(content, &view));
   for (const Json& object : content["objects"]) {
     BOOST_OUTCOME_TRYV(AddObject(object, &view));
   }
--- a/src/model/config_view.h
+++ b/src/model/config_view.h
@@ -8,6 +8,7 @@
 #include "base/comparable.h"
 #include "base/ids.h"
 #include "model/config_objects.h"
+#include "model/log_place.h"
 #include "model/log_record.h"
 
 namespace kumquatcart {
@@ -28,6 +29,9 @@
 // unique over all kinds. Immutable once published.
 struct ConfigView {
   Offset offset = kNoOffset;  // Last record judged, accepted or refused.
+  // Place of that record; unknown when its offset differs from `offset`. Not
+  // compared: it is about the log and not about the configuration.
+  LogPlace place;
   ObjectMap<Organisation> organisations;
   ObjectMap<ReplicaGroupClass> replica_group_classes;
   ObjectMap<ModelService> model_services;
@@ -37,6 +41,17 @@
   ObjectMap<Grant> grants;
   ObjectMap<Token> tokens;
 
+  // Returns the place of the last record; one that names only the offset when
+  // the record is unknown.
+  LogPlace CurrentPlace() const {
+    LogPlace known = this->place;
+    if (known.offset != this->offset) {
+      known = LogPlace();
+      known.offset = this->offset;
+    }
+    return known;
+  }
+
   auto Tie() const {
     return std::tie(this->offset, this->organisations,
                     this->replica_group_classes, this->model_services,
