Name records of the claims by place, not by offset

What callers saw: after the log came back from an older copy, an entry VM that had read beyond its end refused every request with an Idempotency-Key until the stream had grown beyond.

Cause: as for the configuration, an offset taken for the name of a record for ever. An end below the next offset counted as having read everything.

Change: each read repeats the last record read; time and append ID tell it from one that took its offset. When it is another one, or the log ends below it, the stream is read again from its first record. Claims that the log lost stay in the table. The VM's own ones, with their answers, are appended again, and claims that wait for their record as well; the first one of a key counts, as always.

One answer of a stand-in in "Appends whose answers are lost are repeated at a bounded rate" had to follow: it gave the one record that was asked for as another VM's news, which is now the last record repeated. It gives the next one too, so that each read brings news as before; bound and checks are unchanged.

Not covered, see docs/design/at-most-once.md: until the VM that ran a request has noticed, one that never read its claim may run it again; nothing in the log's interface tells that claims are missing.

--- a/src/gateway/claim_log.cc
+++ b/src/gateway/claim_log.cc
@@ -21,6 +21,10 @@
 // Factor on the batch interval while nothing can be appended.
 constexpr int kIdleFactor = 10;
 
+// Age beyond which claims of this VM are not appended again after the log came
+// back from an older copy, which is some seconds old.
+constexpr Duration kLostClaimAge = std::chrono::minutes(10);
+
 // Minimum time between two log lines of one event.
 constexpr Duration kLogInterval = std::chrono::seconds(10);
 
@@ -205,7 +209,7 @@
     if (const auto suppressed =
             this->read_failure_lines.Pass(this->clock->Now())) {
       LogWarning("claim_log_read_failed", {{"reason", read.error().message},
-                                           {"next_offset", this->next_offset},
+                                           {"offset", this->place.offset},
                                            {"suppressed", *suppressed}});
     }
   }
@@ -214,21 +218,45 @@
 
 Status ClaimLog::TryCatchUp() {
   bool has_skipped = false;
+  bool has_begun_replay = false;
   while (true) {
-    const Result<LogBatch> batch = this->log->Read(
-        kClaimStream, this->next_offset, kReadRecords, Duration::zero());
-    if (batch.has_error() && batch.error().code == ErrorCode::kExpired &&
-        !has_skipped) {
-      has_skipped = true;
-      BOOST_OUTCOME_TRYV(this->SkipExpired());
-      continue;
+    // An answer that repeats the last record is of the history that was read.
+    const Offset from = this->place.offset + (this->place.IsKnown() ? 0 : 1);
+    const Result<LogBatch> batch =
+        this->log->Read(kClaimStream, from, kReadRecords, Duration::zero());
+    if (batch.has_error() && batch.error().code == ErrorCode::kExpired) {
+      if (this->place.IsKnown()) {
+        // The last record is past retention; the next one may not be.
+        const Offset last_read = this->place.offset;
+        this->place = LogPlace();
+        this->place.offset = last_read;
+        continue;
+      }
+      if (!has_skipped) {
+        has_skipped = true;
+        BOOST_OUTCOME_TRYV(this->SkipExpired());
+        continue;
+      }
     }
     BOOST_OUTCOME_TRYV(batch);
-    BOOST_OUTCOME_TRYV(this->Apply(batch.value().records));
-    if (this->next_offset > batch.value().last) {
+    const std::vector<LogRecord>& records = batch.value().records;
+    const Offset last = batch.value().last;
+    const bool is_other_record = !records.empty() &&
+                                 records.front().offset == this->place.offset &&
+                                 !this->place.Names(records.front());
+    if ((last < this->place.offset || is_other_record) && !has_begun_replay) {
+      has_begun_replay = true;
+      has_skipped = false;
+      this->BeginReplay(last);
+      continue;
+    }
+    const Offset before = this->place.offset;
+    BOOST_OUTCOME_TRYV(this->Apply(records));
+    if (last >= before && this->place.offset >= last) {
+      this->EndReplay();
       return Ok();
     }
-    if (batch.value().records.empty()) {
+    if (this->place.offset == before) {
       return MakeError(ErrorCode::kUnavailable,
                        "the log returned none of the records up to its end");
     }
@@ -239,13 +267,48 @@
   // Claims past retention are past the window as well.
   BOOST_OUTCOME_TRY(
       end, this->log->Read(kClaimStream, kFarOffset, 1, Duration::zero()));
-  this->next_offset = end.first_retained;
+  this->place = LogPlace();
+  this->place.offset = end.first_retained - 1;
   return Ok();
 }
 
+void ClaimLog::BeginReplay(Offset last) {
+  LogWarning("claim_records_lost",
+             {{"log_last", last}, {"offset", this->place.offset}});
+  this->place = LogPlace();
+  this->replayed.emplace(this->settings.window);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (Waiting& waiting : this->waiting) {
+    // Its record may be among those that were lost; the first one counts.
+    waiting.appended = false;
+  }
+}
+
+void ClaimLog::EndReplay() {
+  if (!this->replayed.has_value()) {
+    return;
+  }
+  std::vector<ClaimEntry> lost = this->table.EntriesMissingIn(*this->replayed);
+  this->replayed.reset();
+  // Others append what is theirs.
+  lost.erase(std::remove_if(lost.begin(), lost.end(),
+                            [this](const ClaimEntry& entry) {
+                              return this->appended_at.count(entry.claim) == 0;
+                            }),
+             lost.end());
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  // A settlement that waits already belongs after its claim.
+  this->gathered.insert(this->gathered.begin(),
+                        std::make_move_iterator(lost.begin()),
+                        std::make_move_iterator(lost.end()));
+}
+
 Status ClaimLog::Apply(const std::vector<LogRecord>& records) {
   for (const LogRecord& record : records) {
-    if (record.offset < this->next_offset) {
+    if (record.offset == this->place.offset && this->place.Names(record)) {
+      continue;
+    }
+    if (record.offset <= this->place.offset) {
       return MakeError(ErrorCode::kUnavailable,
                        "the log returned a record from before the offset that "
                        "was read");
@@ -253,14 +316,33 @@
     const Result<ClaimRecord> claims = DecodeJson<ClaimRecord>(record.payload);
     if (claims.has_value()) {
       this->table.Apply(claims.value(), record.time_unix_ms);
+      if (this->replayed.has_value()) {
+        this->replayed->Apply(claims.value(), record.time_unix_ms);
+      }
     } else {
       LogError("claim_record_malformed", {{"offset", record.offset}});
     }
-    this->next_offset = record.offset + 1;
+    this->place = this->place.Next(record);
   }
   return Ok();
 }
 
+void ClaimLog::NoteAppended(const AttemptId& claim) {
+  const MonotonicTime now = this->clock->Now();
+  while (!this->appended_order.empty()) {
+    const auto oldest = this->appended_at.find(this->appended_order.front());
+    if (oldest != this->appended_at.end() &&
+        now - oldest->second < kLostClaimAge) {
+      break;
+    }
+    this->appended_at.erase(this->appended_order.front());
+    this->appended_order.pop_front();
+  }
+  if (this->appended_at.emplace(claim, now).second) {
+    this->appended_order.push_back(claim);
+  }
+}
+
 ClaimLog::AppendOutcome ClaimLog::AppendGathered() {
   ClaimRecord record;
   {
@@ -276,6 +358,7 @@
       record.entries.push_back(std::move(entry));
       waiting.appended = true;
       waiting.tried = true;
+      this->NoteAppended(waiting.claim);
     }
     std::move(this->gathered.begin(), this->gathered.end(),
               std::back_inserter(record.entries));
@@ -299,15 +382,21 @@
   // their own ids, are found there or not. Entries may stand twice; the first
   // one counts.
   const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<ClaimEntry> kept;
   for (ClaimEntry& entry : record.entries) {
-    if (entry.kind == ClaimEntry::Kind::kSettle) {
-      this->gathered.push_back(std::move(entry));
-      continue;
-    }
-    for (Waiting& waiting : this->waiting) {
-      waiting.appended = waiting.appended && waiting.claim != entry.claim;
+    const auto waiting = std::find_if(
+        this->waiting.begin(), this->waiting.end(),
+        [&entry](const Waiting& each) { return each.claim == entry.claim; });
+    if (entry.kind == ClaimEntry::Kind::kClaim &&
+        waiting != this->waiting.end()) {
+      waiting->appended = false;
+    } else {
+      kept.push_back(std::move(entry));
     }
   }
+  this->gathered.insert(this->gathered.begin(),
+                        std::make_move_iterator(kept.begin()),
+                        std::make_move_iterator(kept.end()));
   return appended.error().code == ErrorCode::kUnknown
              ? AppendOutcome::kUnknown
              : AppendOutcome::kNotAppended;
--- a/src/gateway/claim_log.h
+++ b/src/gateway/claim_log.h
@@ -3,8 +3,10 @@
 #define GATEWAY_CLAIM_LOG_H_
 
 #include <condition_variable>
+#include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -15,6 +17,7 @@
 #include "base/setting.h"
 #include "gateway/claim_record.h"
 #include "gateway/idempotency_store.h"
+#include "model/log_place.h"
 #include "platform/log_service.h"
 
 namespace kumquatcart {
@@ -31,9 +34,11 @@
 SettingGroup DescribeSettings(ClaimSettings* settings);
 
 // Claims keys by records of the claim stream: many claims in one append, the
-// first offset of a key wins. Refuses claims, as not run, while the log does
-// not answer. Thread safe; `mutex` is a leaf in the lock order and decisions
-// are called without it.
+// first offset of a key wins. When the log came back from an older copy, its
+// records are read again, claims that it lost are kept, and those of this VM
+// are appended again. Refuses claims, as not run, while the log does not
+// answer. Thread safe; `mutex` is a leaf in the lock order and decisions are
+// called without it.
 class ClaimLog : public IdempotencyStore {
  public:
   // Preconditions: `clock`, `log` and `metrics` outlive the claim log.
@@ -91,8 +96,16 @@
   Status TryCatchUp();
   // Continues at the first record that the log still has.
   Status SkipExpired();
-  // Applies the records and moves `next_offset` on.
+  // Begins to read from the first record again: the log does not have the last
+  // one that was read.
+  void BeginReplay(Offset last);
+  // Gathers the claims of this VM that the log has lost.
+  void EndReplay();
+  // Applies the records and moves `place` on. Records that do not follow it are
+  // an error.
   Status Apply(const std::vector<LogRecord>& records);
+  // Keeps in mind that this VM appended `claim`.
+  void NoteAppended(const AttemptId& claim);
   AppendOutcome AppendGathered();
   std::vector<Decided> DecideAll(bool log_answers);
   bool Decide(const Waiting& waiting,
@@ -110,7 +123,12 @@
 
   // Touched by the thread only.
   ClaimTable table;
-  Offset next_offset = 1;
+  LogPlace place;  // Of the last record read.
+  // While the stream is read again: the claims that it has.
+  std::optional<ClaimTable> replayed;
+  // Claims that this VM appended lately.
+  std::map<AttemptId, MonotonicTime> appended_at;
+  std::deque<AttemptId> appended_order;
   LogLimiter read_failure_lines;
   LogLimiter append_failure_lines;
 
--- a/src/gateway/claim_record.cc
+++ b/src/gateway/claim_record.cc
@@ -1,5 +1,7 @@
 #include "gateway/claim_record.h"
 
+#include <utility>
+
 namespace kumquatcart {
 
 ClaimTable::ClaimTable(Duration window) : window(window) {}
@@ -16,6 +18,31 @@
   return found == this->claims.end() ? nullptr : &found->second;
 }
 
+std::vector<ClaimEntry> ClaimTable::EntriesMissingIn(
+    const ClaimTable& other) const {
+  std::vector<ClaimEntry> entries;
+  for (const auto& [key, status] : this->claims) {
+    if (other.Find(key) != nullptr) {
+      continue;
+    }
+    ClaimEntry claim;
+    claim.key = key;
+    claim.claim = status.claim;
+    claim.digest = status.digest;
+    entries.push_back(std::move(claim));
+    if (status.settled) {
+      ClaimEntry settlement;
+      settlement.kind = ClaimEntry::Kind::kSettle;
+      settlement.key = key;
+      settlement.claim = status.claim;
+      settlement.outcome = status.outcome;
+      settlement.answer = status.answer;
+      entries.push_back(std::move(settlement));
+    }
+  }
+  return entries;
+}
+
 void ClaimTable::ApplyEntry(const ClaimEntry& entry,
                             std::int64_t time_unix_ms) {
   const auto found = this->claims.find(entry.key);
--- a/src/gateway/claim_record.h
+++ b/src/gateway/claim_record.h
@@ -81,6 +81,10 @@
   // not the winner are ignored.
   void Apply(const ClaimRecord& record, std::int64_t time_unix_ms);
 
+  // The entries that make the claims of this table whose keys are free in
+  // `other`; the settlement of a claim follows it.
+  std::vector<ClaimEntry> EntriesMissingIn(const ClaimTable& other) const;
+
   // The status of `key`, or nullptr when it is free.
   const ClaimStatus* Find(const ClaimKey& key) const;
 
--- a/tests/gateway/claim_log_test.cc
+++ b/tests/gateway/claim_log_test.cc
@@ -188,8 +188,12 @@
     if (!others_append) {
       return std::nullopt;
     }
-    return LogBatch{
-        1, from, {{from, 0, AppendId("other"), Json(ClaimRecord()).dump()}}};
+    // A read repeats the last record; the one after it is new each time.
+    const std::string payload = Json(ClaimRecord()).dump();
+    return LogBatch{1,
+                    from + 1,
+                    {{from, 0, AppendId("other"), payload},
+                     {from + 1, 0, AppendId("other"), payload}}};
   };
   log.LoseRequests(1'000'000);
   MetricRegistry metrics;
