Give up a lease that the log lost, and never grant its fence again

What callers saw: after the log came back from an older copy, two entry VMs of a failure domain ordered its engines about for good, with one fencing number and so with the same epochs. Or the new holder's number was lower than the engines', and they refused all its orders.

Cause: as for the configuration and the claims, an offset taken for the name of a record for ever: the manager read on at its next offset, its state machine dropped what took the lost offsets, and the fence was the offset.

Change: each read repeats the last record read, known by time and append ID. When it is another one, or the log ends below it, the node gives up its lease, reads the stream again, and claims only when a holder that it had read about can no longer hold. A claim names the highest fence that the claimant knows, from lost records and from the engines' statuses (up to 10^9), and grants one above it and above every earlier claim. While a log only grows that is the offset, as before.

--- a/src/control/lease_constants.h
+++ b/src/control/lease_constants.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 
 #include "base/clock.h"
+#include "model/lease.h"
 
 namespace kumquatcart {
 
@@ -14,6 +15,11 @@
 // Covers the drift between the holder's clock and the platform's clock.
 constexpr std::int64_t kLeaseClockMarginMs = 1000;
 
+// Highest fence that a claim may name, in offsets: a billion records, 30 years
+// of one a second. A higher one is not plausible and would use up the range of
+// epochs.
+constexpr FencingNumber kMaxNamedFence = 1'000'000'000;
+
 // Upper bound for the duration in a lease record; longer ones are clamped.
 constexpr std::int64_t kMaxLeaseDurationMs = 30'000;
 
--- a/src/control/lease_manager.cc
+++ b/src/control/lease_manager.cc
@@ -69,6 +69,7 @@
       failure_lines(kLogInterval),
       malformed_lines(kLogInterval),
       last_append_at(clock->Now() - settings.renew_interval),
+      claim_not_before(clock->Now()),
       held_until(clock->Now()),
       acquired_at(clock->Now()),
       task(std::make_unique<PeriodicTask>(clock,
@@ -156,7 +157,7 @@
   if (read.has_error()) {
     if (const auto suppressed = this->failure_lines.Pass(this->clock->Now())) {
       LogWarning("lease_read_failed", {{"reason", read.error().message},
-                                       {"next_offset", this->next_offset},
+                                       {"offset", this->place.offset},
                                        {"suppressed", *suppressed}});
     }
   }
@@ -166,31 +167,58 @@
 Status LeaseManager::TryReadNewRecords() {
   // Searched once: a start offset that is past retention again is searched in
   // the next round.
-  bool has_searched = this->next_offset == kNoOffset;
+  bool has_searched = !this->has_start;
+  bool has_forgotten = false;
   if (has_searched) {
     BOOST_OUTCOME_TRYV(this->FindStartOffset());
   }
   while (true) {
-    Result<LogBatch> batch = this->log->Read(kLeaseStream, this->next_offset,
-                                             kLeaseReadBatch, Duration(0));
-    if (batch.has_error() && batch.error().code == ErrorCode::kExpired &&
-        !has_searched) {
+    // An answer that repeats the last record is of the history that was read.
+    const Offset from = this->place.offset + (this->place.IsKnown() ? 0 : 1);
+    Result<LogBatch> batch =
+        this->log->Read(kLeaseStream, from, kLeaseReadBatch, Duration(0));
+    if (batch.has_error() && batch.error().code == ErrorCode::kExpired) {
+      if (this->place.IsKnown()) {
+        // The last record is past retention; the next one may not be.
+        const Offset last_read = this->place.offset;
+        this->place = LogPlace();
+        this->place.offset = last_read;
+        continue;
+      }
+      if (!has_searched) {
+        has_searched = true;
+        BOOST_OUTCOME_TRYV(this->FindStartOffset());
+        continue;
+      }
+    }
+    BOOST_OUTCOME_TRYV(batch);
+    const std::vector<LogRecord>& records = batch.value().records;
+    const bool is_other_record = !records.empty() &&
+                                 records.front().offset == this->place.offset &&
+                                 !this->place.Names(records.front());
+    const bool is_lost =
+        batch.value().last < this->place.offset || is_other_record;
+    if (is_lost && !has_forgotten) {
+      has_forgotten = true;
       has_searched = true;
+      this->ForgetHistory(batch.value().last);
       BOOST_OUTCOME_TRYV(this->FindStartOffset());
       continue;
     }
-    BOOST_OUTCOME_TRYV(batch);
     const MonotonicTime now = this->clock->Now();
-    for (const LogRecord& record : batch.value().records) {
-      if (record.offset < this->next_offset) {
+    for (const LogRecord& record : records) {
+      if (record.offset == this->place.offset && this->place.Names(record)) {
+        continue;
+      }
+      if (record.offset <= this->place.offset) {
         return MakeError(ErrorCode::kUnavailable,
                          "the log returned a record from before the offset "
                          "that was read");
       }
       this->ApplyRecord(record, now);
-      this->next_offset = record.offset + 1;
+      this->place = this->place.Next(record);
     }
-    if (batch.value().records.size() < kLeaseReadBatch) {
+    if (records.size() < kLeaseReadBatch) {
       return Ok();
     }
   }
@@ -215,10 +243,48 @@
     }
     start = std::max(first, start - step);
   }
-  this->next_offset = start;
+  this->place = LogPlace();
+  this->place.offset = start - 1;
+  this->has_start = true;
   return Ok();
 }
 
+void LeaseManager::ForgetHistory(Offset last) {
+  LogWarning("lease_records_lost",
+             {{"log_last", last}, {"offset", this->place.offset}});
+  this->has_start = false;
+  const MonotonicTime now = this->clock->Now();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const FailureDomainId& own = this->board->identity.failure_domain;
+  const LeaseGrant grant = this->lease_states.Find(own);
+  this->lost_fence = std::max(this->lost_fence, grant.fence);
+  const auto expiry = this->estimated_expiry.find(own);
+  if (grant.holder != this->board->identity.id &&
+      expiry != this->estimated_expiry.end()) {
+    this->claim_not_before = std::max(this->claim_not_before, expiry->second);
+  }
+  this->lease_states = LeaseStateMachine();
+  this->estimated_expiry.clear();
+  this->held_until = now;
+}
+
+FencingNumber LeaseManager::HighestKnownFence() const {
+  const FailureDomainId& own = this->board->identity.failure_domain;
+  FencingNumber highest =
+      std::max(this->lost_fence, this->lease_states.Find(own).fence);
+  const auto vms = this->board->vms.Read();
+  const auto engines = this->board->engines.Read();
+  for (const auto& [id, observation] : engines->engines) {
+    const auto vm = vms->vms.find(id);
+    const FencingNumber reported = observation.status.fence;
+    if (vm != vms->vms.end() && vm->second.failure_domain == own &&
+        reported < kMaxNamedFence) {
+      highest = std::max(highest, reported);
+    }
+  }
+  return highest;
+}
+
 void LeaseManager::ApplyRecord(const LogRecord& record, MonotonicTime now) {
   const Result<LeaseRecord> decoded = DecodeJson<LeaseRecord>(record.payload);
   if (decoded.has_error()) {
@@ -291,9 +357,11 @@
       now < this->last_append_at + this->settings.renew_interval) {
     return false;
   }
+  const Duration stagger = this->settings.claim_stagger * rank;
   const auto expiry = this->estimated_expiry.find(own);
-  return expiry == this->estimated_expiry.end() ||
-         now >= expiry->second + this->settings.claim_stagger * rank;
+  return now >= this->claim_not_before &&
+         (expiry == this->estimated_expiry.end() ||
+          now >= expiry->second + stagger);
 }
 
 void LeaseManager::Append(LeaseRecord::Kind kind) {
@@ -307,7 +375,8 @@
     record.kind = kind;
     record.failure_domain = this->board->identity.failure_domain;
     record.holder = this->board->identity.id;
-    record.fence = kind == LeaseRecord::Kind::kClaim ? 0 : grant.fence;
+    record.fence = kind == LeaseRecord::Kind::kClaim ? this->HighestKnownFence()
+                                                     : grant.fence;
     record.expected_last = grant.last_record;
     record.duration_ms = ToMillis(this->settings.duration);
     this->last_append_at = now;
--- a/src/control/lease_manager.h
+++ b/src/control/lease_manager.h
@@ -18,6 +18,7 @@
 #include "base/worker_pool.h"
 #include "board/board.h"
 #include "control/lease_rules.h"
+#include "model/log_place.h"
 #include "platform/log_service.h"
 
 namespace kumquatcart {
@@ -59,6 +60,12 @@
 // domain while this node is a candidate, and publishes board.leases. All
 // methods are thread safe.
 //
+// When the log came back from an older copy, this node gives up its lease,
+// reads the stream again, and claims only when a holder whose claim was lost no
+// longer holds. Claims name the highest fence that this node knows, from the
+// lost records and from the engines of its failure domain, and grant one above
+// it.
+//
 // The holder measures its expiry on its monotonic clock from before it sent the
 // record; other nodes measure from the platform's record time and add
 // kLeaseClockMarginMs.
@@ -103,10 +110,15 @@
   Status ReadNewRecords();
   Status TryReadNewRecords();
   Status FindStartOffset();
+  // Forgets the records read, which are not the log's; `last` is its end.
+  void ForgetHistory(Offset last);
   void ApplyRecord(const LogRecord& record, MonotonicTime now);
   void ApplyOwnRecord(const LeaseLogEntry& entry,
                       const LogRecord& record,
                       MonotonicTime now);
+  // Returns the highest fence in the own failure domain that this node knows.
+  // Precondition: `mutex` is held.
+  FencingNumber HighestKnownFence() const;
   void ClaimOrRenew(std::int64_t rank);
   bool IsRenewalDue(MonotonicTime now) const;
   bool IsClaimDue(MonotonicTime now, std::int64_t rank) const;
@@ -123,7 +135,8 @@
 
   // Serialises rounds; acquired before `mutex`. Held during calls to the log.
   std::mutex round_mutex;
-  Offset next_offset = kNoOffset;
+  bool has_start = false;
+  LogPlace place;  // Of the last record read.
   LogLimiter failure_lines;
   LogLimiter malformed_lines;
 
@@ -133,6 +146,9 @@
   std::map<FailureDomainId, MonotonicTime> estimated_expiry;
   std::map<AppendId, PendingAppend> pending;
   MonotonicTime last_append_at;
+  // Of the lost records; the former holder may hold until the time.
+  FencingNumber lost_fence = 0;
+  MonotonicTime claim_not_before;
   MonotonicTime held_until;
   MonotonicTime acquired_at;
   bool log_reachable = false;
--- a/src/control/lease_rules.cc
+++ b/src/control/lease_rules.cc
@@ -22,6 +22,16 @@
          entry.time_unix_ms >= before.last_record_ms + kLeaseRecordMaxAgeMs;
 }
 
+// Returns the fence that the claim `entry` grants. Offsets alone grow as well,
+// unless the log came back from an older copy.
+FencingNumber GrantedFence(const LeaseGrant& before,
+                           const LeaseLogEntry& entry) {
+  const FencingNumber named =
+      entry.record.fence <= kMaxNamedFence ? entry.record.fence : 0;
+  return std::max<FencingNumber>(
+      entry.offset, std::max<FencingNumber>(before.fence, named) + 1);
+}
+
 // Returns the reason why the claim has no effect; empty if it is effective.
 std::string ClaimRefusalReason(const LeaseGrant& before,
                                const LeaseLogEntry& entry) {
@@ -61,7 +71,7 @@
       return MakeRefusal(std::move(after), std::move(refusal));
     }
     after.holder = record.holder;
-    after.fence = entry.offset;
+    after.fence = GrantedFence(before, entry);
     after.claimable_from_ms = ClaimableFrom(entry);
     after.claim_seen = true;
     return LeaseEvaluation{true, "", std::move(after)};
--- a/src/control/lease_rules.h
+++ b/src/control/lease_rules.h
@@ -21,7 +21,7 @@
 // are on the platform's clock.
 struct LeaseGrant {
   NodeId holder;                   // Empty: none.
-  FencingNumber fence = 0;         // Offset of the claim.
+  FencingNumber fence = 0;         // That the claim granted.
   Offset last_record = kNoOffset;  // Last record, effective or not.
   std::int64_t last_record_ms = 0;
   std::int64_t claimable_from_ms = 0;  // First time for others' claims.
@@ -60,10 +60,11 @@
 //
 // A claim takes effect when it expects the last record of its failure domain
 // and the lease is free, already belongs to the claimant, or has passed its
-// duration plus kLeaseClockMarginMs. A renewal or release takes effect when it
-// matches the current holder and fence. If retention has removed the claim, the
-// renewal with the highest fence determines the holder instead. Pure; thread
-// safe.
+// duration plus kLeaseClockMarginMs. It grants a fence above all earlier ones
+// and above the one that it names, as far as that is at most kMaxNamedFence. A
+// renewal or release takes effect when it matches the current holder and fence.
+// If retention has removed the claim, the renewal with the highest fence
+// determines the holder instead. Pure; thread safe.
 LeaseEvaluation EvaluateLeaseRecord(const LeaseGrant& before,
                                     const LeaseLogEntry& entry);
 
--- a/src/model/lease.h
+++ b/src/model/lease.h
@@ -16,7 +16,9 @@
 namespace kumquatcart {
 
 // Number carried by every order; a receiver refuses one lower than it has seen.
-// It is the offset of the record that granted the lease.
+// It is the offset of the record that granted the lease, or one above the
+// highest number known to the claimant where that is higher: offsets are given
+// out again when the log comes back from an older copy.
 using FencingNumber = std::int64_t;
 
 // Record of the lease stream.
@@ -26,7 +28,9 @@
   Kind kind = Kind::kClaim;
   FailureDomainId failure_domain;
   NodeId holder;
-  FencingNumber fence = 0;  // Renew and release: the claim's offset.
+  // Claim: the highest number that the claimant knows. Renew and release: that
+  // of the claim.
+  FencingNumber fence = 0;
   Offset expected_last =
       kNoOffset;  // Last lease record of this failure domain the writer saw.
   std::int64_t duration_ms = 0;
--- a/tests/control/log_rollback_test.cc
+++ b/tests/control/log_rollback_test.cc
@@ -50,5 +50,69 @@
                                first.lease.GetOrderAuthority(now).fence));
 }
 
+// Guards against two nodes that order for good: the first one goes on renewing
+// a lease of which the log has no record.
+TEST_CASE("A node gives up a lease that the log lost when it reads the log") {
+  const bool has_services = GENERATE(false, true);
+  PlacementFixture fixture;
+  fixture.AddFabric("rack-1", 4, true);
+  if (has_services) {
+    AddService(&fixture.config, "truelle-llm", 1, 2);
+  }
+  ControlNode& first = fixture.AddNode("a");
+  ControlNode& second = fixture.AddNode("b");
+  fixture.Run(first, 8);
+  const FencingNumber lost =
+      first.lease.GetOrderAuthority(fixture.clock.Now()).fence;
+  REQUIRE(lost > 0);
+  fixture.log.RestoreBefore(kLeaseStream, 1);
+  fixture.Step(second);
+  for (int round = 0; round < 80; ++round) {
+    fixture.Step(first);
+    fixture.Step(second);
+    const MonotonicTime now = fixture.clock.Now();
+    CHECK_FALSE(first.lease.HoldsLease(now));
+    CHECK(second.lease.HoldsLease(now));
+    fixture.clock.Advance(std::chrono::milliseconds(250));
+  }
+  // Engines tell the orders of the two apart, and take those of the second.
+  const MonotonicTime now = fixture.clock.Now();
+  CHECK((!has_services || second.lease.GetOrderAuthority(now).fence > lost));
+}
+
+// Guards against a node that claims while a holder whose claim was lost still
+// holds, although it has read that claim, and against a fence that is given out
+// again, with which engines refuse all orders or take late ones.
+TEST_CASE("A lost lease is waited for and its fence is not given out again") {
+  const bool former_holder_lives = GENERATE(false, true);
+  PlacementFixture fixture;
+  ControlNode& first = fixture.AddNode("a");
+  ControlNode& second = fixture.AddNode("b");
+  fixture.Step(first);
+  fixture.Step(second);
+  const FencingNumber lost =
+      first.lease.GetOrderAuthority(fixture.clock.Now()).fence;
+  fixture.log.RestoreBefore(kLeaseStream, 1);
+  const MonotonicTime restored_at = fixture.clock.Now();
+  // The former holder claims again at its next renewal.
+  const ControlNode& next = former_holder_lives ? first : second;
+  bool holds = false;
+  while (!holds) {
+    fixture.Step(second);
+    if (former_holder_lives) {
+      fixture.Step(first);
+    }
+    const MonotonicTime now = fixture.clock.Now();
+    REQUIRE(now < restored_at + std::chrono::seconds(10));
+    CHECK_FALSE((first.lease.HoldsLease(now) && second.lease.HoldsLease(now)));
+    holds = next.lease.HoldsLease(now);
+    fixture.clock.Advance(std::chrono::milliseconds(250));
+  }
+  const Duration waited = fixture.clock.Now() - restored_at;
+  const Duration duration = LeaseSettings().duration;
+  CHECK((former_holder_lives ? waited < duration : waited > duration));
+  CHECK(next.lease.GetOrderAuthority(fixture.clock.Now()).fence > lost);
+}
+
 }  // namespace
 }  // namespace kumquatcart
