--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -52,13 +52,13 @@
 };
 
 const ExaminationRule& RuleFor(RunEnd end) {
-  static const ExaminationRule kRules[] = {
+  static const ExaminationRule rules[] = {
       {"unanswered", {Duration{0}, kSecondProbeDelay}, 2, true, false, false},
       {"cut_short", {Duration{0}, kSecondProbeDelay}, 2, true, true, false},
       {"closed", {kSecondProbeDelay, kAftermath}, 1, false, true, true},
       {"whole", {kAftermath}, 0, false, false, true},
       {"abandoned", {kAftermath}, 0, false, false, false}};
-  return kRules[static_cast<int>(end)];
+  return rules[static_cast<int>(end)];
 }
 
 std::string Join(const PromptParts& parts) {
--- a/tools/soak/crash_form.h
+++ b/tools/soak/crash_form.h
@@ -16,12 +16,12 @@
 
 // By the names on the command line.
 inline const std::map<std::string, CrashForm>& CrashForms() {
-  static const std::map<std::string, CrashForm> kForms{
+  static const std::map<std::string, CrashForm> forms{
       {"within", CrashForm::kWithin},
       {"before-head", CrashForm::kBeforeHead},
       {"after-whole", CrashForm::kAfterWhole},
       {"after-leaving", CrashForm::kAfterLeaving}};
-  return kForms;
+  return forms;
 }
 
 }  // namespace kumquatcart::soak
