--- a/src/platform/engine_client.cc
+++ b/src/platform/engine_client.cc
@@ -84,6 +84,7 @@
 OrderOutcome EngineClient::Send(const BackendServer& server,
                                 GroupOrder order,
                                 const GroupRecord& record,
+                                std::optional<std::int64_t> expected_orders,
                                 Duration timeout,
                                 Coroutine yield) {
   OutgoingRequest request;
@@ -91,7 +92,11 @@
   request.target = wire::kOrderPath;
   request.headers = {{"Content-Type", "application/json"},
                      {wire::kExpectInstance, server.id}};
-  request.body = EncodeOrder(order, record).dump();
+  Json body = EncodeOrder(order, record);
+  if (expected_orders) {
+    body[wire::kExpectedOrders] = *expected_orders;
+  }
+  request.body = body.dump();
   return Classify(this->client->ExchangeOnNewConnection(
       ToTcpEndpoint(server.endpoint), request, this->loop->Now() + timeout,
       yield));
@@ -114,10 +119,16 @@
   if (reply.result == ExchangeResult::kTimedOut) {
     return MakeError(ErrorCode::kTimeout, "no report in time");
   }
-  if (!reply.HasResponseStatus(kHttpOk)) {
-    return MakeError(ErrorCode::kUnavailable,
+  if (reply.result != ExchangeResult::kAnswered) {
+    return MakeError(reply.result == ExchangeResult::kNotSent
+                         ? ErrorCode::kUnavailable
+                         : ErrorCode::kUnknown,
                      std::string("report: ") + ToString(reply.result));
   }
+  if (reply.status != kHttpOk) {
+    return MakeError(ErrorCode::kInvalidArgument,
+                     "report: status " + std::to_string(reply.status));
+  }
   BOOST_OUTCOME_TRY(report, DecodeEngineReport(reply.body));
   if (!MayBeSameStart(report.started_ms, server.started_ms)) {
     return MakeError(ErrorCode::kNotFound, "another start has the address");
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -2,6 +2,8 @@
 #ifndef PLATFORM_ENGINE_CLIENT_H_
 #define PLATFORM_ENGINE_CLIENT_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/outcome.h"
@@ -30,6 +32,12 @@
 // Lower-case name for logs. Thread safe.
 const char* ToString(OrderOutcome outcome);
 
+// Whether the server may carry out the order, or has. Thread safe.
+inline bool MayHaveBegun(OrderOutcome outcome) {
+  return outcome == OrderOutcome::kBegan || outcome == OrderOutcome::kHolds ||
+         outcome == OrderOutcome::kUnknown;
+}
+
 // For the event loop's thread.
 class EngineClient {
  public:
@@ -38,17 +46,20 @@
 
   // Sends one order about `record`'s group to `server`, on a connection of its
   // own: an answer to another order would count as its own. kStage uses the
-  // record's model only.
+  // record's model only. If `condition` does not hold, the outcome is
+  // kConflict.
   OrderOutcome Send(const BackendServer& server,
                     GroupOrder order,
                     const GroupRecord& record,
+                    std::optional<std::int64_t> expected_orders,
                     Duration timeout,
                     Coroutine yield);
 
   // Asks a server for its state. Whichever server has the address answers, so a
   // report of another start than `server`'s is an error. Errors: kTimeout,
-  // kUnavailable, kNotFound where another server or start has the address,
-  // kInvalidArgument.
+  // kUnavailable where no connection was made, kUnknown where it ended without
+  // an answer, kNotFound where another server or start has the address,
+  // kInvalidArgument where the answer is no report.
   Result<EngineReport> Report(const BackendServer& server,
                               Duration timeout,
                               Coroutine yield);
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -23,6 +23,10 @@
 // An entry lapses this long after its server's end or last heartbeat.
 constexpr Duration kLapse = std::chrono::milliseconds(1500);
 constexpr int kSlots = 8;
+// From the end of an answer to that of a server that ends after it.
+constexpr Duration kAfterWhole = std::chrono::milliseconds(100);
+// Events of an answer that its caller leaves before its server ends.
+constexpr int kEventsAfterLeaving = 8;
 // Longer than bytes take to arrive.
 constexpr Duration kArrival = std::chrono::milliseconds(10);
 
@@ -152,6 +156,14 @@
                           : std::vector<std::string>();
 }
 
+void ServerStandIn::NoteArrival(const ParsedRequest& request) const {
+  const std::string left(FindHeader(request.headers, "X-Deadline-Ms"));
+  this->parts.retries->NoteArrival(
+      this->service, std::string(FindHeader(request.headers, "X-Request-Id")),
+      std::chrono::milliseconds(left.empty() ? -1 : std::stoll(left)),
+      this->parts.loop->Now());
+}
+
 void ServerStandIn::NoteRequest(const std::string& request_id) const {
   this->parts.ledger->NoteRun(request_id, this->id);
   const std::string entry = this->parts.ledger->EntryOf(request_id);
@@ -208,6 +220,7 @@
     return;
   }
   Json json = this->Describe();
+  json["seq"] = ++this->entries_written;  // Not the number of orders.
   json["service"] = this->service;
   json["address"] = this->host->Address().address().to_string() + ":" +
                     std::to_string(this->host->Address().port());
@@ -272,6 +285,9 @@
                      connection);
     return true;
   }
+  if (request.target != "/api/order") {
+    this->NoteArrival(request);
+  }
   const std::string_view expected =
       FindHeader(request.headers, "X-Expect-Instance");
   if (!expected.empty() && expected != this->id) {
@@ -304,7 +320,8 @@
     return false;
   }
   const AnswerForm form = this->FormOf(caller_id);
-  if (!form.ends_with_connection) {
+  const bool breaks_off = this->BreaksOff(caller_id);
+  if (!form.ends_with_connection && !breaks_off) {
     this->AnswerText(request, kHttpOk, ExpectedBody(caller_id), false,
                      connection);
     return true;
@@ -313,10 +330,15 @@
                      {"X-Response-Seal", this->id}};
   this->AddLimit(caller_id, &headers);
   AnswerSender sender(connection, false);
-  sender.DisableChunks();
+  if (!breaks_off) {
+    sender.DisableChunks();
+  }
   sender.BeginStream(kHttpOk, headers);
-  sender.SendPart(ExpectedBody(caller_id));
-  sender.EndStream();
+  const std::string body = ExpectedBody(caller_id);
+  sender.SendPart(body.substr(0, breaks_off ? body.size() / 2 : body.size()));
+  if (!breaks_off) {
+    sender.EndStream();
+  }
   return CloseInOrder(connection, waiter, yield);
 }
 
@@ -328,17 +350,22 @@
 }
 
 int ServerStandIn::EventsBeforeCrash() const {
+  if (this->parts.crash_form == CrashForm::kAfterWhole) {
+    return kStreamEvents + 1;
+  }
+  if (this->parts.crash_form == CrashForm::kAfterLeaving) {
+    return kEventsAfterLeaving;
+  }
   constexpr int kEvents[] = {0, 0, 0, 4, 8};
   return kEvents[std::hash<std::string>()("events" + this->id) %
                  std::size(kEvents)];
 }
 
-bool ServerStandIn::Crash(AnswerSender* sender,
-                          const std::string& next_event,
-                          TcpConnection* connection,
-                          Waiter* waiter,
-                          Coroutine yield) {
-  // Nothing, a part or all of the next event is sent.
+void ServerStandIn::SendBeforeCrash(AnswerSender* sender,
+                                    const std::string& next_event,
+                                    TcpConnection* connection,
+                                    Waiter* waiter,
+                                    Coroutine yield) const {
   const std::size_t third = std::hash<std::string>()(this->id) % 4;
   const std::size_t length =
       std::min(next_event.size(), third * next_event.size() / 3);
@@ -348,7 +375,10 @@
   while (connection->UnsentBytes() > 0 && !connection->HasEnded()) {
     waiter->WaitUntil(MonotonicTime::max(), yield);
   }
-  this->parts.loop->Sleep(kArrival, yield);
+}
+
+bool ServerStandIn::Crash(Duration delay, Coroutine yield) {
+  this->parts.loop->Sleep(delay, yield);
   if (this->alive) {  // It may have ended under another request meanwhile.
     this->parts.prompts->NoteServerEnd(this->parts.loop->Now());
     this->Die();
@@ -357,6 +387,13 @@
   return false;
 }
 
+bool ServerStandIn::BreaksOff(const std::string& request_id) const {
+  constexpr std::size_t kGrades = 1000;
+  const std::size_t grade =
+      std::hash<std::string>()(this->id + " " + request_id) % kGrades;
+  return static_cast<double>(grade) < this->broken_share * kGrades;
+}
+
 AnswerForm ServerStandIn::FormOf(const std::string& request_id) const {
   return this->parts.varies_framing ? DrawAnswerForm(this->id, request_id)
                                     : AnswerForm{};
@@ -374,6 +411,9 @@
 }
 
 SimpleHttpResponse ServerStandIn::TakeOrder(const Json& order) {
+  if (order.contains("expect") && order.at("expect") != this->orders) {
+    return {kHttpConflict, ""};
+  }
   const std::string op = order.value("op", std::string());
   if (op == "stage") {
     ++this->orders;
@@ -523,6 +563,11 @@
         fmt::format("{} ran in {} of which {} was never ready", caller_id,
                     served.group, member));
   }
+  if (crashes && this->parts.crash_form == CrashForm::kBeforeHead) {
+    return this->Crash(Duration{0}, yield);
+  }
+  const bool outlasts_caller =
+      crashes && this->parts.crash_form == CrashForm::kAfterLeaving;
   const AnswerForm form = this->FormOf(caller_id);
   const auto event_text = [&](int event) {
     return event > kStreamEvents
@@ -547,9 +592,15 @@
   std::string unsent = event_text(event);  // Of that event.
   MonotonicTime whole_at = this->parts.loop->Now();
   while (event <= kStreamEvents) {
-    waiter->WaitUntil(this->parts.loop->Now() + kEventInterval, yield);
+    // Bytes that are sent end a wait early as well.
+    const MonotonicTime next_at = this->parts.loop->Now() + kEventInterval;
+    while (this->parts.loop->Now() < next_at &&
+           (outlasts_caller || !connection->HasEnded())) {
+      waiter->WaitUntil(next_at, yield);
+    }
     const MonotonicTime now = this->parts.loop->Now();
-    if (!this->alive || connection->HasEnded() || !this->membership ||
+    if (!this->alive || (connection->HasEnded() && !outlasts_caller) ||
+        !this->membership ||
         this->membership->formation.epoch != served.epoch ||
         this->membership->state != "open" || now - whole_at > kStall) {
       return this->BreakOff(form, &sender, connection);
@@ -561,9 +612,12 @@
     if (!sender.HasBegun()) {
       begin_stream(&sender);
     }
-    if (crashes && (event - first == this->EventsBeforeCrash() ||
-                    event == kStreamEvents)) {
-      return this->Crash(&sender, unsent, connection, waiter, yield);
+    const int events_before = this->EventsBeforeCrash();
+    if (crashes &&
+        (event - first == events_before ||
+         (event == kStreamEvents && events_before < kStreamEvents))) {
+      this->SendBeforeCrash(&sender, unsent, connection, waiter, yield);
+      return this->Crash(kArrival, yield);
     }
     const std::string next = event_text(event + 1);
     const std::size_t ahead = form.splits_events ? next.size() / 2 : 0;
@@ -581,6 +635,9 @@
     begin_stream(&sender);
   }
   sender.EndStream();
+  if (crashes) {
+    return this->Crash(kAfterWhole, yield);
+  }
   return !form.ends_with_connection || CloseInOrder(connection, waiter, yield);
 }
 
--- a/tools/soak/soak_world.h
+++ b/tools/soak/soak_world.h
@@ -39,10 +39,15 @@
   // Servers frame answers in all forms and break some off; some callers speak
   // HTTP/1.0.
   bool with_framings = false;
+  // Plain servers break off answers, and all processes are killed again and
+  // again.
+  bool with_broken_answers = false;
   // Servers start again at their addresses, which others also get.
   bool with_rebirths = false;
   // Some callers send prompts under which servers end.
   bool with_crashing_prompts = false;
+  CrashForm crash_form = CrashForm::kWithin;
+  int crashing_callers = 3;  // At once.
   // The store loses reads in silences, after which versions are written. Takes
   // the place of the faults of processes, links and servers.
   bool with_silences = false;
@@ -134,6 +139,7 @@
   LimitLedger limits;
   BackoffLedger backoffs;
   ReadinessLedger readiness;
+  RetryLedger retries{RetryRules{}};
   DrainLedger drains;
   PromptLedger prompts;
   ConfigLedger config_ledger;
