--- a/src/entry/prompt_exchange.cc
+++ b/src/entry/prompt_exchange.cc
@@ -22,11 +22,10 @@
       report.error().code == ErrorCode::kInvalidArgument) {
     return ServerSign::kRunning;
   }
-  const bool is_refused = report.error().code == ErrorCode::kUnavailable &&
-                          this->loop->Now() < deadline;
-  return is_refused || report.error().code == ErrorCode::kNotFound
-             ? ServerSign::kEnded
-             : ServerSign::kSilent;
+  // A connection that is refused or closed fails before the timeout. What
+  // stands between may accept it on behalf of a server that has ended.
+  return this->loop->Now() < deadline ? ServerSign::kEnded
+                                      : ServerSign::kSilent;
 }
 
 std::vector<std::string> PromptExchange::Peers() const {
--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -301,9 +301,7 @@
   // Runs with the same parts are one crash: the one that got furthest.
   std::map<PromptParts, PromptCrash> crashes;
   for (const Suspicion& suspicion : examination.suspicions) {
-    // A head after the observed end shows that the server ran on.
-    if (suspicion.run.end == RunEnd::kUnanswered &&
-        this->quarantine.HadEnded(examination.server, suspicion.run.sent_at)) {
+    if (this->quarantine.HadEnded(examination.server, suspicion.run.sent_at)) {
       continue;
     }
     PromptCrash& crash = crashes[suspicion.parts];
--- a/src/entry/prompt_network.h
+++ b/src/entry/prompt_network.h
@@ -14,8 +14,8 @@
 // What a probe shows of one start of a server.
 enum class ServerSign {
   kRunning,
-  kEnded,   // Its VM refuses connections, or another server or start answers.
-  kSilent,  // No answer: it may have ended, be full, or its link be harmed.
+  kEnded,   // Connections are refused or closed, or another start answers.
+  kSilent,  // No answer in time: it may have ended, or its link is harmed.
 };
 
 // Lower-case name for logs. Thread safe.
