--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -46,8 +46,8 @@
 
   // Sends one order about `record`'s group to `server`, on a connection of its
   // own: an answer to another order would count as its own. kStage uses the
-  // record's model only. If `condition` does not hold, the outcome is
-  // kConflict.
+  // record's model only. With `expected_orders`, the server refuses it with
+  // kConflict unless that is the number of orders that its reports state.
   OrderOutcome Send(const BackendServer& server,
                     GroupOrder order,
                     const GroupRecord& record,
