Take an answer without a final status for a broken one

Cause: the parser accepts any three digits, so that a server's 000, 001, 099, 600 or 999 was passed on to the caller as its answer, by the users' platform path and by the own interface; 101 was taken for an interim status. Change: ResponseParser ends with a malformed answer unless the status is interim or 200 to 599. All readers of answers use it: of servers, engines, peers and the store. The attempt counts as one that may have run: repeated where the request may be, else 502. UpstreamExchange does the same for the own interface. Status lines that are not three digits were rejected before as well.

--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -323,6 +323,10 @@
       if (this->head_read && this->IsStream()) {
         stop_reason = this->ForwardEvents(this->response->TakeBody());
       }
+      if (stop_reason.empty() &&
+          this->response->End() == ResponseEnd::kMalformed) {
+        stop_reason = "an answer that is not valid HTTP";
+      }
       if (stop_reason.empty()) {
         stop_reason = this->head_read ? "connection closed during the answer"
                                       : "connection closed before an answer";
--- a/src/gateway/upstream_exchange.cc
+++ b/src/gateway/upstream_exchange.cc
@@ -1,6 +1,8 @@
 #include "gateway/upstream_exchange.h"
 
+#include <exception>
 #include <ios>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -164,7 +166,25 @@
     this->HandleTransportEnd(std::current_exception());
     return;
   }
-  this->HandleHead(response);
+  if (IsFinalStatus(response.status_code())) {
+    this->HandleHead(response);
+  } else {
+    this->HandleInvalidStatus(response.status_code());
+  }
+}
+
+void UpstreamExchange::HandleInvalidStatus(int status) {
+  this->phase = Phase::kAnswering;
+  this->has_invalid_status = true;
+  // Ends body bytes that await the head without passing them on.
+  this->Cancel();
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->head_delivered = true;
+  }
+  this->head_event.set();
+  this->HandleTransportEnd(std::make_exception_ptr(std::runtime_error(
+      "the answer has no final status: " + std::to_string(status))));
 }
 
 void UpstreamExchange::ResumeBody() {
@@ -266,7 +286,8 @@
     const std::exception_ptr& error) const {
   ExchangeEnd end;
   end.timed_out = this->timed_out;
-  end.cancelled = this->cancelled && !this->timed_out;
+  end.cancelled =
+      this->cancelled && !this->timed_out && !this->has_invalid_status;
   end.detail = DescribeError(error);
   switch (this->phase) {
     case Phase::kConnecting:
--- a/src/gateway/upstream_exchange.h
+++ b/src/gateway/upstream_exchange.h
@@ -83,6 +83,8 @@
   void HandleAnswer(const pplx::task<web::http::http_response>& answered);
   void HandleUpload(std::size_t uploaded, std::size_t total);
   void HandleHead(const web::http::http_response& response);
+  // Breaks off an answer whose status is no final one.
+  void HandleInvalidStatus(int status);
   pplx::task<void> HandleBody(std::string_view bytes);
   void HandleTransportEnd(const std::exception_ptr& error);
   ExchangeEnd DescribeEnd(const std::exception_ptr& error) const;
@@ -104,6 +106,7 @@
   std::atomic<Phase> phase{Phase::kConnecting};
   std::atomic<Duration::rep> last_activity{0};
   std::atomic<bool> timed_out{false};
+  std::atomic<bool> has_invalid_status{false};
   std::atomic<bool> cancelled{false};
   bool never_started = false;
 
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -4,6 +4,7 @@
 
 namespace kumquatcart {
 
+inline constexpr int kHttpSwitchingProtocols = 101;
 inline constexpr int kHttpOk = 200;
 inline constexpr int kHttpAccepted = 202;
 inline constexpr int kHttpNoContent = 204;
@@ -24,6 +25,12 @@
 inline constexpr int kHttpServiceUnavailable = 503;
 inline constexpr int kHttpGatewayTimeout = 504;
 
+// Whether `status` can end an exchange: 1xx only precede a final status, and
+// other values are no HTTP status. Thread safe.
+constexpr bool IsFinalStatus(int status) {
+  return status >= kHttpOk && status < 600;
+}
+
 }  // namespace kumquatcart
 
 #endif  // NET_HTTP_STATUS_H_
--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <limits>
 
+#include "net/http_status.h"
 #include "net/net_constants.h"
 
 namespace kumquatcart {
@@ -70,11 +71,11 @@
     boost::system::error_code error;
     const std::size_t used = ParseSection(&*this->parser, input, &error);
     connection->Consume(used);
-    if (error) {
+    if (error || !this->HasValidStatus()) {
       return ResponseState::kParseFailed;
     }
     if (this->parser->is_done()) {
-      if (this->Status() / 100 != 1) {
+      if (IsFinalStatus(this->Status())) {
         return ResponseState::kComplete;
       }
       if (++this->interim_responses > kMaxInterimResponses) {
@@ -93,8 +94,18 @@
   return ResponseState::kIncomplete;
 }
 
+bool ResponseParser::HasValidStatus() const {
+  if (!this->parser->is_header_done()) {
+    return true;
+  }
+  const int status = this->Status();
+  // No request offers to change the protocol.
+  return IsFinalStatus(status) ||
+         (status / 100 == 1 && status != kHttpSwitchingProtocols);
+}
+
 bool ResponseParser::HasHead() const {
-  return this->parser->is_header_done() && this->Status() / 100 != 1;
+  return this->parser->is_header_done() && IsFinalStatus(this->Status());
 }
 
 int ResponseParser::Status() const {
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -26,7 +26,8 @@
   kFramed,     // Its framing: the length was reached or the last chunk read.
   kClosed,     // An orderly close of the connection.
   kReset,      // A failure of the connection.
-  kMalformed,  // Bytes that are not valid HTTP, or exceed a limit.
+  kMalformed,  // Bytes that are not valid HTTP, or exceed a limit; a status
+               // that is neither interim nor final.
 };
 
 // Lower-case name for logs. Thread safe.
@@ -71,6 +72,8 @@
   // Whether the response ends where the connection does. Precondition: `end` is
   // kClosed or kReset.
   bool IsCompleteAtEndOfInput();
+  // Whether the status of the head that was parsed can be interim or final.
+  bool HasValidStatus() const;
 
   const bool without_body;
   std::optional<Parser> parser;
--- a/tests/gateway/answer_framing_test.cc
+++ b/tests/gateway/answer_framing_test.cc
@@ -102,6 +102,33 @@
   }
 }
 
+// Guards against a status that ends no exchange and that is passed on to the
+// caller as the service's answer.
+TEST_CASE("A service's answer without a final status leaves it unknown",
+          "[gateway]") {
+  for (const std::string status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(status);
+    GatewayFixture fixture;
+    RawServer server([&](RawConnection* connection, int) {
+      const std::string request = connection->ReadMessage();
+      if (request.empty()) {
+        return;
+      }
+      std::string answer = ServiceAnswer(request, "the-booking");
+      answer.replace(answer.find("200"), status.size(), status);
+      connection->Write(answer);
+      connection->ReadToEnd();
+    });
+    fixture.AddServiceVm("v1", server.Address());
+    const std::string answer =
+        fixture.Call(MakeRequest("POST", "/services/registre/x", "{}"));
+    CHECK(HeaderValue(answer, "Kumquatcart-Outcome") == "unknown");
+    CHECK(answer.find("the-booking") == std::string::npos);
+    CHECK(server.Connections() == 1);
+    fixture.gateway->Stop();
+  }
+}
+
 // The last line tells that an engine's answer is whole, so the framing does not
 // matter: a line is never cut by a close that counts as an end.
 TEST_CASE("An engine's answer is whole with its last line in every framing",
--- a/tests/net/response_parser_test.cc
+++ b/tests/net/response_parser_test.cc
@@ -1,6 +1,8 @@
 #include "net/response_parser.h"
 
 #include <cstdint>
+#include <cstdio>
+#include <string>
 
 #include <catch2/catch.hpp>
 
@@ -68,6 +70,23 @@
   CHECK(parsed.body == "ab");
 }
 
+// Guards against a status that no rule about statuses covers, in any reader of
+// answers: of servers, engines, peers and the store.
+TEST_CASE("A response is broken unless its status is final") {
+  for (int status = 0; status < 1000; ++status) {
+    char digits[4];
+    std::snprintf(digits, sizeof(digits), "%03d", status);
+    CAPTURE(status);
+    const bool is_final = status >= 200 && status <= 599;
+    const ParsedResponse parsed = ParseFromClosingServer(
+        "HTTP/1.1 " + std::string(digits) + " x\r\nContent-Length: 0\r\n\r\n",
+        false);
+    CHECK(parsed.state ==
+          (is_final ? ResponseState::kComplete : ResponseState::kParseFailed));
+    CHECK(parsed.status == (is_final ? status : 0));
+  }
+}
+
 TEST_CASE("A response cut before its length is broken") {
   CHECK(ParseFromClosingServer("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
                                false)
