Evacuate failure domains by the operator's records

Cause: nothing read the operator's records that order a failure domain to be evacuated, so its servers went on receiving requests. Change: Evacuations keeps the orders in force; FleetView::Serves and the plain balancer leave such domains out, and an attempt checks once more directly before it sends.

--- a/src/control/fleet_view.cc
+++ b/src/control/fleet_view.cc
@@ -362,10 +362,22 @@
              : this->AvailabilityOf(id);
 }
 
+bool FleetView::SetEvacuated(const std::string& failure_domain,
+                             bool evacuated,
+                             MonotonicTime now) {
+  const bool is_change = evacuated
+                             ? this->evacuations.Order(failure_domain, now)
+                             : this->evacuations.Lift(failure_domain, now);
+  this->change_count += is_change ? 1 : 0;
+  return is_change;
+}
+
 bool FleetView::Serves(const GroupStatus& status) const {
   const GroupRecord& record = status.record;
   if (!status.open || record.members.empty() ||
-      !this->IsUsable(record.members.front())) {
+      !this->IsUsable(record.members.front()) ||
+      this->IsEvacuated(
+          this->FindServer(record.members.front())->failure_domain)) {
     return false;
   }
   for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
--- a/src/control/fleet_view.h
+++ b/src/control/fleet_view.h
@@ -12,6 +12,7 @@
 #include <tuple>
 
 #include "base/clock.h"
+#include "control/evacuations.h"
 #include "control/group_planner.h"
 #include "model/backend_server.h"
 #include "model/routing_config.h"
@@ -116,8 +117,20 @@
     return this->unregistered;
   }
 
+  // Puts an order to evacuate a failure domain in force, or ends it. Returns
+  // whether that is a change.
+  bool SetEvacuated(const std::string& failure_domain,
+                    bool evacuated,
+                    MonotonicTime now);
+  // Whether servers of the failure domain take no further requests.
+  bool IsEvacuated(const std::string& failure_domain) const {
+    return this->evacuations.IsEvacuated(failure_domain);
+  }
+  const Evacuations& Evacuated() const { return this->evacuations; }
+
   // Whether the group can serve requests: it is open under its newest record,
-  // every member is available, and the head is registered and not leaving.
+  // every member is available, the head is registered and not leaving, and the
+  // failure domain is not evacuated.
   bool Serves(const GroupStatus& status) const;
 
   // Whether a request that runs under `epoch` of `group` can continue. False
@@ -183,6 +196,7 @@
   // The groups whose newest records list a server, with their epochs.
   std::map<std::string, std::map<std::string, std::int64_t>> claims;
   std::map<std::string, MonotonicTime> unreachable;
+  Evacuations evacuations;
   bool has_traffic = false;
   std::uint64_t change_count = 0;
 };
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -199,7 +199,7 @@
           OperatorTopicSettings(this->settings),
           &this->role,
           this->MakePeerFetcher(StoreTopic::kOperator),
-          [this](const TopicRecord& r) { this->ApplyConfig(r); },
+          [this](const TopicRecord& r) { this->ApplyOperatorRecord(r); },
           ConfigContentRules(&this->store,
                              &this->view,
                              [this](const std::string& text) {
@@ -332,10 +332,30 @@
   this->groups_topic.Start();
 }
 
-void EntryProcess::ApplyConfig(const TopicRecord& record) {
-  if (record.key != ConfigurationKey() || !record.value) {
+void EntryProcess::ApplyOperatorRecord(const TopicRecord& record) {
+  const std::optional<std::string> domain = EvacuatedDomainOf(record.key);
+  if (domain) {
+    this->ApplyEvacuation(*domain, record.value.has_value());
+  } else if (record.key == ConfigurationKey() && record.value) {
+    this->ApplyConfig(record);
+  }
+}
+
+void EntryProcess::ApplyEvacuation(const std::string& failure_domain,
+                                   bool is_ordered) {
+  if (!this->view.SetEvacuated(failure_domain, is_ordered, this->loop.Now())) {
     return;
   }
+  this->metrics
+      .GetGauge("kumquatcart_evacuated", {{"failure_domain", failure_domain}})
+      .Set(is_ordered ? 1 : 0);
+  if (this->role.ReadsStore(kOperatorReaders)) {
+    this->digests.SendToAll();
+  }
+  this->OnFleetChanged();
+}
+
+void EntryProcess::ApplyConfig(const TopicRecord& record) {
   this->config_loader.Load(
       {*record.value, {this->operator_topic.Position().era, record.offset}});
 }
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -55,7 +55,9 @@
  private:
   // Starts to follow the topics of the store.
   void StartFollowers(Coroutine yield);
+  void ApplyOperatorRecord(const TopicRecord& record);
   void ApplyConfig(const TopicRecord& record);
+  void ApplyEvacuation(const std::string& failure_domain, bool is_ordered);
   bool AdoptConfig(RoutingConfig config);
   void ApplyServer(const TopicRecord& record);
   void ApplyGroup(const TopicRecord& record);
--- a/src/entry/plain_load_balancer.cc
+++ b/src/entry/plain_load_balancer.cc
@@ -32,6 +32,7 @@
   for (const auto& entry : this->view->Servers()) {
     const BackendServer& server = entry.second;
     if (server.service != query.service || server.draining ||
+        this->view->IsEvacuated(server.failure_domain) ||
         query.excluded.count(server.id) > 0) {
       continue;
     }
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -122,6 +122,12 @@
     return this->SetOutcome(AttemptOutcome::kNotRun,
                             "the server takes no requests for a time");
   }
+  // An order may have come since the slot was granted.
+  if (this->job->context->view->IsEvacuated(this->slot->FailureDomain())) {
+    this->is_held_back = true;
+    return this->SetOutcome(AttemptOutcome::kNotRun,
+                            "the failure domain is evacuated");
+  }
   if (!this->job->may_send()) {
     this->is_held_back = true;
     return this->SetOutcome(AttemptOutcome::kNotRun,
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -237,6 +237,12 @@
   return wire::kConfigKey;
 }
 
+std::optional<std::string> EvacuatedDomainOf(const std::string& key) {
+  const std::string prefix = wire::kEvacuationKeyPrefix;
+  return key.rfind(prefix, 0) == 0 ? std::optional(key.substr(prefix.size()))
+                                   : std::nullopt;
+}
+
 StoreClient::StoreClient(EventLoop* loop, TcpEndpoint store)
     : loop(loop),
       store(std::move(store)),
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -22,6 +22,10 @@
 // Key of the configuration in the operator's topic.
 std::string ConfigurationKey();
 
+// The failure domain that a key of the operator's topic orders to be evacuated;
+// none if the key means something else.
+std::optional<std::string> EvacuatedDomainOf(const std::string& key);
+
 // Reads and writes the store, directly or through another entry VM where the
 // store refuses this one. Calls beyond a rate that none of the duties of a VM
 // comes near wait, so that no loop of calls takes the store from the other VMs.
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -50,6 +50,7 @@
 inline constexpr char kGroupsTopic[] = "keyed.groups";
 inline constexpr char kNodesTopic[] = "keyed.entry-vms";
 inline constexpr char kConfigKey[] = "config";
+inline constexpr char kEvacuationKeyPrefix[] = "evacuate/";
 
 }  // namespace kumquatcart::wire
 
