Keep requests in the regions of their route and organisation

Cause: nothing read the regions that a route or an organisation is bound to, so a request could reach a server anywhere. Change: RegionRule joins both restrictions; the forwarder excludes servers of other regions from its query and checks the slot it gets; a coordinator's grant of an excluded head is returned.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -3,7 +3,9 @@
 #define ENTRY_ENTRY_CONTEXT_H_
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 
 #include "base/metrics.h"
 #include "control/fleet_view.h"
@@ -36,6 +38,7 @@
   ServerLimiter* limiter = nullptr;
   ServerGate* gate = nullptr;
   PromptGuard* prompts = nullptr;
+  std::map<std::string, std::string> regions;  // By failure domain.
   // Routes of the current configuration; null until one has been read.
   std::shared_ptr<const RouteTable> routes;
   // Whether servers and groups have been read from the store.
--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -403,7 +403,7 @@
   if (group == nullptr || group->record.epoch != grant.epoch ||
       group->record.members.empty() ||
       group->record.members.front() != grant.server ||
-      !this->view->Serves(*group) ||
+      query.excluded.count(grant.server) > 0 || !this->view->Serves(*group) ||
       !this->gate->TryPass(grant.server, /*is_first_try=*/false)) {
     LogInfo("slot_grant_unusable", {{"group", grant.group},
                                     {"epoch", grant.epoch},
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -168,8 +168,9 @@
     return false;
   }
   const RoutingConfig& config = this->routes->Config();
+  const KeyHolder* holder = nullptr;
   if (config.needs_keys && !this->job.route->is_public) {
-    const KeyHolder* holder = this->routes->FindKeyHolder(this->request.key);
+    holder = this->routes->FindKeyHolder(this->request.key);
     if (holder == nullptr) {
       this->Deny(kHttpUnauthorized,
                  this->request.key.empty() ? "no API key" : "unknown API key");
@@ -177,6 +178,7 @@
     }
     this->job.organisation = holder->organisation;
   }
+  this->region_rule.emplace(*this->job.route, holder, &this->context->regions);
   const ServiceShare* share =
       RouteTable::PickService(*this->job.route, DrawUniform());
   this->service = share == nullptr ? std::string() : share->service;
@@ -215,11 +217,24 @@
               : kDefaultMaxWait);
 }
 
+void RequestForwarder::ExcludeOtherRegions(SlotQuery* query) const {
+  if (!this->region_rule->IsRestricted()) {
+    return;
+  }
+  for (const auto& [id, server] : this->context->view->Servers()) {
+    if (server.service == query->service &&
+        !this->region_rule->Allows(server.failure_domain)) {
+      query->excluded.insert(id);
+    }
+  }
+}
+
 SlotQuery RequestForwarder::MakeQuery() const {
   SlotQuery query;
   query.service = this->service;
   query.model = this->request.model;
   query.excluded = this->excluded;
+  this->ExcludeOtherRegions(&query);
   query.prompt_tokens = this->request.prompt_tokens;
   query.gap_target = this->job.route->gap_target;
   query.latest_start = this->LatestStart();
@@ -340,6 +355,11 @@
       }
       return this->GiveUp(result.retry_after, result.reason);
     }
+    // The server may have been registered since the query was made.
+    if (!this->region_rule->Allows(result.slot->FailureDomain())) {
+      this->excluded.insert(result.slot->ServerId());
+      continue;
+    }
     this->last_server = result.slot->ServerId();
     this->slot_by = result.by_coordinator ? "coordinator" : "own";
     this->job.is_late = this->context->loop->Now() > this->LatestStart();
--- a/src/entry/request_forwarder.h
+++ b/src/entry/request_forwarder.h
@@ -2,11 +2,13 @@
 #ifndef ENTRY_REQUEST_FORWARDER_H_
 #define ENTRY_REQUEST_FORWARDER_H_
 
+#include <optional>
 #include <set>
 #include <string>
 
 #include "entry/prompt_guard.h"
 #include "entry/server_attempt.h"
+#include "routing/region_rule.h"
 
 namespace kumquatcart {
 
@@ -46,6 +48,8 @@
                     const ServerAttempt& attempt);
   SlotResult AcquireSlot(Coroutine yield);
   SlotQuery MakeQuery() const;
+  // Excludes the servers of regions in which the request may not run.
+  void ExcludeOtherRegions(SlotQuery* query) const;
   // The latest end of the request if it is sent to healthy servers now.
   MonotonicTime LatestEnd() const;
   // Whether no server has run the request yet and it may last longer than the
@@ -80,6 +84,7 @@
   std::string service;
   bool uses_groups = false;
   AttemptJob job;
+  std::optional<RegionRule> region_rule;  // Once the route is known.
   std::set<std::string> excluded;
   int runs = 0;      // Attempts that executed or may have.
   int declined = 0;  // Attempts that did not execute.
--- a/src/model/routing_config.h
+++ b/src/model/routing_config.h
@@ -43,13 +43,16 @@
   Duration gap_target{0};  // Longest pause between events; zero: no target.
   int priority = 0;        // 0 is the most important.
   int attempts = 1;        // Servers that may run one request.
+  // Regions whose servers may run its requests; empty: all.
+  std::vector<std::string> regions;
   std::vector<ServiceShare> services;
 
   auto Tie() const {
     return std::tie(this->name, this->host, this->path_prefix,
                     this->repeatability, this->streaming, this->is_public,
                     this->timeout, this->target_latency, this->gap_target,
-                    this->priority, this->attempts, this->services);
+                    this->priority, this->attempts, this->regions,
+                    this->services);
   }
 };
 
@@ -126,8 +129,12 @@
 struct KeyHolder {
   std::string organisation;
   std::optional<int> priority;  // Goes before the route's.
+  // Regions whose servers may run its requests, beside the route's; empty: all.
+  std::vector<std::string> regions;
 
-  auto Tie() const { return std::tie(this->organisation, this->priority); }
+  auto Tie() const {
+    return std::tie(this->organisation, this->priority, this->regions);
+  }
 };
 
 // One version of the operator's configuration. Immutable once shared.
--- a/src/platform/config_decoder.cc
+++ b/src/platform/config_decoder.cc
@@ -39,9 +39,18 @@
              : Repeatability::kAtMostOnce;
 }
 
+std::vector<std::string> DecodeRegions(const Json& json) {
+  std::vector<std::string> regions;
+  for (const Json& region : FieldAt(json, "allowed_regions")) {
+    regions.push_back(region.get<std::string>());
+  }
+  return regions;
+}
+
 RouteRule DecodeRoute(const Json& json) {
   RouteRule route;
   route.name = json.value("name", std::string());
+  route.regions = DecodeRegions(json);
   route.host = json.at("host").get<std::string>();
   route.path_prefix = json.at("path_prefix").get<std::string>();
   route.repeatability = DecodeRepeatability(json);
@@ -132,6 +141,7 @@
     if (priority != tenant.end() && priority->is_number_integer()) {
       holder.priority = priority->get<int>();
     }
+    holder.regions = DecodeRegions(tenant);
     for (const Json& key : FieldAt(tenant, "api_keys")) {
       config->holders[key.get<std::string>()] = holder;
     }
--- a/src/platform/process_settings.cc
+++ b/src/platform/process_settings.cc
@@ -111,6 +111,9 @@
   settings.failure_domain = json.at("zone").get<std::string>();
   for (const auto& zone : TableAt(json, "zones").items()) {
     settings.failure_domains.push_back(zone.key());
+    if (zone.value().is_string()) {
+      settings.regions[zone.key()] = zone.value().get<std::string>();
+    }
   }
   std::sort(settings.failure_domains.begin(), settings.failure_domains.end());
   BOOST_OUTCOME_TRY(DecodeAddresses(json, &settings));
--- a/src/platform/process_settings.h
+++ b/src/platform/process_settings.h
@@ -3,6 +3,7 @@
 #define PLATFORM_PROCESS_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -17,8 +18,9 @@
 struct ProcessSettings {
   std::string node_name;
   std::string failure_domain;
-  std::vector<std::string> failure_domains;  // All of the deployment, sorted.
-  Endpoint callers;                          // Where callers connect.
+  std::vector<std::string> failure_domains;    // All of the deployment, sorted.
+  std::map<std::string, std::string> regions;  // By failure domain.
+  Endpoint callers;                            // Where callers connect.
   Endpoint readiness;  // Where the platform asks for readiness.
   Endpoint peers;      // Free port for the system's own messages.
   Endpoint metrics;    // Free port for metrics.
@@ -37,13 +39,13 @@
   double link_bytes_per_second = 0;
 
   auto Tie() const {
-    return std::tie(this->node_name, this->failure_domain,
-                    this->failure_domains, this->callers, this->readiness,
-                    this->peers, this->metrics, this->store, this->call_bytes,
-                    this->drain_bound, this->propagation_bound,
-                    this->stop_grace, this->stall_time, this->retry_ratio,
-                    this->retry_base, this->retry_window, this->descriptors,
-                    this->cores, this->link_bytes_per_second);
+    return std::tie(
+        this->node_name, this->failure_domain, this->failure_domains,
+        this->regions, this->callers, this->readiness, this->peers,
+        this->metrics, this->store, this->call_bytes, this->drain_bound,
+        this->propagation_bound, this->stop_grace, this->stall_time,
+        this->retry_ratio, this->retry_base, this->retry_window,
+        this->descriptors, this->cores, this->link_bytes_per_second);
   }
 };
 
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -135,7 +135,7 @@
   config.services["models"] = models;
   config.limits.body_bytes = 16 * 1024 * 1024;
   config.needs_keys = true;
-  config.holders["key"] = KeyHolder{"org", std::nullopt};
+  config.holders["key"] = KeyHolder{"org", std::nullopt, {}};
   this->view.AdoptConfig(std::make_shared<const RoutingConfig>(config));
   this->context.routes =
       std::make_shared<const RouteTable>(this->view.Config());
@@ -199,23 +199,29 @@
   this->gate.HandleStart({server.id, server.started_ms});
 }
 
-void EntryFixture::SetIdleTimeout(Duration idle_timeout) {
+void EntryFixture::ChangeConfig(
+    const std::function<void(RoutingConfig* config)>& change) {
   RoutingConfig config = *this->view.Config();
   ++config.version;
-  config.limits.idle_timeout = idle_timeout;
+  change(&config);
   this->AdoptConfig(config);
 }
 
+void EntryFixture::SetIdleTimeout(Duration idle_timeout) {
+  this->ChangeConfig([idle_timeout](RoutingConfig* config) {
+    config->limits.idle_timeout = idle_timeout;
+  });
+}
+
 void EntryFixture::RemoveService(const std::string& service) {
-  RoutingConfig config = *this->view.Config();
-  ++config.version;
-  config.services.erase(service);
-  for (RouteRule& route : config.routes) {
-    if (route.services.front().service == service) {
-      route.services = {{"plain", 1}};
+  this->ChangeConfig([&service](RoutingConfig* config) {
+    config->services.erase(service);
+    for (RouteRule& route : config->routes) {
+      if (route.services.front().service == service) {
+        route.services = {{"plain", 1}};
+      }
     }
-  }
-  this->AdoptConfig(config);
+  });
 }
 
 void EntryFixture::AdoptConfig(const RoutingConfig& config) {
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -103,6 +103,7 @@
   void StartServer(const BackendServer& server);
 
   // Puts a new version of the configuration in force.
+  void ChangeConfig(const std::function<void(RoutingConfig* config)>& change);
   void SetIdleTimeout(Duration idle_timeout);
 
   // The same with a version that no longer lists `service`, whose routes lead
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -54,7 +54,7 @@
      "traffic_split": [{"service": "s", "weight": 90},
                        {"service": "t", "weight": 10}],
      "attempts": 2, "public": false, "sticky": true, "resumable": true,
-     "gap_aim_ms": 250},
+     "gap_aim_ms": 250, "allowed_regions": ["east"]},
     {"name": "r2", "host": "h", "path_prefix": "/b/", "kind": "streaming",
      "timeout_ms": 6000, "service": "s"},
     {"name": "r3", "host": "h", "path_prefix": "/c/",
@@ -69,7 +69,8 @@
     {"name": "t", "max_connections": 110}],
   "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
              "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-  "tenants": [{"name": "org", "api_keys": ["k1", "k2"], "priority": 1}]})";
+  "tenants": [{"name": "org", "api_keys": ["k1", "k2"], "priority": 1,
+               "allowed_regions": ["east", "west"]}]})";
 
 TEST_CASE("The configuration's kinds say what may be repeated") {
   const Result<RoutingConfig> decoded = DecodeRoutingConfig(kConfig);
@@ -88,6 +89,10 @@
   CHECK(!config.services.at("t").engine);
   CHECK(config.holders.at("k2").organisation == "org");
   CHECK(config.holders.at("k2").priority == 1);
+  CHECK(config.routes[0].regions == std::vector<std::string>{"east"});
+  CHECK(config.routes[1].regions.empty());
+  CHECK(config.holders.at("k1").regions ==
+        std::vector<std::string>{"east", "west"});
 }
 
 TEST_CASE("A configuration that cannot be read is an error") {
--- a/tests/routing/route_table_test.cc
+++ b/tests/routing/route_table_test.cc
@@ -20,7 +20,7 @@
   config.routes = {MakeRoute("short", "h", "/a/"),
                    MakeRoute("long", "h", "/a/b/"),
                    MakeRoute("other", "g", "/a/")};
-  config.holders["k"] = KeyHolder{"org", std::nullopt};
+  config.holders["k"] = KeyHolder{"org", std::nullopt, {}};
   return RouteTable(std::make_shared<const RoutingConfig>(config));
 }
 
