Decide by the caller's gain whether a request leaves its failure domain

Cause: SelectGroupForDomain left the failure domain whenever the groups outside had twice the part of free slots, whatever it cost and brought. Change: DecideSpill compares the expected first event here and there, waits for a slot at home while the latest start allows, and leaves the last slots outside to their own requests. It applies where the configuration states delays between failure domains.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "base/metrics.h"
 #include "control/fleet_view.h"
@@ -36,6 +37,7 @@
   ServerLimiter* limiter = nullptr;
   ServerGate* gate = nullptr;
   PromptGuard* prompts = nullptr;
+  std::string failure_domain;  // Of this entry VM.
   // Routes of the current configuration; null until one has been read.
   std::shared_ptr<const RouteTable> routes;
   // Whether servers and groups have been read from the store.
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -268,6 +268,7 @@
     return relays;
   });
   this->context.loop = &this->loop;
+  this->context.failure_domain = this->settings.failure_domain;
   this->context.view = &this->view;
   this->context.prober = &this->prober;
   this->context.pool = &this->pool;
--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -22,6 +22,10 @@
 // Interval at which a request that is held back estimates its wait again.
 constexpr Duration kHoldRecheckInterval = std::chrono::milliseconds(50);
 
+// Part of the longest pause that a caller accepts between two events by which
+// the first one may come later without notice.
+constexpr int kGapTargetPerUnnoticed = 8;
+
 }  // namespace
 
 SlotRequest::SlotRequest(GroupLoadBalancer* balancer,
@@ -90,7 +94,7 @@
 RequestDemand GroupLoadBalancer::MakeDemand(const SlotQuery& query,
                                             const EngineSpec& engine,
                                             int groups,
-                                            bool is_coordinator) const {
+                                            bool is_coordinator) {
   RequestDemand demand;
   demand.prompt_tokens = static_cast<double>(query.prompt_tokens);
   demand.is_late = this->now() > query.latest_start;
@@ -101,19 +105,35 @@
       demand.local_prefill_budget =
           LocalPrefillBudget(*demand.prefill_budget, groups, this->nodes);
     }
+    if (engine.domain_delay > Duration{0} && is_coordinator) {
+      const MonotonicTime now = this->now();
+      demand.spill =
+          SpillTerms{this->wait_estimator.EstimateWait(query.model, 0, now),
+                     query.latest_start - now, 2 * engine.domain_delay,
+                     query.gap_target / kGapTargetPerUnnoticed};
+    }
   }
   return demand;
 }
 
 GroupCandidate GroupLoadBalancer::MakeCandidate(
     const GroupStatus& group,
+    const SlotQuery& query,
     const EngineSpec& engine) const {
   const BackendServer* head =
       this->view->FindServer(group.record.members.front());
-  return {this->counts.requests->Total(head->id), std::max(1, engine.slots),
-          head->failure_domain == this->failure_domain,
-          static_cast<double>(this->counts.unread->Total(head->id)),
-          static_cast<double>(this->counts.unread->LocalCount(head->id))};
+  GroupCandidate candidate{
+      this->counts.requests->Total(head->id), std::max(1, engine.slots),
+      head->failure_domain == this->failure_domain,
+      static_cast<double>(this->counts.unread->Total(head->id)),
+      static_cast<double>(this->counts.unread->LocalCount(head->id))};
+  const ModelSpec* model = engine.FindModel(query.model);
+  if (model != nullptr) {
+    candidate.first_event = EstimateFirstEvent(
+        engine, *model, candidate.pending_tokens,
+        static_cast<double>(query.prompt_tokens), candidate.active_requests);
+  }
+  return candidate;
 }
 
 const GroupStatus* GroupLoadBalancer::Select(
@@ -129,7 +149,8 @@
   std::vector<GroupCandidate> candidates;
   std::vector<double> draws;
   for (const GroupStatus* group : groups) {
-    candidates.push_back(this->MakeCandidate(*group, engine));
+    candidates.push_back(
+        this->MakeCandidate(*group, slot_request.query, engine));
     draws.push_back(uniform(this->generator));
   }
   for (;;) {
@@ -205,10 +226,14 @@
   this->queue.sort([now](const SlotRequest* left, const SlotRequest* right) {
     return IsServedBefore(left->request, right->request, now);
   });
-  std::set<std::string> full_models;  // Models without a free slot.
+  // Models without a free slot for requests that are on time, or late. One that
+  // can be on time may wait for its failure domain while a late one leaves it.
+  std::set<std::pair<std::string, bool>> full_models;
   for (auto entry = this->queue.begin(); entry != this->queue.end();) {
     SlotRequest* slot_request = *entry;
-    if (full_models.count(slot_request->query.model) == 0) {
+    const std::pair<std::string, bool> demand{
+        slot_request->query.model, IsLate(slot_request->request, now)};
+    if (full_models.count(demand) == 0) {
       const GroupStatus* group = this->TrySelect(*slot_request);
       slot_request->was_tried = true;
       if (group != nullptr) {
@@ -223,7 +248,7 @@
           slot_request->query.excluded.empty() &&
           (slot_request->is_for_peer || !this->gate->HasRestraints());
       if (may_use_all_groups) {
-        full_models.insert(slot_request->query.model);
+        full_models.insert(demand);
       }
     }
     ++entry;
--- a/src/entry/group_load_balancer.h
+++ b/src/entry/group_load_balancer.h
@@ -155,6 +155,7 @@
   // Whether the head of a group takes the request now.
   bool TryPass(const SlotRequest& slot_request, const std::string& head);
   GroupCandidate MakeCandidate(const GroupStatus& group,
+                               const SlotQuery& query,
                                const EngineSpec& engine) const;
   // Open groups that serve the query's model and are not excluded.
   std::vector<const GroupStatus*> CandidateGroups(const SlotQuery& query);
@@ -166,7 +167,7 @@
   RequestDemand MakeDemand(const SlotQuery& query,
                            const EngineSpec& engine,
                            int groups,
-                           bool is_coordinator) const;
+                           bool is_coordinator);
   // Estimated time until a queued request is granted a slot.
   struct WaitEstimate {
     Duration wait{0};
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -79,6 +79,7 @@
        {"service", this->service},
        {"model", this->request.model},
        {"server", this->last_server},
+       {"domain", this->last_domain},
        {"status", status},
        {"reason", reason},
        {"answer_framing", this->answer_framing},
@@ -341,6 +342,14 @@
       return this->GiveUp(result.retry_after, result.reason);
     }
     this->last_server = result.slot->ServerId();
+    this->last_domain = result.slot->FailureDomain();
+    this->context->metrics
+        ->GetCounter(
+            "kumquatcart_attempts_total",
+            {{"failure_domain",
+              this->last_domain == this->context->failure_domain ? "own"
+                                                                 : "other"}})
+        .Add();
     this->slot_by = result.by_coordinator ? "coordinator" : "own";
     this->job.is_late = this->context->loop->Now() > this->LatestStart();
     ServerAttempt attempt(&this->job, result.slot.get());
--- a/src/entry/request_forwarder.h
+++ b/src/entry/request_forwarder.h
@@ -84,6 +84,7 @@
   int runs = 0;      // Attempts that executed or may have.
   int declined = 0;  // Attempts that did not execute.
   std::string last_server;
+  std::string last_domain;   // Failure domain of `last_server`.
   const char* slot_by = "";  // Who assigned the latest slot, for logs.
   // Of the last attempt's answer, for logs.
   std::string answer_framing;
--- a/src/entry/server_slot.h
+++ b/src/entry/server_slot.h
@@ -37,6 +37,7 @@
   // Unix time of the server's start when the slot was assigned; 0 if unknown.
   std::int64_t StartedMs() const { return this->started_ms; }
   const Endpoint& Address() const { return this->address; }
+  const std::string& FailureDomain() const { return this->failure_domain; }
   // Empty for servers of plain services.
   const std::string& Group() const { return this->group; }
   std::int64_t Epoch() const { return this->epoch; }
@@ -49,6 +50,7 @@
   const std::string server_id;
   const std::int64_t started_ms;
   const Endpoint address;
+  const std::string failure_domain;
   const std::string group;
   const std::int64_t epoch;
   int pending_prefill_tokens;
--- a/src/model/routing_config.h
+++ b/src/model/routing_config.h
@@ -80,6 +80,8 @@
   double loads_per_second = 0;
   int loads_at_once = 1;
   Duration forming{0};  // From the order to open until requests are taken.
+  // Longest one-way delay between two failure domains; zero where not given.
+  Duration domain_delay{0};
 
   // Null where no model has that name.
   const ModelSpec* FindModel(const std::string& name) const {
@@ -95,7 +97,7 @@
     return std::tie(this->slots, this->cache_tokens, this->models, this->step,
                     this->step_per_request, this->prompt_tokens_per_second,
                     this->stride, this->loads_per_second, this->loads_at_once,
-                    this->forming);
+                    this->forming, this->domain_delay);
   }
 };
 
--- a/src/platform/config_decoder.cc
+++ b/src/platform/config_decoder.cc
@@ -1,5 +1,6 @@
 #include "platform/config_decoder.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/json.h"
@@ -86,6 +87,10 @@
   engine.loads_per_second = json.value("loads_per_s", 0.0);
   engine.loads_at_once = json.value("loads_at_once", 1);
   engine.forming = Millis(json, "form_ms", 0);
+  for (const Json& path : FieldAt(json, "delays")) {
+    engine.domain_delay =
+        std::max(engine.domain_delay, Millis(path, "delay_ms", 0));
+  }
   for (const Json& model : FieldAt(json, "models")) {
     engine.models.push_back(DecodeModel(model));
   }
--- a/src/routing/group_selector.cc
+++ b/src/routing/group_selector.cc
@@ -136,6 +136,19 @@
   return best;
 }
 
+// `chosen`: the candidate that would take the request.
+DomainOutlook OutlookOf(const std::vector<GroupCandidate>& candidates,
+                        const std::optional<std::size_t>& chosen,
+                        const SlotTotals& totals) {
+  DomainOutlook outlook;
+  if (chosen) {
+    outlook.first_event = candidates[*chosen].first_event;
+  }
+  outlook.slots = totals.all;
+  outlook.free_slots = totals.free;
+  return outlook;
+}
+
 }  // namespace
 
 std::optional<std::size_t> SelectGroup(
@@ -155,13 +168,27 @@
   const SlotTotals near_slots = SumSlots(candidates, true);
   const std::optional<std::size_t> near =
       SelectNear(candidates, demand, near_slots);
-  const double far_free = SumSlots(candidates, false).FreeFraction();
-  if (near && near_slots.FreeFraction() >= kRemoteDomainWeight * far_free) {
-    return near;
+  const SlotTotals far_slots = SumSlots(candidates, false);
+  if (!demand.spill) {
+    if (near && near_slots.FreeFraction() >=
+                    kRemoteDomainWeight * far_slots.FreeFraction()) {
+      return near;
+    }
+    const std::optional<std::size_t> far =
+        SelectAtRandom(candidates, demand, draws, /*only_other_domains=*/true);
+    return far ? far : near;
   }
   const std::optional<std::size_t> far =
       SelectAtRandom(candidates, demand, draws, /*only_other_domains=*/true);
-  return far ? far : near;
+  switch (DecideSpill(OutlookOf(candidates, near, near_slots),
+                      OutlookOf(candidates, far, far_slots), *demand.spill)) {
+    case SpillDecision::kLeave:
+      return far;
+    case SpillDecision::kStay:
+      return near;
+    default:
+      return std::nullopt;
+  }
 }
 
 }  // namespace kumquatcart
--- a/src/routing/group_selector.h
+++ b/src/routing/group_selector.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/comparable.h"
+#include "routing/domain_spill.h"
 
 namespace kumquatcart {
 
@@ -19,11 +20,13 @@
   double pending_tokens = 0;
   // The part of them that this entry VM has sent.
   double local_pending_tokens = 0;
+  // Expected time to the first event of the request.
+  Duration first_event{0};
 
   auto Tie() const {
     return std::tie(this->active_requests, this->slots,
                     this->same_failure_domain, this->pending_tokens,
-                    this->local_pending_tokens);
+                    this->local_pending_tokens, this->first_event);
   }
 };
 
@@ -36,10 +39,13 @@
   // together; none for no bound.
   std::optional<double> local_prefill_budget;
   bool is_late = false;  // It misses its latency target in any group.
+  // Decide whether the request leaves the failure domain; none: by the free
+  // slots alone.
+  std::optional<SpillTerms> spill;
 
   auto Tie() const {
     return std::tie(this->prompt_tokens, this->prefill_budget,
-                    this->local_prefill_budget, this->is_late);
+                    this->local_prefill_budget, this->is_late, this->spill);
   }
 };
 
@@ -65,9 +71,10 @@
 // As SelectGroup(), for the node that selects for all entry VMs of its failure
 // domain. Its counts of the groups in the domain are exact, so that it takes
 // the one with the highest weight. The counts of other groups are as old as in
-// SelectGroup(), and such a group is selected where the own ones are full, or
-// have much less room. Late requests leave some slots of the domain free, in
-// whichever group they are. Thread safe.
+// SelectGroup(), and such a group is selected where DecideSpill() says so;
+// without `demand.spill`, where the own ones are full or have much less room.
+// Late requests leave some slots of the domain free, in whichever group they
+// are. Thread safe.
 std::optional<std::size_t> SelectGroupForDomain(
     const std::vector<GroupCandidate>& candidates,
     const RequestDemand& demand,
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -64,6 +64,10 @@
   "services": [
     {"name": "s", "max_connections": 404,
      "engine": {"slots": 26, "loads_per_s": 5.5, "form_ms": 300.0,
+                "delays": [{"from": "a", "target_version": "b",
+                            "delay_ms": 0.5},
+                           {"from": "a", "target_version": "c",
+                            "delay_ms": 1.5}],
                 "models": [{"name": "m", "size": 6, "share": 0.67,
                             "pace": 1.0, "load_s": 16.0, "warm_s": 1.6}]}},
     {"name": "t", "max_connections": 110}],
@@ -85,6 +89,8 @@
   CHECK(config.routes[0].services.size() == 2);
   CHECK(config.routes[0].gap_target == std::chrono::milliseconds(250));
   CHECK(config.services.at("s").engine->models.front().group_size == 6);
+  CHECK(config.services.at("s").engine->domain_delay ==
+        std::chrono::microseconds(1500));
   CHECK(!config.services.at("t").engine);
   CHECK(config.holders.at("k2").organisation == "org");
   CHECK(config.holders.at("k2").priority == 1);
