--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -269,6 +269,7 @@
   });
   this->context.loop = &this->loop;
   this->context.regions = this->settings.regions;
+  this->context.failure_domain = this->settings.failure_domain;
   this->context.view = &this->view;
   this->context.prober = &this->prober;
   this->context.pool = &this->pool;
