--- a/tests/routing/config_check_test.cc
+++ b/tests/routing/config_check_test.cc
@@ -26,7 +26,7 @@
   config.routes = {MakeRoute("a", "/a/"), MakeRoute("b", "/a/b/")};
   config.services["s"].name = "s";
   config.needs_keys = true;
-  config.holders["key"] = {"org", 1};
+  config.holders["key"] = {"org", 1, {}};
   return config;
 }
 
@@ -107,7 +107,7 @@
   after.routes.erase(after.routes.begin());
   after.routes.push_back(MakeRoute("c", "/c/"));
   after.routes[0].attempts = 2;
-  after.holders["secret"] = {"org", 1};
+  after.holders["secret"] = {"org", 1, {}};
   after.limits.body_bytes = 1;
   CHECK(DescribeDifferences(before, after) ==
         std::vector<std::string>{"removed routes/a", "changed routes/b",
