--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -39,7 +39,7 @@
   ServerGate* gate = nullptr;
   PromptGuard* prompts = nullptr;
   std::map<std::string, std::string> regions;  // By failure domain.
-  std::string failure_domain;  // Of this entry VM.
+  std::string failure_domain;                  // Of this entry VM.
   // Routes of the current configuration; null until one has been read.
   std::shared_ptr<const RouteTable> routes;
   // Whether servers and groups have been read from the store.
