Send a cold server no more than all VMs together may

Cause: nothing read that a server is cold.

Change: the entry's statement, the services' rate and the settings' bound are decoded; a cold server is a limited server, at a rate whose permits stay within the bound in any second: reserved and kept for 200 ms, a quarter of an equal part for VMs without a coordinator, no use of offers that are faster or read late. A request whose connection opened after the server became cold needs a permit, too. Services that state no rate are served as before.

--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -144,6 +144,7 @@
               &this->permits,
               &this->metrics,
               std::random_device{}(),
+              {this->settings.cold_factor, this->settings.cold_extra},
               {[this] { this->OnGateOpened(); },
                [this] { this->digests.SendToAll(); }}),
       gate(&this->permits,
@@ -393,6 +394,7 @@
           std::make_shared<const RoutingConfig>(std::move(config)))) {
     return false;
   }
+  this->limiter.SetServices(this->view.Config()->services);
   this->context.routes =
       std::make_shared<const RouteTable>(this->view.Config());
   if (this->role.ReadsStore(kOperatorReaders)) {
@@ -433,7 +435,7 @@
     this->engine_http.CloseIdle(address);
   }
   this->view.PutServer(server.value(), now);
-  this->limiter.HandleStart(record.key, server.value().started_ms);
+  this->limiter.HandleEntry(server.value());
   this->gate.HandleStart({record.key, server.value().started_ms});
   this->group_balancer.AssignFreeSlots();
 }
--- a/src/entry/permit_coordinator.cc
+++ b/src/entry/permit_coordinator.cc
@@ -32,8 +32,9 @@
   return static_cast<int>(times.size());
 }
 
-PermitReply PermitCoordinator::Allocate(const PermitRequest& request,
-                                        const ServerLimit* limit) {
+PermitReply PermitCoordinator::Allocate(
+    const PermitRequest& request,
+    const std::optional<PermitRate>& limit) {
   const MonotonicTime now = this->network->Now();
   const std::string& server = request.limit.server;
   PermitReply reply;
@@ -44,15 +45,16 @@
   if (!reply.coordinates) {
     return reply;
   }
-  if (limit == nullptr) {
+  if (!limit) {
     reply.count = request.wanted;
     return reply;
   }
   reply.nodes = this->CountRequesters(server, request.node, now);
   // Nodes that are cut off use their own part of the rate.
   const NodeCounts counts = this->network->CountNodes();
-  const double rate = limit->per_second.value_or(0) * counts.live /
-                      std::max(counts.live, counts.recent);
+  const PermitRate rate{
+      limit->per_second * counts.live / std::max(counts.live, counts.recent),
+      limit->is_strict};
   const PermitOffer offer =
       this->schedule.Reserve(server, rate, request.wanted, now);
   reply.count = offer.count;
--- a/src/entry/permit_coordinator.h
+++ b/src/entry/permit_coordinator.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "entry/permit_network.h"
@@ -21,9 +22,10 @@
                     std::function<double()> draw)
       : node(std::move(node)), network(network), schedule(std::move(draw)) {}
 
-  // Answers a request for permits. `limit`: the server's limit as this node
-  // knows it; null if it has ended, so that no permit is needed.
-  PermitReply Allocate(const PermitRequest& request, const ServerLimit* limit);
+  // Answers a request for permits. `limit`: the rate that the server may
+  // receive as this node knows it; none if no permit is needed.
+  PermitReply Allocate(const PermitRequest& request,
+                       const std::optional<PermitRate>& limit);
 
   // Forgets servers for which no permit was requested since `oldest`.
   void DropUnused(MonotonicTime oldest);
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -104,6 +104,8 @@
 }
 
 AttemptOutcome ServerAttempt::RunExchange(Coroutine yield) {
+  ServerGate& gate = *this->job->context->gate;
+  const bool was_limited = gate.IsLimited(this->slot->ServerId());
   if (!this->OpenConnection(yield)) {
     if (!this->slot->Group().empty()) {
       this->job->context->prober->ReportSuspected({this->slot->ServerId()});
@@ -117,11 +119,18 @@
                             "the caller disconnected");
   }
   // A backoff may have begun while the connection was opened.
-  if (this->job->context->gate->HasBackoff(this->slot->ServerId())) {
+  if (gate.HasBackoff(this->slot->ServerId())) {
     this->is_held_back = true;
     return this->SetOutcome(AttemptOutcome::kNotRun,
                             "the server takes no requests for a time");
   }
+  // So may the time in which the server is cold.
+  if (!was_limited && gate.IsLimited(this->slot->ServerId()) &&
+      !gate.TryPass(this->slot->ServerId(), /*is_first_try=*/true)) {
+    this->is_held_back = true;
+    return this->SetOutcome(AttemptOutcome::kNotRun,
+                            "the server takes fewer requests for a time");
+  }
   if (!this->job->may_send()) {
     this->is_held_back = true;
     return this->SetOutcome(AttemptOutcome::kNotRun,
--- a/src/entry/server_limiter.cc
+++ b/src/entry/server_limiter.cc
@@ -35,6 +35,13 @@
 // logged at once.
 constexpr double kSignificantChange = 0.2;
 
+// All servers of a failure domain may become cold together.
+constexpr Duration kColdLogInterval = std::chrono::seconds(1);
+// Part of the interval of a rate that an offer's interval may lack by rounding.
+constexpr double kIntervalRounding = 0.01;
+// In seconds. Messages hold no longer ones.
+constexpr double kLongestCheckedInterval = 30;
+
 Duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(seconds));
@@ -54,15 +61,42 @@
                              PermitNetwork* network,
                              MetricRegistry* metrics,
                              std::uint32_t seed,
+                             const ColdBound& cold_bound,
                              Listeners listeners)
     : node(std::move(node)),
       network(network),
       metrics(metrics),
       listeners(std::move(listeners)),
       generator(seed),
+      cold_servers(cold_bound),
+      cold_lines(kColdLogInterval),
+      warm_lines(kColdLogInterval),
       coordinator(this->node, network, [this] { return this->Draw(); }),
       own_schedule([this] { return this->Draw(); }) {}
 
+bool ServerLimiter::IsCold(const std::string& server) const {
+  return this->cold_servers.FindEnd(server, this->network->Now()).has_value();
+}
+
+std::optional<PermitRate> ServerLimiter::FindRate(
+    const std::string& server) const {
+  const KnownServerLimit* known = this->limits.FindLimit(server);
+  const std::optional<double> cold_rate =
+      this->cold_servers.FindRate(server, this->network->Now());
+  if (known == nullptr) {
+    return cold_rate ? std::optional(PermitRate{*cold_rate, true})
+                     : std::nullopt;
+  }
+  const double limit = known->limit.per_second.value_or(0);
+  return cold_rate ? PermitRate{std::min(limit, *cold_rate), true}
+                   : PermitRate{limit, false};
+}
+
+MonotonicTime ServerLimiter::RateReceivedAt(const std::string& server) const {
+  const KnownServerLimit* known = this->limits.FindLimit(server);
+  return known == nullptr ? this->network->Now() : known->received_at;
+}
+
 double ServerLimiter::Draw() {
   return std::uniform_real_distribution<double>(0, 1)(this->generator);
 }
@@ -130,8 +164,11 @@
   }
   use->pending_request = ++this->last_sequence;
   use->requested_at = now;
-  const PermitRequest request{this->node, use->pending_request,
-                              this->limits.FindLimit(server)->limit, wanted};
+  const KnownServerLimit* known = this->limits.FindLimit(server);
+  const PermitRequest request{
+      this->node, use->pending_request,
+      known == nullptr ? ServerLimit{server, 0, std::nullopt, 0} : known->limit,
+      wanted};
   if (target == this->node) {
     this->HandleReply(this->Allocate(request));
     return;
@@ -146,8 +183,8 @@
 void ServerLimiter::HandleMissedReply(const std::string& server,
                                       std::int64_t sequence) {
   const auto found = this->uses.find(server);
-  const KnownServerLimit* known = this->limits.FindLimit(server);
-  if (known == nullptr || found == this->uses.end() ||
+  const std::optional<PermitRate> shared_rate = this->FindRate(server);
+  if (!shared_rate || found == this->uses.end() ||
       found->second.pending_request != sequence) {
     return;
   }
@@ -159,18 +196,19 @@
     this->listeners.permits_changed();
     return;
   }
-  const double rate =
-      known->limit.per_second.value_or(0) / this->network->CountNodes().recent;
-  this->SetShare(server, &use, rate);
+  const int nodes = this->network->CountNodes().recent;
+  PermitRate rate = *shared_rate;
+  rate.per_second = rate.is_strict ? LoneColdRate(rate.per_second, nodes)
+                                   : rate.per_second / nodes;
+  this->SetShare(server, &use, rate.per_second);
   this->Accept(
       server, &use,
       this->own_schedule.Reserve(server, rate, 1, this->network->Now()));
 }
 
 PermitReply ServerLimiter::Allocate(const PermitRequest& request) {
-  const KnownServerLimit* known = this->limits.FindLimit(request.limit.server);
   return this->coordinator.Allocate(request,
-                                    known == nullptr ? nullptr : &known->limit);
+                                    this->FindRate(request.limit.server));
 }
 
 void ServerLimiter::HandleRequest(const PermitRequest& request) {
@@ -178,17 +216,33 @@
   this->network->Send(request.node, this->Allocate(request));
 }
 
+bool ServerLimiter::IsUsable(const PermitReply& reply,
+                             const ServerUse& use) const {
+  if (!reply.coordinates) {
+    return false;
+  }
+  const std::optional<PermitRate> rate = this->FindRate(reply.server);
+  if (!rate || !rate->is_strict) {
+    return true;
+  }
+  const double least_interval = (1 - kIntervalRounding) / rate->per_second;
+  // What a process that was held up reads late is no longer its turn.
+  return this->network->Now() < use.requested_at + kReplyTimeout &&
+         ToSeconds(std::chrono::microseconds(reply.interval_us)) >=
+             std::min(least_interval, kLongestCheckedInterval);
+}
+
 void ServerLimiter::HandleReply(const PermitReply& reply) {
   const auto found = this->uses.find(reply.server);
   if (found == this->uses.end() || !this->IsLimited(reply.server) ||
       found->second.pending_request != reply.sequence) {
     return;
   }
-  if (!reply.coordinates) {
+  ServerUse& use = found->second;
+  if (!this->IsUsable(reply, use)) {
     this->HandleMissedReply(reply.server, reply.sequence);
     return;
   }
-  ServerUse& use = found->second;
   use.pending_request = 0;
   use.missed_replies = 0;
   const PermitOffer offer{reply.count,
@@ -206,7 +260,7 @@
                            const PermitOffer& offer) {
   const MonotonicTime now = this->network->Now();
   use->next_permit_at = now + offer.first_in;
-  use->stock.Add(offer, now);
+  use->stock.Add(offer, PermitLifetime(this->IsCold(server)), now);
   this->CountPermits(offer.count > 0 ? "granted" : "denied",
                      std::max(offer.count, 1));
   Duration delay = offer.first_in;
@@ -235,12 +289,12 @@
                              ServerUse* use,
                              double share) {
   if (DiffersSignificantly(share, use->share)) {
-    const KnownServerLimit* known = this->limits.FindLimit(server);
     LogInfo(
         "server_limit_share",
         {{"server", server},
-         {"limit", known->limit.per_second.value_or(0)},
-         {"limit_age_ms", ToMillis(this->network->Now() - known->received_at)},
+         {"limit", this->FindRate(server).value_or(PermitRate{}).per_second},
+         {"limit_age_ms",
+          ToMillis(this->network->Now() - this->RateReceivedAt(server))},
          {"share", share},
          {"coordinator", use->coordinator},
          {"missed_replies", use->missed_replies}});
@@ -329,6 +383,67 @@
   }
 }
 
+void ServerLimiter::SetServices(
+    const std::map<std::string, ServiceSpec>& services) {
+  this->cold_servers.SetServices(services);
+}
+
+void ServerLimiter::HandleEntry(const BackendServer& server) {
+  this->HandleStart(server.id, server.started_ms);
+  if (server.cold_left > kMaxStatedColdTime) {
+    this->metrics->GetCounter("kumquatcart_cold_times_bounded_total").Add();
+    LogWarning("server_cold_time_bounded",
+               {{"server", server.id},
+                {"stated_ms", ToMillis(server.cold_left)},
+                {"used_ms", ToMillis(kMaxStatedColdTime)}});
+  }
+  if (this->cold_servers.NoteEntry(server, this->network->Now())) {
+    this->HandleCold(server.id, "entry");
+  }
+}
+
+void ServerLimiter::HandleReturn(const std::string& server) {
+  if (this->cold_servers.NoteReturn(server, this->network->Now())) {
+    this->HandleCold(server, "return");
+  }
+}
+
+void ServerLimiter::HandleCold(const std::string& server, const char* source) {
+  const MonotonicTime now = this->network->Now();
+  const Duration left = *this->cold_servers.FindEnd(server, now) - now;
+  this->metrics
+      ->GetCounter("kumquatcart_servers_cold_total", {{"source", source}})
+      .Add();
+  if (const std::optional<int> others = this->cold_lines.Pass(now)) {
+    LogInfo("server_cold", {{"server", server},
+                            {"source", source},
+                            {"left_ms", ToMillis(left)},
+                            {"limit", this->FindRate(server)->per_second},
+                            {"others_since_last_line", *others}});
+  }
+  // Permits of a higher limit no longer hold.
+  this->uses.erase(server);
+  this->network->CallAfter(left,
+                           [this, server] { this->HandleColdEnd(server); });
+}
+
+void ServerLimiter::HandleColdEnd(const std::string& server) {
+  const MonotonicTime now = this->network->Now();
+  const std::optional<MonotonicTime> end =
+      this->cold_servers.FindEnd(server, now);
+  if (end) {  // It has been extended.
+    this->network->CallAfter(*end - now,
+                             [this, server] { this->HandleColdEnd(server); });
+    return;
+  }
+  if (const std::optional<int> others = this->warm_lines.Pass(now)) {
+    LogInfo("server_warm",
+            {{"server", server}, {"others_since_last_line", *others}});
+  }
+  this->uses.erase(server);
+  this->listeners.permits_changed();
+}
+
 std::vector<ServerLimit> ServerLimiter::NextReport() {
   return this->limits.NextReport(kMaxReportedLimits);
 }
@@ -336,7 +451,7 @@
 void ServerLimiter::MergeReport(const std::string& peer,
                                 const std::vector<ServerLimit>& report) {
   for (const ServerLimit& limit : report) {
-    const bool was_limited = this->IsLimited(limit.server);
+    const bool was_limited = this->limits.FindLimit(limit.server) != nullptr;
     if (this->limits.Merge(limit, this->network->Now()) &&
         (was_limited || limit.per_second)) {
       this->HandleChange(limit.server, "peer", peer);
@@ -357,6 +472,9 @@
     const std::function<bool(const std::string&)>& exists) {
   const MonotonicTime oldest = this->network->Now() - kStaleLifetime;
   this->limits.DropStale(oldest, exists);
+  this->cold_servers.DropStale(exists);
+  this->metrics->GetGauge("kumquatcart_servers_cold")
+      .Set(this->cold_servers.Count(this->network->Now()));
   this->coordinator.DropUnused(oldest);
   this->own_schedule.DropUnused(oldest);
   for (auto entry = this->uses.begin(); entry != this->uses.end();) {
@@ -368,17 +486,18 @@
 void ServerLimiter::LogRejection(const std::string& request_id,
                                  const std::string& server,
                                  Duration retry_after) const {
-  const KnownServerLimit* known = this->limits.FindLimit(server);
+  const std::optional<PermitRate> rate = this->FindRate(server);
   const auto use = this->uses.find(server);
-  if (known == nullptr || use == this->uses.end()) {
+  if (!rate || use == this->uses.end()) {
     return;
   }
   const MonotonicTime now = this->network->Now();
   LogInfo("rate_limited",
           {{"id", request_id},
            {"server", server},
-           {"limit", *known->limit.per_second},
-           {"limit_age_ms", ToMillis(now - known->received_at)},
+           {"limit", rate->per_second},
+           {"limit_age_ms", ToMillis(now - this->RateReceivedAt(server))},
+           {"cold", this->IsCold(server) ? 1 : 0},
            {"share", use->second.share},
            {"share_age_ms",
             use->second.share > 0 ? ToMillis(now - use->second.share_at) : -1},
--- a/src/entry/server_limiter.h
+++ b/src/entry/server_limiter.h
@@ -11,9 +11,11 @@
 #include <string>
 #include <vector>
 
+#include "base/log_limiter.h"
 #include "base/metrics.h"
 #include "entry/permit_coordinator.h"
 #include "entry/permit_network.h"
+#include "routing/cold_servers.h"
 #include "routing/permit_schedule.h"
 #include "routing/permit_stock.h"
 #include "routing/server_limit_table.h"
@@ -24,7 +26,12 @@
 // server one node, its coordinator, hands out permits at the server's rate; the
 // others request them from it when they have requests for the server. A node
 // that gets no reply uses the part of the rate that it would have if it were
-// divided equally. Not thread safe: used on the event loop's thread.
+// divided equally.
+//
+// A cold server is a limited one, at the lower of its own limit and the rate
+// for cold servers. A node without a reply then uses a smaller part, as the
+// bound on cold servers holds for any second. Not thread safe: used on the
+// event loop's thread.
 class ServerLimiter {
  public:
   struct Listeners {
@@ -39,10 +46,12 @@
                 PermitNetwork* network,
                 MetricRegistry* metrics,
                 std::uint32_t seed,
+                const ColdBound& cold_bound,
                 Listeners listeners);
 
+  // Whether the server has a limit or is cold.
   bool IsLimited(const std::string& server) const {
-    return this->limits.FindLimit(server) != nullptr;
+    return this->FindRate(server).has_value();
   }
 
   // Whether a request may be sent to the server now.
@@ -82,6 +91,17 @@
   // limit if that applies to an earlier start.
   void HandleStart(const std::string& server, std::int64_t started_ms);
 
+  // Adopts what the services of a configuration state of cold servers.
+  void SetServices(const std::map<std::string, ServiceSpec>& services);
+
+  // Processes the entry of a server, including its start and what it states of
+  // being cold.
+  void HandleEntry(const BackendServer& server);
+
+  // Processes that a server receives requests again after a time in which it
+  // was out of reach or was sent none: it may be cold.
+  void HandleReturn(const std::string& server);
+
   // Limits for the digest of this node.
   std::vector<ServerLimit> NextReport();
 
@@ -114,6 +134,17 @@
     MonotonicTime latest_return;  // End of the latest Retry-After.
   };
 
+  // The rate for all nodes together; none if there is no limit.
+  std::optional<PermitRate> FindRate(const std::string& server) const;
+  // When this node received the limit; the current time for a cold server.
+  MonotonicTime RateReceivedAt(const std::string& server) const;
+  bool IsCold(const std::string& server) const;
+  // Whether the offer of a coordinator keeps to the rate for cold servers. One
+  // that does not know that the server is cold may offer more.
+  bool IsUsable(const PermitReply& reply, const ServerUse& use) const;
+  void HandleCold(const std::string& server, const char* source);
+  void HandleColdEnd(const std::string& server);
+
   double Draw();
   // Number of permits to request; 0 or less if enough are left.
   int Shortage(ServerUse* use, MonotonicTime now) const;
@@ -138,6 +169,9 @@
   const Listeners listeners;
   std::minstd_rand generator;
   ServerLimitTable limits;
+  ColdServers cold_servers;
+  LogLimiter cold_lines;
+  LogLimiter warm_lines;
   std::map<std::string, ServerUse> uses;
   PermitCoordinator coordinator;  // For the servers that this node coordinates.
   PermitSchedule own_schedule;    // For this node without a coordinator.
--- a/src/model/backend_server.h
+++ b/src/model/backend_server.h
@@ -9,6 +9,7 @@
 #include <tuple>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/comparable.h"
 #include "model/vm.h"
 
@@ -46,7 +47,8 @@
   std::int64_t started_ms = 0;  // Unix time of its start; 0 where not given.
   int slots = 1;
   bool draining = false;
-  std::string loaded_model;                // Empty: none.
+  Duration cold_left{0};     // Of the time in which it is slow; when written.
+  std::string loaded_model;  // Empty: none.
   std::vector<std::string> staged_models;  // In its VM's memory.
   std::optional<GroupMembership> membership;
   std::int64_t orders_accepted = 0;  // Since its start.
@@ -54,8 +56,8 @@
   auto Tie() const {
     return std::tie(this->id, this->service, this->endpoint,
                     this->failure_domain, this->fabric_domain, this->started_ms,
-                    this->slots, this->draining, this->loaded_model,
-                    this->staged_models, this->membership,
+                    this->slots, this->draining, this->cold_left,
+                    this->loaded_model, this->staged_models, this->membership,
                     this->orders_accepted);
   }
 };
--- a/src/model/routing_config.h
+++ b/src/model/routing_config.h
@@ -101,11 +101,15 @@
 
 struct ServiceSpec {
   std::string name;
-  int max_connections = 0;           // A server's, from all callers together.
+  int max_connections = 0;  // A server's, from all callers together.
+  Duration cold_time{0};    // For which a server is slow after a start.
+  // That such a server tolerates from all callers together; 0: not stated.
+  double cold_requests_per_second = 0;
   std::optional<EngineSpec> engine;  // Services that serve models.
 
   auto Tie() const {
-    return std::tie(this->name, this->max_connections, this->engine);
+    return std::tie(this->name, this->max_connections, this->cold_time,
+                    this->cold_requests_per_second, this->engine);
   }
 };
 
--- a/src/platform/config_decoder.cc
+++ b/src/platform/config_decoder.cc
@@ -1,5 +1,6 @@
 #include "platform/config_decoder.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/json.h"
@@ -11,9 +12,22 @@
 constexpr char kStreamingKind[] = "streaming";
 constexpr char kIdempotentKind[] = "idempotent";
 
-Duration Millis(const Json& json, const char* name, double fallback) {
+Duration Millis(double millis) {
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(json.value(name, fallback)));
+      std::chrono::duration<double, std::milli>(millis));
+}
+
+Duration Millis(const Json& json, const char* name, double fallback) {
+  return Millis(json.value(name, fallback));
+}
+
+// A number from 0 to a million; 0 where there is none.
+double PositiveAt(const Json& json, const char* name) {
+  constexpr double kMax = 1e6;
+  const auto found = json.find(name);
+  return found != json.end() && found->is_number()
+             ? std::clamp(found->get<double>(), 0.0, kMax)
+             : 0;
 }
 
 Duration Seconds(const Json& json, const char* name) {
@@ -96,6 +110,8 @@
   ServiceSpec service;
   service.name = json.at("name").get<std::string>();
   service.max_connections = json.value("max_connections", 0);
+  service.cold_time = Millis(1000 * PositiveAt(json, "cold_start_s"));
+  service.cold_requests_per_second = PositiveAt(json, "cold_per_s");
   const auto engine = json.find("engine");
   if (engine != json.end() && engine->is_object()) {
     service.engine = DecodeEngine(*engine);
--- a/src/platform/process_settings.cc
+++ b/src/platform/process_settings.cc
@@ -20,6 +20,8 @@
 constexpr double kDefaultRetryRatio = 0.1;
 constexpr double kDefaultRetryBase = 20;
 constexpr double kDefaultRetryWindowSeconds = 10;
+constexpr double kDefaultColdFactor = 1;
+constexpr double kDefaultColdExtra = 0;
 constexpr std::uint64_t kDefaultCallBytes = 1024 * 1024;
 constexpr std::uint32_t kDefaultDescriptors = 1024;
 // Of the smallest VMs in use.
@@ -69,6 +71,8 @@
       NumberAt(bounds, "retry_budget_base", kDefaultRetryBase);
   settings->retry_window = FromMillis(
       NumberAt(bounds, "budget_window_s", kDefaultRetryWindowSeconds) * 1000);
+  settings->cold_factor = NumberAt(bounds, "cold_over", kDefaultColdFactor);
+  settings->cold_extra = NumberAt(bounds, "cold_slack", kDefaultColdExtra);
 }
 
 void DecodeLimits(const Json& json, ProcessSettings* settings) {
--- a/src/platform/process_settings.h
+++ b/src/platform/process_settings.h
@@ -32,18 +32,22 @@
   double retry_ratio = 0;  // Retries allowed for each request, system-wide.
   double retry_base = 0;   // Retries allowed beside those, in one window.
   Duration retry_window{0};
+  // A cold server may get, in any second, the rate that its service states
+  // times this, and this many requests more, from all VMs together.
+  double cold_factor = 1;
+  double cold_extra = 0;
   std::uint32_t descriptors = 0;  // Largest number of open descriptors.
   double cores = 0;               // Processor time per second of this VM.
   double link_bytes_per_second = 0;
 
   auto Tie() const {
-    return std::tie(this->node_name, this->failure_domain,
-                    this->failure_domains, this->callers, this->readiness,
-                    this->peers, this->metrics, this->store, this->call_bytes,
-                    this->drain_bound, this->propagation_bound,
-                    this->stop_grace, this->stall_time, this->retry_ratio,
-                    this->retry_base, this->retry_window, this->descriptors,
-                    this->cores, this->link_bytes_per_second);
+    return std::tie(
+        this->node_name, this->failure_domain, this->failure_domains,
+        this->callers, this->readiness, this->peers, this->metrics, this->store,
+        this->call_bytes, this->drain_bound, this->propagation_bound,
+        this->stop_grace, this->stall_time, this->retry_ratio, this->retry_base,
+        this->retry_window, this->cold_factor, this->cold_extra,
+        this->descriptors, this->cores, this->link_bytes_per_second);
   }
 };
 
--- a/src/platform/server_decoder.cc
+++ b/src/platform/server_decoder.cc
@@ -20,6 +20,8 @@
 // The last millisecond of the year 9999. A start later than that is none, and
 // entries of a later start replace it.
 constexpr std::int64_t kMaxUnixMillis = 253'402'300'799'999;
+// Longer than any state of a server holds; sums with times stay representable.
+constexpr Duration kMaxDuration = std::chrono::hours(24);
 constexpr std::int64_t kMaxInt = std::numeric_limits<int>::max();
 // Part of a malformed value that goes into an error.
 constexpr std::size_t kMaxQuotedBytes = 40;
@@ -85,14 +87,17 @@
   return json.contains(name) ? CountAt(json, name, max) : 0;
 }
 
-// Checks a duration, which may have a fraction.
-Status CheckMillisAt(const Json& json, const char* name) {
+// A duration in milliseconds, which may have a fraction; longer ones as
+// kMaxDuration.
+Result<Duration> MillisAt(const Json& json, const char* name) {
   const auto found = json.find(name);
   if (found == json.end() || !found->is_number() || found->get<double>() < 0 ||
       found->get<double>() > kMaxUnixMillis) {
     return Malformed(std::string("no time in ") + name);
   }
-  return Ok();
+  const std::chrono::duration<double, std::milli> time(found->get<double>());
+  return time < kMaxDuration ? std::chrono::duration_cast<Duration>(time)
+                             : kMaxDuration;
 }
 
 std::vector<std::string> DecodeStaged(const Json& json) {
@@ -199,7 +204,8 @@
   BOOST_OUTCOME_TRY(TextAt(json, "version"));
   BOOST_OUTCOME_TRY(orders_accepted, CountAt(json, "seq"));
   server.orders_accepted = orders_accepted;
-  BOOST_OUTCOME_TRY(CheckMillisAt(json, "cold_left_ms"));
+  BOOST_OUTCOME_TRY(cold_left, MillisAt(json, "cold_left_ms"));
+  server.cold_left = cold_left;
   BOOST_OUTCOME_TRY(started_ms, OptionalCountAt(json, "born", kMaxUnixMillis));
   server.started_ms = started_ms;
   server.fabric_domain = json.value("domain", std::string());
--- a/src/routing/permit_schedule.h
+++ b/src/routing/permit_schedule.h
@@ -12,6 +12,21 @@
 
 namespace kumquatcart {
 
+// The rate at which a server's permits become usable.
+struct PermitRate {
+  double per_second = 0;
+  // Whether the sum over all VMs must hold in any second. Permits are then
+  // reserved shortly before they are usable and last shortly; a VM that has let
+  // its turn pass begins anew, so that many of them do not send together; and
+  // a rate near zero gives no request now and then.
+  bool is_strict = false;
+
+  auto Tie() const { return std::tie(this->per_second, this->is_strict); }
+};
+
+// How long a permit may be used after it has become usable. Thread safe.
+Duration PermitLifetime(bool is_strict);
+
 // Permits to send one request each. They become usable one after the other.
 struct PermitOffer {
   int count = 0;
@@ -33,14 +48,14 @@
   explicit PermitSchedule(std::function<double()> draw)
       : draw(std::move(draw)) {}
 
-  // Reserves up to `wanted` permits of `server` that are usable soon, at `rate`
-  // permits per second.
+  // Reserves up to `wanted` permits of `server` that are usable soon, at
+  // `rate`.
   //
   // The first permit of a server comes after a random part of the interval. VMs
   // that begin to allocate at the same moment, or one that takes over from
   // another, so keep to the rate on average.
   PermitOffer Reserve(const std::string& server,
-                      double rate,
+                      const PermitRate& rate,
                       int wanted,
                       MonotonicTime now);
 
--- a/src/routing/permit_stock.cc
+++ b/src/routing/permit_stock.cc
@@ -4,13 +4,10 @@
 
 namespace kumquatcart {
 
-namespace {
-
-constexpr Duration kPermitLifetime = std::chrono::milliseconds(500);
-
-}  // namespace
-
-void PermitStock::Add(const PermitOffer& offer, MonotonicTime now) {
+void PermitStock::Add(const PermitOffer& offer,
+                      Duration lifetime,
+                      MonotonicTime now) {
+  this->lifetime = lifetime;
   MonotonicTime at = now + offer.first_in;
   for (int i = 0; i < offer.count; ++i, at += offer.interval) {
     this->usable_at.push_back(at);
@@ -20,7 +17,7 @@
 
 void PermitStock::DropExpired(MonotonicTime now) {
   while (!this->usable_at.empty() &&
-         this->usable_at.front() + kPermitLifetime < now) {
+         this->usable_at.front() + this->lifetime < now) {
     this->usable_at.pop_front();
   }
 }
--- a/src/routing/permit_stock.h
+++ b/src/routing/permit_stock.h
@@ -16,7 +16,9 @@
 // those of later permits. Not thread safe.
 class PermitStock {
  public:
-  void Add(const PermitOffer& offer, MonotonicTime now);
+  // Adds permits. All that are held expire `lifetime` after they have become
+  // usable.
+  void Add(const PermitOffer& offer, Duration lifetime, MonotonicTime now);
 
   bool HasUsable(MonotonicTime now);
   // Takes a usable permit. False if there is none.
@@ -33,6 +35,7 @@
   void DropExpired(MonotonicTime now);
 
   std::deque<MonotonicTime> usable_at;  // Ascending.
+  Duration lifetime{0};
 };
 
 }  // namespace kumquatcart
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -66,6 +66,7 @@
               &this->permits,
               &this->metrics,
               /*seed=*/1,
+              ColdBound{},
               {[this] {
                  this->group_balancer.AssignFreeSlots();
                  this->plain_balancer.HandleGateOpened();
--- a/tests/entry/server_limiter_test.cc
+++ b/tests/entry/server_limiter_test.cc
@@ -20,6 +20,9 @@
 using std::chrono::seconds;
 
 constexpr char kServer[] = "server";
+constexpr char kService[] = "service";
+constexpr Duration kColdTime = seconds(3);
+constexpr Duration kMaxEntryDelay = milliseconds(200);
 constexpr Duration kLatency = milliseconds(5);
 constexpr Duration kAnswerTime = milliseconds(50);
 constexpr Duration kNodeMemory = seconds(60);
@@ -44,7 +47,10 @@
   // Requests that arrived in the last `duration`.
   int ArrivalsInLast(Duration duration) const;
   // Most requests in any window that began at or after `from`.
-  int MostInWindow(MonotonicTime from) const;
+  int MostInWindow(MonotonicTime from, Duration window = kWindow) const;
+  // The server's entry states that it is cold for `left`. Each node that is not
+  // in `deaf` receives it some time later.
+  void StateCold(Duration left);
 
   ManualClock clock;
   std::minstd_rand random;
@@ -56,6 +62,9 @@
   // Datagrams to these nodes are lost; those that they send are not.
   std::set<std::string> deaf;
   std::optional<double> limit = 2.8;
+  // What the server's service states; 0: nothing.
+  double cold_per_second = 0;
+  Duration cold_left{0};  // Of the server's latest entry.
   std::deque<MonotonicTime> arrivals;
 };
 
@@ -76,8 +85,13 @@
     this->peers = std::make_unique<PeerDirectory>(this->name, "zone");
     this->limiter = std::make_unique<ServerLimiter>(
         this->name, this, &this->world->metrics, this->world->random(),
+        ColdBound{kTolerance, kExtraRequests},
         ServerLimiter::Listeners{[] {}, [this] { this->SendDigests(); }});
-    this->limiter->HandleStart(kServer, /*started_ms=*/0);
+    ServiceSpec service;
+    service.cold_time = kColdTime;
+    service.cold_requests_per_second = this->world->cold_per_second;
+    this->limiter->SetServices({{kService, service}});
+    this->ReceiveEntry();
     for (const auto& node : this->world->nodes) {
       this->peers->PutPeer(node->name, "zone", Endpoint{"10.0.0.1", 1});
       if (node->peers != nullptr) {
@@ -87,6 +101,21 @@
     this->Repeat(this->DigestInterval(), [this] { this->SendDigests(); });
     this->Repeat(this->request_interval, [this] { this->SendRequest(); });
   }
+  void ReceiveEntry() {
+    BackendServer server;
+    server.id = kServer;
+    server.service = kService;
+    server.cold_left = this->world->cold_left;
+    this->limiter->HandleEntry(server);
+  }
+  // As above, after the time that the store and its readers take.
+  void ReceiveEntryLater() {
+    this->CallAfter(
+        std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, Duration::period>(kMaxEntryDelay) *
+            this->world->Draw()),
+        [this] { this->ReceiveEntry(); });
+  }
   void Stop() {
     ++this->life;
     this->limiter = nullptr;
@@ -236,14 +265,23 @@
                     [from](MonotonicTime at) { return at >= from; }));
 }
 
-int World::MostInWindow(MonotonicTime from) const {
+void World::StateCold(Duration left) {
+  this->cold_left = left;
+  for (const auto& node : this->nodes) {
+    if (this->deaf.count(node->name) == 0) {
+      node->ReceiveEntryLater();
+    }
+  }
+}
+
+int World::MostInWindow(MonotonicTime from, Duration window) const {
   std::ptrdiff_t most = 0;
   for (auto first =
            std::lower_bound(this->arrivals.begin(), this->arrivals.end(), from);
        first != this->arrivals.end(); ++first) {
     most = std::max(
-        most, std::lower_bound(first, this->arrivals.end(), *first + kWindow) -
-                  first);
+        most,
+        std::lower_bound(first, this->arrivals.end(), *first + window) - first);
   }
   return static_cast<int>(most);
 }
@@ -532,5 +570,115 @@
   CHECK(limiter->NextRetryAfter(kServer) <= seconds(1));
 }
 
+// Requests that a cold server may get in any second, and how long it is cold in
+// these tests.
+constexpr double kColdPerSecond = 23;
+constexpr int kMostInColdSecond =
+    static_cast<int>(kTolerance * kColdPerSecond + kExtraRequests);
+constexpr Duration kLongCold = seconds(20);
+
+// Starts nodes under more load than a cold server takes; the server then
+// becomes cold. Requests do not wait here, so that each node's come within the
+// life of a permit. Returns the time at which all nodes have received that the
+// server is cold.
+MonotonicTime StartCold(World* world, int nodes) {
+  world->limit.reset();
+  world->cold_per_second = kColdPerSecond;
+  StartNodes(world, nodes, std::max(300, 6 * nodes));
+  Settle(world);
+  world->StateCold(kLongCold);
+  world->Run(kMaxEntryDelay);
+  return world->clock.Now();
+}
+
+// Guards against VMs that each send a server that has just started as much as a
+// warm one takes, or that leave it idle.
+TEST_CASE("Entry VMs share the rate for a cold server") {
+  for (const int nodes : {1, 8, 89, 370}) {
+    CAPTURE(nodes);
+    World world(41);
+    const MonotonicTime from = StartCold(&world, nodes);
+    world.Run(seconds(10));
+    CHECK(world.MostInWindow(from, seconds(1)) <= kMostInColdSecond);
+    CHECK(world.ArrivalsInLast(seconds(8)) >= kColdPerSecond * 8 / 2);
+    world.StateCold(Duration{0});
+    world.Run(seconds(1) + kMaxEntryDelay);
+    CHECK(world.ArrivalsInLast(seconds(1)) >= 200);
+  }
+}
+
+// Guards against both sides of a cut using the whole rate, and against VMs that
+// send unasked because they reach nobody.
+TEST_CASE("The rate for a cold server holds while entry VMs are cut off") {
+  for (const int cut_off : {1, 20, 40, 79}) {
+    CAPTURE(cut_off);
+    World world(43);
+    const MonotonicTime from = StartCold(&world, 80);
+    for (int i = 0; i < cut_off; ++i) {
+      world.other_side.insert("node" + std::to_string(i));
+    }
+    world.Run(seconds(10));
+    CHECK(world.MostInWindow(from, seconds(1)) <= kMostInColdSecond);
+    CHECK(world.ArrivalsInLast(seconds(8)) >= kColdPerSecond);
+  }
+}
+
+// Guards against a burst while each VM that has just started takes itself for
+// the only one, and when another VM takes over the allocation.
+TEST_CASE("The rate for a cold server holds while entry VMs restart") {
+  World world(47);
+  const MonotonicTime from = StartCold(&world, 80);
+  for (int i = 0; i < 3; ++i) {
+    SimulatedNode* coordinator = world.Find(CoordinatorOf(world));
+    coordinator->Stop();
+    world.Run(seconds(1));
+    coordinator->Start();
+    world.Run(seconds(1));
+  }
+  for (const auto& node : world.nodes) {
+    node->Stop();
+  }
+  for (const auto& node : world.nodes) {
+    node->Start();
+  }
+  world.Run(seconds(8));
+  CHECK(world.MostInWindow(from, seconds(1)) <= kMostInColdSecond);
+}
+
+// Guards against a coordinator that has not received that the server is cold
+// and hands out permits freely.
+TEST_CASE("A cold server's rate holds if the coordinator takes it for warm") {
+  World world(53);
+  world.limit.reset();
+  world.cold_per_second = kColdPerSecond;
+  StartNodes(&world, 80, 480);
+  Settle(&world);
+  world.deaf.insert(CoordinatorOf(world));
+  world.StateCold(kLongCold);
+  world.deaf.clear();
+  world.Run(kMaxEntryDelay);
+  const MonotonicTime from = world.clock.Now();
+  world.Run(seconds(8));
+  CHECK(world.MostInWindow(from, seconds(1)) <= kMostInColdSecond);
+}
+
+// Guards against permits that a process reads late, after it was held up, and
+// uses beside those of the present.
+TEST_CASE("A cold server's rate holds when frozen entry VMs wake") {
+  World world(59);
+  const MonotonicTime from = StartCold(&world, 80);
+  for (int i = 0; i < 4; ++i) {
+    for (int node = 0; node < 40; ++node) {
+      world.nodes[node]->Freeze();
+    }
+    world.Run(seconds(1));
+    for (int node = 0; node < 40; ++node) {
+      world.nodes[node]->Wake();
+    }
+    world.Run(seconds(1));
+  }
+  CHECK(world.MostInWindow(from, seconds(1)) <= kMostInColdSecond);
+}
+
 }  // namespace
 }  // namespace kumquatcart
--- a/tests/entry/slot_coordination_test.cc
+++ b/tests/entry/slot_coordination_test.cc
@@ -100,7 +100,7 @@
       this->AddGroups();
     }
     this->limiter = std::make_unique<ServerLimiter>(
-        this->name, &this->permits, &this->world->metrics, 1,
+        this->name, &this->permits, &this->world->metrics, 1, ColdBound{},
         ServerLimiter::Listeners{[] {}, [] {}});
     this->gate = std::make_unique<ServerGate>(&this->permits, this->load.get(),
                                               this->limiter.get(),
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -19,7 +19,7 @@
                                      "link_mbps": 200},
   "bounds": {"drain_ms": 2000, "grace_s": 8, "stall_ms": 6000,
              "retry_budget_ratio": 0.2, "retry_budget_base": 134,
-             "budget_window_s": 10},
+             "budget_window_s": 10, "cold_over": 1.5, "cold_slack": 5},
   "platform": {"address": "10.9.0.1:90", "call_bytes": 100},
   "new_field": {"x": 1}})";
 
@@ -33,6 +33,8 @@
   CHECK(settings.value().store.ToString() == "10.9.0.1:90");
   CHECK(settings.value().stop_grace == std::chrono::seconds(8));
   CHECK(settings.value().retry_base == 134);
+  CHECK(settings.value().cold_factor == 1.5);
+  CHECK(settings.value().cold_extra == 5);
   CHECK(settings.value().descriptors == 4100);
   CHECK(settings.value().cores == 0.5);
   CHECK(settings.value().link_bytes_per_second == 25e6);
@@ -62,11 +64,13 @@
     {"name": "r4", "host": "h", "path_prefix": "/d/", "kind": "idempotent",
      "service": "t"}],
   "services": [
-    {"name": "s", "max_connections": 404,
+    {"name": "s", "max_connections": 404, "cold_start_s": 3.0,
+     "cold_per_s": 23.0,
      "engine": {"slots": 26, "loads_per_s": 5.5, "form_ms": 300.0,
                 "models": [{"name": "m", "size": 6, "share": 0.67,
                             "pace": 1.0, "load_s": 16.0, "warm_s": 1.6}]}},
-    {"name": "t", "max_connections": 110}],
+    {"name": "t", "max_connections": 110, "cold_start_s": null,
+     "cold_per_s": -1}],
   "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
              "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
   "tenants": [{"name": "org", "api_keys": ["k1", "k2"], "priority": 1}]})";
@@ -86,6 +90,11 @@
   CHECK(config.routes[0].gap_target == std::chrono::milliseconds(250));
   CHECK(config.services.at("s").engine->models.front().group_size == 6);
   CHECK(!config.services.at("t").engine);
+  CHECK(config.services.at("s").cold_time == std::chrono::seconds(3));
+  CHECK(config.services.at("s").cold_requests_per_second == 23);
+  // Not stated in a form that can be used.
+  CHECK(config.services.at("t").cold_time == Duration{0});
+  CHECK(config.services.at("t").cold_requests_per_second == 0);
   CHECK(config.holders.at("k2").organisation == "org");
   CHECK(config.holders.at("k2").priority == 1);
 }
--- a/tests/platform/server_decoder_test.cc
+++ b/tests/platform/server_decoder_test.cc
@@ -38,7 +38,12 @@
   CHECK(with("slots", "1000000").value().slots == 1'000'000);
   CHECK(with("born", "0").value().started_ms == 0);
   CHECK(with("born", "1764900000000").value().started_ms == 1'764'900'000'000);
-  CHECK(with("cold_left_ms", "12.5").has_value());
+  CHECK(with("cold_left_ms", "12.5").value().cold_left ==
+        std::chrono::microseconds(12'500));
+  // Stays a duration that can be added to a time.
+  CHECK(with("cold_left_ms", "253402300799999").value().cold_left ==
+        std::chrono::hours(24));
+  CHECK(with("cold_left_ms", "-1").has_error());
   CHECK(with("seq", "9223372036854775807").has_value());
   CHECK(with("address", "\"10.1.0.9:1\"").value().endpoint.port == 1);
   CHECK(with("address", "\"10.1.0.9:65535\"").value().endpoint.port == 65535);
