--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -144,6 +144,7 @@
               &this->permits,
               &this->metrics,
               std::random_device{}(),
+              {this->settings.cold_factor, this->settings.cold_extra},
               {[this] { this->OnGateOpened(); },
                [this] { this->digests.SendToAll(); }}),
       gate(&this->permits,
@@ -348,6 +349,11 @@
   if (!this->view.SetEvacuated(failure_domain, is_ordered, this->loop.Now())) {
     return;
   }
+  for (const auto& [id, server] : this->view.Servers()) {
+    if (!is_ordered && server.failure_domain == failure_domain) {
+      this->limiter.HandleReturn(id);
+    }
+  }
   this->metrics
       .GetGauge("kumquatcart_evacuated", {{"failure_domain", failure_domain}})
       .Set(is_ordered ? 1 : 0);
@@ -415,6 +421,7 @@
           std::make_shared<const RoutingConfig>(std::move(config)))) {
     return false;
   }
+  this->limiter.SetServices(this->view.Config()->services);
   this->context.routes =
       std::make_shared<const RouteTable>(this->view.Config());
   if (this->role.ReadsStore(kOperatorReaders)) {
@@ -455,7 +462,7 @@
     this->engine_http.CloseIdle(address);
   }
   this->view.PutServer(server.value(), now);
-  this->limiter.HandleStart(record.key, server.value().started_ms);
+  this->limiter.HandleEntry(server.value());
   this->gate.HandleStart({record.key, server.value().started_ms});
   this->group_balancer.AssignFreeSlots();
 }
