--- a/cmake/KumquatcartTargets.cmake
+++ b/cmake/KumquatcartTargets.cmake
@@ -56,12 +56,14 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
 endfunction()
 
-# kc_add_tests(name SOURCES file... [DEPENDS target...])
+# kc_add_tests(name [SERIAL] SOURCES file... [DEPENDS target...])
+# SERIAL: CTest runs no other test at the same time.
 function(kc_add_tests name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_include_directories(${name} PRIVATE "${CMAKE_SOURCE_DIR}/tests")
   target_link_libraries(${name} PRIVATE kc_options kc_test_main ${ARG_DEPENDS} Catch2::Catch2 rapidcheck)
   catch_discover_tests(${name}
-    PROPERTIES ENVIRONMENT "RC_PARAMS=${KC_RAPIDCHECK_PARAMS}" TIMEOUT 120)
+    PROPERTIES ENVIRONMENT "RC_PARAMS=${KC_RAPIDCHECK_PARAMS}" TIMEOUT 120
+      RUN_SERIAL ${ARG_SERIAL})
 endfunction()
--- a/tools/soak/entry_child.cc
+++ b/tools/soak/entry_child.cc
@@ -71,6 +71,10 @@
   for (int i = 0; i < this->places.failure_domains; ++i) {
     domains[FailureDomainOf(i, this->places.failure_domains)] = "region";
   }
+  Json limits{{"max_fds", this->places.descriptors}};
+  if (this->places.memory_mb > 0) {
+    limits["memory_mb"] = this->places.memory_mb;
+  }
   const Json settings{
       {"node_name", this->name},
       {"ip", this->host},
@@ -79,7 +83,7 @@
       {"listen",
        {{"front", TextOf(this->callers)}, {"ready", TextOf(this->readiness)}}},
       {"inner_ports", {FirstPeerPort(), FirstPeerPort() + kPortsOfSoak - 1}},
-      {"limits", {{"max_fds", 1024}}},
+      {"limits", limits},
       {"bounds",
        {{"drain_ms", 2000},
         {"grace_s", kStopGraceSeconds},
--- a/tools/soak/entry_child.h
+++ b/tools/soak/entry_child.h
@@ -20,6 +20,8 @@
   std::string program;
   std::string directory;  // Exists; settings and logs go there.
   int failure_domains = 1;
+  int descriptors = 1024;  // Largest number of open ones.
+  int memory_mb = 0;       // Of the VM; 0: the settings leave it out.
 };
 
 // Starts, signals and reaps the process; only ever its own, by its id. For the
@@ -50,6 +52,8 @@
   void Reap();
 
   bool IsRunning() const { return this->pid > 0; }
+  // 0 while it is not running.
+  pid_t ProcessId() const { return this->pid; }
   bool IsStopping() const { return this->ending; }
   int Starts() const { return this->starts; }
   TcpProxy& StoreLink() { return *this->store_link; }
