Bound what callers' requests and connections hold

Cause: only single connections were bounded, so a crowd of legal, unfinished requests took more memory than the VM has, and callers could take every descriptor. Change: the settings' memory_mb (default 160) and max_fds give the process a budget. Connections and bodies hold leases of it; a body counts twice, for the copy that is sent. A body that does not fit ends the slowest large request, or is refused with 503, Retry-After and Connection: close; an announced one before a byte is read, and 100 Continue is sent only after it is held. Paused input of a caller falls from 128 KB to two heads. Callers leave descriptors for the store, peers, servers and the operator: accepting pauses before.

--- a/src/cli/entry_command.cc
+++ b/src/cli/entry_command.cc
@@ -39,6 +39,11 @@
     context.errors << settings.error().message << '\n';
     return ExitCode::kUsage;
   }
+  const Status memory = CheckMemory(settings.value());
+  if (memory.has_error()) {
+    context.errors << memory.error().message << '\n';
+    return ExitCode::kUsage;
+  }
   EntryProcess process(settings.value(), this->settings_path);
   const Status started = process.Start();
   if (started.has_error()) {
--- a/src/entry/answer_buffer_use.h
+++ b/src/entry/answer_buffer_use.h
@@ -12,8 +12,10 @@
 // the process. Not thread safe.
 class AnswerBufferUse {
  public:
-  // Precondition: `total` outlives this object.
-  explicit AnswerBufferUse(std::size_t* total) : total(total) {}
+  // `limit`: largest sum. Precondition: `total` outlives this object.
+  explicit AnswerBufferUse(std::size_t* total,
+                           std::size_t limit = kMaxAllBufferedAnswerBytes)
+      : total(total), limit(limit) {}
   ~AnswerBufferUse() { *this->total -= this->bytes; }
   AnswerBufferUse(const AnswerBufferUse&) = delete;
   AnswerBufferUse& operator=(const AnswerBufferUse&) = delete;
@@ -25,12 +27,12 @@
     *this->total = *this->total - this->bytes + buffered;
     this->bytes = buffered;
     return buffered <= kMaxBufferedAnswerBytes &&
-           (buffered <= kSmallAnswerBytes ||
-            *this->total <= kMaxAllBufferedAnswerBytes);
+           (buffered <= kSmallAnswerBytes || *this->total <= this->limit);
   }
 
  private:
   std::size_t* const total;
+  const std::size_t limit;
   std::size_t bytes = 0;
 };
 
--- a/src/entry/caller_session.cc
+++ b/src/entry/caller_session.cc
@@ -37,11 +37,31 @@
       return kHttpRequestHeaderFieldsTooLarge;
     case RequestReadStatus::kBodyTooLarge:
       return kHttpPayloadTooLarge;
+    case RequestReadStatus::kNoMemory:
+      return kHttpServiceUnavailable;
     default:
       return kHttpBadRequest;
   }
 }
 
+// Answers a request that was not read to its end.
+void RefuseRequest(const RequestReadResult& outcome, AnswerSender* answer) {
+  const int status = StatusFor(outcome.result);
+  if (outcome.result != RequestReadStatus::kNoMemory) {
+    LogInfo("request_rejected", {{"status", status}});
+    answer->SendWhole(status, {}, {});
+    return;
+  }
+  const Result<CallerRequest> request =
+      DecodeCallerRequest(outcome.request.method, outcome.request.target,
+                          outcome.request.headers, {});
+  const std::string id = request.has_error() ? "" : request.value().id;
+  LogInfo("request_rejected",
+          {{"id", id}, {"status", status}, {"reason", "memory is short"}});
+  // Requests that are read too slowly can be ended by then.
+  answer->SendWhole(status, OwnAnswerFields(id, kMinReadTime), {});
+}
+
 // Lingering close: shuts down the sending side and discards input until the
 // caller closes, so that a reset does not destroy data in flight.
 void Linger(EntryContext* context,
@@ -154,8 +174,9 @@
                          TcpConnection* connection,
                          Waiter* waiter,
                          Coroutine yield) {
-  RequestReader reader(context->loop, connection, waiter,
-                       [context] { return LimitsOf(*context); });
+  RequestReader reader(
+      context->loop, connection, waiter,
+      [context] { return LimitsOf(*context); }, context->request_memory);
   for (bool is_unused = true;; is_unused = false) {
     RequestReadResult outcome =
         reader.Read(is_unused ? &context->close_unused_connections
@@ -176,8 +197,7 @@
       answer.DisableChunks();
     }
     if (!is_request) {
-      LogInfo("request_rejected", {{"status", StatusFor(outcome.result)}});
-      answer.SendWhole(StatusFor(outcome.result), {}, {});
+      RefuseRequest(outcome, &answer);
     } else if (!HandleRequest(context, &outcome, connection, waiter, &answer,
                               yield)) {
       return EndForIncomplete(answer);
--- a/src/entry/entry_constants.h
+++ b/src/entry/entry_constants.h
@@ -53,6 +53,14 @@
 inline constexpr std::size_t kMaxAllBufferedAnswerBytes = 64 * 1024 * 1024;
 inline constexpr std::size_t kSmallAnswerBytes = 64 * 1024;
 
+// Memory of a caller's connection that waits or is served: the used part of the
+// coroutine's stack, a head and paused input.
+inline constexpr std::size_t kCallerConnectionBytes = 48 * 1024;
+
+// Age at which a large request that is still being read may be ended to make
+// room for others.
+inline constexpr Duration kMinReadTime = std::chrono::milliseconds(500);
+
 // Answers to other requests that one attempt skips, and their body bytes.
 inline constexpr int kMaxSkippedAnswers = 16;
 inline constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "control/fleet_view.h"
 #include "control/server_prober.h"
+#include "entry/entry_constants.h"
 #include "net/connection_pool.h"
 #include "routing/first_event_times.h"
 #include "routing/route_table.h"
@@ -19,6 +20,7 @@
 class GroupStallDetector;
 class PlainLoadBalancer;
 class PromptGuard;
+class RequestMemory;
 class ServerGate;
 class ServerLimiter;
 
@@ -57,6 +59,8 @@
   FirstEventTimes first_event_times;
   int requests_in_progress = 0;
   std::size_t buffered_answer_bytes = 0;  // Of all attempts.
+  std::size_t max_buffered_answer_bytes = kMaxAllBufferedAnswerBytes;
+  RequestMemory* request_memory = nullptr;  // Null: nothing is limited.
 };
 
 }  // namespace kumquatcart
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -272,6 +272,8 @@
   this->context.prober = &this->prober;
   this->context.pool = &this->pool;
   this->context.limiter = &this->limiter;
+  this->context.request_memory = &this->request_memory;
+  this->context.max_buffered_answer_bytes = this->memory_plan.answer_bytes;
   this->context.gate = &this->gate;
   this->context.prompts = &this->prompts;
   this->digests.SetMessageListener([this](const std::string& bytes) {
@@ -633,6 +635,7 @@
       this->metrics.GetGauge("kumquatcart_store_era_age_seconds")
           .Set(std::chrono::duration<double>(now - *changed_at).count());
     }
+    this->PublishMemory();
     this->ShareRetryBudget(now);
     this->group_balancer.SetNodeCount(this->peers.CountLiveNodes(now));
     const auto written =
@@ -710,14 +713,48 @@
 void EntryProcess::AcceptCaller(boost::asio::ip::tcp::socket socket) {
   const ConnectionPtr connection =
       TcpConnection::Adopt(&this->loop, std::move(socket));
+  connection->CountIn(&this->caller_memory, MemoryUse::kConnection,
+                      kCallerConnectionBytes);
   this->loop.Spawn([this, connection](Coroutine yield) {
-    Waiter waiter(&this->loop);
-    this->sessions.insert(&waiter);
-    const ScopeGuard guard([this, &waiter] { this->sessions.erase(&waiter); });
-    ServeCaller(&this->context, connection, &waiter, yield);
+    {
+      Waiter waiter(&this->loop);
+      this->sessions.insert(&waiter);
+      const ScopeGuard guard(
+          [this, &waiter] { this->sessions.erase(&waiter); });
+      this->UpdateAccepting();
+      ServeCaller(&this->context, connection, &waiter, yield);
+    }
+    // Not while coroutines unwind, when nothing may be started.
+    this->UpdateAccepting();
   });
 }
 
+void EntryProcess::UpdateAccepting() {
+  const bool accepts =
+      this->sessions.size() < this->memory_plan.caller_connections;
+  if (accepts == this->accepts_callers) {
+    return;
+  }
+  this->accepts_callers = accepts;
+  if (accepts) {
+    this->callers.Resume();
+    return;
+  }
+  this->callers.Pause();
+  this->metrics.GetCounter("kumquatcart_accept_pauses_total").Add();
+  LogWarning("accepting_paused", {{"connections", this->sessions.size()}});
+}
+
+void EntryProcess::PublishMemory() {
+  for (const MemoryUse use : {MemoryUse::kConnection, MemoryUse::kRequest}) {
+    this->metrics
+        .GetGauge("kumquatcart_held_memory_bytes", {{"use", ToString(use)}})
+        .Set(static_cast<double>(this->caller_memory.Held(use)));
+  }
+  this->metrics.GetGauge("kumquatcart_held_memory_bytes", {{"use", "answer"}})
+      .Set(static_cast<double>(this->context.buffered_answer_bytes));
+}
+
 bool EntryProcess::HasFleetState() const {
   return this->servers_topic.IsSynced() && this->groups_topic.IsSynced();
 }
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -17,12 +17,14 @@
 #include "entry/entry_context.h"
 #include "entry/group_load_balancer.h"
 #include "entry/group_stall_detector.h"
+#include "entry/memory_plan.h"
 #include "entry/peer_loads.h"
 #include "entry/permit_exchange.h"
 #include "entry/plain_load_balancer.h"
 #include "entry/prompt_exchange.h"
 #include "entry/prompt_guard.h"
 #include "entry/record_service.h"
+#include "entry/request_memory.h"
 #include "entry/server_gate.h"
 #include "entry/server_limiter.h"
 #include "entry/simple_http_server.h"
@@ -81,6 +83,9 @@
   void ReloadSettings(const char* cause);
   void Stop(Coroutine yield);
   void AcceptCaller(boost::asio::ip::tcp::socket socket);
+  // Lets callers connect as long as the plan has room for them.
+  void UpdateAccepting();
+  void PublishMemory();
   bool HasFleetState() const;
   // Whether this process has just started, and announced peers, which may know
   // of later versions than an older copy of the store shows, have not been
@@ -103,6 +108,9 @@
   const MonotonicTime started_at = this->loop.Now();
   boost::asio::signal_set signals;
   MetricRegistry metrics;
+  const MemoryPlan memory_plan = PlanMemory(this->settings);
+  MemoryBudget caller_memory{this->memory_plan.caller_bytes};
+  RequestMemory request_memory{&this->caller_memory, &this->metrics};
   StoreClient store;
   RecordClient record_client;
   RecordService record_service;
@@ -142,6 +150,7 @@
   SimpleHttpServer peer_service;
   EntryContext context;
   std::set<Waiter*> sessions;
+  bool accepts_callers = true;
   bool has_heard_peer = false;
   // Since when removals that the store has lost are retained.
   std::map<std::string, MonotonicTime> retained_removals;
--- a/src/entry/request_reader.cc
+++ b/src/entry/request_reader.cc
@@ -16,6 +16,8 @@
 
 // Protocol version as the parser states it.
 constexpr unsigned kHttp11 = 11;
+// Heads that fit into the unconsumed input of a connection.
+constexpr std::size_t kHeadsPerReadPause = 2;
 constexpr char kContinueResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 RequestReadStatus ClassifyError(const boost::system::error_code& error) {
@@ -52,19 +54,27 @@
 // Parses one request incrementally.
 class IncrementalParser {
  public:
-  explicit IncrementalParser(const CallerLimits& limits) {
+  IncrementalParser(const CallerLimits& limits, ReadingRequest* reading)
+      : reading(reading) {
     this->parser.header_limit(limits.header_bytes);
     this->parser.body_limit(limits.body_bytes);
   }
 
   // Consumes the input of `connection`. Returns no value while the request is
   // incomplete.
-  std::optional<RequestReadStatus> Feed(TcpConnection* connection) {
+  std::optional<RequestReadStatus> Feed(TcpConnection* connection,
+                                        MonotonicTime now) {
+    if (this->reading->WasEnded()) {
+      return RequestReadStatus::kNoMemory;
+    }
     while (!connection->Input().empty() && !this->parser.is_done()) {
       const std::string_view input = connection->Input();
+      if (!this->HoldBody(input.size(), now)) {
+        return RequestReadStatus::kNoMemory;
+      }
       boost::system::error_code error;
       const std::size_t used = ParseSection(&this->parser, input, &error);
-      if (!error && used == 0 && input.size() >= kReadPauseThresholdBytes) {
+      if (!error && used == 0 && input.size() >= connection->ReadPauseBytes()) {
         error = http::error::header_limit;  // No more of the section is read.
       }
       connection->Consume(used);
@@ -74,12 +84,16 @@
       if (used == 0) {
         break;
       }
+      this->reading->NoteReceived(this->BodyBytes());
     }
     if (this->parser.is_header_done() && !this->head_checked) {
       this->head_checked = true;
       if (HasAmbiguousFraming(this->parser)) {
         return RequestReadStatus::kBadRequest;
       }
+      if (!this->HoldBody(0, now)) {
+        return RequestReadStatus::kNoMemory;
+      }
       if (ExpectsContinue(this->parser) && !this->parser.is_done()) {
         connection->Send(kContinueResponse);
       }
@@ -88,7 +102,8 @@
                                   : std::nullopt;
   }
 
-  // Precondition: Feed has returned kRequest.
+  // The head, and the body as far as it was received. Precondition: Feed has
+  // returned kRequest or kNoMemory.
   ParsedRequest Take() {
     ParsedRequest request;
     auto message = this->parser.release();
@@ -105,6 +120,25 @@
   }
 
  private:
+  std::size_t BodyBytes() const { return this->parser.get().body().size(); }
+
+  // Makes room for the announced body, or for `next_bytes` more of it.
+  bool HoldBody(std::size_t next_bytes, MonotonicTime now) {
+    if (!this->parser.is_header_done()) {
+      return true;
+    }
+    const auto announced = this->parser.content_length();
+    if (!this->reading->Hold(
+            announced ? *announced : this->BodyBytes() + next_bytes, now)) {
+      return false;
+    }
+    if (announced) {
+      this->parser.get().body().reserve(*announced);
+    }
+    return true;
+  }
+
+  ReadingRequest* const reading;
   Parser parser;
   bool head_checked = false;
 };
@@ -177,14 +211,21 @@
   outcome.received_at = std::max(this->connection->LastInput(),
                                  this->loop->Now() - limits.header_timeout);
   const MonotonicTime deadline = outcome.received_at + limits.header_timeout;
-  IncrementalParser parser(limits);
+  this->connection->SetReadPause(std::max(
+      kReadChunkBytes, kHeadsPerReadPause * std::size_t{limits.header_bytes}));
+  ReadingRequest reading(this->memory, outcome.received_at, this->waiter);
+  IncrementalParser parser(limits, &reading);
   for (;;) {
     const std::optional<RequestReadStatus> result =
-        parser.Feed(this->connection);
+        parser.Feed(this->connection, this->loop->Now());
     if (result) {
       outcome.result = *result;
       if (*result == RequestReadStatus::kRequest) {
         outcome.request = parser.Take();
+        outcome.memory = reading.TakeLease();
+      } else if (*result == RequestReadStatus::kNoMemory) {
+        outcome.request = parser.Take();
+        outcome.request.body = std::string();
       }
       return outcome;
     }
--- a/src/entry/request_reader.h
+++ b/src/entry/request_reader.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "entry/request_memory.h"
 #include "model/routing_config.h"
 #include "net/http_head.h"
 #include "net/tcp_connection.h"
@@ -34,11 +35,14 @@
   kBadRequest,
   kHeaderTooLarge,
   kBodyTooLarge,
+  kNoMemory,  // Refused, or ended, to keep within the memory of the process.
 };
 
 struct RequestReadResult {
   RequestReadStatus result = RequestReadStatus::kClosed;
-  ParsedRequest request;      // For kRequest.
+  // For kRequest; for kNoMemory without the body.
+  ParsedRequest request;
+  MemoryLease memory;         // For kRequest: of the body and its copy.
   MonotonicTime received_at;  // Arrival of the first byte of the request.
   // For kClosed before the first byte.
   IdleCloseCause cause = IdleCloseCause::kCaller;
@@ -51,14 +55,17 @@
   // Returns the limits in force.
   using LimitsSource = std::function<CallerLimits()>;
 
+  // `memory` limits what the bodies of requests hold; null: nothing does.
   RequestReader(EventLoop* loop,
                 TcpConnection* connection,
                 Waiter* waiter,
-                LimitsSource limits)
+                LimitsSource limits,
+                RequestMemory* memory = nullptr)
       : loop(loop),
         connection(connection),
         waiter(waiter),
-        limits(std::move(limits)) {}
+        limits(std::move(limits)),
+        memory(memory) {}
 
   // `should_close` is checked while the connection is idle; true ends the wait
   // with kClosed. A longer idle timeout holds from the next notification of the
@@ -78,6 +85,7 @@
   TcpConnection* const connection;
   Waiter* const waiter;
   const LimitsSource limits;
+  RequestMemory* const memory;
   bool has_dropped_line = false;  // Before the next request.
 };
 
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -32,7 +32,10 @@
 }
 
 ServerAttempt::ServerAttempt(AttemptJob* job, ServerSlot* slot)
-    : job(job), slot(slot), buffer_use(&job->context->buffered_answer_bytes) {
+    : job(job),
+      slot(slot),
+      buffer_use(&job->context->buffered_answer_bytes,
+                 job->context->max_buffered_answer_bytes) {
   this->response.emplace(job->request->method == "HEAD");
 }
 
--- a/src/entry/simple_http_server.cc
+++ b/src/entry/simple_http_server.cc
@@ -57,7 +57,7 @@
 void TcpListener::AcceptBacklog() {
   boost::system::error_code error;
   this->acceptor.non_blocking(true, error);
-  while (!error) {
+  while (!error && !this->paused) {
     tcp::socket socket(this->loop->Context());
     this->acceptor.accept(socket, error);
     if (!error) {
@@ -71,9 +71,21 @@
                  [this, &socket] { this->accept(std::move(socket)); });
 }
 
+void TcpListener::Resume() {
+  this->paused = false;
+  if (!this->stopped) {
+    this->AcceptNext();
+  }
+}
+
 void TcpListener::AcceptNext() {
+  if (this->accepting || this->paused) {
+    return;
+  }
+  this->accepting = true;
   this->acceptor.async_accept(
       [this](const boost::system::error_code& error, tcp::socket socket) {
+        this->accepting = false;
         if (!error) {
           this->HandleAccepted(std::move(socket));
         }
--- a/src/entry/simple_http_server.h
+++ b/src/entry/simple_http_server.h
@@ -33,6 +33,11 @@
   // listening socket. Accepted connections stay open.
   void Stop();
 
+  // Leaves further connections in the kernel's backlog until Resume. Does
+  // nothing after Stop.
+  void Pause() { this->paused = true; }
+  void Resume();
+
  private:
   void AcceptNext();
   void AcceptBacklog();
@@ -42,6 +47,8 @@
   const Accept accept;
   boost::asio::ip::tcp::acceptor acceptor;
   bool stopped = false;
+  bool paused = false;
+  bool accepting = false;
 };
 
 // Answers each request on `listen` with the result of `handle`. Must be used on
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -116,8 +116,9 @@
     return false;
   }
   this->input.append(chunk.data(), count);
+  this->UpdateLease();
   this->last_input = this->loop->Now();
-  if (this->input.size() - this->consumed < kReadPauseThresholdBytes) {
+  if (this->input.size() - this->consumed < this->read_pause_bytes) {
     this->WaitForInput();
   }
   this->NotifyWaiter();
@@ -125,7 +126,7 @@
 }
 
 bool TcpConnection::PollEnded() {
-  while (!this->ended && this->Input().size() < kReadPauseThresholdBytes &&
+  while (!this->ended && this->Input().size() < this->read_pause_bytes &&
          this->ReadInput()) {
   }
   return this->ended;
@@ -150,7 +151,8 @@
     this->input.erase(0, this->consumed);
     this->consumed = 0;
   }
-  if (this->input.size() - this->consumed < kReadPauseThresholdBytes) {
+  this->UpdateLease();
+  if (this->input.size() - this->consumed < this->read_pause_bytes) {
     this->WaitForInput();
   }
 }
@@ -166,6 +168,7 @@
     this->queued += bytes;
   }
   this->unsent += size;
+  this->UpdateLease();
   this->WriteNext();
 }
 
@@ -203,6 +206,7 @@
         self->unsent -= self->writing.size();
         // An idle connection holds no memory. An assignment would keep it.
         std::string().swap(self->writing);
+        self->UpdateLease();
         self->WriteNext();
         if (self->unsent == 0) {
           self->NotifyWaiter();
@@ -248,6 +252,18 @@
   this->socket.set_option(boost::asio::socket_base::linger(resets, 0), ignored);
 }
 
+void TcpConnection::CountIn(MemoryBudget* budget,
+                            MemoryUse use,
+                            std::size_t base_bytes) {
+  this->lease = MemoryLease(budget, use);
+  this->base_bytes = base_bytes;
+  this->UpdateLease();
+}
+
+void TcpConnection::UpdateLease() {
+  this->lease.Set(this->base_bytes + this->input.capacity() + this->unsent);
+}
+
 void TcpConnection::NotifyWaiter() {
   if (this->waiter != nullptr) {
     this->waiter->Notify();
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -9,6 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "net/event_loop.h"
+#include "net/memory_budget.h"
+#include "net/net_constants.h"
 #include "net/waiter.h"
 
 namespace kumquatcart {
@@ -60,6 +62,14 @@
   // Whether the connection failed with an error. False after an orderly close.
   bool HasFailed() const { return this->failed; }
 
+  // Counts the connection as `base_bytes` and its buffers in `budget`, which
+  // must outlive the connection.
+  void CountIn(MemoryBudget* budget, MemoryUse use, std::size_t base_bytes);
+
+  // Amount of unconsumed input at which reading pauses.
+  void SetReadPause(std::size_t bytes) { this->read_pause_bytes = bytes; }
+  std::size_t ReadPauseBytes() const { return this->read_pause_bytes; }
+
   // Queues bytes for sending. Does nothing once the connection is closed or has
   // failed.
   void Send(std::string bytes);
@@ -99,6 +109,7 @@
   void WriteNext();
   void MarkEnded(bool by_error);
   void NotifyWaiter();
+  void UpdateLease();
 
   EventLoop* const loop;
   boost::asio::ip::tcp::socket socket;
@@ -108,6 +119,9 @@
   std::string writing;
   std::string queued;
   std::size_t unsent = 0;
+  std::size_t read_pause_bytes = kReadPauseThresholdBytes;
+  std::size_t base_bytes = 0;
+  MemoryLease lease;
   bool reading = false;
   bool write_in_progress = false;
   bool finish_after_writes = false;
--- a/src/platform/process_settings.cc
+++ b/src/platform/process_settings.cc
@@ -21,7 +21,6 @@
 constexpr double kDefaultRetryBase = 20;
 constexpr double kDefaultRetryWindowSeconds = 10;
 constexpr std::uint64_t kDefaultCallBytes = 1024 * 1024;
-constexpr std::uint32_t kDefaultDescriptors = 1024;
 // Of the smallest VMs in use.
 constexpr double kDefaultCores = 0.12;
 constexpr double kDefaultLinkMbps = 20;
@@ -75,6 +74,9 @@
   const Json& limits = TableAt(json, "limits");
   settings->descriptors = static_cast<std::uint32_t>(
       NumberAt(limits, "max_fds", kDefaultDescriptors));
+  settings->memory_bytes = static_cast<std::uint64_t>(NumberAt(
+                               limits, "memory_mb", kDefaultMemoryMb)) *
+                           kBytesPerMegabyte;
   settings->cores = NumberAt(limits, "cpu_share", kDefaultCores) *
                     NumberAt(limits, "cores", 1);
   settings->link_bytes_per_second =
--- a/src/platform/process_settings.h
+++ b/src/platform/process_settings.h
@@ -13,6 +13,11 @@
 
 namespace kumquatcart {
 
+inline constexpr std::uint32_t kDefaultDescriptors = 1024;
+// Memory of the smallest VMs in use.
+inline constexpr std::uint64_t kDefaultMemoryMb = 160;
+inline constexpr std::uint64_t kBytesPerMegabyte = 1024 * 1024;
+
 // What an entry VM process learns from its VM.
 struct ProcessSettings {
   std::string node_name;
@@ -32,18 +37,20 @@
   double retry_ratio = 0;  // Retries allowed for each request, system-wide.
   double retry_base = 0;   // Retries allowed beside those, in one window.
   Duration retry_window{0};
-  std::uint32_t descriptors = 0;  // Largest number of open descriptors.
-  double cores = 0;               // Processor time per second of this VM.
+  // Largest number of open descriptors, those for files included.
+  std::uint32_t descriptors = kDefaultDescriptors;
+  std::uint64_t memory_bytes = kDefaultMemoryMb * kBytesPerMegabyte;
+  double cores = 0;  // Processor time per second of this VM.
   double link_bytes_per_second = 0;
 
   auto Tie() const {
-    return std::tie(this->node_name, this->failure_domain,
-                    this->failure_domains, this->callers, this->readiness,
-                    this->peers, this->metrics, this->store, this->call_bytes,
-                    this->drain_bound, this->propagation_bound,
-                    this->stop_grace, this->stall_time, this->retry_ratio,
-                    this->retry_base, this->retry_window, this->descriptors,
-                    this->cores, this->link_bytes_per_second);
+    return std::tie(
+        this->node_name, this->failure_domain, this->failure_domains,
+        this->callers, this->readiness, this->peers, this->metrics, this->store,
+        this->call_bytes, this->drain_bound, this->propagation_bound,
+        this->stop_grace, this->stall_time, this->retry_ratio, this->retry_base,
+        this->retry_window, this->descriptors, this->memory_bytes, this->cores,
+        this->link_bytes_per_second);
   }
 };
 
