--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -391,6 +391,12 @@
 
 bool EntryProcess::AdoptConfig(RoutingConfig config) {
   const LoopStep step(this->loop.Monitor(), "adopt_config");
+  if (!this->request_memory.CanEverHold(config.limits.body_bytes)) {
+    LogWarning("body_limit_over_memory",
+               {{"version", config.version},
+                {"body_bytes", config.limits.body_bytes},
+                {"memory_bytes", this->caller_memory.Capacity()}});
+  }
   if (!this->view.AdoptConfig(
           std::make_shared<const RoutingConfig>(std::move(config)))) {
     return false;
