Examine runs whose group lost a member, also when the server is known as lost

A server whose connections stay open after its end is found by the prober first, and its runs end for the loss of their group; so its end was evidence against no part of a prompt. Only runs at servers that were seen to be leaving are passed over now. A run is examined at once when its group has lost a member, and also if it goes on because no other slot is free.

--- a/src/entry/prompt_guard.cc
+++ b/src/entry/prompt_guard.cc
@@ -57,7 +57,8 @@
       {"cut_short", {Duration{0}, kSecondProbeDelay}, 2, true, true, false},
       {"closed", {kSecondProbeDelay, kAftermath}, 1, false, true, true},
       {"whole", {kAftermath}, 0, false, false, true},
-      {"abandoned", {kAftermath}, 0, false, false, false}};
+      {"abandoned", {kAftermath}, 0, false, false, false},
+      {"stalled", {Duration{0}, kSecondProbeDelay}, 2, true, false, false}};
   return rules[static_cast<int>(end)];
 }
 
@@ -189,6 +190,7 @@
   switch (run.end) {
     case RunEnd::kUnanswered:
     case RunEnd::kCutShort:
+    case RunEnd::kStalled:
       return false;
     case RunEnd::kClosed:
       return this->quarantine.AreSound(parts);
--- a/src/entry/prompt_guard.h
+++ b/src/entry/prompt_guard.h
@@ -52,6 +52,7 @@
   kClosed,     // The same, but the answer is whole unless the server has ended.
   kWhole,      // The framing of a whole answer.
   kAbandoned,  // This VM, since the caller had left or the time was up.
+  kStalled,    // None yet: its group lost a member, its input is open.
 };
 
 // The run of a request at a server that has ended.
--- a/src/entry/request_forwarder.cc
+++ b/src/entry/request_forwarder.cc
@@ -62,6 +62,9 @@
   this->job.reserve_next = [this] { return this->ReserveNext(); };
   this->job.may_send = [this] { return this->MaySendPrompt(); };
   this->job.cancel_reservation = [this] { this->CancelReservation(); };
+  this->job.note_stall = [this](const ServerAttempt& attempt) {
+    this->NoteRunEnd(attempt, RunEnd::kStalled);
+  };
 }
 
 std::int64_t RequestForwarder::LastEvent() const {
@@ -349,7 +352,7 @@
     if (attempt.IsHeldBack()) {
       continue;  // Nothing was sent, so the next attempt is no retry.
     }
-    this->NoteProgress(*result.slot, outcome, attempt);
+    this->NoteProgress(outcome, attempt);
     this->NoteAttempt(*result.slot, outcome, attempt);
     switch (outcome) {
       case AttemptOutcome::kDelivered:
@@ -370,37 +373,48 @@
   }
 }
 
-void RequestForwarder::NoteProgress(const ServerSlot& slot,
-                                    AttemptOutcome outcome,
+void RequestForwarder::NoteProgress(AttemptOutcome outcome,
                                     const ServerAttempt& attempt) {
-  const AnswerProgress progress = attempt.Progress();
-  if (progress == AnswerProgress::kUnknown) {
-    return;
+  switch (attempt.Progress()) {
+    case AnswerProgress::kUnknown:
+      break;
+    case AnswerProgress::kWhole:
+      this->NoteRunEnd(attempt, RunEnd::kWhole);
+      break;
+    case AnswerProgress::kAbandoned:
+      if (!attempt.HasStalled()) {
+        this->NoteRunEnd(attempt, RunEnd::kAbandoned);
+      }
+      break;
+    case AnswerProgress::kCutShort:
+      if (outcome == AttemptOutcome::kDelivered && !attempt.IsResumption()) {
+        this->NoteRunEnd(attempt, RunEnd::kClosed);
+      } else {
+        this->NoteRunEnd(attempt, attempt.AnswerFraming().empty()
+                                      ? RunEnd::kUnanswered
+                                      : RunEnd::kCutShort);
+      }
+      break;
   }
-  if (!this->uses_groups || !this->context->view->IsUsable(slot.ServerId())) {
+}
+
+void RequestForwarder::NoteRunEnd(const ServerAttempt& attempt, RunEnd end) {
+  if (!this->uses_groups || attempt.WasServerLeaving()) {
     // Servers of plain services answer no reports, and the end of one that is
     // leaving says nothing of its last runs.
-    if (progress == AnswerProgress::kWhole) {
+    if (end == RunEnd::kWhole) {
       this->context->prompts->NoteSound(this->request, WholeAnswer());
     }
     return;
   }
   EndedRun run;
+  run.end = end;
   run.events = attempt.EventsReceived();
   run.sent_at = attempt.SentAt();
-  if (progress == AnswerProgress::kWhole) {
-    run.end = RunEnd::kWhole;
-  } else if (progress == AnswerProgress::kAbandoned) {
-    run.end = RunEnd::kAbandoned;
-  } else if (outcome == AttemptOutcome::kDelivered && !attempt.IsResumption()) {
-    run.end = RunEnd::kClosed;
-  } else if (attempt.AnswerFraming().empty()) {
-    run.end = RunEnd::kUnanswered;
-  }
   BackendServer server;
-  server.id = slot.ServerId();
-  server.started_ms = slot.StartedMs();
-  server.endpoint = slot.Address();
+  server.id = attempt.Slot().ServerId();
+  server.started_ms = attempt.Slot().StartedMs();
+  server.endpoint = attempt.Slot().Address();
   this->context->prompts->NoteEnd(this->request, server,
                                   std::move(this->prompt_trial), run);
 }
--- a/src/entry/request_forwarder.h
+++ b/src/entry/request_forwarder.h
@@ -41,9 +41,9 @@
   bool AdmitPrompt(PromptPass* pass, Coroutine yield);
   bool MaySendPrompt() const;
   // Tells the guard of prompts how far the answer got.
-  void NoteProgress(const ServerSlot& slot,
-                    AttemptOutcome outcome,
-                    const ServerAttempt& attempt);
+  void NoteProgress(AttemptOutcome outcome, const ServerAttempt& attempt);
+  // Sends the guard the end of a run. Precondition: the request was sent.
+  void NoteRunEnd(const ServerAttempt& attempt, RunEnd end);
   SlotResult AcquireSlot(Coroutine yield);
   SlotQuery MakeQuery() const;
   // The latest end of the request if it is sent to healthy servers now.
--- a/src/entry/server_attempt.cc
+++ b/src/entry/server_attempt.cc
@@ -139,10 +139,35 @@
     }
   });
   const AttemptOutcome outcome = this->Relay(yield);
+  this->NoteAvailability();
   this->progress = this->JudgeProgress(outcome);
   return outcome;
 }
 
+void ServerAttempt::NoteAvailability() {
+  this->was_server_leaving =
+      this->was_server_leaving ||
+      this->job->context->view->AvailabilityOf(this->slot->ServerId()) ==
+          ServerAvailability::kLeaving;
+}
+
+bool ServerAttempt::OwesAnswer() const {
+  if (this->connection->HasEnded()) {
+    return false;
+  }
+  return this->head_read
+             ? this->head.status == kHttpOk && this->head.is_signed &&
+                   !this->AnswersOtherRequest()
+             : this->connection->HasSentBytes();
+}
+
+void ServerAttempt::NoteStallOnce() {
+  if (!this->has_stalled && this->OwesAnswer()) {
+    this->has_stalled = true;
+    this->job->note_stall(*this);
+  }
+}
+
 AnswerProgress ServerAttempt::JudgeProgress(AttemptOutcome outcome) const {
   // A server may end before its head has left it.
   const bool may_be_answer =
@@ -207,10 +232,14 @@
   if (this->slot->Group().empty()) {
     return std::nullopt;
   }
+  this->NoteAvailability();
   if (this->job->context->view->CanFinishRequests(this->slot->Group(),
                                                   this->slot->Epoch())) {
     this->job->cancel_reservation();
-  } else if (this->job->reserve_next() || !this->job->answer->HasBegun()) {
+    return std::nullopt;
+  }
+  this->NoteStallOnce();
+  if (this->job->reserve_next() || !this->job->answer->HasBegun()) {
     return this->SetOutcome(AttemptOutcome::kMayHaveRun,
                             "the group lost a member");
   }
--- a/src/entry/server_attempt.h
+++ b/src/entry/server_attempt.h
@@ -48,6 +48,8 @@
   std::string body;
 };
 
+class ServerAttempt;
+
 // State shared by all attempts of one request.
 struct AttemptJob {
   // When the request must be answered, whether a server has answered or not.
@@ -73,6 +75,9 @@
   std::function<bool()> may_send;
   // Cancels the queued request for such a slot.
   std::function<void()> cancel_reservation;
+  // The group of the attempt lost a member while the server owed an answer.
+  // Called at most once for each attempt, which may go on.
+  std::function<void(const ServerAttempt&)> note_stall;
 };
 
 // Runs on the event loop's thread; one instance per attempt.
@@ -98,6 +103,11 @@
   // Whether the server was to go on with the answer of an earlier attempt, or
   // with one that the caller had before.
   bool IsResumption() const { return this->is_resumption; }
+  const ServerSlot& Slot() const { return *this->slot; }
+  // Whether the server was seen to be leaving while the attempt ran.
+  bool WasServerLeaving() const { return this->was_server_leaving; }
+  // Whether the job's note_stall was called.
+  bool HasStalled() const { return this->has_stalled; }
   // Zero: nothing was sent.
   MonotonicTime SentAt() const { return this->sent_at; }
   // Number of whole events of the stream that the server has written.
@@ -152,6 +162,10 @@
   // be reused.
   bool MayHaveRunAfterRejection();
   void FinishConnection();
+  void NoteAvailability();
+  // Whether the answer to this request has begun, or its head may still come.
+  bool OwesAnswer() const;
+  void NoteStallOnce();
   // How far the answer of an attempt that ends with `outcome` got.
   AnswerProgress JudgeProgress(AttemptOutcome outcome) const;
   AttemptOutcome SetOutcome(AttemptOutcome outcome, std::string reason);
@@ -171,6 +185,8 @@
   bool sent_under_limit = false;  // The server's rate limit was known.
   MonotonicTime sent_at;          // Zero: nothing was sent.
   bool is_resumption = false;
+  bool was_server_leaving = false;
+  bool has_stalled = false;
   bool has_forwarded_events = false;  // Of this attempt.
   int events_received = 0;
   std::optional<AnswerExtent> extent;  // That has been noted.
--- a/tests/entry/prompt_crash_test.cc
+++ b/tests/entry/prompt_crash_test.cc
@@ -18,6 +18,8 @@
 constexpr Duration kInterval = milliseconds(60);
 // Time until a server answers, and until it ends then.
 constexpr Duration kWork = milliseconds(10);
+// Until the prober finds that a server has ended.
+constexpr Duration kFound = milliseconds(640);
 // How long a server is away that has ended.
 constexpr Duration kAway = milliseconds(1300);
 // The platform's bound: from this time after the fifth end on, three more
@@ -34,6 +36,8 @@
   bool has_head = true;
   Duration delay = kWork;  // Until it ends, whether or not the caller has left.
   bool is_whole = false;   // The answer is; `text` is not used.
+  // Its connections stay open, and the prober finds that it has ended.
+  bool stays_open = false;
 };
 const Ending kEndings[] = {{"after the head", true, ""},
                            {"after the head, unframed", false, ""},
@@ -140,6 +144,12 @@
     this->ends.push_back(this->Now());
     this->away_until[server] = this->Now() + kAway;
     this->fixture.Server(server)->RefuseFor(kAway);
+    if (this->ending.stays_open) {
+      this->fixture.loop.Sleep(kFound, yield);
+      this->ProbeServers();
+      this->fixture.WakeSessions();
+      this->fixture.loop.Sleep(kSettling, yield);
+    }
     return false;
   }
 
@@ -285,6 +295,15 @@
   }
 }
 
+// Guards against a part that is never refused because the connections of ended
+// servers stay open: the runs end for the loss of their group, and the servers
+// are known as lost by then.
+TEST_CASE("A part under which servers end silently is recognised") {
+  Ending ending{"silently within the answer", true, Events(4)};
+  ending.stays_open = true;
+  CheckRecognised(ending, kBadPrompt);
+}
+
 // Guards against a part that all requests share and that is blamed for servers
 // which end for another reason, all at once.
 TEST_CASE("Servers that end for another reason hold nothing back") {
--- a/tools/soak/crash_form.h
+++ b/tools/soak/crash_form.h
@@ -12,6 +12,7 @@
   kBeforeHead,    // At once, before a byte of the answer.
   kAfterWhole,    // Some time after the end of the answer.
   kAfterLeaving,  // Within the answer, after the caller has left.
+  kSilent,  // Within the answer; connections stay open, new ones are refused.
 };
 
 // By the names on the command line.
@@ -20,7 +21,8 @@
       {"within", CrashForm::kWithin},
       {"before-head", CrashForm::kBeforeHead},
       {"after-whole", CrashForm::kAfterWhole},
-      {"after-leaving", CrashForm::kAfterLeaving}};
+      {"after-leaving", CrashForm::kAfterLeaving},
+      {"silent", CrashForm::kSilent}};
   return forms;
 }
 
--- a/tools/soak/server_host.cc
+++ b/tools/soak/server_host.cc
@@ -25,8 +25,9 @@
   this->reconnected = std::move(on_reconnect);
 }
 
-void ServerHost::Detach() {
-  this->proxy->SetState(LinkState::kRefused);
+void ServerHost::Detach(bool silences_open) {
+  this->proxy->SetState(silences_open ? LinkState::kSilentRefused
+                                      : LinkState::kRefused);
   this->reconnected = nullptr;
 }
 
--- a/tools/soak/server_host.h
+++ b/tools/soak/server_host.h
@@ -37,8 +37,9 @@
   // Gives the address to a server that listens on `target`. `on_reconnect` is
   // called at the end of each store cut until the server is detached.
   void Attach(const TcpEndpoint& target, std::function<void()> on_reconnect);
-  // Ends the connections to the server and refuses new ones.
-  void Detach();
+  // Refuses new connections to the server. Those that are open end, or stay
+  // open without a sign if `silences_open`.
+  void Detach(bool silences_open = false);
   bool HasServer() const { return this->reconnected != nullptr; }
 
   void SetStoreCut(StoreCut next);
--- a/tools/soak/server_stand_in.cc
+++ b/tools/soak/server_stand_in.cc
@@ -27,6 +27,8 @@
 constexpr Duration kAfterWhole = std::chrono::milliseconds(100);
 // Events of an answer that its caller leaves before its server ends.
 constexpr int kEventsAfterLeaving = 8;
+// Events of an answer before its server ends with its connections open.
+constexpr int kEventsBeforeSilence = 4;
 // Longer than bytes take to arrive.
 constexpr Duration kArrival = std::chrono::milliseconds(10);
 
@@ -73,7 +75,7 @@
   return Ok();
 }
 
-void ServerStandIn::Die() {
+void ServerStandIn::Die(bool silences_open) {
   if (!this->alive) {
     return;
   }
@@ -81,7 +83,7 @@
   this->alive = false;
   this->parts.table->erase(this->id);
   this->listener->Stop();
-  this->host->Detach();
+  this->host->Detach(silences_open);
   this->LapseEntry();
 }
 
@@ -356,6 +358,9 @@
   if (this->parts.crash_form == CrashForm::kAfterLeaving) {
     return kEventsAfterLeaving;
   }
+  if (this->parts.crash_form == CrashForm::kSilent) {
+    return kEventsBeforeSilence;
+  }
   constexpr int kEvents[] = {0, 0, 0, 4, 8};
   return kEvents[std::hash<std::string>()("events" + this->id) %
                  std::size(kEvents)];
@@ -381,7 +386,7 @@
   this->parts.loop->Sleep(delay, yield);
   if (this->alive) {  // It may have ended under another request meanwhile.
     this->parts.prompts->NoteServerEnd(this->parts.loop->Now());
-    this->Die();
+    this->Die(this->parts.crash_form == CrashForm::kSilent);
     this->parts.ended_under_prompt(this);
   }
   return false;
--- a/tools/soak/server_stand_in.h
+++ b/tools/soak/server_stand_in.h
@@ -71,8 +71,9 @@
   // Errors: kUnavailable.
   Status Start();
 
-  // Ends without a word; its entry lapses later.
-  void Die();
+  // Ends without a word; its entry lapses later. Its connections end, or stay
+  // open if `silences_open`.
+  void Die(bool silences_open = false);
   // Holds back all that this VM writes to the store, until the VM's cut ends.
   // Precondition: `cut` is not kNone.
   void CutFromStore(StoreCut cut);
--- a/tools/soak/tcp_proxy.cc
+++ b/tools/soak/tcp_proxy.cc
@@ -14,9 +14,9 @@
 }  // namespace
 
 const char* ToString(LinkState state) {
-  constexpr const char* kNames[] = {"sound",      "delayed",     "refused",
-                                    "silent",     "silent_back", "slow",
-                                    "silent_open"};
+  constexpr const char* kNames[] = {"sound",       "delayed",       "refused",
+                                    "silent",      "silent_back",   "slow",
+                                    "silent_open", "silent_refused"};
   return kNames[static_cast<int>(state)];
 }
 
@@ -28,7 +28,7 @@
       }) {}
 
 void TcpProxy::SetState(LinkState next) {
-  this->open_silences += next == LinkState::kSilentOpen ? 1 : 0;
+  this->open_silences += SilencesOpen(next) ? 1 : 0;
   // What ends here harms open connections only, and those for good.
   const bool ends_open_silence =
       this->state == LinkState::kSilentOpen && next == LinkState::kSound;
@@ -46,7 +46,8 @@
 void TcpProxy::Accept(boost::asio::ip::tcp::socket socket) {
   const ConnectionRef near =
       TcpConnection::Adopt(this->loop, std::move(socket));
-  if (this->state == LinkState::kRefused) {
+  if (this->state == LinkState::kRefused ||
+      this->state == LinkState::kSilentRefused) {
     near->Close();
     return;
   }
@@ -99,11 +100,11 @@
   bool open = far->Connect(this->target, this->loop->Now() + kConnectTimeout,
                            &waiter, yield);
   while (open) {
-    if (this->state == LinkState::kRefused || generation != this->targets) {
-      break;
-    }
     if (silences_before != this->open_silences) {
       open = !near->HasEnded();
+    } else if (this->state == LinkState::kRefused ||
+               generation != this->targets) {
+      break;
     } else if (this->state != LinkState::kSilent) {
       this->PassBoth(near.get(), far.get(), &is_asked, yield);
       open = !(near->HasEnded() && near->Input().empty()) &&
--- a/tools/soak/tcp_proxy.h
+++ b/tools/soak/tcp_proxy.h
@@ -19,6 +19,7 @@
   kSlow,        // Each answer is late by 0.3 to 0.9 s, in however many pieces.
   kSilentOpen,  // Nothing passes for good on the connections that are open when
                 // it begins; those that come later are sound.
+  kSilentRefused,  // The same, but those that come later end at once.
 };
 
 // Lower-case name for logs. Thread safe.
@@ -43,7 +44,8 @@
                                       : std::nullopt;
   }
 
-  // Cuts all connections; later ones go to `next`.
+  // Cuts all connections but those that are silent for good; later ones go to
+  // `next`.
   void SetTarget(const TcpEndpoint& next);
 
  private:
@@ -53,6 +55,12 @@
     return state == LinkState::kSound || state == LinkState::kSilentOpen;
   }
 
+  // Whether the connections that are open when it begins are silent for good.
+  static bool SilencesOpen(LinkState state) {
+    return state == LinkState::kSilentOpen ||
+           state == LinkState::kSilentRefused;
+  }
+
   void Accept(boost::asio::ip::tcp::socket socket);
   void Relay(const ConnectionRef& near, Coroutine yield);
   // Passes what has arrived from `from` to `to`. Returns whether it was
