--- a/src/entry/request_forwarder.h
+++ b/src/entry/request_forwarder.h
@@ -43,9 +43,9 @@
   bool AdmitPrompt(PromptPass* pass, Coroutine yield);
   bool MaySendPrompt() const;
   // Tells the guard of prompts how far the answer got.
-  void NoteProgress(const ServerSlot& slot,
-                    AttemptOutcome outcome,
-                    const ServerAttempt& attempt);
+  void NoteProgress(AttemptOutcome outcome, const ServerAttempt& attempt);
+  // Sends the guard the end of a run. Precondition: the request was sent.
+  void NoteRunEnd(const ServerAttempt& attempt, RunEnd end);
   SlotResult AcquireSlot(Coroutine yield);
   SlotQuery MakeQuery() const;
   // Excludes the servers of regions in which the request may not run.
