Keep groups serving while members only lack an entry

Their entries expire from 15 s on while they work on. Of the six groups of 16, one was forming again after a crash; four got new records between 15.2 and 15.6 s, and again up to 16.1 s as more entries expired; the sixth was dissolved at 15.7 s. No group of the model was open from 15.7 to 16.6 s.

Change: a serving group keeps members that merely lack an entry until it needs a new record for another reason. Members that state that they are leaving are replaced while more than half of the model's groups of the failure domain serve.

--- a/src/control/group_planner.cc
+++ b/src/control/group_planner.cc
@@ -21,7 +21,9 @@
 class DomainPlanner {
  public:
   explicit DomainPlanner(const DomainInput& input)
-      : input(input), assigned_servers(input.assigned_elsewhere) {
+      : input(input),
+        assigned_servers(input.assigned_elsewhere),
+        group_counts(input.group_counts) {
     std::set<std::string> in_groups;
     for (const GroupRecord& group : input.groups) {
       std::copy_if(group.members.begin(), group.members.end(),
@@ -33,6 +35,9 @@
     }
     for (const PlannedServer& server : input.servers) {
       this->availabilities[server.id] = server.availability;
+      if (server.states_leaving) {
+        this->stating_leaving.insert(server.id);
+      }
       if (server.availability == ServerAvailability::kUsable &&
           server.assignable && in_groups.count(server.id) == 0) {
         this->free_servers.push_back(&server);
@@ -154,8 +159,12 @@
     for (std::size_t i = 0; i < lost; ++i) {
       kept.push_back(this->TakeFree(group.model));
     }
+    const bool replaces_leaving =
+        changed ||
+        (this->MayPauseGroup(group) &&
+         (!this->IsServing(group) || this->AnyStatesLeaving(leaving)));
     for (const std::string& id : leaving) {
-      if (this->HasFreeWarmServer(group.model)) {
+      if (replaces_leaving && this->HasFreeWarmServer(group.model)) {
         kept.push_back(this->TakeFree(group.model));
         changed = true;
       } else {
@@ -165,10 +174,37 @@
     }
     this->AddAssigned(group.model, kept.size());
     if (changed) {
+      this->NotePaused(group);
       this->AddRecord(group, std::move(kept));
     }
   }
 
+  bool IsServing(const GroupRecord& group) const {
+    return this->input.serving_groups.count(group.group) > 0;
+  }
+
+  // Whether a new record may stop `group` from taking requests until it is
+  // open again. Entries of many servers can expire at once while the servers
+  // work on, and nearly every large group has such a member then.
+  bool MayPauseGroup(const GroupRecord& group) const {
+    const auto count = this->group_counts.find(group.model);
+    return !this->IsServing(group) || count == this->group_counts.end() ||
+           count->second.serving > MinServingGroups(count->second.recorded);
+  }
+
+  bool AnyStatesLeaving(const std::vector<std::string>& ids) const {
+    return std::any_of(ids.begin(), ids.end(), [this](const std::string& id) {
+      return this->stating_leaving.count(id) > 0;
+    });
+  }
+
+  void NotePaused(const GroupRecord& group) {
+    const auto count = this->group_counts.find(group.model);
+    if (this->IsServing(group) && count != this->group_counts.end()) {
+      --count->second.serving;
+    }
+  }
+
   void AddAssigned(const std::string& model, std::size_t servers) {
     this->assigned_servers[model] += static_cast<int>(servers);
   }
@@ -323,14 +359,21 @@
   const DomainInput& input;
   ServersByModel assigned_servers;
   ServersByModel formed_servers;  // In groups that the plan forms.
+  // As they are once the plan's records are written.
+  std::map<std::string, GroupCount> group_counts;
   std::set<std::string> group_names;
   std::map<std::string, ServerAvailability> availabilities;
+  std::set<std::string> stating_leaving;
   std::vector<const PlannedServer*> free_servers;
   DomainPlan plan;
 };
 
 }  // namespace
 
+int MinServingGroups(int recorded) {
+  return recorded / 2;
+}
+
 int ReserveSize(std::size_t usable) {
   return std::max(1, static_cast<int>(std::lround(
                          kReserveFraction * static_cast<double>(usable))));
--- a/src/control/group_planner.h
+++ b/src/control/group_planner.h
@@ -28,6 +28,9 @@
 struct PlannedServer {
   std::string id;
   ServerAvailability availability = ServerAvailability::kLost;
+  // Whether a leaving server has stated itself that it is leaving. Otherwise
+  // its entry is missing, and may have expired while the server works on.
+  bool states_leaving = false;
   // Whether it can join a group: it is a member of none but its standby group.
   bool assignable = false;
   std::string standby_model;  // Model loaded by its standby group.
@@ -35,11 +38,20 @@
   std::vector<std::string> staged_models;
 
   auto Tie() const {
-    return std::tie(this->id, this->availability, this->assignable,
-                    this->standby_model, this->is_loading, this->staged_models);
+    return std::tie(this->id, this->availability, this->states_leaving,
+                    this->assignable, this->standby_model, this->is_loading,
+                    this->staged_models);
   }
 };
 
+// Number of groups of one model, and of those that take requests.
+struct GroupCount {
+  int recorded = 0;
+  int serving = 0;
+
+  auto Tie() const { return std::tie(this->recorded, this->serving); }
+};
+
 // State of one fabric domain as an input of the planner.
 struct DomainInput {
   std::string service;
@@ -53,6 +65,10 @@
   // Groups whose head reported a failure after waiting for a member. They need
   // a new epoch.
   std::set<std::string> broken_groups;
+  // Groups that take requests.
+  std::set<std::string> serving_groups;
+  // Groups of each model in the failure domain.
+  std::map<std::string, GroupCount> group_counts;
   std::vector<ModelSpec> models;
   // Number of servers in groups of each model in the other fabric domains of
   // the failure domain.
@@ -92,11 +108,17 @@
 
 // Replaces lost members by free servers and dissolves groups that cannot be
 // completed. Replaces leaving members by standbys that need no cold load; if
-// there is none, leaving members stay, but not as heads. Forms groups from free
+// there is none, leaving members stay, but not as heads. While the group
+// serves, members that merely lack an entry stay, too, and so do the others
+// while too few groups of the model would serve. Forms groups from free
 // servers beyond a reserve, for the models with the largest deficit first, and
 // distributes standbys over the models. Deterministic. Thread safe.
 DomainPlan PlanDomain(const DomainInput& input);
 
+// Number of a model's `recorded` groups in a failure domain that keep serving
+// while others replace leaving members. Thread safe.
+int MinServingGroups(int recorded);
+
 // Number of a fabric domain's `usable` servers that are kept free to replace
 // lost members. Thread safe.
 int ReserveSize(std::size_t usable);
--- a/src/control/planning_input.cc
+++ b/src/control/planning_input.cc
@@ -24,6 +24,7 @@
   PlannedServer planned;
   planned.id = server.id;
   planned.availability = view.AvailabilityOf(server.id);
+  planned.states_leaving = server.draining;
   planned.staged_models = server.staged_models;
   planned.assignable = !server.membership ||
                        server.membership->group == StandbyGroupName(server.id);
@@ -69,6 +70,25 @@
   return assigned;
 }
 
+// Groups by model in the failure domain of `domain`.
+std::map<std::string, GroupCount> CountGroups(const FabricDomain& domain,
+                                              const FleetView& view) {
+  std::map<std::string, GroupCount> counts;
+  for (const auto& entry : view.Groups()) {
+    const GroupRecord& record = entry.second.record;
+    const BackendServer* head = record.members.empty()
+                                    ? nullptr
+                                    : view.FindServer(record.members.front());
+    if (head != nullptr && record.service == domain.service &&
+        head->failure_domain == domain.failure_domain) {
+      GroupCount& count = counts[record.model];
+      ++count.recorded;
+      count.serving += view.Serves(entry.second) ? 1 : 0;
+    }
+  }
+  return counts;
+}
+
 // Servers wanted for new groups in `domain` if the models' shares hold for all
 // failure domains together.
 ServersByModel WantedServers(const FabricDomain& domain,
@@ -149,6 +169,7 @@
   input.service = domain.service;
   input.fabric_domain = domain.name;
   input.models = domain.engine->models;
+  input.group_counts = CountGroups(domain, view);
   input.assigned_elsewhere = AssignedElsewhere(domain, view);
   const bool shares_models = !HoldsEveryModel(domain, view);
   if (shares_models) {
@@ -168,6 +189,9 @@
       continue;
     }
     input.groups.push_back(record);
+    if (view.Serves(entry.second)) {
+      input.serving_groups.insert(entry.first);
+    }
     for (std::size_t rank = 0; rank < record.members.size(); ++rank) {
       const std::string& id = record.members[rank];
       const BackendServer* server = view.FindServer(id);
--- a/tests/control/group_planner_test.cc
+++ b/tests/control/group_planner_test.cc
@@ -222,6 +222,80 @@
                    plan.records[0].members.end(), group.members[1]) == 0);
 }
 
+// Guards against all groups of a large model being formed anew at once: the
+// entries of a tenth of the servers expire within a second while the servers
+// work on, and nearly every group of 16 has such a member.
+TEST_CASE("A serving group keeps members that merely lack an entry") {
+  DomainInput input = MakeRunningDomain();
+  const GroupRecord group = input.groups[0];
+  input.serving_groups = {group.group};
+  input.group_counts = {{"large", {4, 4}}};
+  PlannedServer* member = Find(&input, group.members[1]);
+  member->availability = ServerAvailability::kLeaving;
+  CHECK(PlanDomain(input).records.empty());
+  member->states_leaving = true;
+  CHECK(PlanDomain(input).records.size() == 1);
+  member->states_leaving = false;
+  // A lost member needs a new record in any case.
+  Find(&input, group.members[2])->availability = ServerAvailability::kLost;
+  const DomainPlan plan = PlanDomain(input);
+  REQUIRE(plan.records.size() == 1);
+  CHECK(std::count(plan.records[0].members.begin(),
+                   plan.records[0].members.end(), group.members[2]) == 0);
+}
+
+// Guards against the same during a planned shutdown of many servers, which all
+// state that they are leaving: their groups are formed anew in turn.
+TEST_CASE("Half of a model's groups serve while leaving members are replaced") {
+  DomainInput input = MakeRunningDomain();
+  const GroupRecord group = input.groups[0];
+  PlannedServer* member = Find(&input, group.members[1]);
+  member->availability = ServerAvailability::kLeaving;
+  member->states_leaving = true;
+  input.serving_groups = {group.group};
+  input.group_counts = {{"large", {2, 1}}};
+  CHECK(PlanDomain(input).records.empty());
+  input.group_counts = {{"large", {2, 2}}};
+  CHECK(PlanDomain(input).records.size() == 1);
+  // The only group has no other one to wait for.
+  input.group_counts = {{"large", {1, 1}}};
+  CHECK(PlanDomain(input).records.size() == 1);
+  // A group that takes no requests loses nothing.
+  input.group_counts = {{"large", {2, 1}}};
+  input.serving_groups.clear();
+  CHECK(PlanDomain(input).records.size() == 1);
+}
+
+// Guards against two groups that one plan stops although each alone may be.
+TEST_CASE("One plan stops no more groups than may stop together") {
+  DomainInput input = MakeDomain(12, 3, 2);
+  input.servers[10].standby_model = "large";
+  input.servers[11].standby_model = "large";
+  std::int64_t epoch = 0;
+  for (const char* name : {"d.1", "d.2", "d.3"}) {
+    GroupRecord group;
+    group.group = name;
+    group.model = "large";
+    group.epoch = ++epoch;
+    for (std::int64_t i = 3 * epoch - 3; i < 3 * epoch; ++i) {
+      PlannedServer& server = input.servers[static_cast<std::size_t>(i)];
+      group.members.push_back(server.id);
+      server.assignable = false;
+    }
+    input.groups.push_back(group);
+    input.serving_groups.insert(name);
+  }
+  for (const std::size_t i : {1U, 4U}) {
+    input.servers[i].availability = ServerAvailability::kLeaving;
+    input.servers[i].states_leaving = true;
+  }
+  input.is_growing = true;  // No new groups.
+  input.group_counts = {{"large", {4, 3}}};
+  CHECK(PlanDomain(input).records.size() == 1);
+  input.group_counts = {{"large", {4, 4}}};
+  CHECK(PlanDomain(input).records.size() == 2);
+}
+
 TEST_CASE("A leaving member stays while no standby can replace it") {
   DomainInput input = MakeRunningDomain();
   for (PlannedServer& server : input.servers) {
