Fill a test's service by field names

The slot coordination test filled the fields of ServiceSpec by position; the new fields of cold servers come before the last one, so that it did not compile.

--- a/tests/entry/slot_coordination_test.cc
+++ b/tests/entry/slot_coordination_test.cc
@@ -246,7 +246,9 @@
     EngineSpec engine;
     engine.slots = kSlots;
     engine.models.push_back(ModelSpec{"m", 1, 1, 1});
-    config.services["llm"] = ServiceSpec{"llm", 0, engine};
+    ServiceSpec& service = config.services["llm"];
+    service.name = "llm";
+    service.engine = engine;
     this->view->AdoptConfig(std::make_shared<const RoutingConfig>(config));
     for (int group = 0; group < kGroups; ++group) {
       BackendServer server;
