--- a/src/routing/config_check.cc
+++ b/src/routing/config_check.cc
@@ -165,15 +165,15 @@
                   std::vector<std::string>* lines) {
   for (const auto& [name, value] : before) {
     if (after.count(name) == 0) {
-      lines->push_back("removed " + kind + "/" + name);
+      lines->push_back(fmt::format("removed {}/{}", kind, name));
     }
   }
   for (const auto& [name, value] : after) {
     const auto former = before.find(name);
     if (former == before.end()) {
-      lines->push_back("added " + kind + "/" + name);
+      lines->push_back(fmt::format("added {}/{}", kind, name));
     } else if (former->second != value) {
-      lines->push_back("changed " + kind + "/" + name);
+      lines->push_back(fmt::format("changed {}/{}", kind, name));
     }
   }
 }
