--- a/src/entry/group_load_balancer.cc
+++ b/src/entry/group_load_balancer.cc
@@ -26,6 +26,10 @@
 // the first one may come later without notice.
 constexpr int kGapTargetPerUnnoticed = 8;
 
+// Whether DecideSpill() decides where the configuration states delays between
+// failure domains. Off: see docs/design/leaving-a-failure-domain.md, In force.
+constexpr bool kDecidesSpillByGain = false;
+
 }  // namespace
 
 SlotRequest::SlotRequest(GroupLoadBalancer* balancer,
@@ -105,7 +109,8 @@
       demand.local_prefill_budget =
           LocalPrefillBudget(*demand.prefill_budget, groups, this->nodes);
     }
-    if (engine.domain_delay > Duration{0} && is_coordinator) {
+    if (kDecidesSpillByGain && engine.domain_delay > Duration{0} &&
+        is_coordinator) {
       const MonotonicTime now = this->now();
       demand.spill =
           SpillTerms{this->wait_estimator.EstimateWait(query.model, 0, now),
