--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -503,6 +504,7 @@
            "\"keep_s\":300,\"part_mb\":200,\"ttl_min_ms\":1000}}";
     this->process = ::fork();
     if (this->process == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // Ends with the stand-ins.
       const std::string variable =
           "KUMQUATCART_SETTINGS=" + folder + "/settings.json";
       const std::string log = folder + "/entry.log";
